--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"larkrudder/decide"
-	"larkrudder/wire"
+	"pumiceline/decide"
+	"pumiceline/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"larkrudder/decide"
+	"pumiceline/decide"
 )
 
 // One balancer learns of two servers, takes a request and is told how its attempt ended.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"math"
 
-	"larkrudder/decide"
+	"pumiceline/decide"
 )
 
 // Sizes of the frame headers, and the largest body a reader should accept.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"larkrudder/decide"
+	"pumiceline/decide"
 )
 
 func body(t testing.TB, text string) []byte {
