--- /dev/null
+++ b/cmd/pumiceline/main.go
@@ -0,0 +1,144 @@
+// Command pumiceline is a balancing HTTP proxy: it serves clients from a pool of destinations, with every choice
+// made by package decide.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"pumiceline/decide"
+	"pumiceline/internal/config"
+	"pumiceline/internal/destination"
+	"pumiceline/internal/front"
+	"pumiceline/internal/planner"
+	"pumiceline/internal/pool"
+	"pumiceline/internal/route"
+	"pumiceline/settings"
+)
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Serve clients until told to stop."`
+	Check   checkCmd   `cmd:"" help:"Check a configuration and say what it amounts to."`
+	Version versionCmd `cmd:"" help:"Say which version this is."`
+}
+
+type output struct{ io.Writer }
+
+func main() {
+	args := kong.Parse(&cli{}, kong.Name("pumiceline"), kong.UsageOnError(),
+		kong.Description("A balancing HTTP proxy. The configuration is the file that ROUTER_CONFIG names."))
+	args.FatalIfErrorf(args.Run(output{os.Stdout}))
+}
+
+type versionCmd struct{}
+
+// Run prints the version that the build recorded.
+func (versionCmd) Run(out output) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("this program was built without build information")
+	}
+	_, err := fmt.Fprintln(out, "pumiceline", info.Main.Version, info.GoVersion)
+	return err
+}
+
+type checkCmd struct {
+	Config string `help:"Configuration file, in place of the one that ROUTER_CONFIG names." type:"path"`
+}
+
+// Run reads the configuration as serve would.
+func (c *checkCmd) Run(out output) error {
+	cfg, err := config.Load(c.Config, os.Getenv)
+	if err != nil {
+		return err
+	}
+	if _, err := decide.New(cfg.Module, cfg.Seed); err != nil {
+		return fmt.Errorf("config: settings: %w", err)
+	}
+	_, err = fmt.Fprintf(out, "%s listens on %s and asks %s; %d classes, %d tenants, %d zones\n", cfg.Name, cfg.Listen,
+		cfg.Discovery, len(cfg.Settings.Classes), len(cfg.Settings.Projects), len(cfg.Settings.Zones))
+	return err
+}
+
+type serveCmd struct {
+	Config string     `help:"Configuration file, in place of the one that ROUTER_CONFIG names." type:"path"`
+	Level  slog.Level `help:"Least level of the log lines that are written." default:"INFO"`
+}
+
+// The socket budget: front sockets and connections to destinations have a part each, and the rest is for the
+// listener, discovery, a dial under way and the runtime.
+const (
+	frontPart       = 0.55
+	destinationPart = 0.35
+	// memoryPart of the limit is the collector's goal; the rest is for what it does not see.
+	memoryPart = 0.7
+)
+
+// Run serves until SIGTERM or SIGINT.
+func (s *serveCmd) Run() error {
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.Level}))
+	cfg, err := config.Load(s.Config, os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
+	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return serve(stop, cfg, log.With("proxy", cfg.Name))
+}
+
+// serve puts the parts together and runs them until stop ends and all that was taken is answered.
+func serve(stop context.Context, cfg *config.Config, log *slog.Logger) error {
+	module, err := decide.New(cfg.Module, cfg.Seed)
+	if err != nil {
+		return fmt.Errorf("config: settings: %w", err)
+	}
+	limits := &cfg.Settings.Limits
+	sockets := float64(cfg.Limits.Sockets)
+	fleetOptions := destination.Options{DialWithin: micros(limits.DialTimeout), IdleClose: micros(limits.IdleClose),
+		MostSockets: int(sockets * destinationPart)}
+	if cfg.Module.ReportVia == decide.ReportsInAnswers {
+		fleetOptions.Columns = cfg.Settings.LoadInfo.Columns
+	}
+	fleet := destination.NewFleet(fleetOptions, log)
+	watcher := pool.NewWatcher(cfg.Discovery, pool.NewTable(cfg.Settings.Zones, cfg.Settings.Flavors), fleet, log)
+	plan := planner.New(module, planner.Hooks{Subscribe: watcher.Ask, CloseUnused: fleet.CloseUnused}, log)
+	clients := front.New(front.Options{Settings: &cfg.Settings, Ready: watcher.Held, Log: log,
+		MostSockets: int(sockets * frontPart),
+		Transport: &route.Transport{Planner: plan, Fleet: fleet, MaxRetryAfter: micros(limits.MaxRetryAfter),
+			Log: log}})
+
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("config: listen: %w", err)
+	}
+	// The list and the timers go on until the last request is answered.
+	running, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	watcher.Start(plan, cfg.Known)
+	ends := make(chan error, 2)
+	go func() { ends <- plan.Run(running) }()
+	go func() { ends <- watcher.Run(running) }()
+	log.Info("serving", "listen", cfg.Listen, "discovery", cfg.Discovery)
+	err = clients.Serve(stop, ln)
+	cancel()
+	err = errors.Join(err, <-ends, <-ends)
+	log.Info("ended", "error", err)
+	return err
+}
+
+func micros(v float64) time.Duration { return time.Duration(settings.Micros(v)) * time.Microsecond }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,205 @@
+// Package config is the one place that reads the proxy's configuration: the file that ROUTER_CONFIG names and
+// the variables that stand above it. It gives defaults and refuses what cannot work, naming the faulty key.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"pumiceline/decide"
+	"pumiceline/settings"
+)
+
+// Config is a checked configuration.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     json.RawMessage // in discovery's form; package pool judges it
+	Settings  settings.Settings
+	Module    decide.Settings
+}
+
+// Limits are those of the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Defaults stand in for what neither the file nor the variables tell.
+const (
+	defaultName        = "pumiceline"
+	defaultCores       = 1
+	defaultMemoryMB    = 192
+	defaultSockets     = 1024
+	defaultDialTimeout = 250_000
+	defaultIdleClose   = 10_000_000
+	defaultRetryAfter  = 2_500_000
+	leastMemoryMB      = 32
+	leastSockets       = 64
+)
+
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration from the file at path, or if that is empty from the one that ROUTER_CONFIG
+// names, with the environment read through env.
+func Load(path string, env func(string) string) (*Config, error) {
+	if path == "" {
+		path = env("ROUTER_CONFIG")
+	}
+	if path == "" {
+		return nil, errors.New("ROUTER_CONFIG: not set, and no file given")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	return Parse(text, env)
+}
+
+// Parse checks the text of a configuration file.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("config: %w", named(err))
+	}
+	for _, v := range []struct {
+		name string
+		into *string
+	}{{"ROUTER_NAME", &f.Name}, {"ROUTER_LISTEN", &f.Listen}, {"ROUTER_DISCOVERY", &f.Discovery}} {
+		if got := env(v.name); got != "" {
+			*v.into = got
+		}
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	if c.Name == "" {
+		c.Name = defaultName
+	}
+	if err := address("listen", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := address("discovery", c.Discovery); err != nil {
+		return nil, err
+	}
+	c.Seed = uint64(time.Now().UnixNano())
+	if f.Seed != "" {
+		seed, err := strconv.ParseUint(f.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("config: seed: %q is no hexadecimal number of 64 bits", f.Seed)
+		}
+		c.Seed = seed
+	}
+	if err := c.Limits.check(); err != nil {
+		return nil, err
+	}
+	if string(c.Known) == "null" {
+		c.Known = nil
+	}
+	return c, c.readSettings(f.Settings)
+}
+
+func (c *Config) readSettings(text json.RawMessage) error {
+	if len(text) == 0 || string(text) == "null" {
+		return errors.New("config: settings: missing")
+	}
+	if err := json.Unmarshal(text, &c.Settings); err != nil {
+		return fmt.Errorf("config: settings: %w", named(err))
+	}
+	s := &c.Settings
+	l := &s.Limits
+	for _, d := range []struct {
+		key   string
+		value *float64
+		use   float64
+	}{
+		{"DialTimeout", &l.DialTimeout, defaultDialTimeout}, {"IdleClose", &l.IdleClose, defaultIdleClose},
+		{"MaxRetryAfter", &l.MaxRetryAfter, defaultRetryAfter},
+	} {
+		if *d.value < 0 {
+			return fmt.Errorf("config: settings.Limits.%s: %v is negative", d.key, *d.value)
+		}
+		if *d.value == 0 {
+			*d.value = d.use
+		}
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("config: settings.Classes: empty")
+	}
+	seen := map[string]bool{}
+	for i, class := range s.Classes {
+		switch {
+		case class.Name == "":
+			return fmt.Errorf("config: settings.Classes[%d].Name: missing", i)
+		case seen[class.Name]:
+			return fmt.Errorf("config: settings.Classes[%d].Name: %q stands twice", i, class.Name)
+		case class.HardLimit <= 0:
+			return fmt.Errorf("config: settings.Classes[%d].HardLimit: %v is no time", i, class.HardLimit)
+		}
+		seen[class.Name] = true
+	}
+	if s.Locality < 0 || s.Locality >= max(1, len(s.Zones)) {
+		return fmt.Errorf("config: settings.Locality: %d is none of the %d Zones", s.Locality, len(s.Zones))
+	}
+	var err error
+	if c.Module, err = s.Module(); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	c.Module.Limits.Probe = false // destinations are never probed, whatever the settings allow
+	return nil
+}
+
+func (l *Limits) check() error {
+	if l.Cores == 0 {
+		l.Cores = defaultCores
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.Sockets == 0 {
+		l.Sockets = defaultSockets
+	}
+	switch {
+	case !(l.Cores > 0 && l.Cores <= 1024):
+		return fmt.Errorf("config: limits.cores: %v is out of range", l.Cores)
+	case l.MemoryMB < leastMemoryMB:
+		return fmt.Errorf("config: limits.memory_mb: %d is under %d", l.MemoryMB, leastMemoryMB)
+	case l.Sockets < leastSockets:
+		return fmt.Errorf("config: limits.sockets: %d is under %d", l.Sockets, leastSockets)
+	}
+	return nil
+}
+
+func address(key, value string) error {
+	if value == "" {
+		return fmt.Errorf("config: %s: missing", key)
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("config: %s: %w", key, err)
+	}
+	return nil
+}
+
+// named puts the key before a complaint about its type.
+func named(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return fmt.Errorf("%s: a %s is not what belongs here", wrong.Field, wrong.Value)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/destination/exchange.go
@@ -0,0 +1,164 @@
+package destination
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pumiceline/decide"
+)
+
+// MostBody is the largest body that an answer or a request may have.
+const MostBody = 64 << 10
+
+const (
+	mostHead      = 64 << 10 // bytes of an answer's head, interim answers included
+	mostInterim   = 5
+	unprocessed   = "X-Unprocessed"
+	timeLeftName  = "X-Time-Left-Ms"
+	statusNothing = 0
+)
+
+// Answer is a destination's whole answer.
+type Answer struct {
+	Header http.Header
+	Body   []byte
+}
+
+// Result is how one exchange ended. Answer is set if the outcome is OK.
+type Result struct {
+	Outcome decide.Outcome
+	Answer  *Answer
+	Report  []float32
+	Err     error // what went wrong, for the log
+}
+
+// Exchange sends req, whose body is given apart, to a destination and waits for its whole answer until ctx
+// ends. The request is written once and never again: http.Transport would resend it by itself on a reused
+// connection that breaks, which is an attempt that the module knows nothing of.
+func (f *Fleet) Exchange(ctx context.Context, id uint32, req *http.Request, body []byte) Result {
+	c, res := f.acquire(ctx, id)
+	if c == nil {
+		return res
+	}
+	// Ending ctx closes the connection: that is how a route step is given up.
+	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
+	res, reusable := f.exchange(ctx, c, req, body)
+	f.release(c, stop() && reusable) // before the outcome is told, so that no step is out on an open connection
+	return res
+}
+
+func (f *Fleet) exchange(ctx context.Context, c *conn, req *http.Request, body []byte) (res Result, reusable bool) {
+	text, err := encode(ctx, req, body)
+	if err != nil {
+		return Result{Outcome: decide.Moot, Err: err}, false
+	}
+	// Nothing may go out if the client's time is up or the destination began to drain while the connection
+	// was made.
+	if ctx.Err() != nil || !f.takes(c.dest) {
+		return Result{Outcome: ended(ctx, decide.Moot), Err: errors.New("not sent: over or draining")}, true
+	}
+	if n, err := c.nc.Write(text); n < len(text) {
+		// Its last byte never went out, so the destination cannot have begun it.
+		return Result{Outcome: neverSent(ctx), Err: fmt.Errorf("writing the request: %w", err)}, false
+	}
+	status, answer, reusable, err := c.read(req)
+	if err != nil {
+		return Result{Outcome: ended(ctx, decide.Reset), Err: fmt.Errorf("reading the answer: %w", err)}, false
+	}
+	res.Outcome = decide.Failed
+	switch status {
+	case http.StatusOK:
+		res.Outcome, res.Answer = decide.OK, answer
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if answer.Header.Get(unprocessed) == "1" { // without that mark it may have run
+			res.Outcome = decide.Full
+		}
+	}
+	if text := answer.Header.Get(ReportHeader); text != "" && len(f.columns) > 0 {
+		if res.Report, err = ParseReport(text, f.columns); err != nil {
+			f.log.Warn("load report not understood", "destination", c.dest.addr, "error", err)
+		}
+		answer.Header.Del(ReportHeader)
+	}
+	return res, reusable
+}
+
+// encode writes req as it goes on the wire, with the time that is left.
+func encode(ctx context.Context, req *http.Request, body []byte) ([]byte, error) {
+	out := req.WithContext(ctx)
+	out.Header = req.Header.Clone()
+	if deadline, ok := ctx.Deadline(); ok {
+		out.Header.Set(timeLeftName, strconv.FormatInt(max(0, time.Until(deadline).Milliseconds()), 10))
+	}
+	out.Body, out.ContentLength, out.TransferEncoding = http.NoBody, int64(len(body)), nil
+	if len(body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	var text bytes.Buffer
+	if err := out.Write(&text); err != nil {
+		return nil, fmt.Errorf("encoding the request: %w", err)
+	}
+	return text.Bytes(), nil
+}
+
+// ended is the outcome of a step that did not come to an answer: that of ctx if it is over, else otherwise.
+func ended(ctx context.Context, otherwise decide.Outcome) decide.Outcome {
+	switch ctx.Err() {
+	case nil:
+		return otherwise
+	case context.DeadlineExceeded:
+		if otherwise == decide.Moot {
+			return decide.Moot // its time was up before anything was sent
+		}
+		return decide.TimedOut
+	default:
+		return decide.Cancelled
+	}
+}
+
+// neverSent is the outcome of a step whose request did not go out whole: it certainly never ran.
+func neverSent(ctx context.Context) decide.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return decide.Cancelled
+	}
+	return decide.ConnectFailed
+}
+
+var errNotWhole = errors.New("no way to tell whether the answer is whole")
+
+// read takes one whole answer. What lies beyond the limits, or can't be known to be whole, is an error: a part
+// of an answer must never pass for one.
+func (c *conn) read(req *http.Request) (status int, answer *Answer, reusable bool, err error) {
+	c.limit.N = mostHead + MostBody
+	var resp *http.Response
+	for interim := 0; ; interim++ {
+		if resp, err = http.ReadResponse(c.br, req); err != nil {
+			return statusNothing, nil, false, err
+		}
+		if resp.StatusCode >= 200 || interim == mostInterim || resp.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode < 200 {
+		return statusNothing, nil, false, fmt.Errorf("answer with status %d", resp.StatusCode)
+	}
+	// A body that only the connection's end delimits looks the same when the destination died half-way.
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return statusNothing, nil, false, errNotWhole
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MostBody+1))
+	if err != nil {
+		return statusNothing, nil, false, err
+	}
+	if len(body) > MostBody {
+		return statusNothing, nil, false, fmt.Errorf("answer is longer than %d bytes", MostBody)
+	}
+	return resp.StatusCode, &Answer{Header: resp.Header, Body: body}, !resp.Close && c.br.Buffered() == 0, nil
+}
--- /dev/null
+++ b/internal/destination/fleet.go
@@ -0,0 +1,230 @@
+// Package destination talks to destinations: it keeps their connections, carries out one exchange at a time on
+// each, and tells how the exchange ended.
+package destination
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"pumiceline/decide"
+)
+
+// Options are what a Fleet needs to know of the deployment.
+type Options struct {
+	DialWithin  time.Duration // a connection not made by then has failed
+	IdleClose   time.Duration // destinations close connections that stood idle for this long
+	MostSockets int           // connections to all destinations together
+	Columns     []string      // of load reports; empty: answers carry none
+}
+
+// Fleet holds the destinations by id. It is safe for concurrent use and never calls back.
+type Fleet struct {
+	opts    Options
+	columns []string
+	log     *slog.Logger
+
+	mu   sync.Mutex
+	byID map[uint32]*dest
+	open int
+}
+
+type dest struct {
+	id    uint32
+	addr  string
+	ready bool    // listed and not draining
+	idle  []*conn // the one used last is at the end
+}
+
+type conn struct {
+	nc    net.Conn
+	limit *io.LimitedReader
+	br    *bufio.Reader
+	dest  *dest
+	addr  string
+	used  time.Time
+}
+
+// NewFleet returns a fleet without destinations.
+func NewFleet(opts Options, log *slog.Logger) *Fleet {
+	return &Fleet{opts: opts, columns: opts.Columns, log: log, byID: map[uint32]*dest{}}
+}
+
+// Set tells where a destination listens and whether new work may go to it. No address means that it is gone.
+func (f *Fleet) Set(id uint32, addr string, ready bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.byID[id]
+	if d == nil {
+		d = &dest{id: id}
+		f.byID[id] = d
+	}
+	if d.addr != addr && addr != "" {
+		d.addr = addr
+		f.closeIdle(d)
+	}
+	d.ready = ready
+	if !ready {
+		f.closeIdle(d)
+	}
+	if addr == "" { // steps under way keep their pointer, which says that it takes nothing
+		delete(f.byID, id)
+	}
+}
+
+// takes says whether new work may go to d.
+func (f *Fleet) takes(d *dest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return d.ready
+}
+
+// CloseUnused closes the idle connections to a destination.
+func (f *Fleet) CloseUnused(id uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d := f.byID[id]; d != nil {
+		f.closeIdle(d)
+	}
+}
+
+func (f *Fleet) closeIdle(d *dest) {
+	for _, c := range d.idle {
+		f.closeConn(c)
+	}
+	clear(d.idle)
+	d.idle = d.idle[:0]
+}
+
+func (f *Fleet) closeConn(c *conn) {
+	c.nc.Close()
+	f.open--
+}
+
+// acquire returns the connection used last, or a new one. Without one the result says why.
+func (f *Fleet) acquire(ctx context.Context, id uint32) (*conn, Result) {
+	d, c, err := f.take(id)
+	if err != nil {
+		return nil, Result{Outcome: decide.Moot, Err: err}
+	}
+	if c != nil {
+		return c, Result{}
+	}
+	addr := f.addrOf(d)
+	by := time.Now().Add(f.opts.DialWithin)
+	dialer := net.Dialer{Deadline: by}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		f.mu.Lock()
+		f.open--
+		f.mu.Unlock()
+		outcome := decide.ConnectFailed
+		if ctx.Err() != nil {
+			outcome = ended(ctx, decide.Moot)
+		} else if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+			errors.Is(err, syscall.EADDRNOTAVAIL) {
+			outcome = decide.Moot // our own shortage says nothing of the destination
+		}
+		return nil, Result{Outcome: outcome, Err: fmt.Errorf("connecting: %w", err)}
+	}
+	limit := &io.LimitedReader{R: nc}
+	return &conn{nc: nc, limit: limit, br: bufio.NewReader(limit), dest: d, addr: addr}, Result{}
+}
+
+func (f *Fleet) addrOf(d *dest) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return d.addr
+}
+
+var (
+	errUnknown = errors.New("no such destination, or it drains")
+	errBudget  = errors.New("all sockets meant for destinations are in use")
+)
+
+// take returns an idle connection to reuse, or counts one that the caller is to make.
+func (f *Fleet) take(id uint32) (*dest, *conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.byID[id]
+	if d == nil || !d.ready {
+		return nil, nil, errUnknown
+	}
+	for len(d.idle) > 0 {
+		c := d.idle[len(d.idle)-1]
+		d.idle = d.idle[:len(d.idle)-1]
+		// The destination closes a connection at the latest after IdleClose; a request that crosses the close
+		// is a reset, which may spend the only attempt that a keyed class has.
+		if time.Since(c.used) < f.opts.IdleClose*4/5 && quiet(c.nc) {
+			return d, c, nil
+		}
+		f.closeConn(c)
+	}
+	if f.open >= f.opts.MostSockets && !f.evict() {
+		return nil, nil, errBudget
+	}
+	f.open++
+	return d, nil, nil
+}
+
+// evict closes the idle connection that has been unused for longest.
+func (f *Fleet) evict() bool {
+	var oldest *dest
+	for _, d := range f.byID {
+		if len(d.idle) > 0 && (oldest == nil || d.idle[0].used.Before(oldest.idle[0].used)) {
+			oldest = d
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	f.closeConn(oldest.idle[0])
+	oldest.idle = slices.Delete(oldest.idle, 0, 1)
+	return true
+}
+
+// release takes a connection back after an exchange.
+func (f *Fleet) release(c *conn, reusable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := c.dest
+	if !reusable || !d.ready || c.addr != d.addr {
+		f.closeConn(c)
+		return
+	}
+	c.used = time.Now()
+	for len(d.idle) > 0 && time.Since(d.idle[0].used) >= f.opts.IdleClose*4/5 {
+		f.closeConn(d.idle[0])
+		d.idle = slices.Delete(d.idle, 0, 1)
+	}
+	d.idle = append(d.idle, c)
+}
+
+// quiet says whether an idle connection is still open with nothing to read. A destination that died or closed
+// it has sent an end or a reset by now; a request written there would be lost for nothing.
+func quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,149 @@
+// Package front holds the front sockets, where clients come in: it reads a request's headers and body, hands it
+// on, keeps to its part of the socket budget, and ends without losing what it has taken.
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"pumiceline/internal/route"
+	"pumiceline/settings"
+)
+
+// acceptOn is how long after the request to stop new connections are still taken: the front layer learns of
+// the stop only with some delay.
+const acceptOn = 600 * time.Millisecond
+
+// Options are what a Front needs to know.
+type Options struct {
+	Settings    *settings.Settings
+	Transport   http.RoundTripper
+	Ready       func() bool // whether the proxy can serve
+	MostSockets int
+	Log         *slog.Logger
+}
+
+// Front serves clients.
+type Front struct {
+	opts     Options
+	reader   *reader
+	proxy    *httputil.ReverseProxy
+	server   *http.Server
+	sockets  *sockets
+	stopping atomic.Bool
+}
+
+// New returns a front that does not listen yet.
+func New(opts Options) *Front {
+	f := &Front{opts: opts, reader: newReader(opts.Settings), sockets: newSockets(opts.MostSockets)}
+	complaints := slog.NewLogLogger(opts.Log.Handler(), slog.LevelDebug)
+	f.proxy = &httputil.ReverseProxy{Rewrite: rewrite, Transport: opts.Transport, ErrorLog: complaints,
+		ErrorHandler: f.failed}
+	f.server = &http.Server{Handler: f, ErrorLog: complaints, ConnState: f.sockets.changed,
+		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 32 << 10}
+	return f
+}
+
+// Serve takes clients from ln until ctx ends, then finishes what it has taken.
+func (f *Front) Serve(ctx context.Context, ln net.Listener) error {
+	ended := make(chan error, 1)
+	go func() { ended <- f.server.Serve(ln) }()
+	select {
+	case err := <-ended:
+		return fmt.Errorf("front sockets: %w", err)
+	case <-ctx.Done():
+	}
+	f.opts.Log.Info("stopping", "front_sockets", f.sockets.count())
+	f.stopping.Store(true) // from here each answer closes its connection
+	grace := time.NewTimer(acceptOn)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case err := <-ended:
+		return fmt.Errorf("front sockets: %w", err)
+	}
+	f.sockets.closeUnused() // those that never brought a request; Shutdown would wait for them
+	if err := f.server.Shutdown(context.WithoutCancel(ctx)); err != nil {
+		return fmt.Errorf("front sockets: %w", err)
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("front sockets: %w", err)
+	}
+	return nil
+}
+
+// ServeHTTP answers one request.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if p := recover(); p != nil {
+			if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+				panic(p) // the client is gone: net/http closes the connection
+			}
+			// A request that was taken must get an answer; net/http would just close the connection.
+			f.opts.Log.Error("a handler panicked", "panic", p, "stack", string(debug.Stack()))
+			http.Error(w, "internal error", http.StatusInternalServerError)
+		}
+	}()
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/ready" {
+		f.ready(w)
+		return
+	}
+	taken := time.Now()
+	in, deadline, err := f.reader.read(w, r, taken)
+	if err != nil {
+		f.opts.Log.Debug("request not understood", "error", err)
+		var bad *badRequest
+		status := http.StatusBadRequest
+		if errors.As(err, &bad) {
+			status = bad.status
+		}
+		http.Error(w, err.Error(), status)
+		return
+	}
+	ctx, cancel := context.WithDeadline(route.WithInbound(r.Context(), in), deadline)
+	defer cancel()
+	f.proxy.ServeHTTP(w, r.WithContext(ctx))
+}
+
+func (f *Front) ready(w http.ResponseWriter) {
+	if !f.opts.Ready() {
+		http.Error(w, "no pool config yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	fmt.Fprintln(w, "ready")
+}
+
+// rewrite keeps the request's target as the client wrote it: parsing and writing it again would change odd
+// queries, and ReverseProxy drops parameters that it cannot parse.
+func rewrite(pr *httputil.ProxyRequest) {
+	target := &url.URL{Opaque: pr.In.RequestURI}
+	if !strings.HasPrefix(pr.In.RequestURI, "/") || strings.HasPrefix(pr.In.RequestURI, "//") {
+		target = &url.URL{Path: pr.In.URL.Path, RawPath: pr.In.URL.RawPath, RawQuery: pr.In.URL.RawQuery,
+			ForceQuery: pr.In.URL.ForceQuery} // a form that an opaque URL is not written in
+	}
+	pr.Out.URL, pr.Out.Host = target, pr.In.Host
+	pr.Out.Header.Del("Upgrade") // a destination must not be asked for another protocol
+	pr.Out.Header.Del("Expect")  // the body is in
+}
+
+// failed is for requests that ended without an answer from the transport.
+func (f *Front) failed(w http.ResponseWriter, r *http.Request, err error) {
+	if !errors.Is(err, context.Canceled) {
+		f.opts.Log.Error("a request failed", "error", err)
+	}
+	w.WriteHeader(http.StatusBadGateway)
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,264 @@
+// Package planner runs the decision module for one proxy. It owns the decide.Balancer: it hands it one event
+// at a time, keeps its clock and its timers, and passes each action on to the call it belongs to or to the
+// watcher of the pool config. It knows nothing of HTTP, so that any protocol can use it.
+package planner
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"log/slog"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"pumiceline/decide"
+)
+
+// Hooks take the actions that belong to no call. They are called while the planner is locked: they must
+// return at once and must not call the planner.
+type Hooks struct {
+	Subscribe   func()
+	CloseUnused func(server uint32)
+}
+
+// Planner serialises what happens to one Balancer. Its methods may be called from any goroutine.
+type Planner struct {
+	hooks Hooks
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	module  *decide.Balancer
+	actions []decide.Action
+	calls   map[uint64]*Call
+	nextID  uint64
+	timers  timerQueue
+	seq     uint64
+	wake    chan struct{}
+
+	origin time.Time // with its monotonic reading
+	base   decide.Time
+}
+
+// New returns a planner for module.
+func New(module *decide.Balancer, hooks Hooks, log *slog.Logger) *Planner {
+	now := time.Now()
+	return &Planner{hooks: hooks, log: log, module: module, calls: map[uint64]*Call{},
+		wake: make(chan struct{}, 1), origin: now, base: now.UnixMicro()}
+}
+
+// now is the module's clock: Unix time read once, carried on by the monotonic clock. A step of the system's
+// clock must not let ramps and windows jump.
+func (p *Planner) now() decide.Time { return p.base + time.Since(p.origin).Microseconds() }
+
+// Arrival is what the module is told about a new request.
+type Arrival struct {
+	Class    uint8
+	Tenant   uint32
+	Key      uint64
+	Work     decide.Time
+	Deadline time.Time // when the last route step has to have ended
+}
+
+// maxActions is more than the module can say about one call: at most 8 sends, as many cancels, one answer.
+const maxActions = 32
+
+// Call is one request on its way through the module.
+type Call struct {
+	planner *Planner
+	id      uint64
+	actions chan decide.Action
+	over    bool
+	steps   []step
+	out     int
+}
+
+type step struct {
+	server  uint32
+	started time.Time
+	out     bool
+}
+
+// Actions brings what the module wants done for the call: Send, Cancel, and at most one Refuse or Fail.
+func (c *Call) Actions() <-chan decide.Action { return c.actions }
+
+// Arrive tells the module of a new request.
+func (p *Planner) Arrive(a Arrival) *Call {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextID++
+	c := &Call{planner: p, id: p.nextID, actions: make(chan decide.Action, maxActions)}
+	p.calls[c.id] = c
+	p.handle(&decide.Event{Kind: decide.Arrival, ID: c.id, Class: a.Class, Tenant: a.Tenant, Key: a.Key,
+		Work: a.Work, Patience: time.Until(a.Deadline).Microseconds()})
+	return c
+}
+
+// Finish reports how a route step ended. It is true if the step's answer is the call's final one: the outcome
+// is OK and nothing had ended the call before. What a second report of the same step says is ignored.
+func (c *Call) Finish(attempt uint8, outcome decide.Outcome, report []float32) bool {
+	p := c.planner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if int(attempt) >= len(c.steps) || !c.steps[attempt].out {
+		return false
+	}
+	s := &c.steps[attempt]
+	s.out = false
+	c.out--
+	answers := outcome == decide.OK && !c.over
+	c.over = c.over || answers
+	p.handle(&decide.Event{Kind: decide.Outcomed, ID: c.id, Attempt: attempt, Server: s.server,
+		Outcome: outcome, Elapsed: time.Since(s.started).Microseconds(), Final: c.over, Report: report})
+	c.forget()
+	return answers
+}
+
+// Depart tells the module that the client is gone or has waited too long; a call that is over stays as it is.
+func (c *Call) Depart() {
+	p := c.planner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.over {
+		return
+	}
+	c.over = true
+	p.handle(&decide.Event{Kind: decide.Departed, ID: c.id})
+	c.forget()
+}
+
+func (c *Call) forget() {
+	if c.over && c.out == 0 {
+		delete(c.planner.calls, c.id)
+	}
+}
+
+// List tells the module what discovery said. kind is one of the module's list events.
+func (p *Planner) List(kind decide.EventKind, members []decide.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handle(&decide.Event{Kind: kind, Members: members})
+}
+
+// handle gives the module one event and passes the actions on. A panic in the module costs the decision and
+// not the process, which would take every request in flight with it: calls left unanswered end at their
+// deadline.
+func (p *Planner) handle(ev *decide.Event) {
+	defer func() {
+		if r := recover(); r != nil {
+			p.log.Error("the decision module panicked", "panic", r, "event", ev.Kind, "stack", string(debug.Stack()))
+		}
+	}()
+	p.actions = p.module.Handle(p.now(), ev, p.actions[:0])
+	for i := range p.actions {
+		p.pass(&p.actions[i])
+	}
+}
+
+func (p *Planner) pass(a *decide.Action) {
+	switch a.Kind {
+	case decide.SetTimer:
+		p.seq++
+		heap.Push(&p.timers, timer{due: time.Now().Add(time.Duration(a.After) * time.Microsecond), seq: p.seq, tag: a.ID})
+		if p.timers[0].seq == p.seq {
+			select {
+			case p.wake <- struct{}{}:
+			default:
+			}
+		}
+	case decide.Subscribe:
+		p.hooks.Subscribe()
+	case decide.CloseUnused:
+		p.hooks.CloseUnused(a.Server)
+	case decide.LogLine:
+		p.log.Info("module", "text", a.Text)
+	case decide.Send, decide.Refuse, decide.Fail, decide.Cancel:
+		c := p.calls[a.ID]
+		if c == nil || c.over && a.Kind != decide.Cancel {
+			p.log.Warn("action for a call that is over", "kind", a.Kind)
+			return
+		}
+		switch a.Kind {
+		case decide.Send:
+			c.steps = append(c.steps, step{server: a.Server, started: time.Now(), out: true})
+			c.out++
+			a.Attempt = uint8(len(c.steps) - 1)
+		case decide.Refuse, decide.Fail:
+			c.over = true
+			c.forget()
+		}
+		select {
+		case c.actions <- *a:
+		default:
+			p.log.Error("more actions for a call than it can have", "kind", a.Kind)
+		}
+	default:
+		p.log.Error("action that this proxy does not know", "kind", a.Kind)
+	}
+}
+
+// Run fires the module's timers until ctx ends.
+func (p *Planner) Run(ctx context.Context) error {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		alarm.Reset(time.Until(p.fire()))
+		select {
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return nil
+			}
+			return ctx.Err()
+		case <-alarm.C:
+		case <-p.wake:
+		}
+	}
+}
+
+// fire hands over the timers that are due and returns when the next one is. Timers that the module sets
+// meanwhile wait for the next round, so that it can never hold the planner for good.
+func (p *Planner) fire() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, last := time.Now(), p.seq
+	var again []timer
+	for len(p.timers) > 0 && !p.timers[0].due.After(now) {
+		t := heap.Pop(&p.timers).(timer)
+		if t.seq > last {
+			again = append(again, t)
+			continue
+		}
+		p.handle(&decide.Event{Kind: decide.TimerFired, ID: t.tag})
+	}
+	for _, t := range again {
+		heap.Push(&p.timers, t)
+	}
+	if len(p.timers) == 0 {
+		return now.Add(time.Hour)
+	}
+	return p.timers[0].due
+}
+
+type timer struct {
+	due time.Time
+	seq uint64 // timers due together fire in the order of their setting
+	tag uint64
+}
+
+type timerQueue []timer
+
+func (q timerQueue) Len() int { return len(q) }
+func (q timerQueue) Less(i, j int) bool {
+	if !q[i].due.Equal(q[j].due) {
+		return q[i].due.Before(q[j].due)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q timerQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timerQueue) Push(x any)   { *q = append(*q, x.(timer)) }
+func (q *timerQueue) Pop() any {
+	old := *q
+	t := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return t
+}
--- /dev/null
+++ b/internal/pool/watch.go
@@ -0,0 +1,203 @@
+package pool
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"pumiceline/decide"
+)
+
+// silence is how long discovery may say nothing: a watch brings a line every 2 s at least. A machine that was
+// cut off leaves its connections open, so a longer silence is the only sign of it.
+const silence = 3 * time.Second
+
+// mostLine is the longest line of a watch that is read.
+const mostLine = 8 << 20
+
+// Module is told what the list says.
+type Module interface {
+	List(kind decide.EventKind, members []decide.Member)
+}
+
+// Fleet is told where destinations are and which may get work.
+type Fleet interface {
+	Set(id uint32, addr string, ready bool)
+}
+
+// Watcher holds the list and asks discovery for it when the module wants it asked.
+type Watcher struct {
+	addr   string
+	table  *Table
+	module Module
+	fleet  Fleet
+	log    *slog.Logger
+	ask    chan struct{}
+	held   atomic.Bool
+	seq    uint64
+	listed map[uint32]bool
+}
+
+// NewWatcher returns a watcher of discovery at addr.
+func NewWatcher(addr string, table *Table, fleet Fleet, log *slog.Logger) *Watcher {
+	return &Watcher{addr: addr, table: table, fleet: fleet, log: log, ask: make(chan struct{}, 1),
+		listed: map[uint32]bool{}}
+}
+
+// Held says whether there is a list to work with.
+func (w *Watcher) Held() bool { return w.held.Load() }
+
+// Ask has Run begin a watch, in place of one that is going on. It returns at once.
+func (w *Watcher) Ask() {
+	select {
+	case w.ask <- struct{}{}:
+	default:
+	}
+}
+
+// Start tells module of the list that this proxy had last, and keeps module for what comes. It is to be called
+// once, before Run.
+func (w *Watcher) Start(module Module, known []byte) {
+	w.module = module
+	if len(known) == 0 {
+		w.module.List(decide.ListCached, nil)
+		return
+	}
+	if err := w.apply(known, true); err != nil {
+		w.log.Error("the known list is not usable", "error", err)
+		w.module.List(decide.ListCached, nil)
+	}
+}
+
+// Run watches whenever it is asked to, until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	cancel, done := context.CancelFunc(func() {}), make(chan struct{})
+	close(done)
+	for {
+		select {
+		case <-ctx.Done():
+			cancel()
+			<-done
+			return nil
+		case <-w.ask:
+		}
+		cancel()
+		<-done // only one watch touches the list
+		var watch context.Context
+		watch, cancel = context.WithCancel(ctx)
+		done = make(chan struct{})
+		go func(done chan struct{}) {
+			defer close(done)
+			err := w.watch(watch)
+			if watch.Err() == nil {
+				w.log.Warn("the watch of the pool config ended", "error", err)
+				w.module.List(decide.ListFailed, nil)
+			}
+		}(done)
+	}
+}
+
+// watch calls discovery and takes in what it says. It returns why the watch ended, which it always does.
+func (w *Watcher) watch(ctx context.Context) error {
+	dialer := net.Dialer{Deadline: time.Now().Add(silence)}
+	nc, err := dialer.DialContext(ctx, "tcp", w.addr)
+	if err != nil {
+		return fmt.Errorf("connecting to discovery: %w", err)
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+
+	target := "http://" + w.addr + "/v1/endpoints?stream=1&index=" + strconv.FormatUint(w.seq, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return fmt.Errorf("asking discovery: %w", err)
+	}
+	if err := nc.SetDeadline(time.Now().Add(silence)); err != nil {
+		return fmt.Errorf("asking discovery: %w", err)
+	}
+	if err := req.Write(nc); err != nil {
+		return fmt.Errorf("asking discovery: %w", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(nc), req)
+	if err != nil {
+		return fmt.Errorf("discovery's answer: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, mostLine)
+	for first := true; ; first = false {
+		if err := nc.SetReadDeadline(time.Now().Add(silence)); err != nil {
+			return fmt.Errorf("watching: %w", err)
+		}
+		if !lines.Scan() {
+			if err := lines.Err(); err != nil {
+				return fmt.Errorf("watching: %w", err)
+			}
+			return fmt.Errorf("watching: %w", io.EOF)
+		}
+		if ctx.Err() != nil {
+			return errors.New("watching: given up")
+		}
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			if first { // nothing has changed: the module still waits for an answer to its call
+				w.module.List(decide.ListDelta, nil)
+			}
+			continue
+		}
+		if err := w.apply(line, false); err != nil {
+			w.log.Error("a line of the watch is not usable", "error", err)
+		}
+	}
+}
+
+// apply takes in an update. The fleet learns of it first, so that a drain holds for steps on their way too.
+func (w *Watcher) apply(text []byte, cached bool) error {
+	u, hosts, bad, err := w.table.Read(text)
+	if err != nil {
+		return err
+	}
+	for _, err := range bad {
+		w.log.Warn("host left out", "error", err)
+	}
+	members := make([]decide.Member, len(hosts))
+	now := make(map[uint32]bool, len(hosts))
+	for i := range hosts {
+		m := &hosts[i].Member
+		members[i] = *m
+		now[m.Server] = true
+		w.listed[m.Server] = true
+		w.fleet.Set(m.Server, hosts[i].Dial, m.Mode == decide.ModeReady)
+	}
+	kind := decide.ListDelta
+	if u.Whole {
+		kind = decide.ListFull
+		for id := range w.listed { // a whole list drops what it misses
+			if !now[id] {
+				delete(w.listed, id)
+				w.fleet.Set(id, "", false)
+			}
+		}
+	}
+	if cached {
+		kind = decide.ListCached
+	}
+	w.seq = u.Seq
+	w.module.List(kind, members)
+	if len(w.listed) > 0 || u.Whole && !cached {
+		w.held.Store(true)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,183 @@
+// Package route carries one request through its life: it tells the planner of it, makes the route steps that the
+// module asks for, and returns the one answer.
+package route
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"pumiceline/decide"
+	"pumiceline/internal/destination"
+	"pumiceline/internal/planner"
+)
+
+// Inbound is what the front socket learnt of a request. The context that carries it has the client's deadline.
+type Inbound struct {
+	Class  uint8
+	Tenant uint32
+	Work   decide.Time
+	Body   []byte
+}
+
+type inboundKey struct{}
+
+// WithInbound returns a context that carries in.
+func WithInbound(ctx context.Context, in *Inbound) context.Context {
+	return context.WithValue(ctx, inboundKey{}, in)
+}
+
+// Exchanger makes one exchange with a destination.
+type Exchanger interface {
+	Exchange(ctx context.Context, id uint32, req *http.Request, body []byte) destination.Result
+}
+
+// answerMargin is how long before the client's deadline route steps end, so that the module's last word still
+// reaches a client that is about to leave.
+const answerMargin = 15 * time.Millisecond
+
+// Transport is an http.RoundTripper whose every step is the module's decision.
+type Transport struct {
+	Planner       *planner.Planner
+	Fleet         Exchanger
+	MaxRetryAfter time.Duration
+	Log           *slog.Logger
+}
+
+var errNoInbound = errors.New("route: the request has no deadline or was not read by a front socket")
+
+// RoundTrip is the life of one request.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := req.Context()
+	in, ok := ctx.Value(inboundKey{}).(*Inbound)
+	clientDeadline, hasDeadline := ctx.Deadline()
+	if !ok || !hasDeadline {
+		return nil, errNoInbound
+	}
+
+	// Arrival: the body is in. Steps have a context of their own: the module alone calls them off.
+	deadline := clientDeadline.Add(-answerMargin)
+	stepsCtx, release := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Deadline: deadline})
+	life := &life{t: t, call: call, req: req, body: in.Body, answers: make(chan *destination.Answer, 1)}
+	defer context.AfterFunc(stepsCtx, release)
+	defer life.cancelRest() // after Depart, which says what is to be called off
+	defer call.Depart()     // nothing once the call is over; otherwise the client left, or this function panicked
+
+	for {
+		select {
+		case action := <-call.Actions():
+			switch action.Kind {
+			case decide.Send: // a route step
+				life.step(stepsCtx, action)
+			case decide.Cancel:
+				life.cancel(action.Attempt)
+			case decide.Refuse: // a busy reply
+				return busyReply(req, time.Duration(action.After)*time.Microsecond, t.MaxRetryAfter), nil
+			case decide.Fail: // a failure
+				return plain(req, http.StatusBadGateway, "no destination could answer\n"), nil
+			}
+		case answer := <-life.answers: // an answer
+			return response(req, http.StatusOK, answer.Header, answer.Body), nil
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				// The module should have settled it by now. The client must get an answer all the same.
+				t.Log.Error("a request was still open at its deadline")
+				return plain(req, http.StatusGatewayTimeout, "out of time\n"), nil
+			}
+			return nil, ctx.Err() // the client left
+		}
+	}
+}
+
+// life is what RoundTrip keeps of a request's steps.
+type life struct {
+	t       *Transport
+	call    *planner.Call
+	req     *http.Request
+	body    []byte
+	cancels []context.CancelFunc // by attempt
+	answers chan *destination.Answer
+}
+
+// step begins a route step. Its outcome is told to the planner exactly once, whatever happens.
+func (l *life) step(ctx context.Context, action decide.Action) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.cancels = append(l.cancels, cancel)
+	if int(action.Attempt) != len(l.cancels)-1 {
+		l.t.Log.Error("a route step is out of order", "attempt", action.Attempt)
+	}
+	if action.After > 0 {
+		ctx, cancel = context.WithDeadline(ctx, time.Now().Add(time.Duration(action.After)*time.Microsecond))
+	}
+	go func() {
+		defer cancel()
+		result := l.exchange(ctx, action.Server)
+		if result.Err != nil {
+			l.t.Log.Debug("route step", "attempt", action.Attempt, "server", action.Server,
+				"outcome", result.Outcome, "error", result.Err)
+		}
+		if l.call.Finish(action.Attempt, result.Outcome, result.Report) {
+			l.answers <- result.Answer
+		}
+	}()
+}
+
+// exchange is one exchange that survives a panic: a step without an outcome would leave its request open.
+func (l *life) exchange(ctx context.Context, server uint32) (result destination.Result) {
+	defer func() {
+		if r := recover(); r != nil {
+			l.t.Log.Error("a route step panicked", "panic", r, "stack", string(debug.Stack()))
+			result = destination.Result{Outcome: decide.Reset} // it may have run
+		}
+	}()
+	return l.t.Fleet.Exchange(ctx, server, l.req, l.body)
+}
+
+func (l *life) cancel(attempt uint8) {
+	if int(attempt) < len(l.cancels) {
+		l.cancels[attempt]()
+	}
+}
+
+// cancelRest carries out what the module called off when it learnt that the request is over.
+func (l *life) cancelRest() {
+	for {
+		select {
+		case action := <-l.call.Actions():
+			switch action.Kind {
+			case decide.Cancel:
+				l.cancel(action.Attempt)
+			case decide.Send: // decided just before the client left: it is not made
+				l.call.Finish(action.Attempt, decide.Moot, nil)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// busyReply tells the client that trying again is harmless, and when the module wants it back.
+func busyReply(req *http.Request, after, most time.Duration) *http.Response {
+	resp := plain(req, http.StatusServiceUnavailable, "busy\n")
+	if after = min(after, most); after > 0 {
+		resp.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	return resp
+}
+
+func plain(req *http.Request, status int, text string) *http.Response {
+	return response(req, status, http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, []byte(text))
+}
+
+func response(req *http.Request, status int, header http.Header, body []byte) *http.Response {
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	return &http.Response{StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)), Request: req}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,140 @@
+// Package settings holds the one JSON form of a deployment's settings. The bench's adapter and the proxy both
+// read it from here, so they cannot come to differ in what they understand by a key.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"pumiceline/decide"
+)
+
+// Settings is the settings object as it is written: its names, and times in microseconds. Unknown keys are
+// ignored, absent ones stay zero.
+type Settings struct {
+	Classes      []Class
+	Projects     []Project
+	RegistryMode string
+	GroupSize    int
+	Ordinal      int
+	Limits       struct {
+		Cancelling    bool
+		DialTimeout   float64
+		IdleClose     float64
+		MaxRetryAfter float64
+		MayDuplicate  bool
+		MayProbe      bool
+		MostHeld      int
+		TryLimit      int
+	}
+	LoadInfo struct {
+		Columns []string
+		How     string
+	}
+	Flavors        []string
+	Locality       int
+	OverShareWorth float64
+	Prices         struct{ CrossZone float64 }
+	Round          float64
+	Rules          struct {
+		AnswerSlack, AskWithin, Cold, TipAfter float64
+		ColdShare, TipMultiple                 float64
+	}
+	Weights string
+	WorthBy string
+	Zones   []string
+}
+
+// Class is a request class.
+type Class struct {
+	Name      string
+	Semantics string
+	Group     string
+	Window    float64
+	OnTime    float64
+	HardLimit float64
+	Worth     float64
+}
+
+// Project is a tenant.
+type Project struct {
+	Name      string
+	QuotaPerS float64
+}
+
+// Micros turns a time as written into the module's unit, within what the module can add up.
+func Micros(v float64) decide.Time { return decide.Time(math.Max(-1, math.Min(v, 1e15))) }
+
+// Module reads the JSON text of the settings straight into the module's form.
+func Module(text []byte) (decide.Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(text, &s); err != nil {
+		return decide.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return s.Module()
+}
+
+// Module returns the settings in the module's form. Package decide judges whether it can act on the result.
+func (t *Settings) Module() (decide.Settings, error) {
+	s := decide.Settings{
+		AskDiscovery: t.RegistryMode == "subscribe", SizesTold: t.Weights != "silent" && t.Weights != "",
+		WorthByWork: t.WorthBy == "work", OverShareWorth: t.OverShareWorth,
+		GroupSize: t.GroupSize, Ordinal: t.Ordinal, Zone: t.Locality, Zones: len(t.Zones),
+		Round: Micros(t.Round),
+		Rules: decide.Rules{AnswerSlack: Micros(t.Rules.AnswerSlack), AskWithin: Micros(t.Rules.AskWithin),
+			Cold: Micros(t.Rules.Cold), ColdShare: t.Rules.ColdShare,
+			TipMultiple: t.Rules.TipMultiple, TipAfter: Micros(t.Rules.TipAfter)},
+		Limits: decide.Limits{Attempts: t.Limits.TryLimit, MostHeld: t.Limits.MostHeld,
+			Cancel: t.Limits.Cancelling, Probe: t.Limits.MayProbe, SecondCopies: t.Limits.MayDuplicate,
+			IdleClose: Micros(t.Limits.IdleClose)},
+		Prices: decide.Prices{CrossZone: t.Prices.CrossZone},
+	}
+	switch t.LoadInfo.How {
+	case "piggyback":
+		s.ReportVia = decide.ReportsInAnswers
+	case "pull":
+		s.ReportVia = decide.ReportsByProbe
+	}
+	for _, c := range t.LoadInfo.Columns {
+		col := decide.ColOther
+		switch c {
+		case "rps":
+			col = decide.ColQPS
+		case "cpu":
+			col = decide.ColUtil
+		case "err_rps":
+			col = decide.ColEPS
+		}
+		s.Columns = append(s.Columns, col)
+	}
+	for _, p := range t.Projects {
+		s.Tenants = append(s.Tenants, decide.Tenant{QuotaPerS: p.QuotaPerS})
+	}
+	for i, c := range t.Classes {
+		k := decide.Class{Window: Micros(c.Window), Aim: Micros(c.OnTime), Deadline: Micros(c.HardLimit),
+			Worth: c.Worth}
+		switch c.Semantics {
+		case "pure":
+			k.Semantics = decide.Safe
+		case "token":
+			k.Semantics = decide.Keyed
+		case "side_effect":
+			k.Semantics = decide.Unsafe
+		default:
+			return s, fmt.Errorf("settings: class %d has unknown semantics %q", i, c.Semantics)
+		}
+		switch c.Group {
+		case "all", "":
+			k.Group = decide.GroupAll
+		case "zone":
+			k.Group = decide.GroupZone
+		case "cell":
+			k.Group = decide.GroupCell
+		default:
+			return s, fmt.Errorf("settings: class %d has unknown group %q", i, c.Group)
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	return s, nil
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4,11 +4,11 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"math"
 
 	"pumiceline/decide"
+	"pumiceline/settings"
 )
 
 // Sizes of the frame headers, and the largest body a reader should accept.
@@ -194,7 +194,7 @@
 			return "Spawn", nil
 		}
 		var err error
-		r.Settings, err = ParseSettings(text)
+		r.Settings, err = settings.Module(text)
 		return "Spawn", err
 	case evKilled:
 		r.Kind = Killed
@@ -291,113 +291,6 @@
 	return nil
 }
 
-type settingsText struct {
-	Classes []struct {
-		Semantics string
-		Group     string
-		Window    float64
-		OnTime    float64
-		HardLimit float64
-		Worth     float64
-	}
-	Projects     []struct{ QuotaPerS float64 }
-	RegistryMode string
-	GroupSize    int
-	Ordinal      int
-	Limits       struct {
-		Cancelling   bool
-		IdleClose    float64
-		MayDuplicate bool
-		MayProbe     bool
-		MostHeld     int
-		TryLimit     int
-	}
-	LoadInfo struct {
-		Columns []string
-		How     string
-	}
-	Locality       int
-	OverShareWorth float64
-	Prices         struct{ CrossZone float64 }
-	Round          float64
-	Rules          struct {
-		AnswerSlack, AskWithin, Cold, TipAfter float64
-		ColdShare, TipMultiple                 float64
-	}
-	Weights string
-	WorthBy string
-	Zones   []string
-}
-
-// ParseSettings reads the text that starts an instance. Unknown keys are ignored, absent ones stay zero;
-// package decide judges whether it can act on the result.
-func ParseSettings(text []byte) (decide.Settings, error) {
-	var t settingsText
-	if err := json.Unmarshal(text, &t); err != nil {
-		return decide.Settings{}, fmt.Errorf("settings: %w", err)
-	}
-	us := func(v float64) decide.Time { return decide.Time(math.Max(-1, math.Min(v, 1e15))) }
-	s := decide.Settings{
-		AskDiscovery: t.RegistryMode == "subscribe", SizesTold: t.Weights != "silent" && t.Weights != "",
-		WorthByWork: t.WorthBy == "work", OverShareWorth: t.OverShareWorth,
-		GroupSize: t.GroupSize, Ordinal: t.Ordinal, Zone: t.Locality, Zones: len(t.Zones), Round: us(t.Round),
-		Rules: decide.Rules{AnswerSlack: us(t.Rules.AnswerSlack), AskWithin: us(t.Rules.AskWithin),
-			Cold: us(t.Rules.Cold), ColdShare: t.Rules.ColdShare,
-			TipMultiple: t.Rules.TipMultiple, TipAfter: us(t.Rules.TipAfter)},
-		Limits: decide.Limits{Attempts: t.Limits.TryLimit, MostHeld: t.Limits.MostHeld,
-			Cancel: t.Limits.Cancelling, Probe: t.Limits.MayProbe, SecondCopies: t.Limits.MayDuplicate,
-			IdleClose: us(t.Limits.IdleClose)},
-		Prices: decide.Prices{CrossZone: t.Prices.CrossZone},
-	}
-	switch t.LoadInfo.How {
-	case "piggyback":
-		s.ReportVia = decide.ReportsInAnswers
-	case "pull":
-		s.ReportVia = decide.ReportsByProbe
-	}
-	for _, c := range t.LoadInfo.Columns {
-		col := decide.ColOther
-		switch c {
-		case "rps":
-			col = decide.ColQPS
-		case "cpu":
-			col = decide.ColUtil
-		case "err_rps":
-			col = decide.ColEPS
-		}
-		s.Columns = append(s.Columns, col)
-	}
-	for _, p := range t.Projects {
-		s.Tenants = append(s.Tenants, decide.Tenant{QuotaPerS: p.QuotaPerS})
-	}
-	for i, c := range t.Classes {
-		k := decide.Class{Window: us(c.Window), Aim: us(c.OnTime), Deadline: us(c.HardLimit),
-			Worth: c.Worth}
-		switch c.Semantics {
-		case "pure":
-			k.Semantics = decide.Safe
-		case "token":
-			k.Semantics = decide.Keyed
-		case "side_effect":
-			k.Semantics = decide.Unsafe
-		default:
-			return s, fmt.Errorf("settings: class %d has unknown semantics %q", i, c.Semantics)
-		}
-		switch c.Group {
-		case "all", "":
-			k.Group = decide.GroupAll
-		case "zone":
-			k.Group = decide.GroupZone
-		case "cell":
-			k.Group = decide.GroupCell
-		default:
-			return s, fmt.Errorf("settings: class %d has unknown group %q", i, c.Group)
-		}
-		s.Classes = append(s.Classes, k)
-	}
-	return s, nil
-}
-
 // AppendAction appends one action of an instance to a reply's body and returns it.
 func AppendAction(b []byte, instance uint16, a *decide.Action) []byte {
 	be := binary.BigEndian
