--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -130,13 +131,13 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	watcher.Start(plan, cfg.Known)
-	ends := make(chan error, 2)
-	go func() { ends <- plan.Run(running) }()
-	go func() { ends <- watcher.Run(running) }()
+	var background sync.WaitGroup
+	background.Go(func() { plan.Run(running) })
+	background.Go(func() { watcher.Run(running) })
 	log.Info("serving", "listen", cfg.Listen, "discovery", cfg.Discovery)
 	err = clients.Serve(stop, ln)
 	cancel()
-	err = errors.Join(err, <-ends, <-ends)
+	background.Wait()
 	log.Info("ended", "error", err)
 	return err
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -6,7 +6,6 @@
 import (
 	"container/heap"
 	"context"
-	"errors"
 	"log/slog"
 	"runtime/debug"
 	"sync"
@@ -22,13 +21,18 @@
 	CloseUnused func(server uint32)
 }
 
+// Module makes the decisions: a *decide.Balancer, save in tests.
+type Module interface {
+	Handle(now decide.Time, ev *decide.Event, out []decide.Action) []decide.Action
+}
+
 // Planner serialises what happens to one Balancer. Its methods may be called from any goroutine.
 type Planner struct {
 	hooks Hooks
 	log   *slog.Logger
 
 	mu      sync.Mutex
-	module  *decide.Balancer
+	module  Module
 	actions []decide.Action
 	calls   map[uint64]*Call
 	nextID  uint64
@@ -41,7 +45,7 @@
 }
 
 // New returns a planner for module.
-func New(module *decide.Balancer, hooks Hooks, log *slog.Logger) *Planner {
+func New(module Module, hooks Hooks, log *slog.Logger) *Planner {
 	now := time.Now()
 	return &Planner{hooks: hooks, log: log, module: module, calls: map[uint64]*Call{},
 		wake: make(chan struct{}, 1), origin: now, base: now.UnixMicro()}
@@ -198,17 +202,14 @@
 }
 
 // Run fires the module's timers until ctx ends.
-func (p *Planner) Run(ctx context.Context) error {
+func (p *Planner) Run(ctx context.Context) {
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for {
 		alarm.Reset(time.Until(p.fire()))
 		select {
 		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.Canceled) {
-				return nil
-			}
-			return ctx.Err()
+			return
 		case <-alarm.C:
 		case <-p.wake:
 		}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,123 @@
+package planner
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceline/decide"
+)
+
+// script is a module that answers each event as a test wants and remembers what it was told.
+type script struct {
+	told  []decide.Event
+	times []decide.Time
+	act   func(ev *decide.Event) []decide.Action
+}
+
+func (s *script) Handle(now decide.Time, ev *decide.Event, out []decide.Action) []decide.Action {
+	s.told, s.times = append(s.told, *ev), append(s.times, now)
+	return append(out, s.act(ev)...)
+}
+
+func start(s *script) *Planner {
+	return New(s, Hooks{Subscribe: func() {}, CloseUnused: func(uint32) {}}, slog.New(slog.DiscardHandler))
+}
+
+func sendTwice(ev *decide.Event) []decide.Action {
+	if ev.Kind == decide.Arrival {
+		return []decide.Action{{Kind: decide.Send, ID: ev.ID, Server: 7}, {Kind: decide.Send, ID: ev.ID, Server: 8}}
+	}
+	return nil
+}
+
+// Each step's outcome reaches the module once, and only the first OK is the answer.
+func TestOutcomesAreToldOnce(t *testing.T) {
+	s := &script{act: sendTwice}
+	c := start(s).Arrive(Arrival{Deadline: time.Now().Add(time.Second)})
+	if a, b := <-c.Actions(), <-c.Actions(); a.Attempt != 0 || b.Attempt != 1 {
+		t.Fatalf("attempts are numbered %d and %d", a.Attempt, b.Attempt)
+	}
+	got := []bool{c.Finish(1, decide.OK, nil), c.Finish(1, decide.OK, nil), c.Finish(0, decide.OK, nil),
+		c.Finish(5, decide.OK, nil)}
+	if want := []bool{true, false, false, false}; !slices.Equal(got, want) {
+		t.Errorf("answers: %v, want %v", got, want)
+	}
+	c.Depart()
+	if len(s.told) != 3 || !s.told[1].Final || s.told[1].Server != 8 || !s.told[2].Final {
+		t.Errorf("the module was told %+v", s.told)
+	}
+	if len(c.planner.calls) != 0 {
+		t.Error("the call is not forgotten")
+	}
+}
+
+// A client that leaves is told to the module, and what it calls off comes before Depart returns.
+func TestDepartureBringsItsCancels(t *testing.T) {
+	s := &script{act: func(ev *decide.Event) []decide.Action {
+		if ev.Kind == decide.Departed {
+			return []decide.Action{{Kind: decide.Cancel, ID: ev.ID, Attempt: 1}}
+		}
+		return sendTwice(ev)
+	}}
+	c := start(s).Arrive(Arrival{})
+	<-c.Actions()
+	<-c.Actions()
+	c.Depart()
+	select {
+	case a := <-c.Actions():
+		if a.Kind != decide.Cancel || a.Attempt != 1 {
+			t.Errorf("got %+v", a)
+		}
+	default:
+		t.Error("no cancel")
+	}
+}
+
+func TestTimersFireInOrderAndTheClockNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{act: func(ev *decide.Event) []decide.Action {
+			if ev.Kind != decide.ListFull {
+				return nil
+			}
+			return []decide.Action{{Kind: decide.SetTimer, ID: 3, After: 30_000}, {Kind: decide.SetTimer, ID: 1, After: 10_000},
+				{Kind: decide.SetTimer, ID: 2, After: 10_000}}
+		}}
+		p := start(s)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.Run(ctx)
+		synctest.Wait()
+		p.List(decide.ListFull, nil)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		var tags []uint64
+		for _, ev := range s.told[1:] {
+			tags = append(tags, ev.ID)
+		}
+		if !slices.Equal(tags, []uint64{1, 2, 3}) || !slices.IsSorted(s.times) {
+			t.Errorf("timers %v at %v", tags, s.times)
+		}
+		if since := s.times[3] - s.times[0]; since != 30_000 {
+			t.Errorf("the last timer fired after %d", since)
+		}
+	})
+}
+
+// A panic in the module must cost one decision, not every request in flight.
+func TestModulePanicIsSurvived(t *testing.T) {
+	s := &script{act: func(ev *decide.Event) []decide.Action {
+		if ev.Kind == decide.ListFailed {
+			panic("a fault")
+		}
+		return sendTwice(ev)
+	}}
+	p := start(s)
+	p.List(decide.ListFailed, nil)
+	if c := p.Arrive(Arrival{}); len(c.actions) != 2 {
+		t.Errorf("%d actions after the panic", len(c.actions))
+	}
+}
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -37,6 +37,7 @@
 // Watcher holds the list and asks discovery for it when the module wants it asked.
 type Watcher struct {
 	addr   string
+	dial   func(ctx context.Context, by time.Time) (net.Conn, error)
 	table  *Table
 	module Module
 	fleet  Fleet
@@ -49,7 +50,11 @@
 
 // NewWatcher returns a watcher of discovery at addr.
 func NewWatcher(addr string, table *Table, fleet Fleet, log *slog.Logger) *Watcher {
-	return &Watcher{addr: addr, table: table, fleet: fleet, log: log, ask: make(chan struct{}, 1),
+	dial := func(ctx context.Context, by time.Time) (net.Conn, error) {
+		dialer := net.Dialer{Deadline: by}
+		return dialer.DialContext(ctx, "tcp", addr)
+	}
+	return &Watcher{addr: addr, dial: dial, table: table, fleet: fleet, log: log, ask: make(chan struct{}, 1),
 		listed: map[uint32]bool{}}
 }
 
@@ -79,7 +84,7 @@
 }
 
 // Run watches whenever it is asked to, until ctx ends.
-func (w *Watcher) Run(ctx context.Context) error {
+func (w *Watcher) Run(ctx context.Context) {
 	cancel, done := context.CancelFunc(func() {}), make(chan struct{})
 	close(done)
 	for {
@@ -87,7 +92,7 @@
 		case <-ctx.Done():
 			cancel()
 			<-done
-			return nil
+			return
 		case <-w.ask:
 		}
 		cancel()
@@ -108,8 +113,7 @@
 
 // watch calls discovery and takes in what it says. It returns why the watch ended, which it always does.
 func (w *Watcher) watch(ctx context.Context) error {
-	dialer := net.Dialer{Deadline: time.Now().Add(silence)}
-	nc, err := dialer.DialContext(ctx, "tcp", w.addr)
+	nc, err := w.dial(ctx, time.Now().Add(silence))
 	if err != nil {
 		return fmt.Errorf("connecting to discovery: %w", err)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"time"
 
 	"pumiceline/decide"
@@ -63,10 +64,10 @@
 
 	// Arrival: the body is in. Steps have a context of their own: the module alone calls them off.
 	deadline := clientDeadline.Add(-answerMargin)
-	stepsCtx, release := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	steps, release := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Deadline: deadline})
 	life := &life{t: t, call: call, req: req, body: in.Body, answers: make(chan *destination.Answer, 1)}
-	defer context.AfterFunc(stepsCtx, release)
+	defer life.releaseAfter(release)
 	defer life.cancelRest() // after Depart, which says what is to be called off
 	defer call.Depart()     // nothing once the call is over; otherwise the client left, or this function panicked
 
@@ -75,7 +76,7 @@
 		case action := <-call.Actions():
 			switch action.Kind {
 			case decide.Send: // a route step
-				life.step(stepsCtx, action)
+				life.step(steps, action)
 			case decide.Cancel:
 				life.cancel(action.Attempt)
 			case decide.Refuse: // a busy reply
@@ -103,6 +104,7 @@
 	req     *http.Request
 	body    []byte
 	cancels []context.CancelFunc // by attempt
+	running sync.WaitGroup       // steps without an outcome
 	answers chan *destination.Answer
 }
 
@@ -116,7 +118,7 @@
 	if action.After > 0 {
 		ctx, cancel = context.WithDeadline(ctx, time.Now().Add(time.Duration(action.After)*time.Microsecond))
 	}
-	go func() {
+	l.running.Go(func() {
 		defer cancel()
 		result := l.exchange(ctx, action.Server)
 		if result.Err != nil {
@@ -126,7 +128,7 @@
 		if l.call.Finish(action.Attempt, result.Outcome, result.Report) {
 			l.answers <- result.Answer
 		}
-	}()
+	})
 }
 
 // exchange is one exchange that survives a panic: a step without an outcome would leave its request open.
@@ -163,6 +165,15 @@
 	}
 }
 
+// releaseAfter frees the steps' context once none needs it: where the deployment allows no cancelling, steps go
+// on after the answer.
+func (l *life) releaseAfter(release context.CancelFunc) {
+	go func() {
+		l.running.Wait()
+		release()
+	}()
+}
+
 // busyReply tells the client that trying again is harmless, and when the module wants it back.
 func busyReply(req *http.Request, after, most time.Duration) *http.Response {
 	resp := plain(req, http.StatusServiceUnavailable, "busy\n")
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,159 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceline/decide"
+	"pumiceline/internal/destination"
+	"pumiceline/internal/planner"
+)
+
+type script func(ev *decide.Event) []decide.Action
+
+func (s script) Handle(_ decide.Time, ev *decide.Event, out []decide.Action) []decide.Action {
+	return append(out, s(ev)...)
+}
+
+type exchange func(ctx context.Context, server uint32) destination.Result
+
+func (e exchange) Exchange(ctx context.Context, id uint32, _ *http.Request, _ []byte) destination.Result {
+	return e(ctx, id)
+}
+
+// run sends one request with a second to live through a transport.
+func run(ctx context.Context, module script, ex exchange) (*http.Response, error) {
+	log := slog.New(slog.DiscardHandler)
+	t := &Transport{Planner: planner.New(module, planner.Hooks{}, log), Fleet: ex,
+		MaxRetryAfter: 2500 * time.Millisecond, Log: log}
+	ctx, cancel := context.WithTimeout(WithInbound(ctx, &Inbound{}), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "/quote", nil)
+	if err != nil {
+		return nil, err
+	}
+	return t.RoundTrip(req)
+}
+
+func send(id uint64, server uint32) decide.Action {
+	return decide.Action{Kind: decide.Send, ID: id, Server: server}
+}
+
+// sendThen sends to server 1 and answers an outcome that is not final with an action.
+func sendThen(a decide.Action) script {
+	return func(ev *decide.Event) []decide.Action {
+		switch {
+		case ev.Kind == decide.Arrival:
+			return []decide.Action{send(ev.ID, 1)}
+		case ev.Kind == decide.Outcomed && !ev.Final && ev.Server == 1:
+			a.ID = ev.ID
+			return []decide.Action{a}
+		}
+		return nil
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	served := destination.Result{Outcome: decide.OK,
+		Answer: &destination.Answer{Header: http.Header{}, Body: []byte("42")}}
+	full := destination.Result{Outcome: decide.Full}
+	for name, c := range map[string]struct {
+		module script
+		first  destination.Result
+		status int
+		body   string
+		after  string
+	}{
+		"served":          {sendThen(decide.Action{}), served, 200, "42", ""},
+		"repeated":        {sendThen(send(0, 2)), full, 200, "42", ""},
+		"busy":            {sendThen(decide.Action{Kind: decide.Refuse, After: 350_000}), full, 503, "busy\n", "0.350"},
+		"busy, no span":   {sendThen(decide.Action{Kind: decide.Refuse}), full, 503, "busy\n", ""},
+		"busy, long span": {sendThen(decide.Action{Kind: decide.Refuse, After: 9e6}), full, 503, "busy\n", "2.500"},
+		"failed":          {sendThen(decide.Action{Kind: decide.Fail}), full, 502, "no destination could answer\n", ""},
+	} {
+		resp, err := run(t.Context(), c.module, func(_ context.Context, server uint32) destination.Result {
+			if server == 1 {
+				return c.first
+			}
+			return served
+		})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		body, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != c.status || string(body) != c.body || resp.Header.Get("Retry-After") != c.after {
+			t.Errorf("%s: %d %q, Retry-After %q", name, resp.StatusCode, body, resp.Header.Get("Retry-After"))
+		}
+	}
+}
+
+// Steps end before the client's deadline, so that the module's Fail still reaches the client; and a request
+// whose module stays silent is answered at the deadline all the same.
+func TestDeadlines(t *testing.T) {
+	wait := func(ctx context.Context, _ uint32) destination.Result {
+		<-ctx.Done()
+		return destination.Result{Outcome: decide.TimedOut}
+	}
+	for name, c := range map[string]struct {
+		module script
+		status int
+		at     time.Duration
+	}{
+		"failed by the module": {sendThen(decide.Action{Kind: decide.Fail}), 502, time.Second - answerMargin},
+		"silent module":        {sendThen(decide.Action{}), 504, time.Second},
+		"no step at all":       {func(*decide.Event) []decide.Action { return nil }, 504, time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			resp, err := run(t.Context(), c.module, wait)
+			if err != nil || resp.StatusCode != c.status || time.Since(start) != c.at {
+				t.Errorf("%s: %v, %v after %v", name, resp, err, time.Since(start))
+			}
+		})
+	}
+}
+
+// A client that leaves ends its steps, as the module says, and each of them still has an outcome.
+func TestClientLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		outcomes := 0
+		module := script(func(ev *decide.Event) []decide.Action {
+			switch ev.Kind {
+			case decide.Arrival:
+				return []decide.Action{send(ev.ID, 1)}
+			case decide.Departed:
+				return []decide.Action{{Kind: decide.Cancel, ID: ev.ID}}
+			case decide.Outcomed:
+				outcomes++
+			}
+			return nil
+		})
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		start := time.Now()
+		_, err := run(ctx, module, func(ctx context.Context, _ uint32) destination.Result {
+			<-ctx.Done()
+			return destination.Result{Outcome: decide.Cancelled}
+		})
+		synctest.Wait()
+		if !errors.Is(err, context.Canceled) || outcomes != 1 || time.Since(start) > 200*time.Millisecond {
+			t.Errorf("error %v, %d outcomes after %v", err, outcomes, time.Since(start))
+		}
+	})
+}
+
+// A step that panics has an outcome; without one its request would stay open until the deadline.
+func TestPanickingStepIsAReset(t *testing.T) {
+	resp, err := run(t.Context(), sendThen(decide.Action{Kind: decide.Fail}),
+		func(context.Context, uint32) destination.Result { panic("a fault") })
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
