--- /dev/null
+++ b/internal/destination/destination_test.go
@@ -0,0 +1,316 @@
+package destination
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pumiceline/decide"
+)
+
+// serve starts a destination that gives each request of a connection to answer, with the number of the request
+// on it, and ends the connection when that says so. It counts connections and requests.
+func serve(t *testing.T, answer func(n int, c net.Conn) (goOn bool)) (addr string, conns, requests *atomic.Int32) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	conns, requests = new(atomic.Int32), new(atomic.Int32)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					requests.Add(1)
+					if !answer(n, c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), conns, requests
+}
+
+func fleet(addr string, most int) *Fleet {
+	f := NewFleet(Options{DialWithin: 5 * time.Second, IdleClose: time.Minute, MostSockets: most,
+		Columns: []string{"cpu", "rps"}}, slog.New(slog.DiscardHandler))
+	f.Set(1, addr, true)
+	return f
+}
+
+func post() *http.Request {
+	return &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/issue-policy?a=%zz;b"}, Host: "api.internal",
+		Header: http.Header{"Idempotency-Key": {"k1"}, "X-Correlation-Id": {"id1"}}}
+}
+
+func exchange(t *testing.T, f *Fleet) Result {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	return f.Exchange(ctx, 1, post(), []byte("body"))
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n42"
+
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string // what comes back before the connection ends
+		want decide.Outcome
+	}{
+		"served":              {ok, decide.OK},
+		"chunked":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n42\r\n0\r\n\r\n", decide.OK},
+		"interim":             {"HTTP/1.1 103 Early Hints\r\n\r\n" + ok, decide.OK},
+		"error":               {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", decide.Failed},
+		"busy, unseen":        {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		"late, unseen":        {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		"busy, perhaps run":   {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", decide.Failed},
+		"busy reply":          {"HTTP/1.1 429 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", decide.Failed},
+		"nothing":             {"", decide.Reset},
+		"half a head":         {"HTTP/1.1 200 OK\r\nConte", decide.Reset},
+		"half a body":         {ok[:len(ok)-1], decide.Reset},
+		"half a chunk":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n42", decide.Reset},
+		"no end told":         {"HTTP/1.1 200 OK\r\n\r\n42", decide.Reset},
+		"other protocol":      {"HTTP/1.1 101 Switching Protocols\r\n\r\n", decide.Reset},
+		"garbage":             {"\x00\x01\x02 garbage\r\n\r\n", decide.Reset},
+		"too long":            {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), decide.Reset},
+		"the longest":         {"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 65536), decide.OK},
+		"endless head":        {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10) + "\r\n\r\n", decide.Reset},
+		"endless interim":     {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 50), decide.Reset},
+		"report not readable": {"HTTP/1.1 200 OK\r\nX-Backend-Load: garbage=,=\r\nContent-Length: 0\r\n\r\n", decide.OK},
+	} {
+		addr, _, requests := serve(t, func(_ int, conn net.Conn) bool {
+			io.WriteString(conn, c.text)
+			return false
+		})
+		res := exchange(t, fleet(addr, 9))
+		if res.Outcome != c.want || requests.Load() != 1 || (res.Answer != nil) != (c.want == decide.OK) {
+			t.Errorf("%s: outcome %d (%v), want %d; %d requests", name, res.Outcome, res.Err, c.want, requests.Load())
+		}
+	}
+}
+
+func TestRefusedConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	if res := exchange(t, fleet(ln.Addr().String(), 9)); res.Outcome != decide.ConnectFailed {
+		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+	}
+}
+
+// A reused connection that breaks after the request went out is a reset, and nobody sends the request again:
+// http.Transport would, as it has an Idempotency-Key.
+func TestNothingIsSentAgain(t *testing.T) {
+	addr, conns, requests := serve(t, func(n int, c net.Conn) bool {
+		if n == 0 {
+			io.WriteString(c, ok)
+		}
+		return n == 0
+	})
+	f := fleet(addr, 9)
+	first, second := exchange(t, f), exchange(t, f)
+	if first.Outcome != decide.OK || second.Outcome != decide.Reset {
+		t.Errorf("outcomes %d, %d (%v)", first.Outcome, second.Outcome, second.Err)
+	}
+	if conns.Load() != 1 || requests.Load() != 2 {
+		t.Errorf("%d connections and %d requests, want 1 and 2", conns.Load(), requests.Load())
+	}
+}
+
+// A connection that the destination has closed meanwhile, or that is about to be closed, is not written to.
+func TestStaleConnectionsAreNotReused(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	addr, conns, _ := serve(t, func(_ int, c net.Conn) bool {
+		io.WriteString(c, ok)
+		c.Close()
+		closed <- struct{}{}
+		return false
+	})
+	f := fleet(addr, 9)
+	for range 2 {
+		if res := exchange(t, f); res.Outcome != decide.OK {
+			t.Fatalf("outcome %d, %v", res.Outcome, res.Err)
+		}
+		<-closed
+		for f.byID[1].idle != nil && len(f.byID[1].idle) > 0 && quiet(f.byID[1].idle[0].nc) {
+			time.Sleep(time.Millisecond) // until the end has come over
+		}
+	}
+	if conns.Load() != 2 {
+		t.Errorf("%d connections, want 2", conns.Load())
+	}
+	addr, conns, _ = serve(t, func(_ int, c net.Conn) bool { io.WriteString(c, ok); return true })
+	f = fleet(addr, 9)
+	exchange(t, f)
+	f.byID[1].idle[0].used = time.Now().Add(-f.opts.IdleClose * 9 / 10)
+	exchange(t, f)
+	if conns.Load() != 2 {
+		t.Errorf("%d connections, want 2: the first was near its idle close", conns.Load())
+	}
+}
+
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	asked, gone := make(chan struct{}), make(chan struct{})
+	addr, _, _ := serve(t, func(_ int, c net.Conn) bool {
+		asked <- struct{}{}
+		c.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	f := fleet(addr, 9)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-asked
+		cancel()
+	}()
+	if res := f.Exchange(ctx, 1, post(), nil); res.Outcome != decide.Cancelled {
+		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+	}
+	<-gone
+	ctx, cancel = context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	if res := f.Exchange(ctx, 1, post(), nil); res.Outcome != decide.Moot {
+		t.Errorf("out of time before anything was sent: outcome %d, %v", res.Outcome, res.Err)
+	}
+	if f.open != 0 {
+		t.Errorf("%d connections are still counted", f.open)
+	}
+}
+
+// A drain holds at once: also for a step whose connection was already there when it came.
+func TestDrainStopsNewWork(t *testing.T) {
+	addr, _, requests := serve(t, func(_ int, c net.Conn) bool { io.WriteString(c, ok); return true })
+	f := fleet(addr, 9)
+	c, _ := f.acquire(t.Context(), 1)
+	f.Set(1, addr, false)
+	if res, _ := f.exchange(t.Context(), c, post(), nil); res.Outcome != decide.Moot {
+		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+	}
+	f.release(c, true)
+	if res := exchange(t, f); res.Outcome != decide.Moot {
+		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+	}
+	f.Set(1, "", false)
+	if requests.Load() != 0 || f.open != 0 || len(f.byID) != 0 {
+		t.Errorf("%d requests, %d open, %d destinations", requests.Load(), f.open, len(f.byID))
+	}
+}
+
+// The budget holds over all destinations: an idle connection makes way, one in use does not.
+func TestSocketBudget(t *testing.T) {
+	addr, conns, _ := serve(t, func(_ int, c net.Conn) bool { io.WriteString(c, ok); return true })
+	f := fleet(addr, 1)
+	f.Set(2, addr, true)
+	exchange(t, f)
+	c, res := f.acquire(t.Context(), 2)
+	if c == nil || f.open != 1 {
+		t.Fatalf("no connection (%v), or %d open", res.Err, f.open)
+	}
+	if res := exchange(t, f); res.Outcome != decide.Moot {
+		t.Errorf("over the budget: outcome %d", res.Outcome)
+	}
+	f.release(c, true)
+	if conns.Load() != 2 {
+		t.Errorf("%d connections", conns.Load())
+	}
+}
+
+func TestRequestPassesUnchanged(t *testing.T) {
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(time.Hour))
+	defer cancel()
+	text, err := encode(ctx, post(), []byte("\x00body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"POST /issue-policy?a=%zz;b HTTP/1.1\r\nHost: api.internal\r\n",
+		"Idempotency-Key: k1\r\n", "X-Correlation-Id: id1\r\n", "X-Time-Left-Ms: 3599", "\r\n\r\n\x00body"} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("%q is not in %q", want, text)
+		}
+	}
+}
+
+func TestReports(t *testing.T) {
+	columns := []string{"cpu", "rps", "err_rps"}
+	for text, want := range map[string][]float32{
+		"TEXT util=0.5, qps=12, eps=0.25":              {0.5, 12, 0.25},
+		"TEXT err_rps=0,rps=3 , cpu=1e-1, later=9":     {0.1, 3, 0},
+		"TEXT util=0.5, qps=12":                        nil,
+		"TEXT util=NaN, qps=12, eps=0":                 nil,
+		"TEXT util=, qps=12, eps=0":                    nil,
+		"JSON {}":                                      nil,
+		"TEXT util=0.5 qps=12 eps=0":                   nil,
+		fmt.Sprint("TEXT ", strings.Repeat("x,", 999)): nil,
+	} {
+		got, err := ParseReport(text, columns)
+		if !slices.Equal(got, want) || (err == nil) != (want != nil) {
+			t.Errorf("%.60q read as %v, %v", text, got, err)
+		}
+	}
+}
+
+// FuzzAnswer feeds an exchange cut and garbled answers: what passes for an answer must be whole.
+func FuzzAnswer(f *testing.F) {
+	for cut := 0; cut <= len(ok); cut += 5 {
+		f.Add([]byte(ok[:cut]))
+	}
+	f.Add([]byte(ok))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n42\r\n0\r\n\r\n"))
+	f.Add([]byte("\xff\x00\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		limit := &io.LimitedReader{R: strings.NewReader(string(text))}
+		c := &conn{limit: limit, br: bufio.NewReader(limit)}
+		status, answer, _, err := c.read(post())
+		if (err == nil) != (answer != nil) || err == nil && (status < 200 || len(answer.Body) > MostBody) {
+			t.Errorf("status %d, %v, %v", status, answer, err)
+		}
+		if err == nil && len(answer.Body) > len(text) {
+			t.Error("a body longer than what came")
+		}
+	})
+}
+
+// FuzzReport looks for load reports that yield other than one sound value a column.
+func FuzzReport(f *testing.F) {
+	const whole = "TEXT util=0.5, qps=12, eps=0.25"
+	for cut := range whole {
+		f.Add(whole[:cut])
+	}
+	f.Add("TEXT util=1e400, qps==, eps=-0x1p4")
+	f.Fuzz(func(t *testing.T, text string) {
+		columns := []string{"cpu", "rps", "err_rps"}
+		values, err := ParseReport(text, columns)
+		if (err == nil) != (len(values) == len(columns)) {
+			t.Errorf("%v, %v", values, err)
+		}
+		for _, v := range values {
+			if v != v || v-v != 0 {
+				t.Errorf("value %v", v)
+			}
+		}
+	})
+}
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -69,6 +70,9 @@
 	}
 	status, answer, reusable, err := c.read(req)
 	if err != nil {
+		if ctx.Err() == nil && !broke(err) {
+			f.log.Warn("answer not understood", "destination", c.addr, "error", err)
+		}
 		return Result{Outcome: ended(ctx, decide.Reset), Err: fmt.Errorf("reading the answer: %w", err)}, false
 	}
 	res.Outcome = decide.Failed
@@ -130,6 +134,12 @@
 	return decide.ConnectFailed
 }
 
+// broke says whether err is the connection's end and not the destination's fault in wording an answer.
+func broke(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
 var errNotWhole = errors.New("no way to tell whether the answer is whole")
 
 // read takes one whole answer. What lies beyond the limits, or can't be known to be whole, is an error: a part
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,6 +110,11 @@
 		if errors.As(err, &bad) {
 			status = bad.status
 		}
+		if r.ContentLength != 0 {
+			// The body may still be on its way, or never come whole; net/http would wait for its end before it
+			// sent the answer.
+			w.Header().Set("Connection", "close")
+		}
 		http.Error(w, err.Error(), status)
 		return
 	}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,284 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceline/internal/route"
+	"pumiceline/settings"
+)
+
+type transport func(*http.Request) (*http.Response, error)
+
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) { return t(r) }
+
+func site() *settings.Settings {
+	return &settings.Settings{Classes: []settings.Class{{Name: "quote", Semantics: "pure", HardLimit: 1.5e6},
+		{Name: "issue", Semantics: "token", HardLimit: 3e6}}, Projects: []settings.Project{{Name: "acme"}, {Name: "zenith"}}}
+}
+
+func newFront(t transport, most int) *Front {
+	return New(Options{Settings: site(), Transport: t, Ready: func() bool { return true }, MostSockets: most,
+		Log: slog.New(slog.DiscardHandler)})
+}
+
+func answer(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("42")), Request: r}, nil
+}
+
+// listener hands out the server's ends of pipes.
+type listener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func listen() *listener { return &listener{make(chan net.Conn), make(chan struct{})} }
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *listener) Close() error   { close(l.done); return nil }
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *listener) dial() (net.Conn, *bufio.Reader) {
+	here, there := net.Pipe()
+	l.conns <- there
+	return here, bufio.NewReader(here)
+}
+
+// start serves until stop is called, which returns Serve's error once it has ended.
+func start(t *testing.T, f *Front) (ln *listener, stop func() chan error) {
+	ln = listen()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx, ln) }()
+	return ln, func() chan error { cancel(); return ended }
+}
+
+const headers = "Host: api.internal\r\nX-Correlation-Id: 9b1f\r\nX-Service-Class: issue\r\nX-Account: zenith\r\n" +
+	"X-Time-Left-Ms: 480\r\nX-Weight-Hint: 900\r\nIdempotency-Key: 5c0f\r\nX-Forwarded-For: 1.2.3.4\r\n"
+
+func request(c net.Conn, r *bufio.Reader, text string) (*http.Response, string, error) {
+	go io.WriteString(c, text) // a pipe has no buffer, and an answer may come before the last byte
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// What a destination is sent is what the client wrote, odd queries and paths too, and nothing about the client.
+func TestRequestsPassUnchanged(t *testing.T) {
+	for _, target := range []string{"/issue", "/issue?a=1;b=%zz&&c", "/issue/%2F/x%20y?", "/issue//a/../b?q=%", "//issue?x"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFront(func(r *http.Request) (*http.Response, error) {
+				if got := r.URL.RequestURI(); got != target {
+					t.Errorf("target %q became %q", target, got)
+				}
+				if r.Method != "POST" || r.Host != "api.internal" || r.Header.Get("Idempotency-Key") != "5c0f" ||
+					r.Header.Get("X-Correlation-Id") != "9b1f" || len(r.Header["X-Forwarded-For"]) != 0 {
+					t.Errorf("%s %s %v", r.Method, r.Host, r.Header)
+				}
+				deadline, _ := r.Context().Deadline()
+				if left := time.Until(deadline); left != 480*time.Millisecond {
+					t.Errorf("%v left", left)
+				}
+				return answer(r)
+			}, 9)
+			ln, stop := start(t, f)
+			c, r := ln.dial()
+			resp, body, err := request(c, r, "POST "+target+" HTTP/1.1\r\n"+headers+"Content-Length: 4\r\n\r\nbody")
+			if err != nil || resp.StatusCode != 200 || body != "42" {
+				t.Errorf("%s: %v %q %v", target, resp, body, err)
+			}
+			c.Close()
+			if err := <-stop(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Bad input gets a plain answer that is no busy reply and goes no further.
+func TestBadRequests(t *testing.T) {
+	post := func(h string) string { return "POST /issue HTTP/1.1\r\n" + h + "Content-Length: 0\r\n\r\n" }
+	without := func(name string) string {
+		i := strings.Index(headers, name)
+		return headers[:i] + headers[i+strings.Index(headers[i:], "\r\n")+2:]
+	}
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"no id":          {post(without("X-Correlation-Id")), 400},
+		"no class":       {post(without("X-Service-Class")), 400},
+		"no tenant":      {post(without("X-Account")), 400},
+		"no time":        {post(without("X-Time-Left-Ms")), 400},
+		"no key":         {post(without("Idempotency-Key")), 400},
+		"two ids":        {post(headers + "X-Correlation-Id: 9b20\r\n"), 400},
+		"unknown class":  {post(strings.Replace(headers, "issue", "other", 1)), 400},
+		"unknown tenant": {post(strings.Replace(headers, "zenith", "other", 1)), 400},
+		"odd time":       {post(strings.Replace(headers, "480", "-480", 1)), 400},
+		"odd hint":       {post(strings.Replace(headers, "900", "much", 1)), 400},
+		"wrong method":   {"GET /issue HTTP/1.1\r\n" + headers + "\r\n", 405},
+		"long body":      {"POST /issue HTTP/1.1\r\n" + headers + "Content-Length: 65537\r\n\r\n", 413},
+		"long chunks": {"POST /issue HTTP/1.1\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" +
+			strings.Repeat("x", 65537) + "\r\n0\r\n\r\n", 413},
+		"garbage": {"\x00\x01\r\n\r\n", 400},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFront(func(*http.Request) (*http.Response, error) {
+				t.Errorf("%s: it went on", name)
+				return nil, io.EOF
+			}, 9)
+			ln, stop := start(t, f)
+			conn, r := ln.dial()
+			resp, _, err := request(conn, r, c.text)
+			if err != nil || resp.StatusCode != c.status {
+				t.Errorf("%s: %v, %v, want status %d", name, resp, err, c.status)
+			}
+			conn.Close()
+			<-stop()
+		})
+	}
+}
+
+const quote = "GET /quote HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: 1\r\nX-Service-Class: quote\r\n" +
+	"X-Account: acme\r\nX-Time-Left-Ms: 400\r\n\r\n"
+
+// A panic must not cost the client its answer.
+func TestPanicIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ln, stop := start(t, newFront(func(*http.Request) (*http.Response, error) { panic("a fault") }, 9))
+		c, r := ln.dial()
+		if resp, _, err := request(c, r, quote); err != nil || resp.StatusCode != 500 {
+			t.Errorf("%v, %v", resp, err)
+		}
+		c.Close()
+		<-stop()
+	})
+}
+
+// After the request to stop: new connections are taken for a while, answers close their connections, what was
+// taken is finished, and connections that never brought a request hold nothing up.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(func(r *http.Request) (*http.Response, error) {
+			time.Sleep(time.Second)
+			return answer(r)
+		}, 9)
+		ln, stop := start(t, f)
+		early, earlyReader := ln.dial()
+		idle, idleReader := ln.dial()
+		time.Sleep(time.Second)
+		answered := make(chan string, 2)
+		ask := func(c net.Conn, r *bufio.Reader) {
+			resp, body, err := request(c, r, quote)
+			answered <- fmt.Sprint(resp != nil && resp.Close, body, err)
+		}
+		go ask(early, earlyReader)
+		time.Sleep(100 * time.Millisecond)
+		ended := stop()
+		time.Sleep(500 * time.Millisecond)
+		go ask(ln.dial())
+		begun := time.Now()
+		for range 2 {
+			if got := <-answered; !strings.Contains(got, "42") || !strings.Contains(got, "<nil>") {
+				t.Errorf("answer: %s", got)
+			}
+		}
+		if _, err := idleReader.ReadByte(); err != io.EOF {
+			t.Errorf("the unused connection: %v", err)
+		}
+		if err := <-ended; err != nil || time.Since(begun) > 2*time.Second {
+			t.Errorf("%v, ended after %v", err, time.Since(begun))
+		}
+		idle.Close()
+	})
+}
+
+func TestReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(answer, 9)
+		held := false
+		f.opts.Ready = func() bool { return held }
+		ln, stop := start(t, f)
+		for _, want := range []int{503, 200} {
+			c, r := ln.dial()
+			if resp, _, err := request(c, r, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil || resp.StatusCode != want {
+				t.Errorf("%v, %v, want %d", resp, err, want)
+			}
+			c.Close()
+			held = true
+		}
+		<-stop()
+	})
+}
+
+// Over the budget the socket that is idle for longest makes way, and the new one is served.
+func TestSocketBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(answer, 2)
+		ln, stop := start(t, f)
+		var conns []net.Conn
+		var readers []*bufio.Reader
+		for i := range 3 {
+			c, r := ln.dial()
+			if resp, _, err := request(c, r, quote); err != nil || resp.StatusCode != 200 {
+				t.Errorf("connection %d: %v, %v", i, resp, err)
+			}
+			conns, readers = append(conns, c), append(readers, r)
+			time.Sleep(time.Millisecond)
+		}
+		if _, err := readers[0].ReadByte(); err != io.EOF {
+			t.Errorf("the oldest: %v", err)
+		}
+		if resp, _, err := request(conns[1], readers[1], quote); err != nil || resp.StatusCode != 200 {
+			t.Errorf("the second: %v, %v", resp, err)
+		}
+		if n := f.sockets.count(); n != 2 {
+			t.Errorf("%d sockets, want 2", n)
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+		<-stop()
+	})
+}
+
+// FuzzHead feeds garbled headers: what passes must be within the settings.
+func FuzzHead(f *testing.F) {
+	f.Add("POST", "9b1f", "issue", "zenith", "480", "900", "5c0f")
+	f.Add("GET", "9b1f", "quote", "acme", "4294967296", "-1", "")
+	f.Add("\x00", "", "iss", "\xff", "1e3", "0x9", "k")
+	rd := newReader(site())
+	now := time.Now()
+	f.Fuzz(func(t *testing.T, method, id, class, tenant, left, hint, key string) {
+		h := http.Header{idHeader: {id}, classHeader: {class}, tenantHeader: {tenant}, timeLeftHeader: {left},
+			hintHeader: {hint}, keyHeader: {key}}
+		var in *route.Inbound
+		in, deadline, err := rd.head(method, h, now)
+		if err != nil {
+			return
+		}
+		if in.Class > 1 || in.Tenant > 1 || in.Work < 0 || deadline.Before(now) || deadline.Sub(now) > 3*time.Second ||
+			id == "" || in.Class == 1 && key == "" {
+			t.Errorf("passed: %+v, %v", in, deadline)
+		}
+	})
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,236 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceline/decide"
+)
+
+func host(name, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":"127.1.0.1:7070","site":"a","class":"m2","block":3,"health":%q,`+
+		`"share":1.5,"born_ms":1700000000123}`, name, health)
+}
+
+func update(seq int, whole bool, hosts ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(hosts, ","))
+}
+
+func table() *Table { return NewTable([]string{"b", "a"}, []string{"m1", "m2"}) }
+
+func TestHostsBecomeMembers(t *testing.T) {
+	u, hosts, bad, err := table().Read([]byte(update(41, true, host("s-1", "SERVING"), host("s-2", "DRAINING"),
+		host("s-3", "DELETED"))))
+	if err != nil || len(bad) != 0 || len(hosts) != 3 || u.Seq != 41 || !u.Whole {
+		t.Fatalf("%+v, %v, %v, %v", u, hosts, bad, err)
+	}
+	want := decide.Member{Server: hosts[0].Member.Server, Zone: 1, Cell: 3, Kind: 1, Mode: decide.ModeReady, Size: 1.5,
+		UpSince: 1700000000123000}
+	if hosts[0].Member != want || hosts[1].Member.Mode != decide.ModeDraining ||
+		hosts[2].Member.Mode != decide.ModeGone || hosts[2].Dial != "" {
+		t.Errorf("%+v", hosts)
+	}
+}
+
+// One bad host costs only itself.
+func TestBadHostsAreLeftOut(t *testing.T) {
+	good := host("s-1", "SERVING")
+	for _, bad := range []string{`7`, `{}`, host("", "SERVING"), host("s-2", "ODD"),
+		strings.Replace(good, `"site":"a"`, `"site":"elsewhere"`, 1), strings.Replace(good, "7070", "x", 1),
+		strings.Replace(good, `"block":3`, `"block":-1`, 1), strings.Replace(good, "1700000000123", "-5", 1)} {
+		_, hosts, errs, err := table().Read([]byte(update(1, true, bad, good)))
+		if err != nil || len(hosts) != 1 || len(errs) != 1 {
+			t.Errorf("%s: %d hosts, %v, %v", bad, len(hosts), errs, err)
+		}
+	}
+}
+
+// Two names whose hashes are equal get different ids, and the same ones in whatever order a list has them.
+func TestIDs(t *testing.T) {
+	ids := func(names ...string) map[string]uint32 {
+		var hosts []string
+		for _, n := range names {
+			hosts = append(hosts, host(n, "SERVING"))
+		}
+		_, read, _, err := table().Read([]byte(update(1, true, hosts...)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := map[string]uint32{}
+		for _, h := range read {
+			got[h.Name] = h.Member.Server
+		}
+		return got
+	}
+	a, b := ids("liquid", "s-1", "costarring"), ids("costarring", "liquid", "s-1") // a known collision of FNV-1a
+	if a["liquid"] == a["costarring"] {
+		t.Error("two hosts share an id")
+	}
+	for name := range a {
+		if a[name] != b[name] {
+			t.Errorf("%s is %d and %d", name, a[name], b[name])
+		}
+	}
+	if alone := ids("s-1"); alone["s-1"] != a["s-1"] {
+		t.Error("an id depends on what else is listed")
+	}
+}
+
+// heard is what a module and a fleet are told, in order.
+type heard struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (h *heard) List(kind decide.EventKind, members []decide.Member) {
+	names := map[decide.EventKind]string{decide.ListFull: "full", decide.ListCached: "cached",
+		decide.ListDelta: "delta", decide.ListFailed: "failed"}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lines = append(h.lines, fmt.Sprintf("%s %d", names[kind], len(members)))
+}
+
+func (h *heard) Set(_ uint32, addr string, ready bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lines = append(h.lines, fmt.Sprintf("%q %v", addr, ready))
+}
+
+func (h *heard) expect(t *testing.T, want ...string) {
+	t.Helper()
+	synctest.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if strings.Join(h.lines, "; ") != strings.Join(want, "; ") {
+		t.Errorf("heard %q, want %q", h.lines, want)
+	}
+	h.lines = nil
+}
+
+// watching starts a watcher whose calls go to serve, which gets the call's target.
+func watching(t *testing.T, h *heard, known string, serve func(target string, c net.Conn)) *Watcher {
+	w := NewWatcher("127.0.0.1:1", table(), h, slog.New(slog.DiscardHandler))
+	w.dial = func(context.Context, time.Time) (net.Conn, error) {
+		if serve == nil {
+			return nil, errors.New("refused")
+		}
+		here, there := net.Pipe()
+		go func() {
+			defer there.Close()
+			req, err := http.ReadRequest(bufio.NewReader(there))
+			if err == nil {
+				serve(req.RequestURI, there)
+			}
+		}()
+		return here, nil
+	}
+	w.Start(h, []byte(known))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		w.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return w
+}
+
+const begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func line(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(text)+1, text) }
+
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h heard
+		lines := make(chan string)
+		w := watching(t, &h, update(41, true, host("s-1", "SERVING"), host("s-2", "SERVING")),
+			func(target string, c net.Conn) {
+				if target != "/v1/endpoints?stream=1&index=41" {
+					t.Errorf("asked for %s", target)
+				}
+				io.WriteString(c, begin)
+				for text := range lines {
+					line(c, text)
+				}
+			})
+		const here = `"127.1.0.1:7070" `
+		h.expect(t, here+"true", here+"true", "cached 2")
+		if !w.Held() {
+			t.Error("the known list is not held")
+		}
+		w.Ask()
+		lines <- ""
+		h.expect(t, "delta 0") // the call is answered, though nothing changed
+		lines <- update(42, false, host("s-1", "DRAINING"))
+		h.expect(t, here+"false", "delta 1")
+		lines <- "garbage"
+		h.expect(t)
+		lines <- update(43, true, host("s-3", "SERVING"))
+		h.expect(t, here+"true", `"" false`, `"" false`, "full 1") // s-1 and s-2 are dropped
+		time.Sleep(silence - time.Second)
+		lines <- ""
+		time.Sleep(silence - time.Second)
+		h.expect(t)
+		time.Sleep(2 * time.Second) // silent past its heartbeats
+		h.expect(t, "failed 0")
+		close(lines)
+	})
+}
+
+func TestFailedCalls(t *testing.T) {
+	for name, serve := range map[string]func(string, net.Conn){
+		"refused": nil,
+		"reset":   func(string, net.Conn) {},
+		"busy":    func(_ string, c net.Conn) { io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") },
+		"silent":  func(_ string, c net.Conn) { io.Copy(io.Discard, c) },
+		"ended":   func(_ string, c net.Conn) { io.WriteString(c, begin+"0\r\n\r\n") },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var h heard
+			w := watching(t, &h, "", serve)
+			h.expect(t, "cached 0")
+			if w.Held() {
+				t.Errorf("%s: an empty list counts as held", name)
+			}
+			w.Ask()
+			time.Sleep(2 * silence)
+			t.Log(name)
+			h.expect(t, "failed 0")
+		})
+	}
+}
+
+// FuzzUpdate feeds the reader cut and garbled updates: whatever comes out must be within the settings.
+func FuzzUpdate(f *testing.F) {
+	whole := update(41, true, host("s-1", "SERVING"), host("s-2", "DELETED"))
+	for cut := 0; cut < len(whole); cut += 17 {
+		f.Add([]byte(whole[:cut]))
+	}
+	f.Add([]byte(whole))
+	f.Add([]byte("\x00[{]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, hosts, _, err := table().Read(text)
+		seen := map[uint32]string{}
+		for _, h := range hosts {
+			m := h.Member
+			if err != nil || h.Name == "" || m.Zone > 1 || m.Kind > 2 || m.UpSince < 0 || m.Mode != decide.ModeGone && h.Dial == "" {
+				t.Errorf("%+v, %v", h, err)
+			}
+			if other, ok := seen[m.Server]; ok && other != h.Name {
+				t.Errorf("%q and %q share an id", other, h.Name)
+			}
+			seen[m.Server] = h.Name
+		}
+	})
+}
