Say in a busy reply when to come back: the module's Refuse carries a span

Seen: refusals named no span, so clients that heed one came back at once. The span is an answer's usual time for each windowful of held requests, spread by a hash of the request's id, at most MaxRetryAfter (decide.go, comeBack). No random number is drawn, so all else stays as it was.

--- a/decide/api.go
+++ b/decide/api.go
@@ -77,6 +77,8 @@
 	Probe        bool
 	SecondCopies bool
 	IdleClose    Time
+
+	MaxRetryAfter Time // the longest that a client heeds; 0: it is not told when to return
 }
 
 // Prices are deductions from the result, each for the stated amount of something, as fractions of all worth.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,8 +1,7 @@
 package decide
 
-// The types, events and actions of this package are in api.go. The decisions are here (dispatch and the life
-// of a request), in weights.go (A58 weights, the A100 ramp, the cold budget), in schedule.go (whose turn it
-// is) and in health.go (discovery's list, evidence about servers, admission).
+// Types, events and actions are in api.go. Here are dispatch and a request's life; weights.go has the A58
+// weights, A100's ramp and the cold budget, schedule.go the turns, health.go list, evidence and admission.
 
 import (
 	"fmt"
@@ -38,7 +37,6 @@
 	benched     int       // servers suspended
 	inflight    int       // attempts out
 	window      float64   // the most that may be
-	crowded     float64   // share of recent attempts that took up most of their aim, or found no room
 	remote      float64   // the part of their weight that servers of other zones keep
 	ring, reach float64   // own place on the ring, and how far this balancer reaches
 	kinds       []kindMean
@@ -393,13 +391,20 @@
 		return
 	}
 	if r.mayRefuse() {
-		b.do(Action{Kind: Refuse, ID: r.id})
+		b.do(Action{Kind: Refuse, ID: r.id, After: b.comeBack(r)})
 	} else {
 		b.do(Action{Kind: Fail, ID: r.id})
 	}
 	b.conclude(r)
 }
 
+// comeBack is when a refused client may find room: an answer's time for each windowful held, spread out.
+func (b *Balancer) comeBack(r *request) Time {
+	wait := max(b.usual, heldEvery) * (1 + float64(len(b.held))/b.window)
+	wait *= 0.5 + float64(mix(r.id)>>11)/(1<<53)
+	return min(Time(wait), b.set.Limits.MaxRetryAfter)
+}
+
 // conclude marks r answered and calls off what is still out for it.
 func (b *Balancer) conclude(r *request) {
 	r.over = true
--- a/decide/health.go
+++ b/decide/health.go
@@ -89,9 +89,8 @@
 	s.zone, s.cell, s.mode, s.size, s.listed = m.Zone, m.Cell, m.Mode, size, true
 	s.kind = b.kindOf(m.Kind)
 	if m.UpSince != s.upSince || fresh {
-		restarted := !fresh
 		s.upSince = m.UpSince
-		if restarted { // another process: what the old one reported is void
+		if !fresh { // another process: what the old one reported is void
 			s.qps, s.util, s.eps, s.mass, s.nonEmptySince = 0, 0, 0, 0, 0
 		}
 		if m.UpSince > 0 && b.now-m.UpSince < b.set.Rules.Cold && m.UpSince > s.readySince {
@@ -303,7 +302,6 @@
 	default:
 		return
 	}
-	b.crowded += (sign - b.crowded) / 32
 	// One step for each outcome, so that a narrow window does not fall on old news. Narrow ones grow
 	// faster, so that balancers with the same servers come to share them evenly.
 	if sign > 0 {
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -582,3 +582,39 @@
 		}
 	}
 }
+
+// A refused client is told when to come back: never later than it heeds, later the more is held, not all at once.
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	set := settings()
+	set.Limits.MaxRetryAfter = 2_500_000
+	b := newBalancer(t, set, nil)
+	b.usual, b.window = 200_000, 10
+	idle, spans := Time(0), map[Time]bool{}
+	for id := range uint64(100) {
+		span := b.comeBack(&request{id: id})
+		if span < 100_000 || span > 300_000 {
+			t.Errorf("span %d with nothing held", span)
+		}
+		idle += span
+		spans[span] = true
+	}
+	if len(spans) < 90 {
+		t.Errorf("only %d different spans", len(spans))
+	}
+	b.held = make([]*request, 20)
+	crowded := Time(0)
+	for id := range uint64(100) {
+		crowded += b.comeBack(&request{id: id})
+	}
+	if crowded < 2*idle {
+		t.Errorf("%d when crowded, %d when not", crowded, idle)
+	}
+	b.held = make([]*request, 1e6)
+	if span := b.comeBack(&request{}); span != set.Limits.MaxRetryAfter {
+		t.Errorf("span %d is over what clients heed", span)
+	}
+	b.set.Limits.MaxRetryAfter = 0
+	if span := b.comeBack(&request{}); span != 0 {
+		t.Errorf("span %d where none may be told", span)
+	}
+}
--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -222,7 +222,7 @@
 
 // The budget holds over all destinations: an idle connection makes way, one in use does not.
 func TestSocketBudget(t *testing.T) {
-	addr, conns, _ := serve(t, func(_ int, c net.Conn) bool { io.WriteString(c, ok); return true })
+	addr, _, _ := serve(t, func(_ int, c net.Conn) bool { io.WriteString(c, ok); return true })
 	f := fleet(addr, 1)
 	f.Set(2, addr, true)
 	exchange(t, f)
@@ -234,8 +234,8 @@
 		t.Errorf("over the budget: outcome %d", res.Outcome)
 	}
 	f.release(c, true)
-	if conns.Load() != 2 {
-		t.Errorf("%d connections", conns.Load())
+	if f.open != 1 || len(f.byID[1].idle) != 0 || len(f.byID[2].idle) != 1 {
+		t.Errorf("%d connections open at the end", f.open)
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,7 +87,7 @@
 			TipMultiple: t.Rules.TipMultiple, TipAfter: Micros(t.Rules.TipAfter)},
 		Limits: decide.Limits{Attempts: t.Limits.TryLimit, MostHeld: t.Limits.MostHeld,
 			Cancel: t.Limits.Cancelling, Probe: t.Limits.MayProbe, SecondCopies: t.Limits.MayDuplicate,
-			IdleClose: Micros(t.Limits.IdleClose)},
+			IdleClose: Micros(t.Limits.IdleClose), MaxRetryAfter: Micros(t.Limits.MaxRetryAfter)},
 		Prices: decide.Prices{CrossZone: t.Prices.CrossZone},
 	}
 	switch t.LoadInfo.How {
