Add the example folder and an end-to-end test; stop without waiting for unused sockets

Shutdown of net/http holds on for 5 s for a connection that never brought a request, which is past the kill of a planned restart: such front sockets are now closed again and again while stopping (sockets.go, closeUnused), and over the socket budget answers close theirs. TestStop has one that comes just before the end. The toy fleet in example/ serves the end-to-end test of the example's own configuration.

--- /dev/null
+++ b/cmd/pumiceline/main_test.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pumiceline/example/toy"
+	"pumiceline/internal/config"
+)
+
+const exampleConfig = "../../example/config.json"
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// until polls a condition that other goroutines bring about; the test's own limit ends a vain wait.
+func until(t *testing.T, what string, ok func() bool) {
+	for !ok() {
+		if t.Context().Err() != nil {
+			t.Fatal("never came:", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// The example's configuration serves the example's destinations, end to end: it is ready only with a list, a
+// keyed request is answered, and one that is under way when the proxy is told to stop is still answered.
+func TestServesTheExampleAndStops(t *testing.T) {
+	discovery, free := listen(t), listen(t)
+	cfg, err := config.Load(exampleConfig, func(name string) string {
+		return map[string]string{"ROUTER_LISTEN": free.Addr().String(), "ROUTER_DISCOVERY": discovery.Addr().String()}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	working, goOn := make(chan struct{}, 9), make(chan struct{})
+	toys, endToys := context.WithCancel(context.Background())
+	defer endToys()
+	go toy.Serve(toys, discovery, []net.Listener{listen(t), listen(t)}, "ub-east", func() {
+		working <- struct{}{}
+		<-goOn
+	})
+
+	stop, tellStop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(stop, cfg, slog.New(slog.DiscardHandler)) }()
+	base := "http://" + cfg.Listen
+	until(t, "ready", func() bool {
+		resp, err := http.Get(base + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+
+	answered := make(chan string, 1)
+	go func() {
+		req, err := http.NewRequest(http.MethodPost, base+"/issue-policy?a=%zz", strings.NewReader("body"))
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		req.Header = http.Header{"X-Correlation-Id": {"1"}, "X-Service-Class": {"issue-policy"},
+			"X-Account": {"khan-air"}, "X-Time-Left-Ms": {"3000"}, "Idempotency-Key": {"k"}}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		answered <- resp.Status + " " + string(body)
+	}()
+	<-working
+	tellStop()
+	close(goOn)
+	if got := <-answered; !strings.HasPrefix(got, "200 OK toy-") || !strings.Contains(got, "POST /issue-policy?a=%zz,") {
+		t.Errorf("answer: %s", got)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("serve: %v", err)
+	}
+}
+
+func TestCheckAndVersion(t *testing.T) {
+	t.Setenv("ROUTER_LISTEN", "")
+	var out bytes.Buffer
+	if err := (&checkCmd{Config: exampleConfig}).Run(output{&out}); err != nil ||
+		!strings.Contains(out.String(), "try listens on 127.0.0.1:7070") {
+		t.Errorf("%q, %v", out.String(), err)
+	}
+	if err := (&checkCmd{Config: "nowhere"}).Run(output{&out}); err == nil {
+		t.Error("a missing file passes")
+	}
+	out.Reset()
+	if err := (versionCmd{}).Run(output{&out}); err != nil || !strings.HasPrefix(out.String(), "pumiceline ") {
+		t.Errorf("%q, %v", out.String(), err)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -72,8 +72,11 @@
 	case err := <-ended:
 		return fmt.Errorf("front sockets: %w", err)
 	}
-	f.sockets.closeUnused() // those that never brought a request; Shutdown would wait for them
-	if err := f.server.Shutdown(context.WithoutCancel(ctx)); err != nil {
+	// Shutdown waits for connections that never brought a request, for longer than a stop may take.
+	closing, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go f.sockets.closeUnused(closing)
+	if err := f.server.Shutdown(closing); err != nil {
 		return fmt.Errorf("front sockets: %w", err)
 	}
 	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
@@ -94,7 +97,7 @@
 			http.Error(w, "internal error", http.StatusInternalServerError)
 		}
 	}()
-	if f.stopping.Load() {
+	if f.stopping.Load() || f.sockets.over() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -196,6 +196,8 @@
 		ended := stop()
 		time.Sleep(500 * time.Millisecond)
 		go ask(ln.dial())
+		late, _ := ln.dial() // taken just before the end, and never used
+		defer late.Close()
 		begun := time.Now()
 		for range 2 {
 			if got := <-answered; !strings.Contains(got, "42") || !strings.Contains(got, "<nil>") {
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -46,7 +47,7 @@
 	}
 	var oldest net.Conn
 	for c, k := range s.open {
-		if k.state == http.StateIdle && (oldest == nil || k.since.Before(s.open[oldest].since)) {
+		if k.unused() && (oldest == nil || k.since.Before(s.open[oldest].since)) {
 			oldest = c
 		}
 	}
@@ -56,13 +57,37 @@
 	}
 }
 
-// closeUnused closes connections that have brought no request yet.
-func (s *sockets) closeUnused() {
+// newFor is how long a new connection may take to bring its first request before it counts as unused.
+const newFor = acceptOn / 2
+
+// unused says whether a socket is between requests.
+func (k *socket) unused() bool {
+	return k.state == http.StateIdle || k.state == http.StateNew && time.Since(k.since) >= newFor
+}
+
+// over says whether there are more sockets than the budget has. Then answers close theirs.
+func (s *sockets) over() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, k := range s.open {
-		if k.state == http.StateNew && time.Since(k.since) > acceptOn/2 {
-			c.Close()
+	return len(s.open) > s.most
+}
+
+// closeUnused keeps closing sockets that have no request, until ctx ends.
+func (s *sockets) closeUnused(ctx context.Context) {
+	again := time.NewTicker(newFor)
+	defer again.Stop()
+	for {
+		s.mu.Lock()
+		for c, k := range s.open {
+			if k.unused() {
+				c.Close()
+			}
+		}
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-again.C:
 		}
 	}
 }
