--- a/example/toy/toy.go
+++ b/example/toy/toy.go
@@ -10,26 +10,17 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"pumiceline/internal/pool"
 )
 
 // heartbeat is how often a watch says that nothing has changed.
 const heartbeat = 2 * time.Second
 
-type host struct {
-	Host   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Class  string  `json:"class"`
-	Block  int     `json:"block"`
-	Health string  `json:"health"`
-	Share  float64 `json:"share"`
-	BornMs int64   `json:"born_ms"`
-}
-
 type list struct {
-	Seq   int    `json:"seq"`
-	Whole bool   `json:"whole"`
-	Hosts []host `json:"hosts"`
+	Seq   int          `json:"seq"`
+	Whole bool         `json:"whole"`
+	Hosts []pool.Entry `json:"hosts"`
 }
 
 // Serve runs discovery on one listener and a destination on each of the others until ctx ends. Destinations
@@ -44,7 +35,7 @@
 	}
 	for i, ln := range destinations {
 		name := fmt.Sprintf("toy-%d", i+1)
-		all.Hosts = append(all.Hosts, host{Host: name, Dial: ln.Addr().String(), Site: site, Class: "std-8", Block: 1,
+		all.Hosts = append(all.Hosts, pool.Entry{Host: name, Dial: ln.Addr().String(), Site: site, Class: "std-8", Block: 1,
 			Health: "SERVING", Share: 1})
 		run(ln, &destination{name: name, work: work})
 	}
--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -205,7 +205,7 @@
 func TestDrainStopsNewWork(t *testing.T) {
 	addr, _, requests := serve(t, func(_ int, c net.Conn) bool { io.WriteString(c, ok); return true })
 	f := fleet(addr, 9)
-	c, _ := f.acquire(t.Context(), 1)
+	c, _, _ := f.acquire(t.Context(), 1)
 	f.Set(1, addr, false)
 	if res, _ := f.exchange(t.Context(), c, post(), nil); res.Outcome != decide.Moot {
 		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
@@ -226,9 +226,9 @@
 	f := fleet(addr, 1)
 	f.Set(2, addr, true)
 	exchange(t, f)
-	c, res := f.acquire(t.Context(), 2)
-	if c == nil || f.open != 1 {
-		t.Fatalf("no connection (%v), or %d open", res.Err, f.open)
+	c, _, err := f.acquire(t.Context(), 2)
+	if err != nil || f.open != 1 {
+		t.Fatalf("no connection (%v), or %d open", err, f.open)
 	}
 	if res := exchange(t, f); res.Outcome != decide.Moot {
 		t.Errorf("over the budget: outcome %d", res.Outcome)
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -43,9 +43,9 @@
 // ends. The request is written once and never again: http.Transport would resend it by itself on a reused
 // connection that breaks, which is an attempt that the module knows nothing of.
 func (f *Fleet) Exchange(ctx context.Context, id uint32, req *http.Request, body []byte) Result {
-	c, res := f.acquire(ctx, id)
-	if c == nil {
-		return res
+	c, outcome, err := f.acquire(ctx, id)
+	if err != nil {
+		return Result{Outcome: outcome, Err: err}
 	}
 	// Ending ctx closes the connection: that is how a route step is given up.
 	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
@@ -100,7 +100,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		out.Header.Set(timeLeftName, strconv.FormatInt(max(0, time.Until(deadline).Milliseconds()), 10))
 	}
-	out.Body, out.ContentLength, out.TransferEncoding = http.NoBody, int64(len(body)), nil
+	out.Body, out.ContentLength, out.TransferEncoding, out.Trailer = http.NoBody, int64(len(body)), nil, nil
 	if len(body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(body))
 	}
--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -109,20 +109,17 @@
 	f.open--
 }
 
-// acquire returns the connection used last, or a new one. Without one the result says why.
-func (f *Fleet) acquire(ctx context.Context, id uint32) (*conn, Result) {
-	d, c, err := f.take(id)
+// acquire returns the connection used last, or a new one. With an error comes the outcome that it means.
+func (f *Fleet) acquire(ctx context.Context, id uint32) (*conn, decide.Outcome, error) {
+	c, err := f.take(id)
 	if err != nil {
-		return nil, Result{Outcome: decide.Moot, Err: err}
+		return nil, decide.Moot, err
 	}
-	if c != nil {
-		return c, Result{}
+	if c.nc != nil {
+		return c, 0, nil
 	}
-	addr := f.addrOf(d)
-	by := time.Now().Add(f.opts.DialWithin)
-	dialer := net.Dialer{Deadline: by}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
+	dialer := net.Dialer{Deadline: time.Now().Add(f.opts.DialWithin)}
+	if c.nc, err = dialer.DialContext(ctx, "tcp", c.addr); err != nil {
 		f.mu.Lock()
 		f.open--
 		f.mu.Unlock()
@@ -133,16 +130,11 @@
 			errors.Is(err, syscall.EADDRNOTAVAIL) {
 			outcome = decide.Moot // our own shortage says nothing of the destination
 		}
-		return nil, Result{Outcome: outcome, Err: fmt.Errorf("connecting: %w", err)}
+		return nil, outcome, fmt.Errorf("connecting: %w", err)
 	}
-	limit := &io.LimitedReader{R: nc}
-	return &conn{nc: nc, limit: limit, br: bufio.NewReader(limit), dest: d, addr: addr}, Result{}
-}
-
-func (f *Fleet) addrOf(d *dest) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return d.addr
+	c.limit = &io.LimitedReader{R: c.nc}
+	c.br = bufio.NewReader(c.limit)
+	return c, 0, nil
 }
 
 var (
@@ -150,31 +142,34 @@
 	errBudget  = errors.New("all sockets meant for destinations are in use")
 )
 
-// take returns an idle connection to reuse, or counts one that the caller is to make.
-func (f *Fleet) take(id uint32) (*dest, *conn, error) {
+// take returns an idle connection to reuse, or counts one that the caller is to make: it has no nc yet.
+func (f *Fleet) take(id uint32) (*conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.byID[id]
 	if d == nil || !d.ready {
-		return nil, nil, errUnknown
+		return nil, errUnknown
 	}
 	for len(d.idle) > 0 {
 		c := d.idle[len(d.idle)-1]
 		d.idle = d.idle[:len(d.idle)-1]
 		// The destination closes a connection at the latest after IdleClose; a request that crosses the close
 		// is a reset, which may spend the only attempt that a keyed class has.
-		if time.Since(c.used) < f.opts.IdleClose*4/5 && quiet(c.nc) {
-			return d, c, nil
+		if time.Since(c.used) < f.keep() && quiet(c.nc) {
+			return c, nil
 		}
 		f.closeConn(c)
 	}
 	if f.open >= f.opts.MostSockets && !f.evict() {
-		return nil, nil, errBudget
+		return nil, errBudget
 	}
 	f.open++
-	return d, nil, nil
+	return &conn{dest: d, addr: d.addr}, nil
 }
 
+// keep is how long a connection may stand idle and still be used: a good part short of the destination's close.
+func (f *Fleet) keep() time.Duration { return f.opts.IdleClose * 4 / 5 }
+
 // evict closes the idle connection that has been unused for longest.
 func (f *Fleet) evict() bool {
 	var oldest *dest
@@ -201,7 +196,7 @@
 		return
 	}
 	c.used = time.Now()
-	for len(d.idle) > 0 && time.Since(d.idle[0].used) >= f.opts.IdleClose*4/5 {
+	for len(d.idle) > 0 && time.Since(d.idle[0].used) >= f.keep() {
 		f.closeConn(d.idle[0])
 		d.idle = slices.Delete(d.idle, 0, 1)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -145,7 +145,15 @@
 	}
 	pr.Out.URL, pr.Out.Host = target, pr.In.Host
 	pr.Out.Header.Del("Upgrade") // a destination must not be asked for another protocol
-	pr.Out.Header.Del("Expect")  // the body is in
+	pr.Out.Header.Del("Connection")
+	pr.Out.Header.Del("Expect") // the body is in
+	// A client that names them in Connection would have ReverseProxy drop them, and a keyed request without its
+	// key could be carried out twice.
+	for _, name := range []string{idHeader, keyHeader} {
+		if v, ok := pr.In.Header[name]; ok {
+			pr.Out.Header[name] = v
+		}
+	}
 }
 
 // failed is for requests that ended without an answer from the transport.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -91,7 +91,8 @@
 					t.Errorf("target %q became %q", target, got)
 				}
 				if r.Method != "POST" || r.Host != "api.internal" || r.Header.Get("Idempotency-Key") != "5c0f" ||
-					r.Header.Get("X-Correlation-Id") != "9b1f" || len(r.Header["X-Forwarded-For"]) != 0 {
+					r.Header.Get("X-Correlation-Id") != "9b1f" || len(r.Header["X-Forwarded-For"]) != 0 ||
+					len(r.Header["Upgrade"]) != 0 || len(r.Header["Connection"]) != 0 {
 					t.Errorf("%s %s %v", r.Method, r.Host, r.Header)
 				}
 				deadline, _ := r.Context().Deadline()
@@ -102,7 +103,8 @@
 			}, 9)
 			ln, stop := start(t, f)
 			c, r := ln.dial()
-			resp, body, err := request(c, r, "POST "+target+" HTTP/1.1\r\n"+headers+"Content-Length: 4\r\n\r\nbody")
+			resp, body, err := request(c, r, "POST "+target+" HTTP/1.1\r\n"+headers+
+				"Connection: Upgrade, Idempotency-Key\r\nUpgrade: h2c\r\nContent-Length: 4\r\n\r\nbody")
 			if err != nil || resp.StatusCode != 200 || body != "42" {
 				t.Errorf("%s: %v %q %v", target, resp, body, err)
 			}
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -22,7 +22,8 @@
 	Hosts []json.RawMessage `json:"hosts"`
 }
 
-type entry struct {
+// Entry is one host as discovery writes it.
+type Entry struct {
 	Host   string  `json:"host"`
 	Dial   string  `json:"dial"`
 	Site   string  `json:"site"`
@@ -79,7 +80,7 @@
 }
 
 func (t *Table) host(raw []byte) (Host, error) {
-	var e entry
+	var e Entry
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return Host{}, err
 	}
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -34,7 +34,7 @@
 	Set(id uint32, addr string, ready bool)
 }
 
-// Watcher holds the list and asks discovery for it when the module wants it asked.
+// Watcher keeps the pool config and asks discovery for it when the module wants it asked.
 type Watcher struct {
 	addr   string
 	dial   func(ctx context.Context, by time.Time) (net.Conn, error)
@@ -58,7 +58,7 @@
 		listed: map[uint32]bool{}}
 }
 
-// Held says whether there is a list to work with.
+// Held says whether there is a pool config to work with.
 func (w *Watcher) Held() bool { return w.held.Load() }
 
 // Ask has Run begin a watch, in place of one that is going on. It returns at once.
@@ -69,7 +69,7 @@
 	}
 }
 
-// Start tells module of the list that this proxy had last, and keeps module for what comes. It is to be called
+// Start tells module of the pool config that this proxy had last, and keeps module for what comes. It is to be called
 // once, before Run.
 func (w *Watcher) Start(module Module, known []byte) {
 	w.module = module
@@ -78,7 +78,7 @@
 		return
 	}
 	if err := w.apply(known, true); err != nil {
-		w.log.Error("the known list is not usable", "error", err)
+		w.log.Error("the known pool config is not usable", "error", err)
 		w.module.List(decide.ListCached, nil)
 	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -122,7 +122,7 @@
 		defer cancel()
 		result := l.exchange(ctx, action.Server)
 		if result.Err != nil {
-			l.t.Log.Debug("route step", "attempt", action.Attempt, "server", action.Server,
+			l.t.Log.Debug("route step", "attempt", action.Attempt, "destination", action.Server,
 				"outcome", result.Outcome, "error", result.Err)
 		}
 		if l.call.Finish(action.Attempt, result.Outcome, result.Report) {
@@ -132,14 +132,14 @@
 }
 
 // exchange is one exchange that survives a panic: a step without an outcome would leave its request open.
-func (l *life) exchange(ctx context.Context, server uint32) (result destination.Result) {
+func (l *life) exchange(ctx context.Context, id uint32) (result destination.Result) {
 	defer func() {
 		if r := recover(); r != nil {
 			l.t.Log.Error("a route step panicked", "panic", r, "stack", string(debug.Stack()))
 			result = destination.Result{Outcome: decide.Reset} // it may have run
 		}
 	}()
-	return l.t.Fleet.Exchange(ctx, server, l.req, l.body)
+	return l.t.Fleet.Exchange(ctx, id, l.req, l.body)
 }
 
 func (l *life) cancel(attempt uint8) {
