Forget hosts that are gone, so that deploys do not fill the memory

Each deploy brings new host names; the table of ids and the watcher's set kept all of them for good (pool/list.go, pool/watch.go). TestWatch now ends with a host that is deleted. The end-to-end test listens on an address of its own, where no other listener can take its port.

--- a/cmd/pumiceline/main_test.go
+++ b/cmd/pumiceline/main_test.go
@@ -17,8 +17,8 @@
 
 const exampleConfig = "../../example/config.json"
 
-func listen(t *testing.T) net.Listener {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func listen(t *testing.T, host string) net.Listener {
+	ln, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +38,8 @@
 // The example's configuration serves the example's destinations, end to end: it is ready only with a list, a
 // keyed request is answered, and one that is under way when the proxy is told to stop is still answered.
 func TestServesTheExampleAndStops(t *testing.T) {
-	discovery, free := listen(t), listen(t)
+	const others = "127.0.0.1"
+	discovery, free := listen(t, others), listen(t, "127.0.0.2") // an address of its own: no other can take the port
 	cfg, err := config.Load(exampleConfig, func(name string) string {
 		return map[string]string{"ROUTER_LISTEN": free.Addr().String(), "ROUTER_DISCOVERY": discovery.Addr().String()}[name]
 	})
@@ -49,7 +50,7 @@
 	working, goOn := make(chan struct{}, 9), make(chan struct{})
 	toys, endToys := context.WithCancel(context.Background())
 	defer endToys()
-	go toy.Serve(toys, discovery, []net.Listener{listen(t), listen(t)}, "ub-east", func() {
+	go toy.Serve(toys, discovery, []net.Listener{listen(t, others), listen(t, others)}, "ub-east", func() {
 		working <- struct{}{}
 		<-goOn
 	})
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -141,3 +141,8 @@
 	t.ids[name], t.taken[id] = id, name
 	return id
 }
+
+func (t *Table) forget(id uint32) {
+	delete(t.ids, t.taken[id])
+	delete(t.taken, id)
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -178,6 +178,11 @@
 		h.expect(t)
 		lines <- update(43, true, host("s-3", "SERVING"))
 		h.expect(t, here+"true", `"" false`, `"" false`, "full 1") // s-1 and s-2 are dropped
+		lines <- update(44, false, host("s-3", "DELETED"), host("s-4", "SERVING"))
+		h.expect(t, `"" false`, here+"true", "delta 2")
+		if len(w.listed) != 1 || len(w.table.ids) != 1 || len(w.table.taken) != 1 {
+			t.Errorf("hosts that are gone are remembered: %v %v", w.listed, w.table.ids)
+		}
 		time.Sleep(silence - time.Second)
 		lines <- ""
 		time.Sleep(silence - time.Second)
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -181,17 +181,20 @@
 	for i := range hosts {
 		m := &hosts[i].Member
 		members[i] = *m
-		now[m.Server] = true
+		now[m.Server] = m.Mode != decide.ModeGone
 		w.listed[m.Server] = true
 		w.fleet.Set(m.Server, hosts[i].Dial, m.Mode == decide.ModeReady)
+		if m.Mode == decide.ModeGone {
+			w.forget(m.Server)
+		}
 	}
 	kind := decide.ListDelta
 	if u.Whole {
 		kind = decide.ListFull
 		for id := range w.listed { // a whole list drops what it misses
 			if !now[id] {
-				delete(w.listed, id)
 				w.fleet.Set(id, "", false)
+				w.forget(id)
 			}
 		}
 	}
@@ -205,3 +208,10 @@
 	}
 	return nil
 }
+
+// forget drops a host that is gone. Each deploy brings new names, so keeping the old ones would fill the memory; one
+// that comes back gets the same id again.
+func (w *Watcher) forget(id uint32) {
+	delete(w.listed, id)
+	w.table.forget(id)
+}
