Log what destinations say wrongly once a second at most; test a break before the last byte

A destination whose reports are garbage has that in every answer, some 90 a second at today's load, and each was a log line (destination/exchange.go). They are now counted in between (fleet.go, complain).

--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pumiceline/decide"
@@ -141,6 +142,37 @@
 	}
 }
 
+// A connection that breaks before the last byte was written proves that the request never ran; the module may then
+// send a keyed request anywhere.
+func TestBreakBeforeTheLastByte(t *testing.T) {
+	f := fleet("127.0.0.1:1", 9)
+	here, there := net.Pipe() // it has no buffer, so what is not read is not written
+	go func() {
+		io.ReadFull(there, make([]byte, 10))
+		there.Close()
+	}()
+	res, reusable := f.exchange(t.Context(), &conn{nc: here, dest: f.byID[1]}, post(), []byte("body"))
+	if res.Outcome != decide.ConnectFailed || reusable {
+		t.Errorf("outcome %d, %v, reusable %v", res.Outcome, res.Err, reusable)
+	}
+}
+
+// A destination whose every report is garbage must not fill the log.
+func TestComplaintsAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log strings.Builder
+		f := NewFleet(Options{}, slog.New(slog.NewTextHandler(&log, nil)))
+		time.Sleep(time.Second)
+		for range 300 {
+			f.complain("garbage", &dest{}, io.EOF)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if lines := strings.Count(log.String(), "\n"); lines != 3 || !strings.Contains(log.String(), "unlogged_before=99") {
+			t.Errorf("%d lines: %s", lines, log.String())
+		}
+	})
+}
+
 // A connection that the destination has closed meanwhile, or that is about to be closed, is not written to.
 func TestStaleConnectionsAreNotReused(t *testing.T) {
 	closed := make(chan struct{}, 2)
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -71,7 +71,7 @@
 	status, answer, reusable, err := c.read(req)
 	if err != nil {
 		if ctx.Err() == nil && !broke(err) {
-			f.log.Warn("answer not understood", "destination", c.addr, "error", err)
+			f.complain("answer not understood", c.dest, err)
 		}
 		return Result{Outcome: ended(ctx, decide.Reset), Err: fmt.Errorf("reading the answer: %w", err)}, false
 	}
@@ -86,7 +86,7 @@
 	}
 	if text := answer.Header.Get(ReportHeader); text != "" && len(f.columns) > 0 {
 		if res.Report, err = ParseReport(text, f.columns); err != nil {
-			f.log.Warn("load report not understood", "destination", c.dest.addr, "error", err)
+			f.complain("load report not understood", c.dest, err)
 		}
 		answer.Header.Del(ReportHeader)
 	}
--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -35,6 +35,9 @@
 	mu   sync.Mutex
 	byID map[uint32]*dest
 	open int
+
+	complained time.Time // when a fault in what destinations say was logged last
+	unlogged   int       // such faults since
 }
 
 type dest struct {
@@ -80,6 +83,19 @@
 	}
 }
 
+// complain logs that a destination's words are not understood, once a second at most: a destination with that fault
+// has it in every answer.
+func (f *Fleet) complain(what string, d *dest, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.complained) < time.Second {
+		f.unlogged++
+		return
+	}
+	f.log.Warn(what, "destination", d.addr, "error", err, "unlogged_before", f.unlogged)
+	f.complained, f.unlogged = time.Now(), 0
+}
+
 // takes says whether new work may go to d.
 func (f *Fleet) takes(d *dest) bool {
 	f.mu.Lock()
