--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -188,7 +188,7 @@
 			t.Fatalf("outcome %d, %v", res.Outcome, res.Err)
 		}
 		<-closed
-		for f.byID[1].idle != nil && len(f.byID[1].idle) > 0 && quiet(f.byID[1].idle[0].nc) {
+		for len(f.byID[1].idle) > 0 && quiet(f.byID[1].idle[0].nc) {
 			time.Sleep(time.Millisecond) // until the end has come over
 		}
 	}
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -18,11 +18,10 @@
 const MostBody = 64 << 10
 
 const (
-	mostHead      = 64 << 10 // bytes of an answer's head, interim answers included
-	mostInterim   = 5
-	unprocessed   = "X-Unprocessed"
-	timeLeftName  = "X-Time-Left-Ms"
-	statusNothing = 0
+	mostHead     = 64 << 10 // bytes of an answer's head, interim answers included
+	mostInterim  = 5
+	unprocessed  = "X-Unprocessed"
+	timeLeftName = "X-Time-Left-Ms"
 )
 
 // Answer is a destination's whole answer.
@@ -149,7 +148,7 @@
 	var resp *http.Response
 	for interim := 0; ; interim++ {
 		if resp, err = http.ReadResponse(c.br, req); err != nil {
-			return statusNothing, nil, false, err
+			return 0, nil, false, err
 		}
 		if resp.StatusCode >= 200 || interim == mostInterim || resp.StatusCode == http.StatusSwitchingProtocols {
 			break
@@ -157,18 +156,18 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode < 200 {
-		return statusNothing, nil, false, fmt.Errorf("answer with status %d", resp.StatusCode)
+		return 0, nil, false, fmt.Errorf("answer with status %d", resp.StatusCode)
 	}
 	// A body that only the connection's end delimits looks the same when the destination died half-way.
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return statusNothing, nil, false, errNotWhole
+		return 0, nil, false, errNotWhole
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MostBody+1))
 	if err != nil {
-		return statusNothing, nil, false, err
+		return 0, nil, false, err
 	}
 	if len(body) > MostBody {
-		return statusNothing, nil, false, fmt.Errorf("answer is longer than %d bytes", MostBody)
+		return 0, nil, false, fmt.Errorf("answer is longer than %d bytes", MostBody)
 	}
 	return resp.StatusCode, &Answer{Header: resp.Header, Body: body}, !resp.Close && c.br.Buffered() == 0, nil
 }
--- a/internal/destination/report.go
+++ b/internal/destination/report.go
@@ -21,7 +21,7 @@
 func ParseReport(text string, columns []string) ([]float32, error) {
 	body, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT ")
 	if !ok {
-		return nil, fmt.Errorf("load report %.80q: not in the form TEXT name=value, ...", text)
+		return nil, fmt.Errorf("load report %.80q: not in the form TEXT name=value, name=value", text)
 	}
 	found := make(map[string]float32, len(columns))
 	for field := range strings.SplitSeq(body, ",") {
