Take SIGHUP: read the configuration again and move the watch to its discovery

At fault: cmd/pumiceline asked for SIGTERM and SIGINT only; the watcher's address was fixed in NewWatcher, and ROUTER_DISCOVERY stood above the file for good. Changed: SIGHUP is asked for before anything else; the file is read by config.Reload, where the file's discovery wins; a bad file is logged and the old one kept; Watcher.Move begins the new watch at once, keeps the list and carries no index over.

--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -88,8 +89,11 @@
 	memoryPart = 0.7
 )
 
-// Run serves until SIGTERM or SIGINT.
+// Run serves until SIGTERM or SIGINT, and reads the configuration again on SIGHUP.
 func (s *serveCmd) Run() error {
+	hangups := make(chan os.Signal, 1) // first of all: until it is asked for, a SIGHUP ends the program
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.Level}))
 	cfg, err := config.Load(s.Config, os.Getenv)
 	if err != nil {
@@ -99,11 +103,14 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	return serve(stop, cfg, log.With("proxy", cfg.Name))
+	reload := func() (*config.Config, error) { return config.Reload(s.Config, os.Getenv) }
+	return serve(stop, cfg, hangups, reload, log.With("proxy", cfg.Name))
 }
 
-// serve puts the parts together and runs them until stop ends and all that was taken is answered.
-func serve(stop context.Context, cfg *config.Config, log *slog.Logger) error {
+// serve puts the parts together and runs them until stop ends and all that was taken is answered. At each hangup it
+// takes over what reload brings.
+func serve(stop context.Context, cfg *config.Config, hangups <-chan os.Signal,
+	reload func() (*config.Config, error), log *slog.Logger) error {
 	module, err := decide.New(cfg.Module, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("config: settings: %w", err)
@@ -134,6 +141,25 @@
 	var background sync.WaitGroup
 	background.Go(func() { plan.Run(running) })
 	background.Go(func() { watcher.Run(running) })
+	background.Go(func() {
+		for {
+			select {
+			case <-running.Done():
+				return
+			case <-hangups:
+			}
+			next, err := reload()
+			if err != nil { // a half-written or wrong file must not stop a proxy that serves
+				log.Error("the new configuration is not usable; the old one stays", "error", err)
+				continue
+			}
+			for _, key := range fixed(cfg, next) {
+				log.Warn("this key is taken over only by a restart", "key", key)
+			}
+			log.Info("configuration read again", "discovery", next.Discovery)
+			watcher.Move(next.Discovery)
+		}
+	})
 	log.Info("serving", "listen", cfg.Listen, "discovery", cfg.Discovery)
 	err = clients.Serve(stop, ln)
 	cancel()
@@ -142,4 +168,20 @@
 	return err
 }
 
+// fixed names the keys that differ but hold until the proxy starts anew.
+func fixed(old, next *config.Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", old.Name == next.Name}, {"listen", old.Listen == next.Listen}, {"limits", old.Limits == next.Limits},
+		{"settings", reflect.DeepEqual(old.Settings, next.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 func micros(v float64) time.Duration { return time.Duration(settings.Micros(v)) * time.Microsecond }
--- a/cmd/pumiceline/main_test.go
+++ b/cmd/pumiceline/main_test.go
@@ -3,11 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,7 +62,7 @@
 
 	stop, tellStop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(stop, cfg, slog.New(slog.DiscardHandler)) }()
+	go func() { ended <- serve(stop, cfg, nil, nil, slog.New(slog.DiscardHandler)) }()
 	base := "http://" + cfg.Listen
 	until(t, "ready", func() bool {
 		resp, err := http.Get(base + "/ready")
@@ -97,6 +102,60 @@
 	}
 }
 
+// A hangup moves the watch to the discovery of the file as it is then; a file that cannot be read changes nothing.
+func TestHangupMovesTheWatch(t *testing.T) {
+	first, second, free := listen(t, "127.0.0.1"), listen(t, "127.0.0.1"), listen(t, "127.0.0.3")
+	watched := make(chan string, 9)
+	for name, ln := range map[string]net.Listener{"first": first, "second": second} {
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			watched <- name + " " + r.URL.Query().Get("index")
+			fmt.Fprintln(w, `{"seq":41,"whole":true,"hosts":[]}`)
+			http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		})}
+		go server.Serve(ln)
+		defer server.Close()
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		text, err := os.ReadFile(exampleConfig)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = regexp.MustCompile(`"discovery": *"[^"]*"`).ReplaceAll(text, []byte(`"discovery":"`+discovery+`"`))
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	env := func(name string) string {
+		return map[string]string{"ROUTER_LISTEN": free.Addr().String(), "ROUTER_DISCOVERY": first.Addr().String()}[name]
+	}
+	write("127.0.0.1:1")
+	cfg, err := config.Load(path, env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	stop, tellStop := context.WithCancel(context.Background())
+	ended, hangups := make(chan error, 1), make(chan os.Signal)
+	reload := func() (*config.Config, error) { return config.Reload(path, env) }
+	go func() { ended <- serve(stop, cfg, hangups, reload, slog.New(slog.DiscardHandler)) }()
+	if got := <-watched; got != "first 0" {
+		t.Errorf("watched: %s", got)
+	}
+	write("nowhere")
+	hangups <- syscall.SIGHUP
+	write(second.Addr().String()) // the first hangup may or may not find this; the second one does
+	hangups <- syscall.SIGHUP
+	if got := <-watched; got != "second 0" {
+		t.Errorf("watched: %s", got)
+	}
+	tellStop()
+	if err := <-ended; err != nil {
+		t.Errorf("serve: %v", err)
+	}
+}
+
 func TestCheckAndVersion(t *testing.T) {
 	t.Setenv("ROUTER_LISTEN", "")
 	var out bytes.Buffer
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -57,9 +57,19 @@
 	Settings  json.RawMessage `json:"settings"`
 }
 
+// Reload reads the configuration again while the proxy runs. ROUTER_DISCOVERY was set at the start and cannot be changed
+// since, so what the file says of discovery now stands above it.
+func Reload(path string, env func(string) string) (*Config, error) {
+	return load(path, env, true)
+}
+
 // Load reads the configuration from the file at path, or if that is empty from the one that ROUTER_CONFIG
 // names, with the environment read through env.
 func Load(path string, env func(string) string) (*Config, error) {
+	return load(path, env, false)
+}
+
+func load(path string, env func(string) string, again bool) (*Config, error) {
 	if path == "" {
 		path = env("ROUTER_CONFIG")
 	}
@@ -70,15 +80,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	return Parse(text, env)
+	return parse(text, env, again)
 }
 
 // Parse checks the text of a configuration file.
 func Parse(text []byte, env func(string) string) (*Config, error) {
+	return parse(text, env, false)
+}
+
+func parse(text []byte, env func(string) string, again bool) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("config: %w", named(err))
 	}
+	discovery := f.Discovery
 	for _, v := range []struct {
 		name string
 		into *string
@@ -87,6 +102,9 @@
 			*v.into = got
 		}
 	}
+	if again && discovery != "" {
+		f.Discovery = discovery
+	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
 	if c.Name == "" {
 		c.Name = defaultName
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -33,6 +35,27 @@
 	}
 }
 
+// A configuration that is read again brings the discovery of the file, which the variable hides only at the start.
+func TestReloadTakesDiscoveryFromTheFile(t *testing.T) {
+	env := func(name string) string {
+		return map[string]string{"ROUTER_DISCOVERY": "127.9.0.1:8500", "ROUTER_LISTEN": "127.0.0.9:7071"}[name]
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	for _, c := range []struct{ text, first, again string }{
+		{valid, "127.9.0.1:8500", "127.2.0.1:8500"},
+		{strings.Replace(valid, `"discovery":"127.2.0.1:8500",`, "", 1), "127.9.0.1:8500", "127.9.0.1:8500"},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		first, err1 := Load(path, env)
+		again, err2 := Reload(path, env)
+		if err1 != nil || err2 != nil || first.Discovery != c.first || again.Discovery != c.again || again.Listen != "127.0.0.9:7071" {
+			t.Errorf("%+v, %v; %+v, %v", first, err1, again, err2)
+		}
+	}
+}
+
 // Each complaint names the key that is at fault.
 func TestFaultsAreNamed(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -121,7 +121,7 @@
 // watching starts a watcher whose calls go to serve, which gets the call's target.
 func watching(t *testing.T, h *heard, known string, serve func(target string, c net.Conn)) *Watcher {
 	w := NewWatcher("127.0.0.1:1", table(), h, slog.New(slog.DiscardHandler))
-	w.dial = func(context.Context, time.Time) (net.Conn, error) {
+	w.dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
 		if serve == nil {
 			return nil, errors.New("refused")
 		}
@@ -130,6 +130,9 @@
 			defer there.Close()
 			req, err := http.ReadRequest(bufio.NewReader(there))
 			if err == nil {
+				if addr != "127.0.0.1:1" {
+					req.RequestURI = addr + req.RequestURI
+				}
 				serve(req.RequestURI, there)
 			}
 		}()
@@ -193,6 +196,35 @@
 	})
 }
 
+// A move takes effect at once and unasked, keeps the list, and asks the new discovery for all that it has.
+func TestMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h heard
+		calls := make(chan string, 9)
+		w := watching(t, &h, update(41, true, host("s-1", "SERVING")), func(target string, c net.Conn) {
+			calls <- target
+			io.WriteString(c, begin)
+			if strings.HasPrefix(target, "127.0.0.2") {
+				line(c, update(7, true, host("s-2", "SERVING")))
+			} else {
+				line(c, "")
+			}
+			io.Copy(io.Discard, c)
+		})
+		w.Ask()
+		const here = `"127.1.0.1:7070" `
+		h.expect(t, here+"true", "cached 1", "delta 0")
+		w.Move("127.0.0.1:1") // where it is already
+		h.expect(t)
+		w.Move("127.0.0.2:1")
+		h.expect(t, here+"true", `"" false`, "full 1")
+		if first, second := <-calls, <-calls; first != "/v1/endpoints?stream=1&index=41" ||
+			second != "127.0.0.2:1/v1/endpoints?stream=1&index=0" || len(calls) != 0 {
+			t.Errorf("asked for %s and %s", first, second)
+		}
+	})
+}
+
 func TestFailedCalls(t *testing.T) {
 	for name, serve := range map[string]func(string, net.Conn){
 		"refused": nil,
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -37,25 +37,27 @@
 // Watcher keeps the pool config and asks discovery for it when the module wants it asked.
 type Watcher struct {
 	addr   string
-	dial   func(ctx context.Context, by time.Time) (net.Conn, error)
+	dial   func(ctx context.Context, addr string, by time.Time) (net.Conn, error)
 	table  *Table
 	module Module
 	fleet  Fleet
 	log    *slog.Logger
 	ask    chan struct{}
+	moved  chan struct{}
+	next   atomic.Pointer[string] // the address that Move named last
 	held   atomic.Bool
-	seq    uint64
+	seq    uint64 // the version held, of the discovery at addr; 0: none of it
 	listed map[uint32]bool
 }
 
 // NewWatcher returns a watcher of discovery at addr.
 func NewWatcher(addr string, table *Table, fleet Fleet, log *slog.Logger) *Watcher {
-	dial := func(ctx context.Context, by time.Time) (net.Conn, error) {
+	dial := func(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
 		dialer := net.Dialer{Deadline: by}
 		return dialer.DialContext(ctx, "tcp", addr)
 	}
 	return &Watcher{addr: addr, dial: dial, table: table, fleet: fleet, log: log, ask: make(chan struct{}, 1),
-		listed: map[uint32]bool{}}
+		moved: make(chan struct{}, 1), listed: map[uint32]bool{}}
 }
 
 // Held says whether there is a pool config to work with.
@@ -69,6 +71,16 @@
 	}
 }
 
+// Move has Run watch discovery at another address from now on, without waiting for the module to ask: the module counts
+// on a watch that is going on, and the old discovery may fall silent. It returns at once.
+func (w *Watcher) Move(addr string) {
+	w.next.Store(&addr)
+	select {
+	case w.moved <- struct{}{}:
+	default:
+	}
+}
+
 // Start tells module of the pool config that this proxy had last, and keeps module for what comes. It is to be called
 // once, before Run.
 func (w *Watcher) Start(module Module, known []byte) {
@@ -88,15 +100,26 @@
 	cancel, done := context.CancelFunc(func() {}), make(chan struct{})
 	close(done)
 	for {
+		var to *string
 		select {
 		case <-ctx.Done():
 			cancel()
 			<-done
 			return
 		case <-w.ask:
+		case <-w.moved:
+			if to = w.next.Load(); *to == w.addr {
+				continue
+			}
 		}
 		cancel()
 		<-done // only one watch touches the list
+		if to != nil {
+			// The list stays in use until the new discovery has spoken. Its versions are its own: asked for changes
+			// since a version of the old one, it could leave out what it has to tell.
+			w.log.Info("discovery moved", "from", w.addr, "to", *to)
+			w.addr, w.seq = *to, 0
+		}
 		var watch context.Context
 		watch, cancel = context.WithCancel(ctx)
 		done = make(chan struct{})
@@ -113,7 +136,7 @@
 
 // watch calls discovery and takes in what it says. It returns why the watch ended, which it always does.
 func (w *Watcher) watch(ctx context.Context) error {
-	nc, err := w.dial(ctx, time.Now().Add(silence))
+	nc, err := w.dial(ctx, w.addr, time.Now().Add(silence))
 	if err != nil {
 		return fmt.Errorf("connecting to discovery: %w", err)
 	}
