Answer or close what bad clients send within 2 s, and refuse length beside coding

At fault: net/http drops the length silently, so front/read.go could not see it. ReadHeaderTimeout was 10 s, the body's deadline the client's, there was no IdleTimeout, and sockets over the budget had no cap. Changed: front sockets follow the framing of what they bring (framing.go); both together are a 400 and a close, a chunked request is served as its connection's last; an id that is open is a 400; head and body have 2 s, an idle socket 5 s; silent sockets make way before idle ones, and with none to spare the new one is closed unread.

--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -171,7 +171,7 @@
 		d.idle = d.idle[:len(d.idle)-1]
 		// The destination closes a connection at the latest after IdleClose; a request that crosses the close
 		// is a reset, which may spend the only attempt that a keyed class has.
-		if time.Since(c.used) < f.keep() && quiet(c.nc) {
+		if time.Since(c.used) < f.keep() && Quiet(c.nc) {
 			return c, nil
 		}
 		f.closeConn(c)
@@ -219,9 +219,9 @@
 	d.idle = append(d.idle, c)
 }
 
-// quiet says whether an idle connection is still open with nothing to read. A destination that died or closed
+// Quiet says whether a connection without a request is still open with nothing to read. A destination that died or closed
 // it has sent an end or a reset by now; a request written there would be lost for nothing.
-func quiet(nc net.Conn) bool {
+func Quiet(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
@@ -231,11 +231,11 @@
 		return false
 	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control and not Read: Read would wait for a reader that is at work on the connection.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && open
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,14 @@
 // the stop only with some delay.
 const acceptOn = 600 * time.Millisecond
 
+// What a client may take its time for. A socket on which nothing comes, or something that never ends, takes a place
+// that another client needs.
+const (
+	headWithin = 2 * time.Second // from a request's first byte, or the connection's start, to the end of the head
+	bodyWithin = 2 * time.Second // from there to the body's end
+	idleFor    = 5 * time.Second // between requests
+)
+
 // Options are what a Front needs to know.
 type Options struct {
 	Settings    *settings.Settings
@@ -40,24 +48,27 @@
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
 	sockets  *sockets
+	ids      *openIDs
 	stopping atomic.Bool
 }
 
 // New returns a front that does not listen yet.
 func New(opts Options) *Front {
-	f := &Front{opts: opts, reader: newReader(opts.Settings), sockets: newSockets(opts.MostSockets)}
+	f := &Front{opts: opts, reader: newReader(opts.Settings), sockets: newSockets(opts.MostSockets),
+		ids: newOpenIDs()}
 	complaints := slog.NewLogLogger(opts.Log.Handler(), slog.LevelDebug)
 	f.proxy = &httputil.ReverseProxy{Rewrite: rewrite, Transport: opts.Transport, ErrorLog: complaints,
 		ErrorHandler: f.failed}
 	f.server = &http.Server{Handler: f, ErrorLog: complaints, ConnState: f.sockets.changed,
-		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 32 << 10}
+		ConnContext: withConn, DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout: headWithin, IdleTimeout: idleFor, MaxHeaderBytes: 32 << 10}
 	return f
 }
 
 // Serve takes clients from ln until ctx ends, then finishes what it has taken.
 func (f *Front) Serve(ctx context.Context, ln net.Listener) error {
 	ended := make(chan error, 1)
-	go func() { ended <- f.server.Serve(ln) }()
+	go func() { ended <- f.server.Serve(&listener{Listener: ln, sockets: f.sockets}) }()
 	select {
 	case err := <-ended:
 		return fmt.Errorf("front sockets: %w", err)
@@ -97,7 +108,7 @@
 			http.Error(w, "internal error", http.StatusInternalServerError)
 		}
 	}()
-	if f.stopping.Load() || f.sockets.over() {
+	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
@@ -105,7 +116,19 @@
 		return
 	}
 	taken := time.Now()
-	in, deadline, err := f.reader.read(w, r, taken)
+	coded, both := delimited(r)
+	if coded { // where the next request would begin is not known any more
+		w.Header().Set("Connection", "close")
+	}
+	in, deadline, err := f.reader.read(w, r, taken, coded, both)
+	if err == nil {
+		id := r.Header.Get(idHeader)
+		if f.ids.open(id) {
+			defer f.ids.close(id)
+		} else {
+			err = bad("%s is that of a request still open", idHeader)
+		}
+	}
 	if err != nil {
 		f.opts.Log.Debug("request not understood", "error", err)
 		var bad *badRequest
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"pumiceline/decide"
@@ -64,12 +65,19 @@
 }
 
 // read reads a request's headers and then its whole body, and returns the client's deadline. The time left
-// counts from the request's coming, not from the body's end.
-func (rd *reader) read(w http.ResponseWriter, r *http.Request, taken time.Time) (*route.Inbound, time.Time, error) {
+// counts from the request's coming, not from the body's end. coded and both say how the body is delimited.
+func (rd *reader) read(w http.ResponseWriter, r *http.Request, taken time.Time, coded, both bool) (*route.Inbound,
+	time.Time, error) {
 	in, deadline, err := rd.head(r.Method, r.Header, taken)
 	if err != nil {
 		return nil, deadline, err
 	}
+	if both {
+		return nil, deadline, bad("Content-Length and Transfer-Encoding do not go together")
+	}
+	if coded && len(r.TransferEncoding) == 0 { // net/http reads no such body in HTTP/1.0
+		return nil, deadline, bad("Transfer-Encoding has no meaning here")
+	}
 	if r.ContentLength > destination.MostBody {
 		return nil, deadline, &badRequest{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
 	}
@@ -77,7 +85,12 @@
 		return in, deadline, nil
 	}
 	conn := http.NewResponseController(w)
-	if err := conn.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	// A client that keeps back its body must not hold its place until its own deadline.
+	until := taken.Add(bodyWithin)
+	if deadline.Before(until) {
+		until = deadline
+	}
+	if err := conn.SetReadDeadline(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, deadline, fmt.Errorf("reading the body: %w", err)
 	}
 	if in.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, destination.MostBody)); err != nil {
@@ -135,6 +148,32 @@
 	return in, deadline, nil
 }
 
+// openIDs are the correlation ids of the requests under way. Another request with one of them would be taken for the
+// same one at a destination and in every log.
+type openIDs struct {
+	mu  sync.Mutex
+	ids map[string]struct{}
+}
+
+func newOpenIDs() *openIDs { return &openIDs{ids: map[string]struct{}{}} }
+
+// open says whether id was free, and takes it.
+func (o *openIDs) open(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, taken := o.ids[id]; taken {
+		return false
+	}
+	o.ids[id] = struct{}{}
+	return true
+}
+
+func (o *openIDs) close(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.ids, id)
+}
+
 // one returns a header's only value, or nothing if there are several: no choice among them would be right.
 func one(h http.Header, name string) string {
 	if v := h[name]; len(v) == 1 {
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"pumiceline/internal/destination"
 )
 
 // sockets keeps count of the front sockets and which of them are idle.
@@ -31,9 +35,37 @@
 	return len(s.open)
 }
 
-// changed is told of each change of a connection's state. When a new one takes the count over the budget, the
-// one that has been idle for longest is closed, which a proxy may do between requests. The new one itself is
-// served: what the kernel has accepted counts as taken, so it cannot just be left.
+// listener hands out front sockets that watch their framing. Where the budget is used up it makes room before the
+// server sees the new one; where there is none to make, the new one is closed, before the process runs out of
+// descriptors: net/http would then stop accepting for up to a second, with usual clients in the queue.
+type listener struct {
+	net.Listener
+	sockets *sockets
+}
+
+// Accept returns the next front socket.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
+			if !l.sockets.makeRoom() {
+				time.Sleep(shortage)
+			}
+		case err != nil:
+			return nil, err
+		case l.sockets.count() < l.sockets.most || l.sockets.makeRoom():
+			return &clientConn{Conn: nc}, nil
+		default: // nothing of it has been read, so its client may send again what it has sent
+			nc.Close()
+		}
+	}
+}
+
+// shortage is how long Accept waits for a descriptor when no front socket can be spared.
+const shortage = 5 * time.Millisecond
+
+// changed is told of each change of a connection's state.
 func (s *sockets) changed(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -42,22 +74,45 @@
 		return
 	}
 	s.open[c] = &socket{state: state, since: time.Now()}
-	if state != http.StateNew || len(s.open) <= s.most {
-		return
-	}
-	var oldest net.Conn
+}
+
+// makeRoom closes a socket without a request, and says whether there was one: one that has been silent since it came,
+// else the one that has been idle for longest. Silent ones come by the hundred, and must not push out those of usual
+// clients. Close returns once the descriptor is free.
+func (s *sockets) makeRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var silent, idle net.Conn
 	for c, k := range s.open {
-		if k.unused() && (oldest == nil || k.since.Before(s.open[oldest].since)) {
-			oldest = c
+		switch {
+		case k.state == http.StateIdle && (idle == nil || k.since.Before(s.open[idle].since)) && nothingCame(c):
+			idle = c
+		case k.state == http.StateNew && time.Since(k.since) >= silentFor &&
+			(silent == nil || k.since.Before(s.open[silent].since)) && nothingCame(c):
+			silent = c
 		}
 	}
-	if oldest != nil {
-		oldest.Close()
-		delete(s.open, oldest)
+	if silent == nil {
+		silent = idle
+	}
+	if silent == nil {
+		return false
 	}
+	silent.Close()
+	delete(s.open, silent)
+	return true
+}
+
+// silentFor is how long a new connection may take for its first byte before it can have to make way.
+const silentFor = 20 * time.Millisecond
+
+// nothingCame says whether a connection has brought nothing that is still to be read: the proxy may be behind.
+func nothingCame(c net.Conn) bool {
+	cc, ok := c.(*clientConn)
+	return !ok || destination.Quiet(cc.Conn)
 }
 
-// newFor is how long a new connection may take to bring its first request before it counts as unused.
+// newFor is how long a new connection may take to bring its first request before it counts as unused by a stop.
 const newFor = acceptOn / 2
 
 // unused says whether a socket is between requests.
@@ -65,13 +120,6 @@
 	return k.state == http.StateIdle || k.state == http.StateNew && time.Since(k.since) >= newFor
 }
 
-// over says whether there are more sockets than the budget has. Then answers close theirs.
-func (s *sockets) over() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open) > s.most
-}
-
 // closeUnused keeps closing sockets that have no request, until ctx ends.
 func (s *sockets) closeUnused(ctx context.Context) {
 	again := time.NewTicker(newFor)
