Module: impatient timeouts, own evidence of faults, more work for cold servers

A probe that logged its view each second showed the admission window fall from 45 to 16 attempts. The steps that timed out had had 13 to 180 ms, at all servers alike: clients with little time left. At fault: pace in health.go took each TimedOut for a sign of a queue, and compare took its short time for the server's. Resets by all servers alike (36 to 47 s) taught nothing, and need not; but one server's faults did not either: now they scale its weight, as slowness does.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,8 +55,6 @@
 	shares             []float64 // tokens of each tenant's share
 	usual              float64   // time of a served attempt, median
 	disc               discovery
-	probes             float64 // tokens for probes
-	nextProbe          int
 }
 
 // attempt is what is remembered of one send. mayHaveRun holds until an outcome proves the opposite, so it
@@ -148,8 +146,6 @@
 		}
 	case TimerFired:
 		b.fired(ev.ID)
-	case Probed:
-		b.probed(ev)
 	case ListFull, ListCached, ListDelta, ListFailed:
 		b.listed(ev)
 	}
--- a/decide/health.go
+++ b/decide/health.go
@@ -169,15 +169,21 @@
 			b.suspend(s, 250_000, 2_000_000)
 		}
 	case TimedOut:
-		b.compare(s, t.cost, float64(ev.Elapsed))
+		b.compare(s, t.cost, float64(ev.Elapsed), true)
 	case OK:
 		b.lost[s.zone] = 0
-		b.compare(s, t.cost, float64(ev.Elapsed))
+		b.compare(s, t.cost, float64(ev.Elapsed), false)
 		b.revive(s)
 		s.backoff = 0
 	case Failed:
 		b.revive(s)
 	}
+	switch ev.Outcome {
+	case OK:
+		s.faults -= s.faults * faultGain
+	case Failed, Reset:
+		s.faults += (1 - s.faults) * faultGain
+	}
 	b.place(s)
 }
 
@@ -202,12 +208,16 @@
 }
 
 // compare takes a server's time for an attempt against the usual one: the median of all, which servers that
-// are slow by themselves do not move, and which grows when all are slow.
-func (b *Balancer) compare(s *server, cost, elapsed float64) {
+// are slow by themselves do not move, and which grows when all are slow. Of an attempt that was given up only the
+// least time that it would have taken is known: from an impatient client's, which ends early, nothing follows.
+func (b *Balancer) compare(s *server, cost, elapsed float64, givenUp bool) {
 	if b.usual == 0 {
 		b.usual = max(1, elapsed)
 	}
 	ratio := elapsed / (b.usual * (1 + cost) / 2)
+	if givenUp && ratio < max(1, s.pace) {
+		return
+	}
 	s.pace += (min(ratio, 10) - s.pace) / 2
 	step := 1.03
 	if ratio < 1 {
@@ -220,15 +230,19 @@
 // servers differ by less, and single requests by more only now and then.
 const slowFrom = 4
 
-// evidence scales the weight of a server that this balancer itself finds slow: its reports come late, and
-// only with answers.
+// evidence scales the weight of a server that this balancer itself finds slow or faulty: its reports come late,
+// and only with sound answers. Each fault costs its caller all its work, as in the weight.
 func (s *server) evidence() float64 {
+	scale := 1 / (1 + errorUtilizationPenalty*s.faults*s.faults)
 	if s.pace < slowFrom {
-		return 1
+		return scale
 	}
-	return 1 / s.pace
+	return scale / s.pace
 }
 
+// faultGain is how much the latest outcome counts among a server's faults.
+const faultGain = 0.15
+
 // idleMost is how long an unused connection is kept. Servers take only so many, and those of a balancer that
 // no longer reaches this far keep others out.
 const idleMost = 2_000_000
@@ -253,31 +267,6 @@
 	}
 }
 
-// probeShare is how many probes go with each request: they cost the servers work, and the more balancers
-// there are the more of them come together.
-const probeShare = 0.2
-
-func (b *Balancer) probeSome(arrivals float64) {
-	if b.set.ReportVia != ReportsByProbe || !b.set.Limits.Probe || len(b.order) == 0 {
-		return
-	}
-	b.probes = min(8, b.probes+arrivals*probeShare)
-	for n := 0; b.probes >= 1 && n < len(b.order); n++ {
-		b.nextProbe = (b.nextProbe + 1) % len(b.order)
-		s := b.order[b.nextProbe]
-		if s.listed && s.mode == ModeReady && !s.suspended && b.local(s) > 0 { // in reach
-			b.probes--
-			b.do(Action{Kind: Probe, Server: s.id})
-		}
-	}
-}
-
-func (b *Balancer) probed(ev *Event) {
-	if s := b.servers[ev.Server]; s != nil && ev.Outcome == OK && b.set.ReportVia == ReportsByProbe {
-		b.report(s, ev.Report)
-	}
-}
-
 // Admission. When more work comes in than can be done in time, queues at the servers grow until hardly an
 // answer is in time, whoever is picked. The window bounds this balancer's attempts out; the rest waits here,
 // where the most valuable goes first and a refusal is still harmless.
@@ -293,11 +282,13 @@
 	}
 	sign := 0.0
 	switch ev.Outcome {
-	case Full, TimedOut:
+	case Full:
 		sign = 1
-	case OK:
+	case OK, TimedOut:
 		if float64(ev.Elapsed) > crowdedFrom*float64(r.class.Aim) {
 			sign = 1
+		} else if ev.Outcome == TimedOut {
+			return // the client had little time; that says nothing of a queue
 		}
 	default:
 		return
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -474,6 +474,56 @@
 	}
 }
 
+// Attempts that end early because their clients had little time are no sign of a queue, and speak neither for nor against
+// a server; ones that took long are a sign.
+func TestImpatientTimeouts(t *testing.T) {
+	for _, c := range []struct {
+		elapsed Time
+		sign    bool
+	}{{40_000, false}, {450_000, true}} {
+		b := newBalancer(t, settings(), fleet(10))
+		b.usual, b.window = 100_000, 50
+		for id := range uint64(30) {
+			out := b.Handle(b.now+1_000, &Event{Kind: Arrival, ID: id, Patience: c.elapsed}, nil)
+			b.Handle(b.now+c.elapsed, &Event{Kind: Outcomed, ID: id, Server: out[0].Server, Outcome: TimedOut,
+				Elapsed: c.elapsed}, nil)
+		}
+		slow := 0
+		for _, s := range b.order {
+			if s.pace > 1 {
+				slow++
+			}
+		}
+		if (b.window < 50) != c.sign || (b.usual != 100_000) != c.sign || (slow > 0) != c.sign {
+			t.Errorf("after timeouts of %d: window %v, usual %v, %d slow servers", c.elapsed, b.window, b.usual, slow)
+		}
+	}
+}
+
+// A server whose attempts fail or break, without a report that would tell, loses turns, and has them back once it serves.
+func TestFaultyServerLosesTurns(t *testing.T) {
+	for _, outcome := range []Outcome{Failed, Reset} {
+		b := newBalancer(t, settings(), fleet(1))
+		b.later(refreshEvery)
+		bad := b.order[0]
+		end := func(o Outcome) {
+			for range 20 {
+				b.inflight++
+				bad.inflight++
+				b.observe(bad, &attempt{cost: 1}, &Event{Outcome: o, Elapsed: 1000})
+			}
+			b.later(refreshEvery)
+		}
+		before := bad.weight
+		end(outcome)
+		if bad.weight > before/5 {
+			t.Errorf("outcome %d: weight %v became %v", outcome, before, bad.weight)
+		}
+		end(OK)
+		near(t, "weight after it has served", bad.weight/before, 1, 0.1)
+	}
+}
+
 func TestFailureToConnectLeavesAndComesBackCold(t *testing.T) {
 	b := newBalancer(t, settings(), fleet(1))
 	s := b.order[0]
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -48,6 +48,7 @@
 	waiting  Time // since when attempts have been out without an outcome
 
 	pace      float64 // times of recent attempts, in usual ones
+	faults    float64 // share of recent attempts that failed or broke
 	stalled   bool    // silent for long with attempts out
 	suspended bool
 	lost      bool // the last sends failed to connect
@@ -171,7 +172,7 @@
 // are warm before they must be.
 const (
 	chance   = 3
-	coldLoad = 1.6
+	coldLoad = 2.4
 )
 
 // coldRate is this balancer's part of a cold server's budget, in mean requests a second.
@@ -214,7 +215,6 @@
 	if dt > 0 {
 		gain := 1 - math.Exp(-dt/2)
 		b.arrivalRate += gain * (b.arrivals/dt - b.arrivalRate)
-		b.probeSome(b.arrivals)
 		b.arrivals = 0
 	}
 	for i, tenant := range b.set.Tenants { // this balancer's part of each tenant's share
--- a/decide/weights_test.go
+++ b/decide/weights_test.go
@@ -145,6 +145,20 @@
 	}
 }
 
+// Most servers are warm long before they must be: held near what they are sure to be able to do, a fleet of successors
+// cannot carry the traffic.
+func TestColdServersCarryMoreThanIsSure(t *testing.T) {
+	set := settings()
+	set.Rules.TipMultiple = 100
+	b := newBalancer(t, set, fleet(1))
+	s := b.order[0]
+	b.kinds[0].mean = 10
+	s.cold, s.readySince = true, b.now-set.Rules.Cold/2
+	if able := 10 * b.guaranteed(s); b.coldRate(s) < 2*able {
+		t.Errorf("%v a second for a server that can do %v", b.coldRate(s), able)
+	}
+}
+
 // Traffic that concentrates on one balancer must spread over more servers, not flood its near ones.
 func TestReachFollowsOwnTraffic(t *testing.T) {
 	b := newBalancer(t, settings(), fleet(200))
@@ -214,25 +228,3 @@
 		t.Errorf("%d attempts were spent on a lost zone of 10 servers", lost)
 	}
 }
-
-// Probes are few for each server in a large bank: they go where this balancer sends.
-func TestProbesGoToServersInReach(t *testing.T) {
-	set := settings()
-	set.ReportVia, set.Limits.Probe = ReportsByProbe, true
-	b := newBalancer(t, set, fleet(200))
-	b.reach = 0.05
-	probes := 0
-	for range 50 {
-		b.out = nil
-		b.probeSome(20)
-		for _, a := range b.out {
-			probes++
-			if b.near(b.servers[a.Server]) == 0 {
-				t.Fatalf("server %d was probed out of reach", a.Server)
-			}
-		}
-	}
-	if probes == 0 {
-		t.Error("nothing was probed")
-	}
-}
