Module: a server silent for four attempts in a row gets turns for trial only

At fault: observe in health.go ended the stall with any outcome, and only slowness scaled the weight.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,18 +29,17 @@
 	now Time
 	out []Action
 
-	servers     map[uint32]*server
-	order       []*server // in the order of their listing, so that nothing depends on the map's
-	turns       turns
-	passed      []*server // scratch of pick
-	lost        [256]int  // failures to connect in each zone since the last success
-	benched     int       // servers suspended
-	inflight    int       // attempts out
-	window      float64   // the most that may be
-	remote      float64   // the part of their weight that servers of other zones keep
-	ring, reach float64   // own place on the ring, and how far this balancer reaches
-	kinds       []kindMean
-	mean        kindMean
+	servers  map[uint32]*server
+	order    []*server // in the order of their listing, so that nothing depends on the map's
+	turns    turns
+	passed   []*server // scratch of pick
+	lost     [256]int  // failures to connect in each zone since the last success
+	benched  int       // servers suspended
+	inflight int       // attempts out
+	window   float64   // the most that may be
+	remote   float64   // the part of their weight that servers of other zones keep
+	kinds    []kindMean
+	mean     kindMean
 
 	open  map[uint64]*request
 	spare []*request
@@ -119,8 +118,7 @@
 	}
 	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[uint32]*server{}, open: map[uint64]*request{}, started: -1,
-		shares: make([]float64, len(set.Tenants)), retries: retryBurst, window: math.Inf(1),
-		reach: 0.5, ring: math.Mod(float64(set.Ordinal)*math.Phi, 1)}, nil
+		shares: make([]float64, len(set.Tenants)), retries: retryBurst, window: math.Inf(1)}, nil
 }
 
 // Handle takes the next event, which happens at now, and appends the actions that follow to out.
--- a/decide/health.go
+++ b/decide/health.go
@@ -62,7 +62,6 @@
 	if ev.Kind != ListCached && b.disc.asked {
 		b.disc.asked, b.disc.subscribed, b.disc.failures = false, true, 0
 	}
-	b.encircle()
 	b.means()
 }
 
@@ -126,7 +125,10 @@
 			s.listed = false
 			b.place(s)
 		}
-		if s.suspended || s.stalled {
+		if s.suspended {
+			b.benched--
+		}
+		if s.stalled { // a server can be both
 			b.benched--
 		}
 		delete(b.servers, s.id)
@@ -169,7 +171,12 @@
 			b.suspend(s, 250_000, 2_000_000)
 		}
 	case TimedOut:
-		b.compare(s, t.cost, float64(ev.Elapsed), true)
+		// Attempts that are given up make room at a silent server, so that it would draw turns as one with little to do.
+		if s.silent++; !b.compare(s, t.cost, float64(ev.Elapsed), true) {
+			s.silent--
+		} else if (s.trial || s.silent >= silentMost) && 2*b.benched < len(b.order) {
+			b.suspend(s, 500_000, 4_000_000)
+		}
 	case OK:
 		b.lost[s.zone] = 0
 		b.compare(s, t.cost, float64(ev.Elapsed), false)
@@ -178,6 +185,9 @@
 	case Failed:
 		b.revive(s)
 	}
+	if ev.Outcome != TimedOut && ev.Outcome != Cancelled {
+		s.silent = 0
+	}
 	switch ev.Outcome {
 	case OK:
 		s.faults -= s.faults * faultGain
@@ -210,13 +220,16 @@
 // compare takes a server's time for an attempt against the usual one: the median of all, which servers that
 // are slow by themselves do not move, and which grows when all are slow. Of an attempt that was given up only the
 // least time that it would have taken is known: from an impatient client's, which ends early, nothing follows.
-func (b *Balancer) compare(s *server, cost, elapsed float64, givenUp bool) {
+// It reports whether anything followed.
+func (b *Balancer) compare(s *server, cost, elapsed float64, givenUp bool) bool {
 	if b.usual == 0 {
 		b.usual = max(1, elapsed)
 	}
 	ratio := elapsed / (b.usual * (1 + cost) / 2)
-	if givenUp && ratio < max(1, s.pace) {
-		return
+	if givenUp && ratio < 1 {
+		return false
+	} else if givenUp {
+		ratio = max(ratio, s.pace)
 	}
 	s.pace += (min(ratio, 10) - s.pace) / 2
 	step := 1.03
@@ -224,8 +237,12 @@
 		step = 1 / step
 	}
 	b.usual *= step
+	return true
 }
 
+// silentMost is how many attempts at a server may be given up in a row before it gets turns for trial only.
+const silentMost = 4
+
 // slowFrom is how many times the usual a server's recent answers must have taken to count as slow. Kinds of
 // servers differ by less, and single requests by more only now and then.
 const slowFrom = 4
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -474,6 +474,36 @@
 	}
 }
 
+// A server that answers nothing is left out after a few attempts, although each one that is given up makes room there; an
+// answer in between clears it. When it goes, it is no longer counted among those left out.
+func TestSilentServerIsLeftOut(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		b := newBalancer(t, settings(), fleet(10))
+		b.usual = 100_000
+		s := b.order[0]
+		for i := range 2 * silentMost {
+			o := TimedOut
+			if answers && i%2 == 1 {
+				o = OK
+			}
+			b.inflight++
+			s.inflight++
+			b.observe(s, &attempt{cost: 1}, &Event{Outcome: o, Elapsed: 600_000})
+		}
+		if s.suspended == answers {
+			t.Errorf("answers in between %v: left out %v", answers, s.suspended)
+		}
+		if s.stalled = true; s.suspended {
+			b.benched++
+			s.mode, s.listed = ModeGone, false
+			b.tidy()
+			if b.benched != 0 || len(b.order) != 9 {
+				t.Errorf("%d left out of %d", b.benched, len(b.order))
+			}
+		}
+	}
+}
+
 // Attempts that end early because their clients had little time are no sign of a queue, and speak neither for nor against
 // a server; ones that took long are a sign.
 func TestImpatientTimeouts(t *testing.T) {
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -1,10 +1,6 @@
 package decide
 
-import (
-	"cmp"
-	"math"
-	"slices"
-)
+import "math"
 
 // Parameters of A58 and A100. Window and floor of the ramp come from the settings' cold time and cold share.
 const (
@@ -27,7 +23,6 @@
 	listed  bool
 	size    float64
 	upSince Time
-	ring    float64 // place on its zone's ring, 0 to 1
 
 	// reports, as fading sums
 	qps, util, eps, mass float64
@@ -49,6 +44,7 @@
 
 	pace      float64 // times of recent attempts, in usual ones
 	faults    float64 // share of recent attempts that failed or broke
+	silent    int     // attempts given up since the last answer
 	stalled   bool    // silent for long with attempts out
 	suspended bool
 	lost      bool // the last sends failed to connect
@@ -224,7 +220,6 @@
 	b.tidy()
 	b.means()
 	b.roam(dt)
-	b.reachOut()
 	b.admit()
 	for _, s := range b.order {
 		if s.cold {
@@ -282,62 +277,13 @@
 const zoneLost = 3
 
 func (b *Balancer) local(s *server) float64 {
-	near := b.near(s) / (1 + float64(max(0, b.lost[s.zone]-zoneLost)))
+	near := 1 / (1 + float64(max(0, b.lost[s.zone]-zoneLost)))
 	if int(s.zone) != b.set.Zone {
 		near *= b.remote
 	}
 	return near
 }
 
-// ownPart is what part of its near servers' capacity a balancer's own traffic should be: large enough that
-// its own attempts out tell something of their queues, small enough that a server has several balancers.
-const ownPart = 0.5
-
-// reachOut sets how far around its own place on the ring of servers a balancer reaches. Spread over a large
-// fleet, each of many balancers meets a server every few seconds: its reports are old, its own attempts out
-// say nothing of the queue, and it keeps a connection to every one. So the weights fade with the distance
-// on the ring, as far out as own traffic needs. A balancer that suddenly carries more reaches further.
-func (b *Balancer) reachOut() {
-	var capacity float64
-	for _, s := range b.order {
-		if s.slot >= 0 && int(s.zone) == b.set.Zone {
-			capacity += b.base(s) * b.scale(s) * s.evidence() * b.near(s)
-		}
-	}
-	step := b.arrivalRate / (ownPart * max(capacity, 1e-9))
-	b.reach = max(0.02, min(reachMost, b.reach*max(0.8, min(1.25, step))))
-}
-
-const reachMost = 8 // as good as even
-
-// near is how much of its weight a server keeps at its distance on the ring. Cold ones keep all of it: their
-// budget is shared out among all balancers.
-func (b *Balancer) near(s *server) float64 {
-	if s.cold {
-		return 1
-	}
-	d := math.Abs(s.ring - b.ring)
-	return max(0, 1-min(d, 1-d)/b.reach)
-}
-
-// encircle spreads each zone's servers evenly over the ring, in an order that all balancers agree on.
-func (b *Balancer) encircle() {
-	sorted := slices.Clone(b.order)
-	slices.SortFunc(sorted, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(x.zone, y.zone), cmp.Compare(mix(uint64(x.id)), mix(uint64(y.id))))
-	})
-	for i := 0; i < len(sorted); {
-		end := i
-		for end < len(sorted) && sorted[end].zone == sorted[i].zone {
-			end++
-		}
-		for k := i; k < end; k++ {
-			sorted[k].ring = float64(k-i) / float64(end-i)
-		}
-		i = end
-	}
-}
-
 // mix scrambles an id (the finaliser of SplitMix64).
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
--- a/decide/weights_test.go
+++ b/decide/weights_test.go
@@ -159,23 +159,6 @@
 	}
 }
 
-// Traffic that concentrates on one balancer must spread over more servers, not flood its near ones.
-func TestReachFollowsOwnTraffic(t *testing.T) {
-	b := newBalancer(t, settings(), fleet(200))
-	reach := func(rate float64) float64 {
-		b.arrivalRate = rate
-		for range 60 {
-			b.reachOut()
-		}
-		return b.reach
-	}
-	b.kinds[0].mean = 10
-	little, much := reach(50), reach(500)
-	if !(little < 0.1 && much > 3*little) {
-		t.Errorf("reach is %v at a low rate, %v at ten times it", little, much)
-	}
-}
-
 func TestRemoteZonesFillInOnlyWhenHomeIsShort(t *testing.T) {
 	set := settings()
 	members := fleet(4)
