Module: attempts out weigh by their server, the window narrows earlier, holds are shorter

Changed: load weighs by the server's part of the mean weight (toil); crowdedFrom 0.6 to 0.5, crowdedMost 0.3 to 0.25; holdTill ends within half of the patience where no attempt may have run.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -319,6 +319,10 @@
 	margin := heldEvery + 2*b.set.Round
 	aim := r.class.Aim
 	r.holdTill = min(r.deadline-margin, r.arrived+max(aim/8, aim-Time(2*b.usual)))
+	if !slices.ContainsFunc(r.tries, func(t attempt) bool { return t.mayHaveRun }) {
+		// Sent nowhere, it is owed its refusal while the client has half of its time left to do better.
+		r.holdTill = min(r.holdTill, r.arrived+(r.deadline-r.arrived)/2-margin)
+	}
 	if b.now+heldEvery > r.holdTill || 2*len(b.open) > b.set.Limits.MostHeld && b.set.Limits.MostHeld > 0 {
 		b.settle(r)
 		return
--- a/decide/health.go
+++ b/decide/health.go
@@ -77,7 +77,7 @@
 	}
 	fresh := s == nil
 	if fresh {
-		s = &server{id: m.Server, slot: -1, pace: 1, readySince: -b.set.Rules.Cold, weight: 1}
+		s = &server{id: m.Server, slot: -1, pace: 1, readySince: -b.set.Rules.Cold, weight: 1, toil: 1}
 		b.servers[m.Server] = s
 		b.order = append(b.order, s)
 	}
@@ -260,8 +260,8 @@
 // faultGain is how much the latest outcome counts among a server's faults.
 const faultGain = 0.15
 
-// idleMost is how long an unused connection is kept. Servers take only so many, and those of a balancer that
-// no longer reaches this far keep others out.
+// idleMost is how long an unused connection is kept. Servers take only so many, and those of a balancer that has
+// no use for them keep others out.
 const idleMost = 2_000_000
 
 // examine looks at a server on the period. A trial may be due. And a server that has been silent for much
@@ -288,8 +288,8 @@
 // answer is in time, whoever is picked. The window bounds this balancer's attempts out; the rest waits here,
 // where the most valuable goes first and a refusal is still harmless.
 const (
-	crowdedFrom = 0.6 // of the aim: an attempt this slow speaks of a queue
-	crowdedMost = 0.3 // share of such attempts that is borne; a few slow servers alone do not reach it
+	crowdedFrom = 0.5  // of the aim: an attempt this slow speaks of a queue
+	crowdedMost = 0.25 // share of such attempts that is borne; a few slow servers alone do not reach it
 )
 
 // pace takes an outcome as a sign of how long the servers' queues are.
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -474,6 +474,52 @@
 	}
 }
 
+// A request that can be sent nowhere is refused while its client has half of its time left, also where the aim is as far
+// off as the deadline.
+func TestHeldNoLongerThanHalfOfTheTime(t *testing.T) {
+	set := settings()
+	set.Classes[0].Aim = set.Classes[0].Deadline
+	b := newBalancer(t, set, nil)
+	b.Handle(b.now, &Event{Kind: Arrival, ID: 1, Patience: 2_000_000}, nil)
+	for begun := b.now; ; {
+		for _, a := range b.Handle(b.now+heldEvery, &Event{Kind: TimerFired, ID: tagHeld}, nil) {
+			if a.Kind == Refuse {
+				if took := b.now - begun; took > 1_000_000 || took < 500_000 {
+					t.Errorf("refused after %d", took)
+				}
+				return
+			}
+		}
+		if b.now-begun > 2_000_000 {
+			t.Fatal("not refused")
+		}
+	}
+}
+
+// A queue shows before its answers are late: the window narrows when three in ten take over half of the aim, and holds when
+// one in ten does.
+func TestWindowNarrowsEarly(t *testing.T) {
+	for _, c := range []struct {
+		slow    int
+		narrows bool
+	}{{1, false}, {3, true}} {
+		b := newBalancer(t, settings(), fleet(1))
+		s := b.order[0]
+		b.window = 50
+		for i := range 200 {
+			ev := Event{Outcome: OK, Elapsed: 10_000}
+			if i%10 < c.slow {
+				ev.Elapsed = 270_000 // of 500_000
+			}
+			b.inflight = int(b.window)
+			b.pace(&request{class: &b.set.Classes[0]}, &attempt{server: s}, &ev)
+		}
+		if narrows := b.window < 50; narrows != c.narrows {
+			t.Errorf("%d of 10 slow: window %v", c.slow, b.window)
+		}
+	}
+}
+
 // A server that answers nothing is left out after a few attempts, although each one that is given up makes room there; an
 // answer in between clears it. When it goes, it is no longer counted among those left out.
 func TestSilentServerIsLeftOut(t *testing.T) {
--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -75,7 +75,7 @@
 func (b *Balancer) pick(r *request) *server {
 	passed := b.passed[:0]
 	var found *server
-	best := 0
+	best := 0.0
 	for looked := 0; b.turns.Len() > 0 && looked < lookAhead; {
 		s := b.turns.due[0]
 		if b.permits(r, s) && !b.tooHeavy(s, r.cost) {
@@ -104,9 +104,10 @@
 // lookAhead is how many due turns a request looks at.
 const lookAhead = 16
 
-// load ranks s for r within the look-ahead: 0 is as good as it gets.
-func (b *Balancer) load(r *request, s *server) int {
-	load := 2 * s.inflight
+// load ranks s for r within the look-ahead: 0 is as good as it gets. What is out counts for more at a server that can
+// do less.
+func (b *Balancer) load(r *request, s *server) float64 {
+	load := 2 * float64(s.inflight) * s.toil
 	if s.inflight >= s.conns {
 		load++ // a new connection costs time, and servers take only so many
 	}
--- a/decide/schedule_test.go
+++ b/decide/schedule_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// Two attempts out at a server that does twice as much are no more of a queue than one elsewhere.
+func TestAttemptsOutWeighByWhatAServerCanDo(t *testing.T) {
+	b := newBalancer(t, settings(), fleet(2))
+	b.now += 60_000_000
+	slow, fast := b.order[0], b.order[1]
+	for i, qps := range []float32{10, 40} {
+		b.report(b.order[i], report(qps, 0.5, 0))
+		b.order[i].nonEmptySince = 1
+	}
+	b.later(refreshEvery)
+	slow.inflight, slow.conns, fast.inflight, fast.conns = 2, 9, 3, 9
+	if r := (&request{}); b.load(r, fast) >= b.load(r, slow) {
+		t.Errorf("load %v with 3 attempts at the fast server, %v with 2 at the slow one", b.load(r, fast), b.load(r, slow))
+	}
+}
+
 func TestSteadyStateDoesNotAllocate(t *testing.T) {
 	b := newBalancer(t, settings(), fleet(100))
 	out := make([]Action, 0, 64)
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -37,6 +37,7 @@
 	due    float64
 	slot   int
 
+	toil     float64 // how long it takes for a piece of work, in the time of a mean server
 	inflight int
 	conns    int // connections that should be open
 	lastSend Time
@@ -232,7 +233,11 @@
 			}
 		}
 		b.examine(s)
-		b.reweigh(s, max(1e-6, b.base(s)*b.scale(s)*b.local(s)*s.evidence()))
+		able := b.base(s) * s.evidence()
+		if s.toil = 1; b.mean.mean > 0 && able > 0 {
+			s.toil = max(0.3, min(b.mean.mean/able, 4))
+		}
+		b.reweigh(s, max(1e-6, able*b.scale(s)*b.local(s)))
 		b.place(s)
 	}
 }
