Module: one failed connect is no loss of a server that answers on other connections

A probe of the module's view: from 8 s on all 12 servers were cold, at 0.3 of use, with 80 to 105 requests held and clients asking up to six times. 112 new connections had been reset by servers in work. At fault: observe in health.go took a single ConnectFailed for the loss of the server, and revive then set ready_since, so that the cold budget held back the whole fleet. Now two must fail in a row with no answer between them.

--- a/decide/health.go
+++ b/decide/health.go
@@ -161,8 +161,12 @@
 	switch ev.Outcome {
 	case ConnectFailed:
 		b.lost[s.zone]++
-		s.lost, s.conns = true, min(s.conns, s.inflight)
-		b.suspend(s, 500_000, 8_000_000)
+		s.conns = min(s.conns, s.inflight)
+		// One that answers on other connections has not gone: taken for a server that starts anew, it would be cold.
+		if s.missed++; s.missed >= missedMost || s.trial {
+			s.lost = true
+			b.suspend(s, 500_000, 8_000_000)
+		}
 	case Full:
 		// It drains unannounced or its queue is full: more requests only come back. Not when half of all
 		// are out already: then the cause is shared, and fewer servers would make it worse.
@@ -185,8 +189,9 @@
 	case Failed:
 		b.revive(s)
 	}
-	if ev.Outcome != TimedOut && ev.Outcome != Cancelled {
-		s.silent = 0
+	switch ev.Outcome {
+	case OK, Failed, Full:
+		s.silent, s.missed = 0, 0
 	}
 	switch ev.Outcome {
 	case OK:
@@ -240,6 +245,9 @@
 	return true
 }
 
+// missedMost is how many attempts in a row must fail to connect before a server is taken to be gone.
+const missedMost = 2
+
 // silentMost is how many attempts at a server may be given up in a row before it gets turns for trial only.
 const silentMost = 4
 
