Module: only a server that was away for a second has started anew

At fault: revive set ready_since however short the absence, and compare's caller counted any timeout over the usual time. Now ready_since needs a second without an answer, and silence twice the usual time.

--- a/decide/health.go
+++ b/decide/health.go
@@ -176,9 +176,10 @@
 		}
 	case TimedOut:
 		// Attempts that are given up make room at a silent server, so that it would draw turns as one with little to do.
-		if s.silent++; !b.compare(s, t.cost, float64(ev.Elapsed), true) {
-			s.silent--
-		} else if (s.trial || s.silent >= silentMost) && 2*b.benched < len(b.order) {
+		if b.compare(s, t.cost, float64(ev.Elapsed), true) >= 2 {
+			s.silent++
+		}
+		if (s.trial && s.silent > 0 || s.silent >= silentMost) && 2*b.benched < len(b.order) {
 			b.suspend(s, 500_000, 4_000_000)
 		}
 	case OK:
@@ -191,7 +192,7 @@
 	}
 	switch ev.Outcome {
 	case OK, Failed, Full:
-		s.silent, s.missed = 0, 0
+		s.silent, s.missed, s.answered = 0, 0, b.now
 	}
 	switch ev.Outcome {
 	case OK:
@@ -216,7 +217,7 @@
 // revive ends a trial: the server answered. After a failure to connect its ready_since is set, as A100 does
 // when a connection becomes ready.
 func (b *Balancer) revive(s *server) {
-	if s.trial && s.lost {
+	if s.trial && s.lost && b.now-s.answered >= startLeast {
 		b.chill(s, b.now)
 	}
 	s.trial, s.lost = false, s.lost && s.suspended
@@ -225,26 +226,30 @@
 // compare takes a server's time for an attempt against the usual one: the median of all, which servers that
 // are slow by themselves do not move, and which grows when all are slow. Of an attempt that was given up only the
 // least time that it would have taken is known: from an impatient client's, which ends early, nothing follows.
-// It reports whether anything followed.
-func (b *Balancer) compare(s *server, cost, elapsed float64, givenUp bool) bool {
+// It returns how many times the usual it was.
+func (b *Balancer) compare(s *server, cost, elapsed float64, givenUp bool) float64 {
 	if b.usual == 0 {
 		b.usual = max(1, elapsed)
 	}
 	ratio := elapsed / (b.usual * (1 + cost) / 2)
 	if givenUp && ratio < 1 {
-		return false
-	} else if givenUp {
-		ratio = max(ratio, s.pace)
+		return ratio
+	}
+	if !givenUp || ratio > s.pace {
+		s.pace += (min(ratio, 10) - s.pace) / 2
 	}
-	s.pace += (min(ratio, 10) - s.pace) / 2
 	step := 1.03
 	if ratio < 1 {
 		step = 1 / step
 	}
 	b.usual *= step
-	return true
+	return ratio
 }
 
+// startLeast is how long a server must have answered nothing to be taken for one that has started anew. No process is
+// back sooner, and a network that resets connections would make a whole fleet cold.
+const startLeast = 1_000_000
+
 // missedMost is how many attempts in a row must fail to connect before a server is taken to be gone.
 const missedMost = 2
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -520,6 +520,30 @@
 	}
 }
 
+// A server that could not be reached for a moment has not started anew: were it cold then, a network that resets some of
+// all connections would hold back the whole fleet.
+func TestMomentOfLostConnectionsIsNoStart(t *testing.T) {
+	for _, c := range []struct {
+		away Time
+		cold bool
+	}{{300_000, false}, {1_500_000, true}} {
+		b := newBalancer(t, settings(), fleet(1))
+		s := b.order[0]
+		for _, o := range []Outcome{OK, ConnectFailed, ConnectFailed, OK} {
+			if s.suspended {
+				s.retryAt = b.now + c.away
+				b.later(c.away)
+			}
+			s.inflight++
+			b.inflight++
+			b.observe(s, &attempt{cost: 1}, &Event{Outcome: o, Elapsed: 1000})
+		}
+		if s.cold != c.cold || s.suspended || s.trial {
+			t.Errorf("away for %d: cold %v, suspended %v", c.away, s.cold, s.suspended)
+		}
+	}
+}
+
 // A server that answers nothing is left out after a few attempts, although each one that is given up makes room there; an
 // answer in between clears it. When it goes, it is no longer counted among those left out.
 func TestSilentServerIsLeftOut(t *testing.T) {
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -46,8 +46,9 @@
 	pace      float64 // times of recent attempts, in usual ones
 	faults    float64 // share of recent attempts that failed or broke
 	silent    int     // attempts given up since the last answer
-	missed    int     // attempts that failed to connect since then
-	stalled   bool    // silent for long with attempts out
+	answered  Time
+	missed    int  // attempts that failed to connect since then
+	stalled   bool // silent for long with attempts out
 	suspended bool
 	lost      bool // the last sends failed to connect
 	trial     bool // back for one attempt; its outcome decides
