Module: requests with less time left than an attempt takes are not sent

Clients with little time left came back at once, and each of their tries was work for nobody. At fault: dispatch sent whatever had any time left. Now what has less than 0.8 of an attempt's usual time, by its work, gets its final answer at once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -283,7 +283,7 @@
 // dispatch sends r to the server whose turn it is; without one it holds r for a while, or settles it. It
 // reports whether r was sent.
 func (b *Balancer) dispatch(r *request) bool {
-	if !b.another(r) {
+	if !b.another(r) || r.out == 0 && b.doomed(r) {
 		b.settle(r)
 		return false
 	}
@@ -295,6 +295,14 @@
 	return false
 }
 
+// doomed says whether r has less time left than an attempt would most likely take. Clients that leave before their
+// answer ask again, and a few of them can have the servers work twice for each request, mostly for nobody.
+func (b *Balancer) doomed(r *request) bool {
+	return float64(r.deadline-b.now) < doomedPart*b.usual*(1+r.cost)/2
+}
+
+const doomedPart = 0.8
+
 func (b *Balancer) send(r *request, s *server) {
 	r.tries = append(r.tries, attempt{server: s, id: s.id, zone: s.zone, cell: s.cell, out: true,
 		mayHaveRun: true, sent: b.now, cost: r.cost})
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -544,6 +544,23 @@
 	}
 }
 
+// A request that has less time left than an attempt takes goes to no server, at its arrival or as a repeat.
+func TestDoomedRequestsAreNotSent(t *testing.T) {
+	b := newBalancer(t, settings(), fleet(3))
+	b.usual = 100_000
+	if out := b.Handle(b.now, &Event{Kind: Arrival, ID: 1, Patience: 60_000}, nil); len(out) != 1 || out[0].Kind != Refuse {
+		t.Errorf("with 60 ms left: %v", out)
+	}
+	out := b.Handle(b.now, &Event{Kind: Arrival, ID: 2, Patience: 200_000}, nil)
+	if len(out) != 1 || out[0].Kind != Send {
+		t.Fatalf("with 200 ms left: %v", out)
+	}
+	out = b.Handle(b.now+150_000, &Event{Kind: Outcomed, ID: 2, Server: out[0].Server, Outcome: Failed}, nil)
+	if len(out) != 1 || out[0].Kind != Refuse {
+		t.Errorf("a repeat with 50 ms left: %v", out)
+	}
+}
+
 // A server that answers nothing is left out after a few attempts, although each one that is given up makes room there; an
 // answer in between clears it. When it goes, it is no longer counted among those left out.
 func TestSilentServerIsLeftOut(t *testing.T) {
