Close front sockets with their answers where many stand idle; unfinished requests make way

A probe of its sockets each second: 128 stood idle, which is the third of 384 descriptors that clients may hold for requests; their clients had asked once and kept them, so that nobody else could connect. Now answers close their socket while more than an eighth of the budget stands idle.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -14,6 +14,7 @@
 	net.Conn
 	scanner framing.Scanner
 
+	waiting atomic.Bool  // a Read is under way
 	handled int32        // requests that came to the handler
 	coded   atomic.Int32 // the number of the request with a Transfer-Encoding, from 1; 0: none yet
 	both    atomic.Bool  // which has a Content-Length too
@@ -21,7 +22,9 @@
 
 // Read notes the heads that pass. net/http reads on one goroutine at a time, which need not be the handler's.
 func (c *clientConn) Read(b []byte) (int, error) {
+	c.waiting.Store(true)
 	n, err := c.Conn.Read(b)
+	c.waiting.Store(false)
 	if c.coded.Load() == 0 {
 		c.scanner.Scan(b[:n])
 		c.both.Store(c.scanner.Both)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -108,7 +108,7 @@
 			http.Error(w, "internal error", http.StatusInternalServerError)
 		}
 	}()
-	if f.stopping.Load() {
+	if f.stopping.Load() || f.sockets.manyIdle() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
@@ -144,6 +144,9 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+		f.sockets.taken(c)
+	}
 	ctx, cancel := context.WithDeadline(route.WithInbound(r.Context(), in), deadline)
 	defer cancel()
 	f.proxy.ServeHTTP(w, r.WithContext(ctx))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -379,6 +379,73 @@
 	})
 }
 
+// Clients that begin a request and do not go on, at its head or its body, make way for usual ones; a request that has come
+// whole stays, however long its answer takes.
+func TestUnfinishedRequestsMakeWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(func(r *http.Request) (*http.Response, error) { time.Sleep(300 * time.Millisecond); return answer(r) }, 5)
+		ln, stop := start(t, f)
+		taken, takenReader := ln.dial()
+		io.WriteString(taken, quote)
+		var conns []net.Conn
+		for i := range 12 {
+			c, _ := ln.dial()
+			if conns = append(conns, c); i%2 == 0 {
+				io.WriteString(c, quote[:40])
+			} else {
+				io.WriteString(c, "POST /issue HTTP/1.1\r\n"+headers+"Content-Length: 4\r\n\r\nb")
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		usual, usualReader := ln.dial()
+		conns = append(conns, taken, usual)
+		if resp, _, err := request(usual, usualReader, strings.Replace(quote, "Id: 1", "Id: 2", 1)); err != nil || resp.StatusCode != 200 {
+			t.Errorf("the usual client: %v, %v", resp, err)
+		}
+		if resp, err := http.ReadResponse(takenReader, nil); err != nil || resp.StatusCode != 200 {
+			t.Errorf("the request that was taken: %v, %v", resp, err)
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+		<-stop()
+	})
+}
+
+// Where many sockets stand idle, as clients that ask once leave them, answers close theirs.
+func TestManyIdleSocketsClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(answer, 40)
+		ln, stop := start(t, f)
+		closed := 0
+		var conns []net.Conn
+		for range 12 {
+			c, r := ln.dial()
+			resp, _, err := request(c, r, quote)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%v, %v", resp, err)
+			}
+			if resp.Close {
+				closed++
+			}
+			conns = append(conns, c)
+			synctest.Wait()
+		}
+		if n := f.sockets.count(); closed != 6 || n != 6 || f.sockets.idle != 6 {
+			t.Errorf("%d closed, %d open, %d idle", closed, n, f.sockets.idle)
+		}
+		time.Sleep(idleFor + time.Second)
+		synctest.Wait()
+		if f.sockets.idle != 0 {
+			t.Errorf("%d idle with no socket open", f.sockets.idle)
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+		<-stop()
+	})
+}
+
 // With no socket to spare a new one is closed, and none of those with a request is.
 func TestNoRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -18,11 +18,13 @@
 
 	mu   sync.Mutex
 	open map[net.Conn]*socket
+	idle int
 }
 
 type socket struct {
 	state http.ConnState
 	since time.Time
+	taken bool // its request is whole and goes on: it must be answered
 }
 
 func newSockets(most int) *sockets {
@@ -69,47 +71,85 @@
 func (s *sockets) changed(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.drop(c)
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(s.open, c)
 		return
 	}
+	if state == http.StateIdle {
+		s.idle++
+	}
 	s.open[c] = &socket{state: state, since: time.Now()}
 }
 
-// makeRoom closes a socket without a request, and says whether there was one: one that has been silent since it came,
-// else the one that has been idle for longest. Silent ones come by the hundred, and must not push out those of usual
-// clients. Close returns once the descriptor is free.
+func (s *sockets) drop(c net.Conn) {
+	if k := s.open[c]; k != nil && k.state == http.StateIdle {
+		s.idle--
+	}
+	delete(s.open, c)
+}
+
+// manyIdle says whether so many sockets stand idle that answers had better close theirs. Clients that ask once and keep
+// their connection use up what the front layer may hold of them, and then nobody else can connect.
+func (s *sockets) manyIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idle > max(idleLeast, s.most/idlePart)
+}
+
+// idlePart is the part of the budget that idle sockets may take. Usual clients use theirs again and need few.
+const (
+	idlePart  = 8
+	idleLeast = 4
+)
+
+// taken notes that the request on c has come whole.
+func (s *sockets) taken(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := s.open[c]; k != nil {
+		k.taken = true
+	}
+}
+
+// makeRoom closes a socket without a whole request, and says whether there was one: the one that has said nothing, or not
+// gone on with what it began, for longest; else the one that has been idle for longest. They come by the hundred, and
+// must not push out those of usual clients. Close returns once the descriptor is free.
 func (s *sockets) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var silent, idle net.Conn
+	var unfinished, idle net.Conn
 	for c, k := range s.open {
 		switch {
 		case k.state == http.StateIdle && (idle == nil || k.since.Before(s.open[idle].since)) && nothingCame(c):
 			idle = c
-		case k.state == http.StateNew && time.Since(k.since) >= silentFor &&
-			(silent == nil || k.since.Before(s.open[silent].since)) && nothingCame(c):
-			silent = c
+		case (k.state == http.StateNew && time.Since(k.since) >= silentFor ||
+			k.state == http.StateActive && !k.taken && time.Since(k.since) >= unfinishedFor) &&
+			(unfinished == nil || k.since.Before(s.open[unfinished].since)) && nothingCame(c):
+			unfinished = c
 		}
 	}
-	if silent == nil {
-		silent = idle
+	if unfinished == nil {
+		unfinished = idle
 	}
-	if silent == nil {
+	if unfinished == nil {
 		return false
 	}
-	silent.Close()
-	delete(s.open, silent)
+	unfinished.Close()
+	s.drop(unfinished)
 	return true
 }
 
-// silentFor is how long a new connection may take for its first byte before it can have to make way.
-const silentFor = 20 * time.Millisecond
+// How long a new connection may take for its first byte, and a request from there to its last, before the socket can
+// have to make way.
+const (
+	silentFor     = 20 * time.Millisecond
+	unfinishedFor = 50 * time.Millisecond
+)
 
 // nothingCame says whether a connection has brought nothing that is still to be read: the proxy may be behind.
 func nothingCame(c net.Conn) bool {
 	cc, ok := c.(*clientConn)
-	return !ok || destination.Quiet(cc.Conn)
+	return !ok || cc.waiting.Load() && destination.Quiet(cc.Conn)
 }
 
 // newFor is how long a new connection may take to bring its first request before it counts as unused by a stop.
