--- a/decide/decide.go
+++ b/decide/decide.go
@@ -295,8 +295,8 @@
 	return false
 }
 
-// doomed says whether r has less time left than an attempt would most likely take. Clients that leave before their
-// answer ask again, and a few of them can have the servers work twice for each request, mostly for nobody.
+// doomed says whether r has less time left than an attempt would most likely take. Clients that leave before
+// their answer ask again, and a few of them can have the servers work twice for each request, for nobody.
 func (b *Balancer) doomed(r *request) bool {
 	return float64(r.deadline-b.now) < doomedPart*b.usual*(1+r.cost)/2
 }
--- a/decide/health.go
+++ b/decide/health.go
@@ -162,7 +162,7 @@
 	case ConnectFailed:
 		b.lost[s.zone]++
 		s.conns = min(s.conns, s.inflight)
-		// One that answers on other connections has not gone: taken for a server that starts anew, it would be cold.
+		// One that answers on other connections has not gone: taken for a new start, it would be cold.
 		if s.missed++; s.missed >= missedMost || s.trial {
 			s.lost = true
 			b.suspend(s, 500_000, 8_000_000)
@@ -175,7 +175,7 @@
 			b.suspend(s, 250_000, 2_000_000)
 		}
 	case TimedOut:
-		// Attempts that are given up make room at a silent server, so that it would draw turns as one with little to do.
+		// Attempts that are given up make room at a silent server: it would draw turns as an idle one.
 		if b.compare(s, t.cost, float64(ev.Elapsed), true) >= 2 {
 			s.silent++
 		}
@@ -224,8 +224,8 @@
 }
 
 // compare takes a server's time for an attempt against the usual one: the median of all, which servers that
-// are slow by themselves do not move, and which grows when all are slow. Of an attempt that was given up only the
-// least time that it would have taken is known: from an impatient client's, which ends early, nothing follows.
+// are slow by themselves do not move, and which grows when all are slow. Of an attempt that was given up only
+// the least time that it would have taken is known: from an impatient client's nothing follows.
 // It returns how many times the usual it was.
 func (b *Balancer) compare(s *server, cost, elapsed float64, givenUp bool) float64 {
 	if b.usual == 0 {
@@ -246,8 +246,8 @@
 	return ratio
 }
 
-// startLeast is how long a server must have answered nothing to be taken for one that has started anew. No process is
-// back sooner, and a network that resets connections would make a whole fleet cold.
+// startLeast is how long a server must have answered nothing to be taken for one that has started anew. No
+// process is back sooner, and a network that resets connections would make a whole fleet cold.
 const startLeast = 1_000_000
 
 // missedMost is how many attempts in a row must fail to connect before a server is taken to be gone.
@@ -260,7 +260,7 @@
 // servers differ by less, and single requests by more only now and then.
 const slowFrom = 4
 
-// evidence scales the weight of a server that this balancer itself finds slow or faulty: its reports come late,
+// evidence scales the weight of a server that this balancer finds slow or faulty: its reports come late,
 // and only with sound answers. Each fault costs its caller all its work, as in the weight.
 func (s *server) evidence() float64 {
 	scale := 1 / (1 + errorUtilizationPenalty*s.faults*s.faults)
@@ -273,8 +273,8 @@
 // faultGain is how much the latest outcome counts among a server's faults.
 const faultGain = 0.15
 
-// idleMost is how long an unused connection is kept. Servers take only so many, and those of a balancer that has
-// no use for them keep others out.
+// idleMost is how long an unused connection is kept. Servers take only so many, and those of a balancer that
+// has no use for them keep others out.
 const idleMost = 2_000_000
 
 // examine looks at a server on the period. A trial may be due. And a server that has been silent for much
--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -104,8 +104,8 @@
 // lookAhead is how many due turns a request looks at.
 const lookAhead = 16
 
-// load ranks s for r within the look-ahead: 0 is as good as it gets. What is out counts for more at a server that can
-// do less.
+// load ranks s for r within the look-ahead: 0 is as good as it gets. What is out counts for more at a server
+// that can do less.
 func (b *Balancer) load(r *request, s *server) float64 {
 	load := 2 * float64(s.inflight) * s.toil
 	if s.inflight >= s.conns {
