--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -15,7 +15,7 @@
 	scanner framing.Scanner
 
 	waiting atomic.Bool  // a Read is under way
-	handled int32        // requests that came to the handler
+	handled atomic.Int32 // requests that came to the handler
 	coded   atomic.Int32 // the number of the request with a Transfer-Encoding, from 1; 0: none yet
 	both    atomic.Bool  // which has a Content-Length too
 }
@@ -46,7 +46,6 @@
 	if !ok {
 		return false, false
 	}
-	c.handled++
-	coded = c.coded.Load() == c.handled
+	coded = c.coded.Load() == c.handled.Add(1)
 	return coded, coded && c.both.Load()
 }
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -98,7 +98,7 @@
 
 // idlePart is the part of the budget that idle sockets may take. Usual clients use theirs again and need few.
 const (
-	idlePart  = 8
+	idlePart  = 4
 	idleLeast = 4
 )
 
@@ -123,7 +123,7 @@
 		case k.state == http.StateIdle && (idle == nil || k.since.Before(s.open[idle].since)) && nothingCame(c):
 			idle = c
 		case (k.state == http.StateNew && time.Since(k.since) >= silentFor ||
-			k.state == http.StateActive && !k.taken && time.Since(k.since) >= unfinishedFor) &&
+			k.state == http.StateActive && !k.taken && first(c) && time.Since(k.since) >= unfinishedFor) &&
 			(unfinished == nil || k.since.Before(s.open[unfinished].since)) && nothingCame(c):
 			unfinished = c
 		}
@@ -146,6 +146,13 @@
 	unfinishedFor = 50 * time.Millisecond
 )
 
+// first says whether no request has been read on a connection. Clients send a first request that is cut off again; that of
+// a connection which has served them would be lost.
+func first(c net.Conn) bool {
+	cc, ok := c.(*clientConn)
+	return ok && cc.handled.Load() == 0
+}
+
 // nothingCame says whether a connection has brought nothing that is still to be read: the proxy may be behind.
 func nothingCame(c net.Conn) bool {
 	cc, ok := c.(*clientConn)
