--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -144,9 +144,6 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-		f.sockets.taken(c)
-	}
 	ctx, cancel := context.WithDeadline(route.WithInbound(r.Context(), in), deadline)
 	defer cancel()
 	f.proxy.ServeHTTP(w, r.WithContext(ctx))
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -24,7 +24,6 @@
 type socket struct {
 	state http.ConnState
 	since time.Time
-	taken bool // its request is whole and goes on: it must be answered
 }
 
 func newSockets(most int) *sockets {
@@ -102,56 +101,36 @@
 	idleLeast = 4
 )
 
-// taken notes that the request on c has come whole.
-func (s *sockets) taken(c net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if k := s.open[c]; k != nil {
-		k.taken = true
-	}
-}
-
-// makeRoom closes a socket without a whole request, and says whether there was one: the one that has said nothing, or not
-// gone on with what it began, for longest; else the one that has been idle for longest. They come by the hundred, and
-// must not push out those of usual clients. Close returns once the descriptor is free.
+// makeRoom closes a socket without a request, and says whether there was one: the one that has said nothing for longest,
+// else the one that has been idle for longest. Silent ones come by the hundred, and must not push out those of usual
+// clients. One that has begun a request stays: cut off, a request that is whole by then would be lost. Close returns once
+// the descriptor is free.
 func (s *sockets) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var unfinished, idle net.Conn
+	var silent, idle net.Conn
 	for c, k := range s.open {
 		switch {
 		case k.state == http.StateIdle && (idle == nil || k.since.Before(s.open[idle].since)) && nothingCame(c):
 			idle = c
-		case (k.state == http.StateNew && time.Since(k.since) >= silentFor ||
-			k.state == http.StateActive && !k.taken && first(c) && time.Since(k.since) >= unfinishedFor) &&
-			(unfinished == nil || k.since.Before(s.open[unfinished].since)) && nothingCame(c):
-			unfinished = c
+		case k.state == http.StateNew && time.Since(k.since) >= silentFor &&
+			(silent == nil || k.since.Before(s.open[silent].since)) && nothingCame(c):
+			silent = c
 		}
 	}
-	if unfinished == nil {
-		unfinished = idle
+	if silent == nil {
+		silent = idle
 	}
-	if unfinished == nil {
+	if silent == nil {
 		return false
 	}
-	unfinished.Close()
-	s.drop(unfinished)
+	silent.Close()
+	s.drop(silent)
 	return true
 }
 
-// How long a new connection may take for its first byte, and a request from there to its last, before the socket can
-// have to make way.
-const (
-	silentFor     = 20 * time.Millisecond
-	unfinishedFor = 50 * time.Millisecond
-)
-
-// first says whether no request has been read on a connection. Clients send a first request that is cut off again; that of
-// a connection which has served them would be lost.
-func first(c net.Conn) bool {
-	cc, ok := c.(*clientConn)
-	return ok && cc.handled.Load() == 0
-}
+// silentFor is how long a new connection may take for its first byte before it can have to make way.
+const silentFor = 20 * time.Millisecond
 
 // nothingCame says whether a connection has brought nothing that is still to be read: the proxy may be behind.
 func nothingCame(c net.Conn) bool {
