--- /dev/null
+++ b/internal/lab/baseline/baseline.go
@@ -0,0 +1,421 @@
+// Package baseline holds the textbook policies that a decider is compared with, and one that sees the truth as the
+// upper bound. They keep the rules on answers, effects and drains; cold servers they know nothing of.
+package baseline
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"pumiceline/decide"
+	"pumiceline/internal/lab/model"
+)
+
+// Time is in microseconds.
+type Time = model.Time
+
+// Names of the policies, worst first.
+const (
+	Random     = "random"      // any server
+	RoundRobin = "round-robin" // each in turn
+	TwoChoices = "two-choices" // of two at random the one with fewer of this proxy's attempts (Mitzenmacher, 1996)
+	Least      = "least"       // the one with the fewest of this proxy's attempts
+	Truth      = "truth"       // the one that truly would be done first, by what no proxy can see
+)
+
+// Maker is the maker of a policy's nodes; nil: there is none of that name.
+func Maker(name string) model.Maker {
+	var pick func(*node, *request) int32
+	switch name {
+	case Random:
+		pick = (*node).random
+	case RoundRobin:
+		pick = (*node).next
+	case TwoChoices:
+		pick = (*node).better
+	case Least:
+		pick = (*node).least
+	case Truth:
+		pick = (*node).best
+	default:
+		return nil
+	}
+	return func(set decide.Settings, seed uint64, truth *model.Truth) (model.Node, error) {
+		n := &node{set: set, rng: rand.New(rand.NewPCG(seed, 11)), pick: pick, places: map[uint32]int32{}, open: map[uint64]*request{},
+			shares: make([]float64, len(set.Tenants))}
+		if name == Truth {
+			n.truth = truth
+		}
+		for _, c := range set.Classes {
+			n.mostWorth = max(n.mostWorth, c.Worth)
+		}
+		return n, nil
+	}
+}
+
+type server struct {
+	decide.Member
+	out    int
+	ready  int32 // place in node.ready; -1: not there
+	bucket int32 // place among those with as many out
+}
+
+type attempt struct {
+	place  int32
+	sent   Time
+	out    bool
+	mayRun bool
+}
+
+type request struct {
+	id       uint64
+	class    *decide.Class
+	work     Time
+	arrived  Time
+	deadline Time
+	attempts []attempt
+	out      int
+	over     bool
+	worth    float64 // of a unit of its work
+	limit    Time    // of the next attempt; 0: as long as the client waits
+}
+
+type node struct {
+	set     decide.Settings
+	rng     *rand.Rand
+	truth   *model.Truth
+	pick    func(*node, *request) int32
+	now     Time
+	out     []decide.Action
+	servers []server
+	places  map[uint32]int32
+	ready   []int32
+	byOut   [][]int32 // places of ready servers by attempts out
+	turn    int
+	open    map[uint64]*request
+	begun   bool
+
+	mostWorth float64
+	shares    []float64 // tokens of each tenant's share
+	sharesAt  Time
+}
+
+// worth is what a unit of a request's work is worth: little beyond its tenant's share.
+func (n *node) worth(ev *decide.Event) float64 {
+	dt := float64(n.now-n.sharesAt) / 1e6
+	n.sharesAt = n.now
+	for i, t := range n.set.Tenants {
+		rate := t.QuotaPerS / float64(max(1, n.set.GroupSize))
+		n.shares[i] = min(max(1, rate), n.shares[i]+rate*dt)
+	}
+	worth := n.set.Classes[ev.Class].Worth
+	if int(ev.Tenant) < len(n.shares) {
+		if n.shares[ev.Tenant] < 1 {
+			return worth * n.set.OverShareWorth
+		}
+		n.shares[ev.Tenant]--
+	}
+	return worth
+}
+
+// Handle is model.Node's.
+func (n *node) Handle(now Time, ev *decide.Event, out []decide.Action) []decide.Action {
+	n.now, n.out = now, out
+	if !n.begun {
+		n.begun = true
+		n.ask(n.set.Rules.AskWithin / 4)
+	}
+	switch ev.Kind {
+	case decide.Arrival:
+		r := &request{id: ev.ID, class: &n.set.Classes[ev.Class], work: max(1, ev.Work), arrived: now, deadline: now + ev.Patience, worth: n.worth(ev)}
+		n.open[ev.ID] = r
+		n.send(r)
+	case decide.Outcomed:
+		n.ended(ev)
+	case decide.Departed:
+		if r := n.open[ev.ID]; r != nil {
+			r.over = true
+			n.forget(r)
+		}
+	case decide.TimerFired:
+		n.out = append(n.out, decide.Action{Kind: decide.Subscribe})
+	case decide.ListFailed:
+		n.ask(n.set.Rules.AskWithin / 2)
+	case decide.ListFull, decide.ListCached, decide.ListDelta:
+		n.listed(ev)
+	}
+	out, n.out = n.out, nil
+	return out
+}
+
+// ask plans a call to discovery at a random moment within the given time, so that proxies don't call together.
+func (n *node) ask(within Time) {
+	n.out = append(n.out, decide.Action{Kind: decide.SetTimer, After: 1 + Time(n.rng.Float64()*float64(within))})
+}
+
+func (n *node) listed(ev *decide.Event) {
+	if ev.Kind != decide.ListDelta {
+		for i := range n.servers {
+			n.servers[i].Mode = decide.ModeGone
+		}
+	}
+	for i := range ev.Members {
+		m := &ev.Members[i]
+		at, ok := n.places[m.Server]
+		if !ok {
+			at = int32(len(n.servers))
+			n.places[m.Server] = at
+			n.servers = append(n.servers, server{ready: -1})
+		}
+		n.servers[at].Member = *m
+	}
+	for i := range n.servers {
+		s := &n.servers[i]
+		if in := s.Mode == decide.ModeReady; in && s.ready < 0 {
+			s.ready = int32(len(n.ready))
+			n.ready = append(n.ready, int32(i))
+			n.enter(int32(i))
+		} else if !in && s.ready >= 0 {
+			n.leave(int32(i))
+			last := n.ready[len(n.ready)-1]
+			n.ready[s.ready], n.servers[last].ready = last, s.ready
+			n.ready, s.ready = n.ready[:len(n.ready)-1], -1
+		}
+	}
+}
+
+// enter and leave keep byOut.
+func (n *node) enter(at int32) {
+	s := &n.servers[at]
+	for len(n.byOut) <= s.out {
+		n.byOut = append(n.byOut, nil)
+	}
+	s.bucket = int32(len(n.byOut[s.out]))
+	n.byOut[s.out] = append(n.byOut[s.out], at)
+}
+
+func (n *node) leave(at int32) {
+	s := &n.servers[at]
+	b := n.byOut[s.out]
+	last := b[len(b)-1]
+	b[s.bucket], n.servers[last].bucket = last, s.bucket
+	n.byOut[s.out] = b[:len(b)-1]
+}
+
+func (n *node) count(at int32, d int) {
+	s := &n.servers[at]
+	if s.ready >= 0 {
+		n.leave(at)
+	}
+	s.out += d
+	if s.ready >= 0 {
+		n.enter(at)
+	}
+}
+
+// permits says whether r may go to the server: by its effect, and not where it was before.
+func (n *node) permits(r *request, at int32) bool {
+	s := &n.servers[at]
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.place == at {
+			return false
+		}
+		if !a.mayRun || r.class.Semantics != decide.Keyed {
+			continue
+		}
+		was := &n.servers[a.place]
+		if r.class.Group == decide.GroupZone && was.Zone != s.Zone || r.class.Group == decide.GroupCell && was.Cell != s.Cell {
+			return false
+		}
+	}
+	return true
+}
+
+// another says whether r may have a further attempt at all.
+func (n *node) another(r *request) bool {
+	if len(r.attempts) >= n.set.Limits.Attempts || n.now >= r.deadline || r.out > 0 {
+		return false
+	}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.mayRun && (r.class.Semantics == decide.Unsafe ||
+			r.class.Semantics == decide.Keyed && n.now-a.sent >= r.class.Window*7/8) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *node) send(r *request) {
+	r.limit = 0
+	if !n.another(r) {
+		n.settle(r)
+		return
+	}
+	at := int32(-1)
+	if len(n.ready) > 0 {
+		at = n.pick(n, r)
+	}
+	if at < 0 {
+		n.settle(r)
+		return
+	}
+	r.attempts = append(r.attempts, attempt{place: at, sent: n.now, out: true, mayRun: true})
+	r.out++
+	n.count(at, 1)
+	n.out = append(n.out, decide.Action{Kind: decide.Send, ID: r.id, Server: n.servers[at].Server, After: r.limit})
+}
+
+func (n *node) ended(ev *decide.Event) {
+	r := n.open[ev.ID]
+	if r == nil || int(ev.Attempt) >= len(r.attempts) || !r.attempts[ev.Attempt].out {
+		return
+	}
+	a := &r.attempts[ev.Attempt]
+	a.out = false
+	r.out--
+	n.count(a.place, -1)
+	switch ev.Outcome {
+	case decide.Full, decide.ConnectFailed, decide.Moot:
+		a.mayRun = false
+	}
+	if ev.Final {
+		r.over = true
+	}
+	if !r.over {
+		n.send(r)
+	}
+	n.forget(r)
+}
+
+func (n *node) settle(r *request) {
+	if r.over || r.out > 0 {
+		return
+	}
+	kind := decide.Refuse
+	for i := range r.attempts {
+		if r.attempts[i].mayRun && (r.class.Semantics == decide.Unsafe ||
+			r.class.Semantics == decide.Keyed && r.class.Group != decide.GroupAll) {
+			kind = decide.Fail
+		}
+	}
+	n.out = append(n.out, decide.Action{Kind: kind, ID: r.id})
+	r.over = true
+	n.forget(r)
+}
+
+func (n *node) forget(r *request) {
+	if r.over && r.out == 0 {
+		delete(n.open, r.id)
+	}
+}
+
+// The policies. Each looks at a bounded number of servers, then at all in turn for one that r may use.
+
+const looks = 8
+
+func (n *node) random(r *request) int32 {
+	for range looks {
+		if at := n.ready[n.rng.IntN(len(n.ready))]; n.permits(r, at) {
+			return at
+		}
+	}
+	return n.any(r)
+}
+
+func (n *node) any(r *request) int32 {
+	start := n.rng.IntN(len(n.ready))
+	for i := range n.ready {
+		if at := n.ready[(start+i)%len(n.ready)]; n.permits(r, at) {
+			return at
+		}
+	}
+	return -1
+}
+
+func (n *node) next(r *request) int32 {
+	if n.turn == 0 {
+		n.turn = 1 + n.rng.IntN(len(n.ready)) // proxies don't march in step
+	}
+	for range n.ready {
+		n.turn++
+		if at := n.ready[n.turn%len(n.ready)]; n.permits(r, at) {
+			return at
+		}
+	}
+	return -1
+}
+
+func (n *node) better(r *request) int32 {
+	a, b := n.random(r), n.random(r)
+	if a < 0 || b >= 0 && n.servers[b].out < n.servers[a].out {
+		return b
+	}
+	return a
+}
+
+func (n *node) least(r *request) int32 {
+	for _, bucket := range n.byOut {
+		if len(bucket) == 0 {
+			continue
+		}
+		start := n.rng.IntN(len(bucket))
+		for i := range bucket {
+			if at := bucket[(start+i)%len(bucket)]; n.permits(r, at) {
+				return at
+			}
+		}
+	}
+	return -1
+}
+
+// Of the truth.
+const (
+	truthLooks = 48    // servers looked at; in a larger fleet, as many at random
+	crossCost  = 15e3  // microseconds of gain that a crossing of zones must bring
+	crowdCost  = 150e3 // what a request more for each core costs those that are there, in microseconds
+	patience   = 8     // times the expected that an attempt is given before another is made
+	spare      = 500_000
+)
+
+// best is the server that would be done first, with what it costs the others there. Where work piles up everywhere,
+// requests of little worth are refused before others.
+func (n *node) best(r *request) int32 {
+	chosen, least, took, crowd := int32(-1), math.Inf(1), 0.0, 0.0
+	look := func(at int32) {
+		s := &n.servers[at]
+		if !n.permits(r, at) {
+			return
+		}
+		place := n.truth.Place(s.Server)
+		if place < 0 || n.truth.Room(place) < 2*float64(r.work) {
+			return
+		}
+		expected, held := n.truth.Expected(place, r.work)
+		cost := expected + crowdCost*math.Max(0, held-0.7)
+		if int(s.Zone) != n.set.Zone {
+			cost += crossCost
+		}
+		if cost < least {
+			chosen, least, took, crowd = at, cost, expected, held
+		}
+	}
+	if len(n.ready) <= truthLooks {
+		for _, at := range n.ready {
+			look(at)
+		}
+	} else {
+		for range truthLooks {
+			look(n.ready[n.rng.IntN(len(n.ready))])
+		}
+	}
+	if chosen < 0 {
+		return n.any(r) // better a guess than none
+	}
+	if bears := 1.1 + 1.4*(r.worth/max(1e-9, n.mostWorth)-0.2); crowd > bears &&
+		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.mayRun }) {
+		return -1
+	}
+	r.limit = Time(patience*took) + spare
+	return chosen
+}
--- /dev/null
+++ b/internal/lab/model/queue.go
@@ -0,0 +1,159 @@
+package model
+
+import "math/bits"
+
+// event is something that will happen. Its payload is a few numbers, so that millions can wait without a pointer
+// for the collector to follow. What they mean is up to the kind; see World.step.
+type event struct {
+	at   Time
+	seq  uint64 // order of scheduling: the order of events of one microsecond
+	kind eventKind
+	n    uint8
+	a, b int32
+	id   uint64
+}
+
+func (e *event) before(f *event) bool { return e.at < f.at || e.at == f.at && e.seq < f.seq }
+
+const (
+	bucketBits = 11 // a bucket holds 2^11 us, about 2 ms
+	ringSize   = 8192
+)
+
+// queue is a calendar queue (Brown, "Calendar queues", CACM 1988) in the ladder form: events of the present bucket
+// stand in a heap, those of the next 16 s unsorted in a bucket each, later ones in a heap of their own. Each event
+// is sorted among the few of its own two milliseconds only, so the cost does not grow with the number that wait.
+// The order is total: by time, then by the order of scheduling.
+type queue struct {
+	now    []event // heap: all of the present bucket and before
+	ring   [][]event
+	used   []uint64 // a bit for each bucket that holds something
+	far    []event  // heap: what lies past the ring
+	bucket int64
+	seq    uint64
+	size   int
+}
+
+func newQueue() *queue {
+	return &queue{ring: make([][]event, ringSize), used: make([]uint64, ringSize/64)}
+}
+
+func (q *queue) push(e event) {
+	q.seq++
+	e.seq = q.seq
+	q.size++
+	q.put(e)
+}
+
+func (q *queue) put(e event) {
+	switch k := e.at >> bucketBits; {
+	case k <= q.bucket:
+		heapPush(&q.now, e)
+	case k < q.bucket+ringSize:
+		i := k & (ringSize - 1)
+		q.ring[i] = append(q.ring[i], e)
+		q.used[i>>6] |= 1 << (i & 63)
+	default:
+		heapPush(&q.far, e)
+	}
+}
+
+// pop takes the earliest event; false: there is none.
+func (q *queue) pop() (event, bool) {
+	for len(q.now) == 0 {
+		if !q.advance() {
+			return event{}, false
+		}
+	}
+	q.size--
+	return heapPop(&q.now), true
+}
+
+// advance moves to the next bucket that holds something.
+func (q *queue) advance() bool {
+	next := q.nextUsed()
+	if len(q.far) > 0 {
+		if k := q.far[0].at >> bucketBits; next < 0 || k < next {
+			next = k
+		}
+	}
+	if next < 0 {
+		return false
+	}
+	q.bucket = next
+	for len(q.far) > 0 && q.far[0].at>>bucketBits < next+ringSize {
+		q.put(heapPop(&q.far))
+	}
+	i := next & (ringSize - 1)
+	for _, e := range q.ring[i] {
+		heapPush(&q.now, e)
+	}
+	q.ring[i] = q.ring[i][:0]
+	q.used[i>>6] &^= 1 << (i & 63)
+	return true
+}
+
+// nextUsed is the number of the first bucket after the present one that holds something; -1: none does.
+func (q *queue) nextUsed() int64 {
+	start := (q.bucket + 1) & (ringSize - 1)
+	for step := int64(0); step <= ringSize/64; step++ {
+		word := (start>>6 + step) & (ringSize/64 - 1)
+		set := q.used[word]
+		if step == 0 {
+			set &= ^uint64(0) << (start & 63)
+		}
+		if set != 0 {
+			i := word<<6 | int64(bits.TrailingZeros64(set))
+			return q.bucket + 1 + (i-start)&(ringSize-1)
+		}
+	}
+	return -1
+}
+
+// The heaps are of four children a node: events are moved less often than compared, and the children of a node
+// share cache lines.
+func heapPush(h *[]event, e event) {
+	*h = append(*h, e)
+	s := *h
+	i := len(s) - 1
+	for i > 0 {
+		up := (i - 1) / 4
+		if !e.before(&s[up]) {
+			break
+		}
+		s[i] = s[up]
+		i = up
+	}
+	s[i] = e
+}
+
+func heapPop(h *[]event) event {
+	s := *h
+	top, n := s[0], len(s)-1
+	last := s[n]
+	s = s[:n]
+	*h = s
+	if n == 0 {
+		return top
+	}
+	i := 0
+	for {
+		first := 4*i + 1
+		if first >= n {
+			break
+		}
+		least := first
+		for c := first + 1; c < min(first+4, n); c++ {
+			if s[c].before(&s[least]) {
+				least = c
+			}
+		}
+		if !s[least].before(&last) {
+			break
+		}
+		s[i] = s[least]
+		i = least
+	}
+	s[i] = last
+	return top
+}
