--- /dev/null
+++ b/cmd/pumiceline/lab.go
@@ -0,0 +1,323 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strings"
+
+	"pumiceline/internal/lab/console"
+	"pumiceline/internal/lab/experiment"
+	"pumiceline/internal/lab/model"
+	"pumiceline/internal/lab/plots"
+)
+
+type labCmd struct {
+	Run     labRunCmd     `cmd:"" help:"Play an experiment as it stands, without its sweeps, and show each verdict."`
+	Sweep   labSweepCmd   `cmd:"" help:"Play all points of an experiment and show them in a table."`
+	Compare labCompareCmd `cmd:"" help:"Show how policies differ, seed by seed, with confidence intervals."`
+	Plot    labPlotCmd    `cmd:"" help:"Draw results as SVG and PNG and write a report in HTML."`
+	Replay  labReplayCmd  `cmd:"" help:"Play one run again: from an experiment, or from a line of a results file."`
+}
+
+// playing is what run, sweep and compare have in common.
+type playing struct {
+	File  string   `arg:"" help:"Experiment (TOML)." type:"existingfile"`
+	Out   string   `help:"Write the results to this file, as JSON lines." type:"path"`
+	Jobs  int      `help:"Plays at a time." default:"0"`
+	Set   []string `help:"Change a value of the experiment: world.servers=50." sep:"none"`
+	Seeds int      `help:"Play this many seeds, from 1, in place of the experiment's." default:"0"`
+	Plots string   `help:"Draw the results into this folder." type:"path"`
+	Keep  bool     `help:"Fail if a rule is broken by the first policy."`
+}
+
+// load reads the experiment with the command line's changes.
+func (c *playing) load() (*experiment.Experiment, error) {
+	e, err := experiment.Load(c.File)
+	if err != nil {
+		return nil, err
+	}
+	for _, text := range c.Set {
+		s, err := experiment.ParseSetting(text)
+		if err == nil {
+			err = experiment.Set(&e.World, s)
+		}
+		if err == nil {
+			err = e.World.Check()
+		}
+		if err != nil {
+			return nil, fmt.Errorf("--set: %w", err)
+		}
+		e.Changed = append(e.Changed, s)
+	}
+	if c.Seeds > 0 {
+		e.Seeds = nil
+		for s := range c.Seeds {
+			e.Seeds = append(e.Seeds, uint64(s+1))
+		}
+	}
+	return e, nil
+}
+
+// play runs e with progress on standard error, keeps the results and names the command for each run that failed.
+func (c *playing) play(e *experiment.Experiment, out output) ([]*experiment.Result, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var file io.Writer = io.Discard
+	if c.Out != "" {
+		f, err := os.Create(c.Out)
+		if err != nil {
+			return nil, fmt.Errorf("lab: results: %w", err)
+		}
+		defer f.Close()
+		file = f
+	}
+	jobs := c.Jobs
+	if jobs <= 0 {
+		jobs = runtime.GOMAXPROCS(0)
+	}
+	progress := console.NewProgress(os.Stderr, e.Count())
+	var results []*experiment.Result
+	var failed []error
+	err := e.Run(ctx, jobs, func(r *experiment.Result) error {
+		progress.Step()
+		results = append(results, r)
+		switch {
+		case r.Error != "":
+			failed = append(failed, fmt.Errorf("%s ended early: %s\n  again: %s", r.Policy, r.Error, r.Replay))
+		case c.Keep && r.Policy == e.Policies[0] && !r.Report.Kept():
+			failed = append(failed, fmt.Errorf("%s broke a rule: %v\n  again: %s", r.Policy, r.Report.Breaches[0], r.Replay))
+		}
+		return r.Write(file)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if c.Plots != "" {
+		if err := drawAll(out, results, c.Plots, usualMeasures); err != nil {
+			return nil, err
+		}
+	}
+	return results, errors.Join(failed...)
+}
+
+type labRunCmd struct{ playing }
+
+// Run plays every policy and seed of the experiment once.
+func (c *labRunCmd) Run(out output) error {
+	e, err := c.load()
+	if err != nil {
+		return err
+	}
+	e.Sweeps = nil
+	results, failed := c.play(e, out)
+	for _, r := range results {
+		console.Verdict(out, r)
+	}
+	return failed
+}
+
+type labSweepCmd struct {
+	playing
+	Measures []string `help:"Figures to show." default:"g,worst,broken"`
+}
+
+// Run plays all points and prints a table.
+func (c *labSweepCmd) Run(out output) error {
+	e, err := c.load()
+	if err != nil {
+		return err
+	}
+	measures, err := measuresOf(c.Measures)
+	if err != nil {
+		return err
+	}
+	results, failed := c.play(e, out)
+	if len(results) > 0 {
+		if err := console.Table(out, results, measures); err != nil {
+			return err
+		}
+	}
+	return failed
+}
+
+type labCompareCmd struct {
+	playing
+	Measures []string `help:"Figures to compare." default:"g"`
+}
+
+// Run compares policies: of a results file, or of an experiment that it plays first.
+func (c *labCompareCmd) Run(out output) error {
+	measures, err := measuresOf(c.Measures)
+	if err != nil {
+		return err
+	}
+	var results []*experiment.Result
+	var failed error
+	if strings.HasSuffix(c.File, ".toml") {
+		e, err := c.load()
+		if err != nil {
+			return err
+		}
+		results, failed = c.play(e, out)
+	} else if results, err = readResults(c.File); err != nil {
+		return err
+	}
+	for _, m := range measures {
+		if err := console.Differences(out, results, m); err != nil {
+			return err
+		}
+	}
+	return failed
+}
+
+type labPlotCmd struct {
+	File     string   `arg:"" help:"Results (JSON lines)." type:"existingfile"`
+	Dir      string   `help:"Folder for the figures and report.html." default:"found/plots" type:"path"`
+	Measures []string `help:"Figures to draw against a sweep's axis." default:"g,worst"`
+}
+
+// Run draws results.
+func (c *labPlotCmd) Run(out output) error {
+	results, err := readResults(c.File)
+	if err != nil {
+		return err
+	}
+	return drawAll(out, results, c.Dir, c.Measures)
+}
+
+var usualMeasures = []string{"g", "worst", "overdriven"}
+
+func drawAll(out output, results []*experiment.Result, dir string, names []string) error {
+	measures, err := measuresOf(names)
+	if err != nil {
+		return err
+	}
+	figures, err := plots.All(results, measures)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("lab: plots: %w", err)
+	}
+	for _, f := range figures {
+		if err := f.Save(dir); err != nil {
+			return err
+		}
+	}
+	var text bytes.Buffer
+	if err := plots.HTML(&text, results, measures, figures); err != nil {
+		return fmt.Errorf("lab: report: %w", err)
+	}
+	name := filepath.Join(dir, "report.html")
+	if err := os.WriteFile(name, text.Bytes(), 0o644); err != nil {
+		return fmt.Errorf("lab: report: %w", err)
+	}
+	_, err = fmt.Fprintf(out, "%d figures and %s\n", len(figures), name)
+	return err
+}
+
+func measuresOf(names []string) ([]experiment.Measure, error) {
+	var all []experiment.Measure
+	for _, n := range names {
+		m, err := experiment.MeasureOf(n)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, m)
+	}
+	return all, nil
+}
+
+func readResults(path string) ([]*experiment.Result, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	defer f.Close()
+	results, err := experiment.Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("lab: %s: %w", path, err)
+	}
+	return results, nil
+}
+
+type labReplayCmd struct {
+	File   string   `arg:"" help:"Experiment (TOML) or results (JSON lines)." type:"existingfile"`
+	Policy string   `help:"Policy to play, of an experiment."`
+	Seed   uint64   `help:"Seed to play, of an experiment." default:"1"`
+	Set    []string `help:"Value of a swept key: world.servers=50." sep:"none"`
+	Line   int      `help:"Line of the results file, from 1." default:"1"`
+	Trace  string   `help:"Write all that passes to this file, as JSON lines." type:"path"`
+	Of     uint64   `help:"Trace this request alone."`
+}
+
+// Run plays one run again, and says whether a results file's line came out the same.
+func (c *labReplayCmd) Run(out output) error {
+	var r experiment.Result
+	var before []byte
+	if strings.HasSuffix(c.File, ".toml") {
+		e, err := experiment.Load(c.File)
+		if err != nil {
+			return err
+		}
+		r = experiment.Result{World: e.World, Policy: c.Policy, Seed: c.Seed}
+		if r.Policy == "" {
+			r.Policy = e.Policies[0]
+		}
+		for _, text := range c.Set {
+			s, err := experiment.ParseSetting(text)
+			if err == nil {
+				err = experiment.Set(&r.World, s)
+			}
+			if err != nil {
+				return fmt.Errorf("--set: %w", err)
+			}
+			r.Point = append(r.Point, s)
+		}
+	} else {
+		all, err := readResults(c.File)
+		if err != nil {
+			return err
+		}
+		if c.Line < 1 || c.Line > len(all) {
+			return fmt.Errorf("lab: %s has %d lines", c.File, len(all))
+		}
+		r = *all[c.Line-1]
+		if before, err = json.Marshal(r); err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
+	}
+	var trace model.Watcher
+	if c.Trace != "" {
+		f, err := os.Create(c.Trace)
+		if err != nil {
+			return fmt.Errorf("lab: trace: %w", err)
+		}
+		defer f.Close()
+		trace = &experiment.Tracer{Out: f, Of: c.Of}
+	}
+	r.Stats, r.Report, r.Error = experiment.Play(&r.World, r.Policy, r.Seed, trace)
+	console.Verdict(out, &r)
+	if before != nil {
+		now, err := json.Marshal(r)
+		if err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
+		if !bytes.Equal(before, now) {
+			return errors.New("lab: the run came out otherwise than the results file says: another build, or a fault of the laboratory")
+		}
+		fmt.Fprintln(out, "  the same, to the byte, as in the results file")
+	}
+	if r.Error != "" {
+		return errors.New(r.Error)
+	}
+	return nil
+}
--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -35,6 +35,7 @@
 	Serve   serveCmd   `cmd:"" help:"Serve clients until told to stop."`
 	Check   checkCmd   `cmd:"" help:"Check a configuration and say what it amounts to."`
 	Version versionCmd `cmd:"" help:"Say which version this is."`
+	Lab     labCmd     `cmd:"" help:"Try designs in the laboratory: a model of the whole fleet, without sockets."`
 }
 
 type output struct{ io.Writer }
--- /dev/null
+++ b/internal/lab/experiment/file.go
@@ -0,0 +1,427 @@
+// Package experiment reads experiments, runs them on all cores, and keeps and compares what came out.
+package experiment
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"pumiceline/decide"
+	"pumiceline/internal/lab/baseline"
+	"pumiceline/internal/lab/model"
+)
+
+// Experiment is a file: a world, the policies and seeds to play it with, and what to vary.
+type Experiment struct {
+	Name     string      `toml:"name"`
+	Title    string      `toml:"title"`
+	Text     string      `toml:"text"`
+	Policies []string    `toml:"policies"` // the first is the one that others are compared with
+	Seeds    []uint64    `toml:"seeds"`
+	Sweeps   []Sweep     `toml:"sweep"`
+	World    model.World `toml:"world"` // what is not written is as in model.Quotes
+
+	File    string    `toml:"-"`
+	Changed []Setting `toml:"-"` // what the command line changed, for replays
+	keys    lines
+}
+
+// Sweep is an axis: a key of the experiment and the values that it takes. The keys of With change along with it. Several
+// sweeps are played in all combinations.
+type Sweep struct {
+	Key    string           `toml:"key"`
+	Values []any            `toml:"values"`
+	With   map[string][]any `toml:"with"`
+	Log    bool             `toml:"log"`   // plot the axis logarithmically
+	Label  string           `toml:"label"` // of the axis; empty: the key
+}
+
+// Error is a fault of an experiment's file, with its place. Line is 0 where the key is not in the file.
+type Error struct {
+	File string
+	Line int
+	Key  string
+	Why  string
+}
+
+func (e *Error) Error() string {
+	at := e.File
+	if e.Line > 0 {
+		at += ":" + strconv.Itoa(e.Line)
+	}
+	if e.Key != "" {
+		at += ": " + e.Key
+	}
+	return at + ": " + e.Why
+}
+
+// Policies are the names that an experiment may use, with their makers. "decide" is the product's own module.
+func Policies() map[string]model.Maker {
+	makers := map[string]model.Maker{"decide": func(set decide.Settings, seed uint64, _ *model.Truth) (model.Node, error) {
+		return decide.New(set, seed)
+	}}
+	for _, name := range []string{baseline.Random, baseline.RoundRobin, baseline.TwoChoices, baseline.Least, baseline.Truth} {
+		makers[name] = baseline.Maker(name)
+	}
+	return makers
+}
+
+// Load reads and checks an experiment. Faults are *Error.
+func Load(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads an experiment from its text; path only names it.
+func Parse(path string, text []byte) (*Experiment, error) {
+	e := &Experiment{File: path, Policies: []string{"decide"}, Seeds: []uint64{1}, World: model.Quotes()}
+	e.Name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+	e.keys = index(text)
+	// A list that is written stands in place of the usual one, not on top of it.
+	for key, forget := range map[string]func(){"world.kinds": func() { e.World.Kinds = nil }, "world.classes": func() { e.World.Classes = nil },
+		"world.tenants": func() { e.World.Tenants = nil }, "policies": func() { e.Policies = nil }, "seeds": func() { e.Seeds = nil }} {
+		if e.keys.has(key) {
+			forget()
+		}
+	}
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(e); err != nil {
+		return nil, decodeError(path, err)
+	}
+	return e, e.check()
+}
+
+func decodeError(path string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		line, _ := strict.Errors[0].Position()
+		return &Error{path, line, strings.Join(strict.Errors[0].Key(), "."), "there is no such key"}
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, _ := wrong.Position()
+		return &Error{path, line, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")}
+	}
+	return &Error{File: path, Why: err.Error()}
+}
+
+func (e *Experiment) fault(key, why string, args ...any) error {
+	return &Error{e.File, e.keys.line(key), key, fmt.Sprintf(why, args...)}
+}
+
+func (e *Experiment) check() error {
+	for _, key := range e.keys.numbers { // a time without its unit would be taken for microseconds
+		if rest, ok := strings.CutPrefix(key, "world."); ok {
+			if v, err := resolve(&e.World, rest); err == nil && v.Type() == reflect.TypeFor[model.Span]() {
+				return e.fault(key, "is a time and has no unit: write it as \"250ms\"")
+			}
+		}
+	}
+	known := Policies()
+	for _, p := range e.Policies {
+		if known[p] == nil {
+			names := make([]string, 0, len(known))
+			for n := range known {
+				names = append(names, n)
+			}
+			slices.Sort(names)
+			return e.fault("policies", "%q is none of %s", p, strings.Join(names, ", "))
+		}
+	}
+	switch {
+	case len(e.Policies) == 0:
+		return e.fault("policies", "names none")
+	case len(e.Seeds) == 0:
+		return e.fault("seeds", "names none")
+	}
+	for i, s := range e.Sweeps {
+		at := fmt.Sprintf("sweep.%d.", i)
+		if s.Key == "" || len(s.Values) == 0 {
+			return e.fault(at+"key", "a sweep needs key and values")
+		}
+		for k, v := range s.With {
+			if len(v) != len(s.Values) {
+				return e.fault(at+"with", "%s has %d values, %s has %d", k, len(v), s.Key, len(s.Values))
+			}
+		}
+	}
+	points, err := e.Points()
+	if err != nil {
+		return err
+	}
+	for _, p := range points {
+		if err := p.World.Check(); err != nil {
+			var field *model.FieldError
+			if !errors.As(err, &field) {
+				return err
+			}
+			key := "world." + field.Path
+			for _, s := range p.Set { // a swept value's place is the sweep's
+				if s.Key == key {
+					return e.fault(e.sweepOf(key), "at %s: %s", p.Name(), field.Why)
+				}
+			}
+			return e.fault(key, "%s", field.Why)
+		}
+	}
+	return nil
+}
+
+func (e *Experiment) sweepOf(key string) string {
+	for i, s := range e.Sweeps {
+		if _, with := s.With[key]; with || s.Key == key {
+			return fmt.Sprintf("sweep.%d.values", i)
+		}
+	}
+	return key
+}
+
+// Setting is one key's value at a point.
+type Setting struct {
+	Key   string `json:"key"`
+	Value any    `json:"value"`
+}
+
+func (s Setting) String() string { return fmt.Sprintf("%s=%v", s.Key, s.Value) }
+
+// Point is one combination of the swept values. Set names them, the axes first in their order.
+type Point struct {
+	Set   []Setting
+	X     []Setting // the axes alone
+	World model.World
+}
+
+// Name is the point in words; "" where nothing is swept.
+func (p *Point) Name() string {
+	words := make([]string, len(p.X))
+	for i, s := range p.X {
+		words[i] = s.String()
+	}
+	return strings.Join(words, " ")
+}
+
+// Points are all combinations of the swept values: one, if nothing is swept.
+func (e *Experiment) Points() ([]Point, error) {
+	points := []Point{{World: e.World}}
+	for i, s := range e.Sweeps {
+		var next []Point
+		for _, p := range points {
+			for k, v := range s.Values {
+				q := Point{Set: slices.Clone(p.Set), X: append(slices.Clone(p.X), Setting{s.Key, v}), World: p.World.Clone()}
+				all := []Setting{{s.Key, v}}
+				with := make([]string, 0, len(s.With))
+				for key := range s.With {
+					with = append(with, key)
+				}
+				slices.Sort(with)
+				for _, key := range with {
+					all = append(all, Setting{key, s.With[key][k]})
+				}
+				for _, set := range all {
+					if err := Set(&q.World, set); err != nil {
+						return nil, e.fault(fmt.Sprintf("sweep.%d.key", i), "%v", err)
+					}
+				}
+				q.Set = append(q.Set, all...)
+				next = append(next, q)
+			}
+		}
+		points = next
+	}
+	return points, nil
+}
+
+// Set changes one value of a world; the key is as files write it: "world.kinds.0.cores".
+func Set(w *model.World, s Setting) error {
+	rest, ok := strings.CutPrefix(s.Key, "world.")
+	if !ok {
+		return fmt.Errorf("%s: only keys of world can be varied", s.Key)
+	}
+	v, err := resolve(w, rest)
+	if err != nil {
+		return fmt.Errorf("%s: %w", s.Key, err)
+	}
+	return assign(v, s)
+}
+
+// resolve finds the field that a key names, below world.
+func resolve(w *model.World, key string) (reflect.Value, error) {
+	v := reflect.ValueOf(w).Elem()
+	for _, part := range strings.Split(key, ".") {
+		switch v.Kind() {
+		case reflect.Struct:
+			next := reflect.Value{}
+			for i := range v.NumField() {
+				if tag, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("toml"), ","); tag == part {
+					next = v.Field(i)
+				}
+			}
+			if !next.IsValid() {
+				return v, fmt.Errorf("there is no key %s", part)
+			}
+			v = next
+		case reflect.Slice:
+			n, err := strconv.Atoi(part)
+			if err != nil || n < 0 || n >= v.Len() {
+				return v, fmt.Errorf("%q is no place in a list of %d", part, v.Len())
+			}
+			v = v.Index(n)
+		default:
+			return v, fmt.Errorf("%s has no keys of its own", part)
+		}
+	}
+	return v, nil
+}
+
+// assign gives a field a value as TOML or JSON decode it.
+func assign(v reflect.Value, s Setting) error {
+	wrong := fmt.Errorf("%s: %v (%T) does not fit", s.Key, s.Value, s.Value)
+	if span, ok := v.Addr().Interface().(*model.Span); ok {
+		text, ok := s.Value.(string)
+		if !ok {
+			return fmt.Errorf("%s: %v has no unit: write a time as \"250ms\"", s.Key, s.Value)
+		}
+		if err := span.UnmarshalText([]byte(text)); err != nil {
+			return fmt.Errorf("%s: %w", s.Key, err)
+		}
+		return nil
+	}
+	switch x := s.Value.(type) {
+	case int64:
+		switch {
+		case v.CanInt():
+			v.SetInt(x)
+		case v.CanFloat():
+			v.SetFloat(float64(x))
+		default:
+			return wrong
+		}
+	case float64:
+		switch {
+		case v.CanFloat():
+			v.SetFloat(x)
+		case v.CanInt() && x == float64(int64(x)): // JSON has one kind of number
+			v.SetInt(int64(x))
+		default:
+			return wrong
+		}
+	case bool:
+		if v.Kind() != reflect.Bool {
+			return wrong
+		}
+		v.SetBool(x)
+	case string:
+		if v.Kind() != reflect.String {
+			return wrong
+		}
+		v.SetString(x)
+	default:
+		return wrong
+	}
+	return nil
+}
+
+// ParseSetting reads "world.servers=50" as a command line gives it; the value is TOML, a bare word a string.
+func ParseSetting(text string) (Setting, error) {
+	key, value, ok := strings.Cut(text, "=")
+	if !ok {
+		return Setting{}, fmt.Errorf("%q is not key=value", text)
+	}
+	var doc struct{ V any }
+	if err := toml.Unmarshal([]byte("v = "+value), &doc); err != nil {
+		doc.V = value
+	}
+	return Setting{strings.TrimSpace(key), doc.V}, nil
+}
+
+// lines are the keys of a file with the lines on which they stand. numbers are those whose values are bare numbers.
+type lines struct {
+	at      map[string]int
+	numbers []string
+}
+
+func (l lines) has(key string) bool {
+	for k := range l.at {
+		if k == key || strings.HasPrefix(k, key+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// line is that of a key, or of the nearest one round it that is in the file; 0: none is.
+func (l lines) line(key string) int {
+	for key != "" {
+		if n := l.at[key]; n > 0 {
+			return n
+		}
+		key = key[:max(0, strings.LastIndexByte(key, '.'))]
+	}
+	return 0
+}
+
+// index finds where the keys of a file stand. A text that is no TOML gives what comes before the fault.
+func index(text []byte) lines {
+	found, counts, prefix := lines{at: map[string]int{}}, map[string]int{}, ""
+	var p unstable.Parser
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		key, line := keyOf(&p, e)
+		switch e.Kind {
+		case unstable.Table:
+			prefix = key + "."
+			found.at[key] = line
+		case unstable.ArrayTable:
+			prefix = fmt.Sprintf("%s.%d.", key, counts[key])
+			counts[key]++
+			found.at[strings.TrimSuffix(prefix, ".")] = line
+		case unstable.KeyValue:
+			found.add(&p, prefix+key, line, e.Value())
+		}
+	}
+	return found
+}
+
+func keyOf(p *unstable.Parser, e *unstable.Node) (key string, line int) {
+	var parts []string
+	for it := e.Key(); it.Next(); {
+		n := it.Node()
+		parts = append(parts, string(n.Data))
+		if line == 0 {
+			line = p.Shape(n.Raw).Start.Line
+		}
+	}
+	return strings.Join(parts, "."), line
+}
+
+// add notes a key and those inside its value.
+func (l *lines) add(p *unstable.Parser, key string, line int, v *unstable.Node) {
+	l.at[key] = line
+	switch v.Kind {
+	case unstable.Integer, unstable.Float:
+		l.numbers = append(l.numbers, key)
+	case unstable.Array:
+		n := 0
+		for it := v.Children(); it.Next(); n++ {
+			l.add(p, fmt.Sprintf("%s.%d", key, n), line, it.Node())
+		}
+	case unstable.InlineTable:
+		for it := v.Children(); it.Next(); {
+			inner, at := keyOf(p, it.Node())
+			l.add(p, key+"."+inner, at, it.Node().Value())
+		}
+	}
+}
--- a/internal/lab/model/config.go
+++ b/internal/lab/model/config.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
+	"slices"
 
 	"pumiceline/decide"
 	"pumiceline/internal/lab/span"
@@ -46,6 +48,7 @@
 	Told      Told      `toml:"told" json:"told"`
 	Prices    Prices    `toml:"prices" json:"prices"`
 	Troubles  []Trouble `toml:"trouble" json:"trouble"`
+	Draw      int       `toml:"draw" json:"draw"` // as many troubles more are drawn from the seed
 }
 
 // Kind is a kind of server.
@@ -359,6 +362,7 @@
 	within("told.cold_share", w.Told.ColdShare, 0, 1)
 	within("told.tip_multiple", w.Told.TipMultiple, 0, 1e6)
 	count("told.attempts", w.Told.Attempts, 1, maxAttempts)
+	count("draw", w.Draw, 0, 100)
 	for i, t := range w.Troubles {
 		at := fmt.Sprintf("trouble.%d.", i)
 		must(Troubles[t.Kind] != "", at+"kind", "%q is no kind of trouble", t.Kind)
@@ -448,3 +452,46 @@
 
 // DecideClasses are the classes as deciders are told of them.
 func (w *World) DecideClasses() []decide.Class { return w.settings(0, 0, 0).Classes }
+
+// Clone copies w with its lists, so that a change of one leaves the other.
+func (w *World) Clone() World {
+	c := *w
+	c.Kinds, c.Classes = slices.Clone(w.Kinds), slices.Clone(w.Classes)
+	c.Tenants, c.Troubles = slices.Clone(w.Tenants), slices.Clone(w.Troubles)
+	return c
+}
+
+// drawn draws troubles of the kinds that the operators have recorded, within the figures that they gave, and of those
+// that they may meet; each ends before the play does.
+func (w *World) drawn(g *rand.Rand) []Trouble {
+	between := func(lo, hi float64) float64 { return lo + (hi-lo)*g.Float64() }
+	length := float64(w.Length)
+	kinds := []string{"hang", "fast_errors", "neighbour", "gray", "report_late", "deploy", "restart", "zone_cut", "discovery",
+		"reconnect_storm", "proxy_kill", "retry_storm", "flood"}
+	var out []Trouble
+	for _, i := range g.Perm(len(kinds))[:min(w.Draw, len(kinds))] {
+		t := Trouble{Kind: kinds[i], At: Span(length * between(0.1, 0.5)), For: Span(length * between(0.2, 0.45)), Part: between(0.06, 0.2)}
+		switch t.Kind {
+		case "fast_errors":
+			t.Size = between(0.4, 0.85)
+		case "neighbour":
+			t.Part, t.Size, t.Every = between(0.12, 0.38), between(0.37, 0.72), Span(1e6*between(1, 5))
+		case "gray":
+			t.Size = between(0.5, 0.9)
+		case "report_late":
+			t.Part, t.Size = 1, between(1.3, 4.6)
+		case "deploy":
+			t.Part, t.Size, t.Every = between(0.5, 0.97), between(0.08, 0.19), Span(1e6*between(2.6, 5.9))
+		case "restart", "proxy_kill":
+			t.Every = Span(1e6 * between(0.5, 4))
+		case "zone_cut", "discovery":
+			t.For = Span(1e6 * between(2, 8))
+		case "reconnect_storm":
+			t.Part, t.For, t.Every = 1, 4e6, 1e6
+		case "retry_storm", "flood":
+			t.Size = between(1.5, 3)
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- a/internal/lab/model/record.go
+++ b/internal/lab/model/record.go
@@ -80,3 +80,10 @@
 // Maker makes the node of one proxy. It is called anew at each start of the proxy, with another seed. truth lets a
 // node see what no real one can.
 type Maker func(set decide.Settings, seed uint64, truth *Truth) (Node, error)
+
+var kindNames = [...]string{Opening: "opening", CallMade: "call", CallOver: "call over", Taken: "taken", Sent: "sent", Opened: "connection",
+	Proven: "outcome", Answered: "answered", Overdue: "overdue", Ran: "ran", Reached: "reached cold", Started: "started", Fell: "fell",
+	Listed: "listed", Informed: "told", Asked: "asked", Unwatched: "watch lost", ProxyUp: "proxy up", ProxyDown: "proxy down",
+	PeerSent: "message", Twice: "twice", Sample: "sample"}
+
+func (k RecordKind) String() string { return kindNames[k] }
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -220,6 +220,9 @@
 	if err := w.Check(); err != nil {
 		return Stats{}, err
 	}
+	own := w.Clone()
+	w = &own // with the drawn troubles; the caller's stays as it is
+	w.Troubles = append(w.Troubles, w.drawn(rand.New(rand.NewPCG(seed, 6)))...)
 	r := &run{w: w, seed: seed, make: make, watch: watch, q: newQueue(), retries: w.Clients.Retries, flood: 1,
 		arrive: rand.New(rand.NewPCG(seed, 1)), net: rand.New(rand.NewPCG(seed, 2)), chance: rand.New(rand.NewPCG(seed, 3)),
 		zoneOff: zeros(w.Zones)}
