--- a/internal/lab/plots/plots.go
+++ b/internal/lab/plots/plots.go
@@ -56,7 +56,7 @@
 func render(name string, p *plot.Plot) (*Figure, error) {
 	f := &Figure{Name: name, Title: p.Title.Text}
 	svg := vgsvg.New(width, height)
-	p.Draw(draw.New(svg))
+	drawBeside(p, draw.New(svg))
 	var out bytes.Buffer
 	if _, err := svg.WriteTo(&out); err != nil {
 		return nil, fmt.Errorf("plots: %s: %w", name, err)
@@ -64,7 +64,7 @@
 	f.SVG = slices.Clone(out.Bytes())
 	out.Reset()
 	img := vgimg.PngCanvas{Canvas: vgimg.New(width, height)}
-	p.Draw(draw.New(img))
+	drawBeside(p, draw.New(img))
 	if _, err := img.WriteTo(&out); err != nil {
 		return nil, fmt.Errorf("plots: %s: %w", name, err)
 	}
@@ -72,12 +72,24 @@
 	return f, nil
 }
 
+// drawBeside draws a plot with its legend to the right of it, where no line can pass under it.
+func drawBeside(p *plot.Plot, c draw.Canvas) {
+	legend := p.Legend
+	defer func() { p.Legend = legend }()
+	p.Legend = plot.NewLegend()
+	r := legend.Rectangle(c)
+	room := r.Max.X - r.Min.X + vg.Points(10)
+	p.Draw(draw.Crop(c, 0, -room, 0, 0))
+	legend.Top, legend.Left = true, false
+	legend.YOffs = -vg.Points(24)
+	legend.Draw(c)
+}
+
 func newPlot(title, x, y string) *plot.Plot {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
 	p.Title.Padding = vg.Points(6)
 	p.Add(plotter.NewGrid())
-	p.Legend.Top = true
 	p.Legend.Padding = vg.Points(2)
 	return p
 }
@@ -123,7 +135,6 @@
 func Service(g *group) (*Figure, error) {
 	p := newPlot(strings.TrimSpace("Service by second "+g.name), "second", "worth got of worth asked")
 	p.Y.Min, p.Y.Max = 0, 1
-	p.Legend.Top = false
 	for i, policy := range g.policies {
 		var sum, n []float64
 		for _, r := range g.of[policy] {
@@ -219,7 +230,6 @@
 	p := newPlot(strings.TrimSpace(fmt.Sprintf("Time of served requests, %s %s", class, g.name)), "percentile", "milliseconds")
 	p.X.Scale, p.X.Tick.Marker = percentiles{}, percentiles{}
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-	p.Legend.Top, p.Legend.Left = true, true
 	for i, policy := range g.policies {
 		sum := hdrhistogram.New(1, 60_000_000, 3)
 		for _, r := range g.of[policy] {
@@ -254,7 +264,6 @@
 	axis := results[0].Axes[0]
 	p := newPlot(m.Text, axis.Label, m.Text)
 	p.Title.Text = results[0].Title
-	p.Legend.Top = false
 	type series struct {
 		name string
 		xy   plotter.XYs
@@ -340,7 +349,6 @@
 // Scatter draws points against each other, each with a group that gives its colour.
 func Scatter(name, title, xLabel, yLabel string, xs, ys []float64, in []string) (*Figure, error) {
 	p := newPlot(title, xLabel, yLabel)
-	p.Legend.Top, p.Legend.Left = true, true
 	by, order := map[string]plotter.XYs{}, []string(nil)
 	for i := range xs {
 		if by[in[i]] == nil {
