--- a/cmd/pumiceline/lab.go
+++ b/cmd/pumiceline/lab.go
@@ -20,6 +20,7 @@
 )
 
 type labCmd struct {
+	Check   labCheckCmd   `cmd:"" help:"Check an experiment and say how many plays it has."`
 	Run     labRunCmd     `cmd:"" help:"Play an experiment as it stands, without its sweeps, and show each verdict."`
 	Sweep   labSweepCmd   `cmd:"" help:"Play all points of an experiment and show them in a table."`
 	Compare labCompareCmd `cmd:"" help:"Show how policies differ, seed by seed, with confidence intervals."`
@@ -29,7 +30,7 @@
 
 // playing is what run, sweep and compare have in common.
 type playing struct {
-	File  string   `arg:"" help:"Experiment (TOML)." type:"existingfile"`
+	File  string   `arg:"" help:"Experiment (TOML)."`
 	Out   string   `help:"Write the results to this file, as JSON lines." type:"path"`
 	Jobs  int      `help:"Plays at a time." default:"0"`
 	Set   []string `help:"Change a value of the experiment: world.servers=50." sep:"none"`
@@ -108,6 +109,20 @@
 	return results, errors.Join(failed...)
 }
 
+type labCheckCmd struct {
+	File string `arg:"" help:"Experiment (TOML)."`
+}
+
+// Run checks an experiment without playing it.
+func (c *labCheckCmd) Run(out output) error {
+	e, err := experiment.Load(c.File)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: %d plays\n", c.File, e.Count())
+	return err
+}
+
 type labRunCmd struct{ playing }
 
 // Run plays every policy and seed of the experiment once.
@@ -179,7 +194,7 @@
 }
 
 type labPlotCmd struct {
-	File     string   `arg:"" help:"Results (JSON lines)." type:"existingfile"`
+	File     string   `arg:"" help:"Results (JSON lines)."`
 	Dir      string   `help:"Folder for the figures and report.html." default:"found/plots" type:"path"`
 	Measures []string `help:"Figures to draw against a sweep's axis." default:"g,worst"`
 }
@@ -250,7 +265,7 @@
 }
 
 type labReplayCmd struct {
-	File   string   `arg:"" help:"Experiment (TOML) or results (JSON lines)." type:"existingfile"`
+	File   string   `arg:"" help:"Experiment (TOML) or results (JSON lines)."`
 	Policy string   `help:"Policy to play, of an experiment."`
 	Seed   uint64   `help:"Seed to play, of an experiment." default:"1"`
 	Set    []string `help:"Value of a swept key: world.servers=50." sep:"none"`
--- /dev/null
+++ b/cmd/pumiceline/lab_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+const labText = `
+policies = ["decide", "random"]
+seeds = [1, 2]
+[world]
+length = "4s"
+[[world.trouble]]
+kind = "hang"
+at = "1s"
+for = "2s"
+part = 0.5
+[[sweep]]
+key = "world.load"
+values = [0.3, 0.6]
+`
+
+// TestLabFromFileToReport goes the whole way on the command line: sweep, compare, plot and replay.
+func TestLabFromFileToReport(t *testing.T) {
+	dir := t.TempDir()
+	file, results := filepath.Join(dir, "x.toml"), filepath.Join(dir, "x.jsonl")
+	if err := os.WriteFile(file, []byte(labText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	sweep := labSweepCmd{playing: playing{File: file, Out: results, Jobs: 2, Plots: filepath.Join(dir, "p")}, Measures: []string{"g", "broken"}}
+	if err := sweep.Run(output{&out}); err != nil {
+		t.Fatal(err)
+	}
+	if got := out.String(); strings.Count(got, "world.load=0.6") != 2 || !strings.Contains(got, "figures and ") {
+		t.Errorf("table:\n%s", got)
+	}
+	out.Reset()
+	if err := (&labCompareCmd{playing: playing{File: results}, Measures: []string{"g"}}).Run(output{&out}); err != nil {
+		t.Fatal(err)
+	}
+	if !regexp.MustCompile(`world.load=0.6 +random +\S+ ±\S+ +-\S+ ±\S+ +`).MatchString(out.String()) {
+		t.Errorf("differences:\n%s", out.String())
+	}
+	out.Reset()
+	if err := (&labPlotCmd{File: results, Dir: filepath.Join(dir, "q"), Measures: []string{"worst"}}).Run(output{&out}); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"report.html", "sweep-worst.svg", "sweep-worst.png"} {
+		if _, err := os.Stat(filepath.Join(dir, "q", name)); err != nil {
+			t.Error(err)
+		}
+	}
+	trace := filepath.Join(dir, "trace")
+	out.Reset()
+	if err := (&labReplayCmd{File: results, Line: 8, Trace: trace}).Run(output{&out}); err != nil || !strings.Contains(out.String(), "the same, to the byte") {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+	if text, err := os.ReadFile(trace); err != nil || !strings.Contains(string(text), `"what":"answered"`) {
+		t.Errorf("trace: %v", err)
+	}
+	spoilt := filepath.Join(dir, "spoilt.jsonl")
+	text, _ := os.ReadFile(results)
+	if err := os.WriteFile(spoilt, regexp.MustCompile(`"g":0\.\d`).ReplaceAll(text, []byte(`"g":0.7`)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := (&labReplayCmd{File: spoilt, Line: 1}).Run(output{&out}); err == nil {
+		t.Error("results that were changed pass for the run's own")
+	}
+	if err := (&labCheckCmd{File: filepath.Join(dir, "none.toml")}).Run(output{&out}); err == nil {
+		t.Error("a missing experiment passes")
+	}
+}
+
+func TestTryServesAll(t *testing.T) {
+	var out bytes.Buffer
+	if err := (&tryCmd{For: 3 * time.Second, Rate: 40, Nodes: 3, Level: 12}).Run(output{&out}); err != nil {
+		t.Fatal(err)
+	}
+	if !regexp.MustCompile(`\n(\d+) requests: \d+ served, 0 refused, 0 failed\n$`).MatchString(out.String()) {
+		t.Errorf("it ends with:\n%s", out.String())
+	}
+}
--- a/cmd/pumiceline/main_test.go
+++ b/cmd/pumiceline/main_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"pumiceline/example/toy"
 	"pumiceline/internal/config"
+	"pumiceline/internal/standin"
 )
 
 const exampleConfig = "../../example/config.json"
@@ -55,10 +55,10 @@
 	working, goOn := make(chan struct{}, 9), make(chan struct{})
 	toys, endToys := context.WithCancel(context.Background())
 	defer endToys()
-	go toy.Serve(toys, discovery, []net.Listener{listen(t, others), listen(t, others)}, "ub-east", func() {
+	go standin.NewWorld(discovery, []net.Listener{listen(t, others), listen(t, others)}, []string{"ub-east"}, func() {
 		working <- struct{}{}
 		<-goOn
-	})
+	}).Serve(toys)
 
 	stop, tellStop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -94,7 +94,7 @@
 	<-working
 	tellStop()
 	close(goOn)
-	if got := <-answered; !strings.HasPrefix(got, "200 OK toy-") || !strings.Contains(got, "POST /issue-policy?a=%zz,") {
+	if got := <-answered; !strings.HasPrefix(got, "200 OK toy-") || !strings.Contains(got, "POST /issue-policy?a=%zz with 4 bytes") {
 		t.Errorf("answer: %s", got)
 	}
 	if err := <-ended; err != nil {
--- a/example/main.go
+++ b/example/main.go
@@ -1,4 +1,4 @@
-// Command example runs a toy discovery and three toy destinations at the addresses that config.json expects.
+// Command example runs a stand-in discovery and three stand-in destinations at the addresses that config.json expects.
 package main
 
 import (
@@ -9,7 +9,7 @@
 	"os/signal"
 	"time"
 
-	"pumiceline/example/toy"
+	"pumiceline/internal/standin"
 )
 
 func main() {
@@ -34,6 +34,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	fmt.Println("toy discovery at 127.0.0.1:8500, toy destinations at 127.0.0.1:9001 to 9003; interrupt to end")
-	return toy.Serve(ctx, discovery, destinations, "ub-east", func() { time.Sleep(50 * time.Millisecond) })
+	fmt.Println("stand-in discovery at 127.0.0.1:8500, destinations at 127.0.0.1:9001 to 9003; interrupt to end")
+	return standin.NewWorld(discovery, destinations, []string{"ub-east"}, standin.Sleep(50*time.Millisecond)).Serve(ctx)
 }
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,212 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math"
+	"strings"
+	"testing"
+
+	"pumiceline/internal/lab/model"
+)
+
+// small is an experiment that plays in a blink.
+const small = `
+title = "Small"
+policies = ["decide", "two-choices"]
+seeds = [1, 2]
+[world]
+length = "4s"
+servers = 8
+draw = 1
+[[sweep]]
+key = "world.proxies"
+values = [1, 2]
+with."world.load" = [0.3, 0.6]
+`
+
+func TestFaultsNameFileLineAndKey(t *testing.T) {
+	for _, c := range []struct{ name, old, new, want string }{
+		{"unknown key", "servers = 8", "serves = 8", "x.toml:7: world.serves: there is no such key"},
+		{"range", "servers = 8", "servers = 0", "x.toml:7: world.servers: 0 is not within"},
+		{"no unit", `length = "4s"`, "length = 4", `x.toml:6: world.length: is a time and has no unit`},
+		{"wrong unit", `"4s"`, `"4 parsecs"`, `x.toml:6: world.length`},
+		{"wrong type", "servers = 8", `servers = "many"`, "x.toml:7: world.servers"},
+		{"syntax", "servers = 8", "servers = = 8", "x.toml:7"},
+		{"policy", `"two-choices"`, `"best"`, `x.toml:3: policies: "best" is none of`},
+		{"swept key", `"world.proxies"`, `"world.proxy"`, "x.toml:10: sweep.0.key: world.proxy: there is no key proxy"},
+		{"swept value", "[1, 2]\nwith", "[1, 0]\nwith", "x.toml:11: sweep.0.values: at world.proxies=0: 0 is not within"},
+		{"swept type", "[1, 2]\nwith", `[1, "b"]` + "\nwith", "does not fit"},
+		{"uneven", "[0.3, 0.6]", "[0.3]", "x.toml:12: sweep.0.with.world.load: 1 values, where"},
+		{"inline", "draw = 1", `trouble = [{kind = "hang", part = 2.0}]`, "x.toml:8: world.trouble.0.part: 2 is not within"},
+		{"kind", "draw = 1", `trouble = [{kind = "flu"}]`, "x.toml:8: world.trouble.0.kind"},
+		{"only names", "[[sweep]]", "[[world.kinds]]\nname = \"a\"\nshare = 1.0\n[[sweep]]", "x.toml:9: world.kinds.0.cores"},
+	} {
+		text := strings.Replace(small, c.old, c.new, 1)
+		_, err := Parse("x.toml", []byte(text))
+		var fault *Error
+		if err == nil || !errors.As(err, &fault) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+	if _, err := Parse("x.toml", []byte(small)); err != nil {
+		t.Error(err)
+	}
+}
+
+// results plays small and returns the file that it leaves.
+func results(t *testing.T, jobs int) []byte {
+	t.Helper()
+	e, err := Parse("x.toml", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := e.Run(context.Background(), jobs, func(r *Result) error { return r.Write(&out) }); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+func TestSameBytesHoweverManyPlaysAtATime(t *testing.T) {
+	one, four := results(t, 1), results(t, 4)
+	if !bytes.Equal(one, four) {
+		t.Error("results differ with the number of plays at a time")
+	}
+}
+
+// TestALineHoldsAllThatItTakesToPlayItAgain reads the results and plays each line from what it holds.
+func TestALineHoldsAllThatItTakesToPlayItAgain(t *testing.T) {
+	text := results(t, 2)
+	all, err := Read(bytes.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(all) != 8 {
+		t.Fatalf("%d results, want 8", len(all))
+	}
+	var again bytes.Buffer
+	for _, r := range all {
+		r.Stats, r.Report, r.Error = Play(&r.World, r.Policy, r.Seed, nil)
+		if err := r.Write(&again); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !bytes.Equal(text, again.Bytes()) {
+		t.Error("played again from its own line, a run comes out otherwise")
+	}
+	want := "pumiceline lab replay x.toml --policy=two-choices --seed=2 --set=world.proxies=2 --set=world.load=0.6"
+	if got := all[7].Replay; got != want {
+		t.Errorf("replay %q, want %q", got, want)
+	}
+	// The command says the same world.
+	e, _ := Parse("x.toml", []byte(small))
+	for _, s := range []string{"world.proxies=2", "world.load=0.6"} {
+		set, err := ParseSetting(s)
+		if err == nil {
+			err = Set(&e.World, set)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, rep, _ := Play(&e.World, "two-choices", 2, nil)
+	if rep.G != all[7].Report.G {
+		t.Errorf("the command gives G %v, the results say %v", rep.G, all[7].Report.G)
+	}
+}
+
+func TestReadRefusesWhatItCannotKnow(t *testing.T) {
+	for text, want := range map[string]string{`{"format":2}`: "line 1: format 2", "{\"format\":1}\n{": "line 2"} {
+		if _, err := Read(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+// TestRunEndsWithItsContext stops a run after its first result; nothing may hang or be left behind.
+func TestRunEndsWithItsContext(t *testing.T) {
+	e, err := Parse("x.toml", []byte(strings.Replace(small, "[1, 2]\n[world]", "[1, 2, 3, 4, 5, 6, 7, 8, 9]\n[world]", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := 0
+	err = e.Run(ctx, 2, func(*Result) error {
+		n++
+		cancel()
+		return nil
+	})
+	if !errors.Is(err, context.Canceled) || n >= e.Count() {
+		t.Errorf("after %d results: %v", n, err)
+	}
+	full := errors.New("disk full")
+	if err := e.Run(context.Background(), 2, func(*Result) error { return full }); !errors.Is(err, full) {
+		t.Errorf("want the writer's error, have %v", err)
+	}
+}
+
+func TestPanicsOfDecidersAreFaultsOfOnePlay(t *testing.T) {
+	w := model.Quotes()
+	_, rep, fault := Play(&w, "nobody", 1, nil)
+	if rep != nil || !strings.Contains(fault, "no policy") {
+		t.Errorf("fault %q", fault)
+	}
+	_, rep, fault = Play(&w, "decide", 1, panics{})
+	if rep != nil || !strings.HasPrefix(fault, "panic: at the first record at pumiceline/") {
+		t.Errorf("fault %q", fault)
+	}
+}
+
+type panics struct{}
+
+func (panics) See(*model.Record) { panic("at the first record") }
+
+// TestPairedDifferences compares with figures worked out by hand: differences 1, 2 and 3 have the mean 2, the standard
+// deviation 1 and, at two degrees of freedom, Student's t 4.303.
+func TestPairedDifferences(t *testing.T) {
+	results := []*Result{}
+	add := func(policy string, seed uint64, g float64) {
+		r := &Result{Policy: policy, Seed: seed}
+		r.Report = reportOf(g)
+		results = append(results, r)
+	}
+	for i, g := range []float64{10, 20, 30} {
+		add("a", uint64(i), g)
+	}
+	for i, g := range []float64{11, 22, 33} {
+		add("b", uint64(i), g)
+	}
+	g, _ := MeasureOf("g")
+	cells := Compare(results, g)
+	if len(cells) != 2 || cells[0].Less.N != 0 {
+		t.Fatalf("cells %+v", cells)
+	}
+	if d := cells[1].Less; d.N != 3 || d.Mean != 2 || math.Abs(d.Half-4.3027/math.Sqrt(3)) > 1e-3 {
+		t.Errorf("difference %+v", d)
+	}
+	if one := Of([]float64{5}); !math.IsNaN(one.Half) || one.Mean != 5 {
+		t.Errorf("one value: %+v", one)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(small))
+	f.Add([]byte("[world]\ntrouble = [{kind = \"hang\", at = \"1s\"}]"))
+	f.Add([]byte("[[sweep]]\nkey=\"world.kinds.0.cores\"\nvalues=[1.5]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		e, err := Parse("x.toml", text)
+		if err == nil && e.Count() > 0 { // what is accepted must be playable: no world that Check would refuse
+			points, err := e.Points()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range points {
+				if err := points[i].World.Check(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -146,6 +146,7 @@
 	case len(e.Seeds) == 0:
 		return e.fault("seeds", "names none")
 	}
+	plays := len(e.Policies) * len(e.Seeds)
 	for i, s := range e.Sweeps {
 		at := fmt.Sprintf("sweep.%d.", i)
 		if s.Key == "" || len(s.Values) == 0 {
@@ -153,9 +154,12 @@
 		}
 		for k, v := range s.With {
 			if len(v) != len(s.Values) {
-				return e.fault(at+"with", "%s has %d values, %s has %d", k, len(v), s.Key, len(s.Values))
+				return e.fault(at+"with."+k, "%d values, where %s has %d", len(v), s.Key, len(s.Values))
 			}
 		}
+		if plays *= len(s.Values); plays > mostPlays {
+			return e.fault(at+"values", "over %d plays in all", mostPlays)
+		}
 	}
 	points, err := e.Points()
 	if err != nil {
@@ -179,6 +183,9 @@
 	return nil
 }
 
+// mostPlays is how many plays an experiment may have: more is a slip, and would not end.
+const mostPlays = 20_000
+
 func (e *Experiment) sweepOf(key string) string {
 	for i, s := range e.Sweeps {
 		if _, with := s.With[key]; with || s.Key == key {
--- /dev/null
+++ b/internal/lab/plots/plots_test.go
@@ -0,0 +1,102 @@
+package plots
+
+import (
+	"bytes"
+	"context"
+	"image/png"
+	"strings"
+	"testing"
+
+	"pumiceline/internal/lab/experiment"
+)
+
+// TestReportStandsAlone plays a small sweep and draws it: each figure must be readable as what it says it is, and the
+// page must hold them all and ask for nothing from elsewhere.
+func TestReportStandsAlone(t *testing.T) {
+	e, err := experiment.Parse("x.toml", []byte(`
+title = "Two <sizes>"
+policies = ["decide", "random"]
+seeds = [1, 2]
+[world]
+length = "4s"
+load = 0.9
+[[world.trouble]]
+kind = "deploy"
+at = "1s"
+for = "1s"
+part = 1.0
+size = 1.0
+every = "500ms"
+[[sweep]]
+key = "world.servers"
+values = [8, 16]
+log = true
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var results []*experiment.Result
+	if err := e.Run(context.Background(), 2, func(r *experiment.Result) error {
+		results = append(results, r)
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	measures := experiment.Measures
+	figures, err := All(results, measures)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(figures) != len(measures)+2*2 {
+		t.Errorf("%d figures", len(figures))
+	}
+	for _, f := range figures {
+		if !bytes.Contains(f.SVG, []byte("<svg")) || !bytes.Contains(f.SVG, []byte("decide")) {
+			t.Errorf("%s: no SVG with a legend", f.Name)
+		}
+		img, err := png.Decode(bytes.NewReader(f.PNG))
+		if err != nil || img.Bounds().Dx() < 400 {
+			t.Errorf("%s: %v", f.Name, err)
+		}
+		if err := f.Save(t.TempDir()); err != nil {
+			t.Error(err)
+		}
+	}
+	var page bytes.Buffer
+	if err := HTML(&page, results, measures, figures); err != nil {
+		t.Fatal(err)
+	}
+	text := page.String()
+	if n := strings.Count(text, "<svg"); n != len(figures) {
+		t.Errorf("the page holds %d of %d figures", n, len(figures))
+	}
+	for _, outside := range []string{"<script", "<link", "<img", "src=", "url(http", "<sizes>"} {
+		if strings.Contains(text, outside) {
+			t.Errorf("the page holds %s", outside)
+		}
+	}
+	if !strings.Contains(text, "pumiceline lab replay x.toml --policy=random") {
+		t.Error("the page does not say how to play a run again that broke a rule")
+	}
+}
+
+func TestLatencyNeedsItsHistogram(t *testing.T) {
+	e, err := experiment.Parse("x.toml", []byte("[world]\nlength = \"3s\""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var results []*experiment.Result
+	if err := e.Run(context.Background(), 1, func(r *experiment.Result) error {
+		results = append(results, r)
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if figures, err := All(results, nil); err != nil || len(figures) != 2+len(e.World.Classes) {
+		t.Errorf("%d figures, %v", len(figures), err)
+	}
+	results[0].Report.Latency["quick-quote"] = "spoilt"
+	if _, err := All(results, nil); err == nil || !strings.Contains(err.Error(), "quick-quote") {
+		t.Errorf("a spoilt histogram gives %v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/destination.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Destination is a destination that answers each request after some work, on a number of cores, and reports its load.
+// Its fields may not change once it serves; what may change has a method.
+type Destination struct {
+	Name  string
+	Cores int    // requests in work at once; others wait
+	Work  func() // done on a core for each request
+
+	once     sync.Once
+	cores    chan struct{}
+	draining atomic.Bool
+	served   atomic.Int64
+	held     atomic.Int64
+	failing  atomic.Int64 // of a thousand requests
+	load     meter
+}
+
+// Sleep is work of about the given mean: between half of it and one and a half.
+func Sleep(mean time.Duration) func() {
+	return func() { time.Sleep(mean/2 + rand.N(mean)) }
+}
+
+// Drain makes the destination turn new requests away, or take them again.
+func (d *Destination) Drain(on bool) { d.draining.Store(on) }
+
+// Fail makes it answer a share of its requests with an error at once.
+func (d *Destination) Fail(share float64) { d.failing.Store(int64(1000 * share)) }
+
+// Served and Held are how many requests it has answered and has now.
+func (d *Destination) Served() int64 { return d.served.Load() }
+func (d *Destination) Held() int64   { return d.held.Load() }
+
+// ServeHTTP answers as the protocol's destinations do: 404 without an id, 503 with X-Unprocessed where it turns away, 500 on
+// an error, else 200 and a body that names what it was asked.
+func (d *Destination) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.once.Do(func() { d.cores = make(chan struct{}, max(1, d.Cores)) })
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 64<<10))
+	if err != nil {
+		http.Error(w, "the request did not come whole", http.StatusBadRequest)
+		return
+	}
+	if r.Header.Get("X-Correlation-Id") == "" {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("X-Backend-Load", d.load.report(max(1, d.Cores)))
+	if d.draining.Load() {
+		w.Header().Set("X-Unprocessed", "1")
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	if rand.Int64N(1000) < d.failing.Load() {
+		d.load.add(0, 1)
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	d.held.Add(1)
+	defer d.held.Add(-1)
+	d.cores <- struct{}{}
+	start := time.Now()
+	d.Work()
+	d.load.add(time.Since(start), 0)
+	<-d.cores
+	fmt.Fprintf(w, "%s answers %s %s with %d bytes of body, its request number %d; the proxy waits %s ms\n", d.Name, r.Method,
+		r.URL.RequestURI(), len(body), d.served.Add(1), r.Header.Get("X-Time-Left-Ms"))
+}
+
+// reportEvery is how often the figures of a load report are renewed.
+const reportEvery = time.Second
+
+// meter counts what a load report tells.
+type meter struct {
+	mu     sync.Mutex
+	since  time.Time
+	busy   time.Duration
+	done   int
+	failed int
+	text   string
+}
+
+func (m *meter) add(busy time.Duration, failed int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.busy += busy
+	m.done++
+	m.failed += failed
+}
+
+// report is the header's text, with figures at most reportEvery old.
+func (m *meter) report(cores int) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.since.IsZero() {
+		m.since = now
+	}
+	if span := now.Sub(m.since); span >= reportEvery {
+		s := span.Seconds()
+		m.text = fmt.Sprintf("TEXT util=%.3f, qps=%.2f, eps=%.2f", min(1, m.busy.Seconds()/s/float64(cores)), float64(m.done)/s,
+			float64(m.failed)/s)
+		m.since, m.busy, m.done, m.failed = now, 0, 0, 0
+	}
+	if m.text == "" {
+		return "TEXT util=0, qps=0, eps=0" // nothing to tell yet
+	}
+	return m.text
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pumiceline/internal/config"
+	"pumiceline/internal/pool"
+)
+
+func entry(host, health string) pool.Entry {
+	return pool.Entry{Host: host, Dial: "127.0.0.1:9", Site: "a", Class: "k", Health: health, Share: 1}
+}
+
+// TestRosterWatch follows a watch: the whole list, then each change once and in order, also those that come between two
+// lines; a watch that takes up at a version hears what came after it, one with a version from elsewhere the whole list.
+func TestRosterWatch(t *testing.T) {
+	r := NewRoster(entry("x", "SERVING"), entry("y", "SERVING"))
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close) // after the watches have ended: it waits for them
+	watch := func(index string) *bufio.Reader {
+		t.Helper()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/v1/endpoints?stream=1&index="+index, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { resp.Body.Close() })
+		return bufio.NewReader(resp.Body)
+	}
+	next := func(b *bufio.Reader) string {
+		t.Helper()
+		for {
+			line, err := b.ReadBytes('\n')
+			if err != nil {
+				t.Fatal(err)
+			}
+			var l list
+			if json.Unmarshal(line, &l) != nil {
+				continue // a heartbeat
+			}
+			words := []string{map[bool]string{true: "whole", false: "delta"}[l.Whole]}
+			for _, h := range l.Hosts {
+				words = append(words, h.Host+":"+h.Health)
+			}
+			return strings.Join(words, " ")
+		}
+	}
+	want := func(b *bufio.Reader, text string) {
+		t.Helper()
+		if got := next(b); got != text {
+			t.Errorf("%q, want %q", got, text)
+		}
+	}
+	first := watch("0")
+	want(first, "whole x:SERVING y:SERVING")
+	r.Put(entry("x", "DRAINING"))
+	want(first, "delta x:DRAINING")
+	r.Put(entry("x", "DELETED"))
+	r.Put(entry("z", "SERVING"))
+	got := next(first)
+	if got != "delta x:DELETED z:SERVING" { // the two may come in one line or in two
+		if got != "delta x:DELETED" {
+			t.Errorf("%q", got)
+		}
+		want(first, "delta z:SERVING")
+	}
+	want(watch("3"), "delta x:DELETED z:SERVING")
+	want(watch("99"), "whole y:SERVING z:SERVING")
+	resp, err := http.Get(server.URL + "/v1/endpoints")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if !strings.Contains(string(text), `"whole":true`) || strings.Contains(string(text), `"x"`) {
+		t.Errorf("list: %s", text)
+	}
+}
+
+func TestDestinationAnswersAsTheProtocolSays(t *testing.T) {
+	d := &Destination{Name: "d", Cores: 1, Work: func() {}}
+	ask := func(id string) *http.Response {
+		req := httptest.NewRequest(http.MethodPost, "/c?q", strings.NewReader("body"))
+		req.Header.Set("X-Correlation-Id", id)
+		w := httptest.NewRecorder()
+		d.ServeHTTP(w, req)
+		return w.Result()
+	}
+	if got := ask("").StatusCode; got != http.StatusNotFound {
+		t.Errorf("no id: %d", got)
+	}
+	resp := ask("1")
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(string(body), "d answers POST /c?q with 4 bytes") ||
+		!strings.HasPrefix(resp.Header.Get("X-Backend-Load"), "TEXT util=") {
+		t.Errorf("%d %s %v", resp.StatusCode, body, resp.Header)
+	}
+	d.Fail(1)
+	if got := ask("2").StatusCode; got != http.StatusInternalServerError {
+		t.Errorf("failing: %d", got)
+	}
+	d.Drain(true)
+	if resp := ask("3"); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("X-Unprocessed") != "1" {
+		t.Errorf("draining: %d %v", resp.StatusCode, resp.Header)
+	}
+	if d.Served() != 1 || d.Held() != 0 {
+		t.Errorf("served %d, holds %d", d.Served(), d.Held())
+	}
+}
+
+func TestClientsCountEachRequestOnce(t *testing.T) {
+	var mu sync.Mutex
+	n := 0
+	status := []int{200, 503, 429, 500, 200}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		w.WriteHeader(status[n%len(status)])
+		n++
+	}))
+	defer server.Close()
+	c := &Clients{Base: server.URL, Rate: 500, Classes: Classes, Tenants: Tenants}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(200*time.Millisecond))
+	defer cancel()
+	c.Run(ctx)
+	got := c.Take()
+	if got.Asked != n || got.Served+got.Refused+got.Failed != n || n < 5 {
+		t.Errorf("%d asked of %d: %+v", got.Asked, n, got)
+	}
+	if want := (n + 4) / 5; got.Served < 2*(n/5) || got.Failed < n/5 || got.Failed > want {
+		t.Errorf("%d asked: %d served, %d refused, %d failed", n, got.Served, got.Refused, got.Failed)
+	}
+	if again := c.Take(); again.Asked != 0 {
+		t.Errorf("taken twice: %+v", again)
+	}
+}
+
+func TestConfigIsOneThatTheProxyTakes(t *testing.T) {
+	text, err := Config("127.0.0.1:1", "127.0.0.1:2", []string{"a", "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse(text, func(string) string { return "" })
+	if err != nil || len(cfg.Module.Classes) != len(Classes) {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"pumiceline/internal/pool"
+	"pumiceline/settings"
+)
+
+// World is a roster and a few destinations on loopback listeners.
+type World struct {
+	Roster       *Roster
+	Destinations []*Destination
+	Entries      []pool.Entry // as the roster listed them first, in the destinations' order
+
+	discovery net.Listener
+	listeners []net.Listener
+}
+
+// NewWorld makes a world whose roster listens at discovery and whose destinations listen at the others, in turn in the sites.
+func NewWorld(discovery net.Listener, destinations []net.Listener, sites []string, work func()) *World {
+	w := &World{Roster: NewRoster(), discovery: discovery, listeners: destinations}
+	for i, ln := range destinations {
+		name := fmt.Sprintf("toy-%d", i+1)
+		e := pool.Entry{Host: name, Dial: ln.Addr().String(), Site: sites[i%len(sites)], Class: "std-8", Block: 1, Health: "SERVING", Share: 1}
+		w.Roster.Put(e)
+		w.Entries = append(w.Entries, e)
+		w.Destinations = append(w.Destinations, &Destination{Name: name, Cores: 8, Work: work})
+	}
+	return w
+}
+
+// Serve serves until ctx ends, or a listener fails.
+func (w *World) Serve(ctx context.Context) error {
+	ended := make(chan error, len(w.listeners)+1)
+	run := func(ln net.Listener, h http.Handler) {
+		server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+		context.AfterFunc(ctx, func() { server.Close() })
+		go func() { ended <- server.Serve(ln) }()
+	}
+	for i, d := range w.Destinations {
+		run(w.listeners[i], d)
+	}
+	run(w.discovery, w.Roster)
+	select {
+	case err := <-ended:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return fmt.Errorf("standin: %w", err)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// Classes and Tenants are those of the configuration that Config writes.
+var (
+	Classes = []Class{{"quick-quote", 0.5, false, 1500 * time.Millisecond}, {"full-quote", 0.3, false, 6 * time.Second},
+		{"issue-policy", 0.2, true, 3 * time.Second}}
+	Tenants = []string{"steppe-tours", "khan-air"}
+)
+
+// Config writes a whole configuration in the platform's form for a proxy of this world.
+func Config(listen, discovery string, sites []string) ([]byte, error) {
+	const us = 1e6
+	s := settings.Settings{RegistryMode: "subscribe", GroupSize: 1, Flavors: []string{"std-8"}, OverShareWorth: 0.1, Round: 5000,
+		Weights: "nominal", WorthBy: "work", Zones: sites}
+	for _, c := range Classes {
+		k := settings.Class{Name: c.Name, Semantics: "pure", Group: "all", Window: 5 * us, OnTime: c.Deadline.Seconds() / 2 * us,
+			HardLimit: c.Deadline.Seconds() * us, Worth: 1}
+		if c.Keyed {
+			k.Semantics, k.Group, k.Window, k.Worth = "token", "zone", 3*us, 5
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	for _, t := range Tenants {
+		s.Projects = append(s.Projects, settings.Project{Name: t, QuotaPerS: 200})
+	}
+	l := &s.Limits
+	l.Cancelling, l.MayDuplicate, l.DialTimeout, l.IdleClose, l.MaxRetryAfter = true, true, 0.25*us, 10*us, 2.5*us
+	l.MostHeld, l.TryLimit = 20000, 3
+	s.LoadInfo.Columns, s.LoadInfo.How = []string{"cpu", "rps", "err_rps"}, "piggyback"
+	s.Prices.CrossZone = 0.03
+	r := &s.Rules
+	r.AnswerSlack, r.AskWithin, r.Cold, r.TipAfter, r.ColdShare, r.TipMultiple = 0.02*us, 10*us, 24*us, us, 0.12, 3
+	return json.Marshal(map[string]any{"name": "try", "listen": listen, "discovery": discovery, "settings": s})
+}
