--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -89,6 +89,9 @@
 	destinationPart = 0.35
 	// memoryPart of the limit is the collector's goal; the rest is for what it does not see.
 	memoryPart = 0.7
+	// collectAt is how far the heap may grow, in hundredths of what is in use, before it is collected. What is in use is a
+	// few MB, so that at Go's usual 100 the collector ran several times a second and took a fifth of a busy proxy's CPU.
+	collectAt = 400
 )
 
 // Run serves until SIGTERM or SIGINT, and reads the configuration again on SIGHUP.
@@ -102,6 +105,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
+	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -17,6 +17,9 @@
 // MostBody is the largest body that an answer or a request may have.
 const MostBody = 64 << 10
 
+// MostAnswer is the largest body of an answer.
+const MostAnswer = 1 << 20
+
 const (
 	mostHead     = 64 << 10 // bytes of an answer's head, interim answers included
 	mostInterim  = 5
@@ -143,7 +146,7 @@
 // read takes one whole answer. What lies beyond the limits, or can't be known to be whole, is an error: a part
 // of an answer must never pass for one.
 func (c *conn) read(req *http.Request) (status int, answer *Answer, reusable bool, err error) {
-	c.limit.N = mostHead + MostBody
+	c.limit.N = mostHead + MostAnswer
 	c.from.scanner = framing.Scanner{}
 	var resp *http.Response
 	interim := int32(0)
@@ -162,19 +165,19 @@
 	if c.from.scanner.Odd == interim+1 {
 		return 0, nil, false, errTwoEnds
 	}
-	if resp.ContentLength > MostBody { // not worth waiting for: it may keep coming for minutes
-		return 0, nil, false, fmt.Errorf("answer of %d bytes is longer than %d", resp.ContentLength, MostBody)
+	if resp.ContentLength > MostAnswer { // not worth waiting for: it may keep coming for minutes
+		return 0, nil, false, fmt.Errorf("answer of %d bytes is longer than %d", resp.ContentLength, MostAnswer)
 	}
 	// A body that only the connection's end delimits looks the same when the destination died half-way.
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return 0, nil, false, errNotWhole
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MostBody+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MostAnswer+1))
 	if err != nil {
 		return 0, nil, false, err
 	}
-	if len(body) > MostBody {
-		return 0, nil, false, fmt.Errorf("answer is longer than %d bytes", MostBody)
+	if len(body) > MostAnswer {
+		return 0, nil, false, fmt.Errorf("answer is longer than %d bytes", MostAnswer)
 	}
 	return resp.StatusCode, &Answer{Header: resp.Header, Body: body}, !resp.Close && c.br.Buffered() == 0, nil
 }
