Front: share sockets with destinations, close idle ones sooner, never cut off a whole request

Changed: the front may use what destinations do not; an eighth in place of a fourth of its part may be idle; a read past its time first takes what has come; a later head has 5 s.

--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -87,6 +87,9 @@
 const (
 	frontPart       = 0.55
 	destinationPart = 0.35
+	// Of destinations' part, front sockets may use what is over this least and over what is in use with some room.
+	destinationLeast = 0.15
+	destinationRoom  = 0.08
 	// memoryPart of the limit is the collector's goal; the rest is for what it does not see.
 	memoryPart = 0.7
 	// collectAt is how far the heap may grow, in hundredths of what is in use, before it is collected. What is in use is a
@@ -133,6 +136,10 @@
 	plan := planner.New(module, planner.Hooks{Subscribe: watcher.Ask, CloseUnused: fleet.CloseUnused}, log)
 	clients := front.New(front.Options{Settings: &cfg.Settings, Ready: watcher.Held, Log: log,
 		MostSockets: int(sockets * frontPart),
+		Sockets: func() int { // what destinations have no use for, less some room for them to grow
+			spare := sockets*(frontPart+destinationPart) - max(sockets*destinationLeast, float64(fleet.Open())+sockets*destinationRoom)
+			return int(max(sockets*frontPart, spare))
+		},
 		Transport: &route.Transport{Planner: plan, Fleet: fleet, MaxRetryAfter: micros(limits.MaxRetryAfter),
 			Log: log}})
 
--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -95,7 +95,8 @@
 		"no end told":         {"HTTP/1.1 200 OK\r\n\r\n42", decide.Failed},
 		"other protocol":      {"HTTP/1.1 101 Switching Protocols\r\n\r\n", decide.Failed},
 		"garbage":             {"\x00\x01\x02 garbage\r\n\r\n", decide.Failed},
-		"too long":            {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), decide.Failed},
+		"too long":            {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", MostAnswer+1) + strings.Repeat("x", MostAnswer+1), decide.Failed},
+		"long":                {"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("x", 400_000), decide.OK},
 		"the longest":         {"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 65536), decide.OK},
 		"endless head":        {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10) + "\r\n\r\n", decide.Failed},
 		"endless interim":     {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 50), decide.Failed},
@@ -361,7 +362,7 @@
 		limit := &io.LimitedReader{R: from}
 		c := &conn{from: from, limit: limit, br: bufio.NewReader(limit)}
 		status, answer, _, err := c.read(post())
-		if (err == nil) != (answer != nil) || err == nil && (status < 200 || len(answer.Body) > MostBody) {
+		if (err == nil) != (answer != nil) || err == nil && (status < 200 || len(answer.Body) > MostAnswer) {
 			t.Errorf("status %d, %v, %v", status, answer, err)
 		}
 		if err == nil && len(answer.Body) > len(text) {
--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -113,6 +113,13 @@
 	f.complained, f.unlogged = time.Now(), 0
 }
 
+// Open is how many connections there are.
+func (f *Fleet) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
 // takes says whether new work may go to d.
 func (f *Fleet) takes(d *dest) bool {
 	f.mu.Lock()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
+	"pumiceline/internal/destination"
 	"pumiceline/internal/framing"
 )
 
@@ -14,16 +18,27 @@
 	net.Conn
 	scanner framing.Scanner
 
-	waiting atomic.Bool  // a Read is under way
+	waiting atomic.Bool // a Read is under way
+	aborted atomic.Bool // net/http has stopped its own read
+
+	stage   atomic.Int32 // of a kept connection, between its requests
 	handled atomic.Int32 // requests that came to the handler
 	coded   atomic.Int32 // the number of the request with a Transfer-Encoding, from 1; 0: none yet
 	both    atomic.Bool  // which has a Content-Length too
 }
 
 // Read notes the heads that pass. net/http reads on one goroutine at a time, which need not be the handler's.
+//
+// A read whose time is up has first to take what has come: a proxy that is short of CPU gets to a request late, and one
+// whose last byte the kernel holds is taken. Closed for being slow, it would be lost.
 func (c *clientConn) Read(b []byte) (int, error) {
 	c.waiting.Store(true)
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load() && !destination.Quiet(c.Conn) {
+		if err = c.Conn.SetReadDeadline(time.Now().Add(graceForRead)); err == nil {
+			n, err = c.Conn.Read(b)
+		}
+	}
 	c.waiting.Store(false)
 	if c.coded.Load() == 0 {
 		c.scanner.Scan(b[:n])
@@ -33,6 +48,33 @@
 	return n, err
 }
 
+// graceForRead is more than enough for a read of what is there already.
+const graceForRead = 50 * time.Millisecond
+
+// SetReadDeadline is net/http's. It sets a moment long past to stop a read of its own, which must not go on then. And it
+// gives each head as long as the first on its connection, where a client is owed an error or a close soon: a later request
+// that is cut off in the middle may be whole by then, and lost, so it gets more.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.aborted.Store(!t.IsZero() && time.Since(t) > time.Hour)
+	switch {
+	case c.aborted.Load() || t.IsZero():
+	case c.stage.CompareAndSwap(idleStage, headStage): // this is the time that it may be idle; the next is the head's
+	case c.stage.Load() == headStage:
+		t = t.Add(laterHeads)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Stages of a kept connection.
+const (
+	busyStage int32 = iota // it has a request, or never had one
+	idleStage
+	headStage // its time for idling is set, so the next that is set is for a further request's head
+)
+
+// laterHeads is how much longer than the first head a later one may take.
+const laterHeads = 3 * time.Second
+
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
@@ -46,6 +88,7 @@
 	if !ok {
 		return false, false
 	}
+	c.stage.Store(busyStage)
 	coded = c.coded.Load() == c.handled.Add(1)
 	return coded, coded && c.both.Load()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,7 +37,8 @@
 	Settings    *settings.Settings
 	Transport   http.RoundTripper
 	Ready       func() bool // whether the proxy can serve
-	MostSockets int
+	MostSockets int         // front sockets that there may be in any case
+	Sockets     func() int  // front sockets that there may be now, MostSockets at least; nil: no more than that
 	Log         *slog.Logger
 }
 
@@ -54,7 +55,7 @@
 
 // New returns a front that does not listen yet.
 func New(opts Options) *Front {
-	f := &Front{opts: opts, reader: newReader(opts.Settings), sockets: newSockets(opts.MostSockets),
+	f := &Front{opts: opts, reader: newReader(opts.Settings), sockets: newSockets(opts.MostSockets, opts.Sockets),
 		ids: newOpenIDs()}
 	complaints := slog.NewLogLogger(opts.Log.Handler(), slog.LevelDebug)
 	f.proxy = &httputil.ReverseProxy{Rewrite: rewrite, Transport: opts.Transport, ErrorLog: complaints,
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,16 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pumiceline/internal/destination"
 	"pumiceline/internal/route"
 	"pumiceline/settings"
 )
@@ -382,7 +385,7 @@
 // Where many sockets stand idle, as clients that ask once leave them, answers close theirs.
 func TestManyIdleSocketsClose(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFront(answer, 20)
+		f := newFront(answer, 40)
 		ln, stop := start(t, f)
 		closed := 0
 		var conns []net.Conn
@@ -413,6 +416,137 @@
 	})
 }
 
+// A later request on a connection may be slow where a first one may not: its client is a usual one, and cut off when its
+// last byte is on the way it would be lost. It must not take for ever either.
+func TestLaterHeadsMayTakeLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFront(answer, 10)
+		ln, stop := start(t, f)
+		c, r := ln.dial()
+		for i := range 3 {
+			io.WriteString(c, quote[:30])
+			if i > 0 {
+				time.Sleep(headWithin + time.Second)
+			}
+			if resp, _, err := request(c, r, quote[30:]); err != nil || resp.StatusCode != 200 {
+				t.Fatalf("request %d: %v, %v", i, resp, err)
+			}
+		}
+		begin := time.Now()
+		io.WriteString(c, quote[:30])
+		if _, err := io.ReadAll(r); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(begin); took != headWithin+laterHeads {
+			t.Errorf("half a later head held its socket for %v", took)
+		}
+		c.Close()
+		<-stop()
+	})
+}
+
+// lateReader is a connection whose reads notice their deadline before what has come, as those of a proxy that is short
+// of CPU do.
+type lateReader struct {
+	net.Conn
+	late bool
+}
+
+func (l *lateReader) Read(b []byte) (int, error) {
+	if l.late {
+		l.late = false
+		return 0, os.ErrDeadlineExceeded
+	}
+	return l.Conn.Read(b)
+}
+
+// What has come is taken even if its time was up before the proxy came to read it. A read that net/http itself has
+// stopped does not go on.
+func TestWhatHasComeIsReadPastItsTime(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := &lateReader{Conn: nc}
+	c := &clientConn{Conn: late}
+	defer c.Close()
+	if _, err := io.WriteString(client, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	for destination.Quiet(nc) { // until it has come
+		time.Sleep(time.Millisecond)
+	}
+	var b [8]byte
+	late.late = true
+	c.SetReadDeadline(time.Unix(1, 0)) // as net/http does to stop its own read
+	if n, err := c.Read(b[:]); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a read that was stopped: %d, %v", n, err)
+	}
+	late.late = true
+	c.SetReadDeadline(time.Now().Add(time.Hour))
+	if n, err := c.Read(b[:]); n != 3 || err != nil {
+		t.Errorf("what has come: %d, %v", n, err)
+	}
+	late.late = true
+	if n, err := c.Read(b[:]); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("nothing has come: %d, %v", n, err)
+	}
+}
+
+// Front sockets may use what destinations have no use for, and no more.
+func TestSocketsMayGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := 3
+		f := New(Options{Settings: site(), Ready: func() bool { return true }, Log: slog.New(slog.DiscardHandler), MostSockets: 2,
+			Sockets: func() int { return now }, Transport: transport(func(r *http.Request) (*http.Response, error) {
+				time.Sleep(time.Second)
+				return answer(r)
+			})})
+		ln, stop := start(t, f)
+		var conns []net.Conn
+		ask := func() bool { // whether it was taken
+			c, r := ln.dial()
+			conns = append(conns, c)
+			io.WriteString(c, strings.Replace(quote, "9b1f", fmt.Sprint("9b1f", len(conns)), 1))
+			taken := make(chan bool, 1)
+			go func() {
+				_, err := r.ReadByte()
+				taken <- err == nil
+			}()
+			time.Sleep(10 * time.Millisecond)
+			select {
+			case ok := <-taken:
+				return ok
+			default:
+				return true
+			}
+		}
+		for i := range 5 {
+			if got, want := ask(), i < 3; got != want {
+				t.Errorf("socket %d: taken %v", i, got)
+			}
+		}
+		now = 4
+		if !ask() || ask() {
+			t.Error("the budget did not grow by one")
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+		<-stop()
+	})
+}
+
 // With no socket to spare a new one is closed, and none of those with a request is.
 func TestNoRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -14,7 +14,8 @@
 
 // sockets keeps count of the front sockets and which of them are idle.
 type sockets struct {
-	most int
+	usual int        // what front sockets may take in any case
+	most  func() int // what they may take now
 
 	mu   sync.Mutex
 	open map[net.Conn]*socket
@@ -26,8 +27,11 @@
 	since time.Time
 }
 
-func newSockets(most int) *sockets {
-	return &sockets{most: most, open: map[net.Conn]*socket{}}
+func newSockets(usual int, most func() int) *sockets {
+	if most == nil {
+		most = func() int { return usual }
+	}
+	return &sockets{usual: usual, most: most, open: map[net.Conn]*socket{}}
 }
 
 func (s *sockets) count() int {
@@ -55,7 +59,7 @@
 			}
 		case err != nil:
 			return nil, err
-		case l.sockets.count() < l.sockets.most || l.sockets.makeRoom():
+		case l.sockets.count() < l.sockets.most() || l.sockets.makeRoom():
 			return &clientConn{Conn: nc}, nil
 		default: // nothing of it has been read, so its client may send again what it has sent
 			nc.Close()
@@ -68,6 +72,9 @@
 
 // changed is told of each change of a connection's state.
 func (s *sockets) changed(c net.Conn, state http.ConnState) {
+	if cc, ok := c.(*clientConn); ok && state == http.StateIdle {
+		cc.stage.Store(idleStage)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drop(c)
@@ -92,12 +99,12 @@
 func (s *sockets) manyIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.idle > max(idleLeast, s.most/idlePart)
+	return s.idle > max(idleLeast, s.usual/idlePart)
 }
 
 // idlePart is the part of the budget that idle sockets may take. Usual clients use theirs again and need few.
 const (
-	idlePart  = 4
+	idlePart  = 8
 	idleLeast = 4
 )
 
