Front: mend the tests of late reads and of a growing socket budget

The two tests of the last change were wrong, not the code: a wrapped connection hid its descriptor, and requests shared an id. Cause: they were committed before they were run to the end. Measured: package front passes five times in a row.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -448,7 +448,7 @@
 // lateReader is a connection whose reads notice their deadline before what has come, as those of a proxy that is short
 // of CPU do.
 type lateReader struct {
-	net.Conn
+	*net.TCPConn
 	late bool
 }
 
@@ -457,7 +457,7 @@
 		l.late = false
 		return 0, os.ErrDeadlineExceeded
 	}
-	return l.Conn.Read(b)
+	return l.TCPConn.Read(b)
 }
 
 // What has come is taken even if its time was up before the proxy came to read it. A read that net/http itself has
@@ -477,7 +477,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	late := &lateReader{Conn: nc}
+	late := &lateReader{TCPConn: nc.(*net.TCPConn)}
 	c := &clientConn{Conn: late}
 	defer c.Close()
 	if _, err := io.WriteString(client, "GET"); err != nil {
@@ -517,7 +517,7 @@
 		ask := func() bool { // whether it was taken
 			c, r := ln.dial()
 			conns = append(conns, c)
-			io.WriteString(c, strings.Replace(quote, "9b1f", fmt.Sprint("9b1f", len(conns)), 1))
+			io.WriteString(c, strings.Replace(quote, "Id: 1", fmt.Sprint("Id: 1", len(conns)), 1))
 			taken := make(chan bool, 1)
 			go func() {
 				_, err := r.ReadByte()
