The door's first stage: fair queues by tenant, class and client, an adaptive limit, kept promises

When one tenant floods, the other's quotes must not wait behind it. internal/door is a pure decider (nested start-time fair queueing, hashed client queues, gradient limit, what cannot be in time refused at once, a ledger of promised times to come back); front.Gate runs it; operator files move to internal/tomlfile and internal/operator; the laboratory has policies door and door-silent.

--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -25,6 +25,7 @@
 	"pumiceline/internal/config"
 	"pumiceline/internal/destination"
 	"pumiceline/internal/front"
+	"pumiceline/internal/operator"
 	"pumiceline/internal/planner"
 	"pumiceline/internal/pool"
 	"pumiceline/internal/route"
@@ -79,6 +80,7 @@
 
 type serveCmd struct {
 	Config string     `help:"Configuration file, in place of the one that ROUTER_CONFIG names." type:"path"`
+	Door   string     `help:"Fair queues at the door, set by this file (deploy/door.toml); none if it is not given." type:"path"`
 	Level  slog.Level `help:"Least level of the log lines that are written." default:"INFO"`
 }
 
@@ -113,17 +115,33 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	reload := func() (*config.Config, error) { return config.Reload(s.Config, os.Getenv) }
-	return serve(stop, cfg, hangups, reload, log.With("proxy", cfg.Name))
+	return serve(stop, cfg, parts{hangups: hangups, reload: reload, door: s.Door}, log.With("proxy", cfg.Name))
+}
+
+// parts are what serve is given besides the configuration. Each may be absent.
+type parts struct {
+	hangups <-chan os.Signal               // at each of them reload is called
+	reload  func() (*config.Config, error) // reads the configuration again
+	door    string                         // the door's file
 }
 
 // serve puts the parts together and runs them until stop ends and all that was taken is answered. At each hangup it
-// takes over what reload brings.
-func serve(stop context.Context, cfg *config.Config, hangups <-chan os.Signal,
-	reload func() (*config.Config, error), log *slog.Logger) error {
+// takes over what reload brings and what the operators' files say then.
+func serve(stop context.Context, cfg *config.Config, with parts, log *slog.Logger) error {
 	module, err := decide.New(cfg.Module, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("config: settings: %w", err)
 	}
+	var gate *front.Gate
+	if with.door != "" {
+		set, err := operator.Door(with.door, &cfg.Settings, cfg.Seed)
+		if err != nil {
+			return err
+		}
+		if gate, err = front.NewGate(set, log); err != nil {
+			return err
+		}
+	}
 	limits := &cfg.Settings.Limits
 	sockets := float64(cfg.Limits.Sockets)
 	fleetOptions := destination.Options{DialWithin: micros(limits.DialTimeout), IdleClose: micros(limits.IdleClose),
@@ -134,7 +152,7 @@
 	fleet := destination.NewFleet(fleetOptions, log)
 	watcher := pool.NewWatcher(cfg.Discovery, pool.NewTable(cfg.Settings.Zones, cfg.Settings.Flavors), fleet, log)
 	plan := planner.New(module, planner.Hooks{Subscribe: watcher.Ask, CloseUnused: fleet.CloseUnused}, log)
-	clients := front.New(front.Options{Settings: &cfg.Settings, Ready: watcher.Held, Log: log,
+	clients := front.New(front.Options{Settings: &cfg.Settings, Ready: watcher.Held, Log: log, Gate: gate,
 		MostSockets: int(sockets * frontPart),
 		Sockets: func() int { // what destinations have no use for, less some room for them to grow
 			spare := sockets*(frontPart+destinationPart) - max(sockets*destinationLeast, float64(fleet.Open())+sockets*destinationRoom)
@@ -154,14 +172,28 @@
 	var background sync.WaitGroup
 	background.Go(func() { plan.Run(running) })
 	background.Go(func() { watcher.Run(running) })
+	if gate != nil {
+		background.Go(func() { gate.Run(running) })
+	}
 	background.Go(func() {
 		for {
 			select {
 			case <-running.Done():
 				return
-			case <-hangups:
+			case <-with.hangups:
+			}
+			if gate != nil { // as one whole or not at all, like the configuration, and apart from it
+				set, err := operator.Door(with.door, &cfg.Settings, cfg.Seed)
+				if err == nil {
+					err = gate.Change(set)
+				}
+				if err != nil {
+					log.Error("the door's new file is not usable; the old one stays", "error", err)
+				} else {
+					log.Info("the door's file read again", "file", with.door)
+				}
 			}
-			next, err := reload()
+			next, err := with.reload()
 			if err != nil { // a half-written or wrong file must not stop a proxy that serves
 				log.Error("the new configuration is not usable; the old one stays", "error", err)
 				continue
--- a/cmd/pumiceline/main_test.go
+++ b/cmd/pumiceline/main_test.go
@@ -62,7 +62,9 @@
 
 	stop, tellStop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(stop, cfg, nil, nil, slog.New(slog.DiscardHandler)) }()
+	go func() {
+		ended <- serve(stop, cfg, parts{door: "../../deploy/door.toml"}, slog.New(slog.DiscardHandler))
+	}()
 	base := "http://" + cfg.Listen
 	until(t, "ready", func() bool {
 		resp, err := http.Get(base + "/ready")
@@ -139,7 +141,9 @@
 	stop, tellStop := context.WithCancel(context.Background())
 	ended, hangups := make(chan error, 1), make(chan os.Signal)
 	reload := func() (*config.Config, error) { return config.Reload(path, env) }
-	go func() { ended <- serve(stop, cfg, hangups, reload, slog.New(slog.DiscardHandler)) }()
+	go func() {
+		ended <- serve(stop, cfg, parts{hangups: hangups, reload: reload}, slog.New(slog.DiscardHandler))
+	}()
 	if got := <-watched; got != "first 0" {
 		t.Errorf("watched: %s", got)
 	}
--- a/cmd/pumiceline/try.go
+++ b/cmd/pumiceline/try.go
@@ -71,7 +71,7 @@
 	proxyDone := make(chan struct{})
 	running.Go(func() {
 		defer close(proxyDone)
-		if err := serve(proxyCtx, cfg, nil, nil, log); err != nil {
+		if err := serve(proxyCtx, cfg, parts{}, log); err != nil {
 			failed <- err
 		}
 	})
--- a/decide/api.go
+++ b/decide/api.go
@@ -166,6 +166,7 @@
 	Kind     EventKind
 	Outcome  Outcome
 	Final    bool // the request is over
+	Repeat   bool // on Arrival: the client says that it asked before; what stands before the module may heed it
 	Attempt  uint8
 	Class    uint8
 	Tenant   uint32
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,6 +39,7 @@
 	Ready       func() bool // whether the proxy can serve
 	MostSockets int         // front sockets that there may be in any case
 	Sockets     func() int  // front sockets that there may be now, MostSockets at least; nil: no more than that
+	Gate        *Gate       // nil: whoever has come in goes on at once
 	Log         *slog.Logger
 }
 
@@ -147,6 +148,14 @@
 	}
 	ctx, cancel := context.WithDeadline(route.WithInbound(r.Context(), in), deadline)
 	defer cancel()
+	if f.opts.Gate != nil {
+		leave, refused := f.opts.Gate.enter(ctx, r, in, deadline)
+		if leave == nil {
+			busy(w, refused)
+			return
+		}
+		defer func() { leave(in.Served) }()
+	}
 	f.proxy.ServeHTTP(w, r.WithContext(ctx))
 }
 
--- /dev/null
+++ b/internal/front/gate_test.go
@@ -0,0 +1,204 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceline/internal/door"
+)
+
+// gated is a front behind a door that lets four in at once, before a transport that takes 100 ms.
+func gated(t *testing.T, change func(s *door.Settings)) (*Front, *Gate) {
+	t.Helper()
+	s := door.Defaults()
+	s.Tenants = []door.Tenant{{Name: "acme", Share: 1}, {Name: "zenith", Share: 1}}
+	s.Classes = []door.Class{{Name: "quote", Worth: 1, Work: 100_000}, {Name: "issue", Worth: 5, Work: 100_000}}
+	s.Least, s.Start, s.Most = 4, 4, 4
+	if change != nil {
+		change(&s)
+	}
+	g, err := NewGate(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := New(Options{Settings: site(), Ready: func() bool { return true }, MostSockets: 10_000, Gate: g, Log: slog.New(slog.DiscardHandler),
+		Transport: transport(func(r *http.Request) (*http.Response, error) {
+			select { // as a route does
+			case <-time.After(100 * time.Millisecond):
+				return answer(r)
+			case <-r.Context().Done():
+				return &http.Response{StatusCode: http.StatusGatewayTimeout, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
+			}
+		})})
+	return f, g
+}
+
+func quoteOf(id int, tenant string, leftMs int) string {
+	text := strings.Replace(quote, "Id: 1", fmt.Sprint("Id: ", id), 1)
+	text = strings.Replace(text, "X-Account: acme", "X-Account: "+tenant, 1)
+	return strings.Replace(text, "Left-Ms: 400", fmt.Sprint("Left-Ms: ", leftMs), 1)
+}
+
+// TestAFloodCostsTheOtherTenantNothing sends twenty times what goes through from one tenant and little from another: the
+// other's times must be within 1.5 of those that it has alone, and all of it must be served.
+func TestAFloodCostsTheOtherTenantNothing(t *testing.T) {
+	times := func(flood bool) (took []time.Duration, refused int) {
+		late := 0
+		synctest.Test(t, func(t *testing.T) {
+			f, g := gated(t, nil)
+			ln, stop := start(t, f)
+			running, end := context.WithCancel(context.Background())
+			var all sync.WaitGroup
+			all.Go(func() { g.Run(running) })
+			var mu sync.Mutex
+			ask := func(id int, tenant string) {
+				all.Go(func() {
+					c, r := ln.dial()
+					defer c.Close()
+					begin := time.Now()
+					resp, _, err := request(c, r, quoteOf(id, tenant, 1400))
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case err != nil:
+						t.Errorf("%s: %v", tenant, err)
+					case tenant == "zenith" && resp.StatusCode == http.StatusOK:
+						took = append(took, time.Since(begin))
+					case tenant == "zenith":
+						refused++
+					case resp.StatusCode == http.StatusGatewayTimeout:
+						late++ // let in on what is usual, and took longer
+					case resp.StatusCode != http.StatusOK:
+						said := resp.Header.Get("Retry-After")
+						after, err := strconv.ParseFloat(said, 64)
+						if resp.StatusCode != http.StatusServiceUnavailable || said != "" && (err != nil || after <= 0 || after > 2.5) {
+							t.Errorf("refused with %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+						}
+					}
+				})
+			}
+			id := 0
+			for step := range 500 { // 10 ms each
+				for k := 0; flood && k < 8; k++ {
+					id++
+					ask(id, "acme")
+				}
+				if step%10 == 5 { // a fourth of what goes through, half of its share
+					id++
+					ask(id, "zenith")
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(3 * time.Second)
+			end()
+			all.Wait()
+			<-stop()
+			if late > id/100 {
+				t.Errorf("%d of %d requests were let in too late", late, id)
+			}
+		})
+		return took, refused
+	}
+	p99 := func(d []time.Duration) time.Duration { slices.Sort(d); return d[len(d)*99/100] }
+	alone, _ := times(false)
+	beside, refused := times(true)
+	if a, b := p99(alone), p99(beside); b > a*3/2 || refused > 0 || len(beside) != len(alone) {
+		t.Errorf("alone %v, beside a flood %v; %d of %d served, %d refused", a, b, len(beside), len(alone), refused)
+	}
+}
+
+// TestTheGateLosesNobody has clients leave while they wait, changes the settings while the queue is full and stops the
+// front: each client that stays gets one whole answer, and the door is empty at the end.
+func TestTheGateLosesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, g := gated(t, func(s *door.Settings) { s.Waiting = 40 })
+		ln, stop := start(t, f)
+		running, end := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		all.Go(func() { g.Run(running) })
+		var mu sync.Mutex
+		status := map[int]int{}
+		for id := range 100 {
+			c, r := ln.dial()
+			if id%7 == 3 { // leaves
+				io.WriteString(c, quoteOf(id, "acme", 1400))
+				time.AfterFunc(50*time.Millisecond, func() { c.Close() })
+				continue
+			}
+			all.Go(func() {
+				defer c.Close()
+				resp, _, err := request(c, r, quoteOf(id, []string{"acme", "zenith"}[id%2], 1400))
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					t.Errorf("request %d: %v", id, err)
+					return
+				}
+				status[resp.StatusCode]++
+			})
+		}
+		time.Sleep(120 * time.Millisecond)
+		less := door.Defaults()
+		less.Tenants, less.Classes = []door.Tenant{{Name: "zenith", Share: 1}, {Name: "acme", Share: 0}}, []door.Class{{Name: "quote", Worth: 1, Work: 100_000}}
+		less.Least, less.Start, less.Most, less.Waiting = 2, 2, 2, 10
+		bad := less
+		bad.Buckets = 0
+		if err := g.Change(bad); err == nil || !strings.Contains(err.Error(), "buckets") {
+			t.Errorf("a wrong file passes: %v", err)
+		}
+		if err := g.Change(less); err != nil {
+			t.Error(err)
+		}
+		stopped := stop()
+		time.Sleep(3 * time.Second)
+		<-stopped
+		end()
+		all.Wait()
+		if n := status[200] + status[503]; n != 100-14 || status[200] < 10 || status[503] < 20 {
+			t.Errorf("answers: %v", status)
+		}
+		if _, inside, waits := g.door.State(); inside != 0 || waits != 0 || len(g.waiting) != 0 {
+			t.Errorf("%d inside, %d wait, %d are waited for", inside, waits, len(g.waiting))
+		}
+	})
+}
+
+// TestWaitingClientsAreToldInTime: one whose turn does not come is refused while it is still there.
+func TestWaitingClientsAreToldInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, g := gated(t, func(s *door.Settings) { s.Least, s.Start, s.Most = 1, 1, 1 })
+		ln, stop := start(t, f)
+		running, end := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		all.Go(func() { g.Run(running) })
+		var conns []net.Conn
+		for id := range 6 {
+			c, r := ln.dial()
+			conns = append(conns, c)
+			all.Go(func() {
+				begin := time.Now()
+				resp, _, err := request(c, r, quoteOf(id, "acme", 250))
+				if took := time.Since(begin); err != nil || took > 260*time.Millisecond {
+					t.Errorf("answered after %v: %v, %v", took, resp, err)
+				}
+			})
+		}
+		all.Go(func() { time.Sleep(time.Second); end() })
+		all.Wait()
+		for _, c := range conns {
+			c.Close()
+		}
+		<-stop()
+	})
+}
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -23,6 +23,7 @@
 	timeLeftHeader = "X-Time-Left-Ms"
 	hintHeader     = "X-Weight-Hint"
 	keyHeader      = "Idempotency-Key"
+	repeatHeader   = "X-Repeat"
 )
 
 // mostHint is the largest guess at the work that is believed: an hour.
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"pumiceline/internal/lab/model"
+	"pumiceline/internal/tomlfile"
 )
 
 // small is an experiment that plays in a blink.
@@ -45,7 +46,7 @@
 	} {
 		text := strings.Replace(small, c.old, c.new, 1)
 		_, err := Parse("x.toml", []byte(text))
-		var fault *Error
+		var fault *tomlfile.Error
 		if err == nil || !errors.As(err, &fault) || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: %v, want %q", c.name, err, c.want)
 		}
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -2,7 +2,6 @@
 package experiment
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -13,11 +12,12 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
 
 	"pumiceline/decide"
 	"pumiceline/internal/lab/baseline"
+	"pumiceline/internal/lab/doored"
 	"pumiceline/internal/lab/model"
+	"pumiceline/internal/tomlfile"
 )
 
 // Experiment is a file: a world, the policies and seeds to play it with, and what to vary.
@@ -32,7 +32,7 @@
 
 	File    string    `toml:"-"`
 	Changed []Setting `toml:"-"` // what the command line changed, for replays
-	keys    lines
+	keys    *tomlfile.Keys
 }
 
 // Sweep is an axis: a key of the experiment and the values that it takes. The keys of With change along with it. Several
@@ -45,37 +45,20 @@
 	Label  string           `toml:"label"` // of the axis; empty: the key
 }
 
-// Error is a fault of an experiment's file, with its place. Line is 0 where the key is not in the file.
-type Error struct {
-	File string
-	Line int
-	Key  string
-	Why  string
-}
-
-func (e *Error) Error() string {
-	at := e.File
-	if e.Line > 0 {
-		at += ":" + strconv.Itoa(e.Line)
-	}
-	if e.Key != "" {
-		at += ": " + e.Key
-	}
-	return at + ": " + e.Why
-}
-
 // Policies are the names that an experiment may use, with their makers. "decide" is the product's own module.
 func Policies() map[string]model.Maker {
 	makers := map[string]model.Maker{"decide": func(set decide.Settings, seed uint64, _ *model.Truth) (model.Node, error) {
 		return decide.New(set, seed)
 	}}
+	makers["door"] = doored.Maker(makers["decide"], true)         // the module behind the door
+	makers["door-silent"] = doored.Maker(makers["decide"], false) // which names no time to come back
 	for _, name := range []string{baseline.Random, baseline.RoundRobin, baseline.TwoChoices, baseline.Least, baseline.Truth} {
 		makers[name] = baseline.Maker(name)
 	}
 	return makers
 }
 
-// Load reads and checks an experiment. Faults are *Error.
+// Load reads and checks an experiment. Faults are *tomlfile.Error.
 func Load(path string) (*Experiment, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -88,41 +71,26 @@
 func Parse(path string, text []byte) (*Experiment, error) {
 	e := &Experiment{File: path, Policies: []string{"decide"}, Seeds: []uint64{1}, World: model.Quotes()}
 	e.Name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
-	e.keys = index(text)
+	e.keys = tomlfile.Index(text)
 	// A list that is written stands in place of the usual one, not on top of it.
 	for key, forget := range map[string]func(){"world.kinds": func() { e.World.Kinds = nil }, "world.classes": func() { e.World.Classes = nil },
 		"world.tenants": func() { e.World.Tenants = nil }, "policies": func() { e.Policies = nil }, "seeds": func() { e.Seeds = nil }} {
-		if e.keys.has(key) {
+		if e.keys.Has(key) {
 			forget()
 		}
 	}
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(e); err != nil {
-		return nil, decodeError(path, err)
+	if err := tomlfile.Decode(path, text, e); err != nil {
+		return nil, err
 	}
 	return e, e.check()
 }
 
-func decodeError(path string, err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		line, _ := strict.Errors[0].Position()
-		return &Error{path, line, strings.Join(strict.Errors[0].Key(), "."), "there is no such key"}
-	}
-	var wrong *toml.DecodeError
-	if errors.As(err, &wrong) {
-		line, _ := wrong.Position()
-		return &Error{path, line, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")}
-	}
-	return &Error{File: path, Why: err.Error()}
-}
-
 func (e *Experiment) fault(key, why string, args ...any) error {
-	return &Error{e.File, e.keys.line(key), key, fmt.Sprintf(why, args...)}
+	return &tomlfile.Error{File: e.File, Line: e.keys.Line(key), Key: key, Why: fmt.Sprintf(why, args...)}
 }
 
 func (e *Experiment) check() error {
-	for _, key := range e.keys.numbers { // a time without its unit would be taken for microseconds
+	for _, key := range e.keys.Numbers { // a time without its unit would be taken for microseconds
 		if rest, ok := strings.CutPrefix(key, "world."); ok {
 			if v, err := resolve(&e.World, rest); err == nil && v.Type() == reflect.TypeFor[model.Span]() {
 				return e.fault(key, "is a time and has no unit: write it as \"250ms\"")
@@ -352,83 +320,3 @@
 	}
 	return Setting{strings.TrimSpace(key), doc.V}, nil
 }
-
-// lines are the keys of a file with the lines on which they stand. numbers are those whose values are bare numbers.
-type lines struct {
-	at      map[string]int
-	numbers []string
-}
-
-func (l lines) has(key string) bool {
-	for k := range l.at {
-		if k == key || strings.HasPrefix(k, key+".") {
-			return true
-		}
-	}
-	return false
-}
-
-// line is that of a key, or of the nearest one round it that is in the file; 0: none is.
-func (l lines) line(key string) int {
-	for key != "" {
-		if n := l.at[key]; n > 0 {
-			return n
-		}
-		key = key[:max(0, strings.LastIndexByte(key, '.'))]
-	}
-	return 0
-}
-
-// index finds where the keys of a file stand. A text that is no TOML gives what comes before the fault.
-func index(text []byte) lines {
-	found, counts, prefix := lines{at: map[string]int{}}, map[string]int{}, ""
-	var p unstable.Parser
-	p.Reset(text)
-	for p.NextExpression() {
-		e := p.Expression()
-		key, line := keyOf(&p, e)
-		switch e.Kind {
-		case unstable.Table:
-			prefix = key + "."
-			found.at[key] = line
-		case unstable.ArrayTable:
-			prefix = fmt.Sprintf("%s.%d.", key, counts[key])
-			counts[key]++
-			found.at[strings.TrimSuffix(prefix, ".")] = line
-		case unstable.KeyValue:
-			found.add(&p, prefix+key, line, e.Value())
-		}
-	}
-	return found
-}
-
-func keyOf(p *unstable.Parser, e *unstable.Node) (key string, line int) {
-	var parts []string
-	for it := e.Key(); it.Next(); {
-		n := it.Node()
-		parts = append(parts, string(n.Data))
-		if line == 0 {
-			line = p.Shape(n.Raw).Start.Line
-		}
-	}
-	return strings.Join(parts, "."), line
-}
-
-// add notes a key and those inside its value.
-func (l *lines) add(p *unstable.Parser, key string, line int, v *unstable.Node) {
-	l.at[key] = line
-	switch v.Kind {
-	case unstable.Integer, unstable.Float:
-		l.numbers = append(l.numbers, key)
-	case unstable.Array:
-		n := 0
-		for it := v.Children(); it.Next(); n++ {
-			l.add(p, fmt.Sprintf("%s.%d", key, n), line, it.Node())
-		}
-	case unstable.InlineTable:
-		for it := v.Children(); it.Next(); {
-			inner, at := keyOf(p, it.Node())
-			l.add(p, key+"."+inner, at, it.Node().Value())
-		}
-	}
-}
--- a/internal/lab/model/config.go
+++ b/internal/lab/model/config.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"pumiceline/decide"
-	"pumiceline/internal/lab/span"
+	"pumiceline/internal/span"
 )
 
 // Time is a moment or a span in microseconds, as in package decide.
@@ -97,6 +97,7 @@
 	Retries    int     `toml:"retries" json:"retries"`
 	Patience   float64 `toml:"patience" json:"patience"` // share of the class's deadline that one try may take
 	Backoff    Span    `toml:"backoff" json:"backoff"`   // before a further try; 0: at once
+	Marks      bool    `toml:"marks" json:"marks"`       // they say of a repeat that it is one
 	Heed       float64 `toml:"heed" json:"heed"`         // share that waits as long as Retry-After says
 	MostHeeded Span    `toml:"most_heeded" json:"most_heeded"`
 	Hasty      float64 `toml:"hasty" json:"hasty"`           // share that leaves at the aim and asks again
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -600,7 +600,7 @@
 	r.see(Record{Kind: Taken, Proxy: j.proxy, ID: id, Call: c.no, Class: c.class, Span: patience})
 	r.at(j.deadline+Time(r.w.Told.AnswerSlack)+1, event{kind: evOverdue, a: m, id: id})
 	r.ev = decide.Event{Kind: decide.Arrival, ID: id, Class: c.class, Tenant: uint32(c.tenant), Key: c.key, Work: c.hint,
-		Patience: patience}
+		Patience: patience, Repeat: r.w.Clients.Marks && c.tries > 1}
 	r.give(j.proxy)
 }
 
--- /dev/null
+++ b/internal/operator/door.go
@@ -0,0 +1,122 @@
+// Package operator reads the operators' own files under deploy/: strict TOML, each fault told with file, line and key. What
+// the platform tells a proxy is read by package config alone.
+package operator
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"pumiceline/internal/door"
+	"pumiceline/internal/span"
+	"pumiceline/internal/tomlfile"
+	"pumiceline/settings"
+)
+
+// doorFile is deploy/door.toml.
+type doorFile struct {
+	Waiting     int                  `toml:"waiting"`
+	Buckets     int                  `toml:"buckets"`
+	Least       float64              `toml:"least"`
+	Most        float64              `toml:"most"`
+	Start       float64              `toml:"start"`
+	Patience    float64              `toml:"patience"`
+	Repeats     float64              `toml:"repeats"`
+	RepeatBurst float64              `toml:"repeat_burst"`
+	MaxComeBack span.Span            `toml:"max_come_back"`
+	Rotate      span.Span            `toml:"rotate"`
+	Shares      map[string]float64   `toml:"shares"`
+	Worth       map[string]float64   `toml:"worth"`
+	Work        map[string]span.Span `toml:"work"`
+}
+
+// usualWork is what a request is taken to cost where neither its client nor the file says.
+const usualWork = 100_000
+
+// Door reads the door's file for a deployment. Tenants have their quota for a share where the file names none, classes the
+// worth that the deployment's settings give them. Faults are *tomlfile.Error.
+func Door(path string, s *settings.Settings, seed uint64) (door.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return door.Settings{}, fmt.Errorf("door: %w", err)
+	}
+	return parseDoor(path, text, s, seed)
+}
+
+func parseDoor(path string, text []byte, s *settings.Settings, seed uint64) (door.Settings, error) {
+	set := door.Defaults()
+	f := doorFile{Waiting: set.Waiting, Buckets: set.Buckets, Least: set.Least, Most: set.Most, Start: set.Start, Patience: set.Patience,
+		Repeats: set.Repeats, RepeatBurst: set.RepeatBurst, MaxComeBack: span.Span(set.MaxComeBack), Rotate: span.Span(set.RotateSalt)}
+	if err := tomlfile.Decode(path, text, &f); err != nil {
+		return set, err
+	}
+	keys := tomlfile.Index(text)
+	fault := func(key, why string) error {
+		return &tomlfile.Error{File: path, Line: keys.Line(key), Key: key, Why: why}
+	}
+	for _, key := range keys.Numbers {
+		if key == "max_come_back" || key == "rotate" || strings.HasPrefix(key, "work.") {
+			return set, fault(key, "is a time and has no unit: write it as \"250ms\"")
+		}
+	}
+	set.Waiting, set.Buckets, set.Least, set.Most, set.Start, set.Patience = f.Waiting, f.Buckets, f.Least, f.Most, f.Start, f.Patience
+	set.Repeats, set.RepeatBurst, set.MaxComeBack, set.RotateSalt = f.Repeats, f.RepeatBurst, door.Time(f.MaxComeBack), door.Time(f.Rotate)
+	set.Seed = seed
+	set.OverShare = s.OverShareWorth
+	tenants, classes := map[string]bool{}, map[string]bool{}
+	for _, p := range s.Projects {
+		tenants[p.Name] = true
+		share, told := f.Shares[p.Name]
+		if !told {
+			share = p.QuotaPerS
+		}
+		set.Tenants = append(set.Tenants, door.Tenant{Name: p.Name, Share: share, Rate: p.QuotaPerS / float64(max(1, s.GroupSize))})
+	}
+	if len(set.Tenants) == 0 { // a deployment without tenants is one tenant to the door
+		set.Tenants = []door.Tenant{{Name: "", Share: 1}}
+	}
+	for _, c := range s.Classes {
+		classes[c.Name] = true
+		k := door.Class{Name: c.Name, Worth: c.Worth, Work: usualWork, Aim: settings.Micros(c.OnTime)}
+		if w, told := f.Worth[c.Name]; told {
+			k.Worth = w
+		}
+		if w, told := f.Work[c.Name]; told {
+			k.Work = door.Time(w)
+		}
+		set.Classes = append(set.Classes, k)
+	}
+	for _, list := range []struct {
+		key   string
+		names []string
+		known map[string]bool
+		what  string
+	}{{"shares", slices.Sorted(maps.Keys(f.Shares)), tenants, "tenant"}, {"worth", slices.Sorted(maps.Keys(f.Worth)), classes, "class"},
+		{"work", slices.Sorted(maps.Keys(f.Work)), classes, "class"}} {
+		for _, name := range list.names {
+			if !list.known[name] {
+				return set, fault(list.key+"."+name, "the deployment has no such "+list.what)
+			}
+		}
+	}
+	if key, why := set.Check(); key != "" {
+		// A tenant's or class's setting stands in the file under its name.
+		if parts := strings.Split(key, "."); len(parts) == 3 {
+			at, err := strconv.Atoi(parts[1])
+			if err != nil {
+				return set, fault(key, why)
+			}
+			switch parts[2] {
+			case "share":
+				key = "shares." + set.Tenants[at].Name
+			default: // worth or work
+				key = parts[2] + "." + set.Classes[at].Name
+			}
+		}
+		return set, fault(key, why)
+	}
+	return set, nil
+}
--- /dev/null
+++ b/internal/operator/door_test.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"pumiceline/internal/tomlfile"
+	"pumiceline/settings"
+)
+
+func deployment() *settings.Settings {
+	return &settings.Settings{Projects: []settings.Project{{Name: "steppe-tours", QuotaPerS: 254}, {Name: "khan-air", QuotaPerS: 76}},
+		Classes: []settings.Class{{Name: "quick-quote", Worth: 3}, {Name: "issue-policy", Worth: 5}}}
+}
+
+func TestDoorFile(t *testing.T) {
+	// The file that stands under deploy/ says what is so without it.
+	text, err := os.ReadFile("../../deploy/door.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	written, err := parseDoor("door.toml", text, deployment(), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	empty, err := parseDoor("door.toml", nil, deployment(), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if written.Waiting != empty.Waiting || written.MaxComeBack != empty.MaxComeBack || written.Tenants[1] != empty.Tenants[1] ||
+		written.Classes[1] != empty.Classes[1] || written.RotateSalt != empty.RotateSalt || written.Patience != empty.Patience {
+		t.Errorf("deploy/door.toml says %+v, without it %+v", written, empty)
+	}
+	if empty.Tenants[0].Share != 254 || empty.Classes[1].Worth != 5 {
+		t.Errorf("the deployment's shares and worth: %+v", empty)
+	}
+	set, err := parseDoor("door.toml", []byte("[shares]\nkhan-air = 300.0\n[work]\nissue-policy = \"130ms\"\n[worth]\nquick-quote = 0.0"), deployment(), 7)
+	if err != nil || set.Tenants[1].Share != 300 || set.Classes[1].Work != 130_000 || set.Classes[0].Worth != 0 || set.Classes[0].Work != usualWork {
+		t.Errorf("%+v, %v", set, err)
+	}
+}
+
+func TestDoorFileFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"waiting = 0":                     "d.toml:1: waiting: 0 is not within",
+		"\nwating = 3":                    "d.toml:2: wating: there is no such key",
+		"rotate = 10":                     "d.toml:1: rotate: is a time and has no unit",
+		"[work]\nquick-quote = 100":       "d.toml:2: work.quick-quote: is a time and has no unit",
+		"[work]\nquick-quote = \"0s\"":    "d.toml:2: work.quick-quote: it is not within",
+		"[shares]\nkhan-air = -1.0":       "d.toml:2: shares.khan-air: -1 is no share",
+		"[shares]\n\nkhan = 1.0":          "d.toml:3: shares.khan: the deployment has no such tenant",
+		"[worth]\nissue-policy = nan":     "d.toml:2: worth.issue-policy: NaN is no worth",
+		"least = 10.0\nmost = 5.0":        "d.toml:2: most: 5 is under least",
+		"max_come_back = \"1 fortnight\"": "d.toml:1: max_come_back",
+		"waiting = 3\nwaiting = 4":        "d.toml",
+	} {
+		_, err := parseDoor("d.toml", []byte(text), deployment(), 1)
+		var fault *tomlfile.Error
+		if !errors.As(err, &fault) || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	if _, err := Door("none.toml", deployment(), 1); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a missing file: %v", err)
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -25,6 +25,7 @@
 	Tenant uint32
 	Work   decide.Time
 	Body   []byte
+	Served bool // set by RoundTrip when a destination has answered
 }
 
 type inboundKey struct{}
@@ -85,6 +86,7 @@
 				return plain(req, http.StatusBadGateway, "no destination could answer\n"), nil
 			}
 		case answer := <-life.answers: // an answer
+			in.Served = true
 			return response(req, http.StatusOK, answer.Header, answer.Body), nil
 		case <-ctx.Done():
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/lab/span/span.go
+++ b/internal/span/span.go
@@ -1,4 +1,4 @@
-// Package span reads and writes the laboratory's times: microseconds in the program, "250ms" in files.
+// Package span reads and writes times as operators write them: microseconds in the program, "250ms" in files.
 //
 // It is apart from package model so that nothing there imports the package that also holds the real clock.
 package span
