Destinations: only answers that say they are long may be, and they must keep coming

Cause: with the limit raised for all, noise, heads and chunks without an end were read for a megabyte, and a false length was waited for until the client's deadline. Changed: the limit is 64 KiB again save for a declared length up to 1 MiB, which must not pause for 150 ms.

--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -173,6 +174,22 @@
 	return decide.ConnectFailed
 }
 
+// coming reads a body that has to keep coming: one that pauses for longer than stallFor has an error.
+type coming struct {
+	io.Reader
+	nc net.Conn
+}
+
+func (c *coming) Read(b []byte) (int, error) {
+	if err := c.nc.SetReadDeadline(time.Now().Add(stallFor)); err != nil {
+		return 0, err
+	}
+	return c.Reader.Read(b)
+}
+
+// stallFor is far longer than destinations pause within an answer, and far shorter than clients wait.
+const stallFor = 150 * time.Millisecond
+
 // trustedLength is how much memory an answer gets for what it says of its length alone.
 const trustedLength = 64 << 10
 
@@ -184,7 +201,7 @@
 // read takes one whole answer. What lies beyond the limits, or can't be known to be whole, is an error: a part
 // of an answer must never pass for one.
 func (c *conn) read(req *http.Request) (status int, answer *Answer, reusable bool, err error) {
-	c.limit.N = mostHead + MostAnswer
+	c.limit.N = mostHead + MostBody
 	c.from.scanner = framing.Scanner{}
 	var resp *http.Response
 	interim := int32(0)
@@ -215,12 +232,21 @@
 	if n := min(resp.ContentLength, trustedLength); n > 0 {
 		text.Grow(int(n) + bytes.MinRead)
 	}
-	if _, err := text.ReadFrom(io.LimitReader(resp.Body, MostAnswer+1)); err != nil {
+	most, from := MostBody, resp.Body.(io.Reader)
+	if resp.ContentLength > MostBody {
+		// One that is said to be long is believed while it keeps coming. All others, and heads, keep to the usual limit: noise
+		// without an end must not be read for a megabyte.
+		most = MostAnswer
+		c.limit.N += MostAnswer
+		from = &coming{resp.Body, c.nc}
+		defer c.nc.SetReadDeadline(time.Time{})
+	}
+	if _, err := text.ReadFrom(io.LimitReader(from, int64(most)+1)); err != nil {
 		return 0, nil, false, err
 	}
 	body := text.Bytes()
-	if len(body) > MostAnswer {
-		return 0, nil, false, fmt.Errorf("answer is longer than %d bytes", MostAnswer)
+	if len(body) > most {
+		return 0, nil, false, fmt.Errorf("answer is longer than %d bytes", most)
 	}
 	return resp.StatusCode, &Answer{Header: resp.Header, Body: body}, !resp.Close && c.br.Buffered() == 0, nil
 }
