Requests that clients are still sending no longer fill the module's window

Cause: a request over 64 KiB counted as an attempt out from its first byte, though no server can begin before its last. Twenty slow uploads at a window of five kept all else waiting, and a server with nothing but slow uploads was taken for silent (examine in decide/health.go stalls a server that has attempts out and says nothing for four usual times).

Change: an arrival says that its body is still coming (Event.Slow), and Handed tells the module when the last byte has come; until then the attempt counts neither in the window nor at its server, which is kept until it ends.

--- a/decide/api.go
+++ b/decide/api.go
@@ -149,9 +149,10 @@
 type EventKind uint8
 
 const (
-	Arrival    EventKind = iota + 1 // ID, Class, Tenant, Key, Work, Patience
+	Arrival    EventKind = iota + 1 // ID, Class, Tenant, Key, Work, Patience, Slow
 	Outcomed                        // ID, Attempt, Server, Outcome, Elapsed, Final, Report
 	Begun                           // ID: the answer streams; no deadline applies any more
+	Handed                          // ID, Attempt: the last byte of a slow request has gone out
 	Departed                        // ID: the client left or its answer is overdue
 	TimerFired                      // ID: the timer's own
 	Probed                          // Server, Outcome, Elapsed, Report
@@ -166,6 +167,7 @@
 	Kind     EventKind
 	Outcome  Outcome
 	Final    bool // the request is over
+	Slow     bool // on Arrival: its body is still coming; Handed tells when the server has it
 	Repeat   bool // on Arrival: the client says that it asked before; what stands before the module may heed it
 	Attempt  uint8
 	Class    uint8
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -66,6 +66,7 @@
 	cell       uint16
 	out        bool
 	mayHaveRun bool
+	slow       bool // its client still sends: no server holds it, and it counts nowhere
 	sent       Time
 	cost       float64
 }
@@ -82,6 +83,7 @@
 	over     bool
 	held     bool
 	streams  bool
+	slow     bool // its body is still coming
 	out      int
 	attempts int // the most it may have
 	tries    []attempt
@@ -148,6 +150,11 @@
 		if r := b.open[ev.ID]; r != nil {
 			r.streams = true // from here the answer is the client's and no deadline runs
 		}
+	case Handed:
+		if r := b.open[ev.ID]; r != nil && int(ev.Attempt) < len(r.tries) && r.tries[ev.Attempt].slow {
+			r.slow = false
+			b.handed(&r.tries[ev.Attempt])
+		}
 	case Departed:
 		if r := b.open[ev.ID]; r != nil {
 			b.conclude(r)
@@ -197,7 +204,7 @@
 	b.spare = b.spare[:len(b.spare)-1]
 	tries := r.tries[:0]
 	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], cost: 1, arrived: b.now,
-		deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: tries}
+		deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: tries, slow: ev.Slow}
 	if ev.Work > 0 {
 		w := float64(ev.Work)
 		if b.meanWork == 0 {
@@ -242,15 +249,8 @@
 		if !t.mayHaveRun || r.class.Semantics != Keyed {
 			continue
 		}
-		switch r.class.Group {
-		case GroupZone:
-			if t.zone != s.zone {
-				return false
-			}
-		case GroupCell:
-			if t.cell != s.cell {
-				return false
-			}
+		if r.class.Group == GroupZone && t.zone != s.zone || r.class.Group == GroupCell && t.cell != s.cell {
+			return false
 		}
 	}
 	return true
@@ -315,14 +315,13 @@
 
 func (b *Balancer) send(r *request, s *server) {
 	r.tries = append(r.tries, attempt{server: s, id: s.id, zone: s.zone, cell: s.cell, out: true,
-		mayHaveRun: true, sent: b.now, cost: r.cost})
+		mayHaveRun: true, slow: true, sent: b.now, cost: r.cost})
 	r.out++
+	s.slow++
 	b.charge(s, r.cost)
-	if s.inflight == 0 {
-		s.waiting = b.now
+	if !r.slow {
+		b.handed(&r.tries[len(r.tries)-1])
 	}
-	s.inflight++
-	b.inflight++
 	if b.now-s.lastSend >= b.set.Limits.IdleClose {
 		s.conns = s.inflight
 	}
@@ -331,6 +330,20 @@
 	b.do(Action{Kind: Send, ID: r.id, Server: s.id})
 }
 
+// handed counts an attempt as one that its server has.
+func (b *Balancer) handed(t *attempt) {
+	s := t.server
+	t.slow = false
+	s.slow--
+	if s.inflight == 0 {
+		s.waiting = b.now
+	}
+	s.inflight++
+	if !s.stalled { // else its end adds all that is out there
+		b.inflight++
+	}
+}
+
 // hold keeps r until a server can take it and the window has room. It ends by itself while a refusal is
 // still in time: what counts is the client's patience, and an answer past the aim is worth little.
 func (b *Balancer) hold(r *request) {
@@ -458,7 +471,9 @@
 	if !t.out || t.id != ev.Server {
 		return // a repeated or confused outcome
 	}
-	t.out = false
+	if t.out = false; t.slow {
+		b.handed(t)
+	}
 	r.out--
 	switch ev.Outcome {
 	case Full, ConnectFailed, Moot:
--- a/decide/health.go
+++ b/decide/health.go
@@ -33,8 +33,7 @@
 
 // listed takes news of the list.
 func (b *Balancer) listed(ev *Event) {
-	switch ev.Kind {
-	case ListFailed:
+	if ev.Kind == ListFailed {
 		if !b.disc.asked && !b.disc.subscribed {
 			return // news of an earlier call: the present plan stands, or failures could put it off for ever
 		}
@@ -44,20 +43,15 @@
 		back := b.set.Rules.AskWithin / 8 << min(b.disc.failures, 4)
 		b.askSoon(min(back, 2*b.set.Rules.AskWithin))
 		return
-	case ListFull, ListCached:
-		for _, s := range b.order {
-			s.listed = false
-		}
-		for i := range ev.Members {
-			b.member(&ev.Members[i])
-		}
-		for _, s := range b.order {
-			b.place(s) // out of the schedule at once when no longer listed
-		}
-	case ListDelta:
-		for i := range ev.Members {
-			b.member(&ev.Members[i])
-		}
+	}
+	for _, s := range b.order {
+		s.listed = s.listed && ev.Kind == ListDelta
+	}
+	for i := range ev.Members {
+		b.member(&ev.Members[i])
+	}
+	for _, s := range b.order {
+		b.place(s) // out of the schedule at once when no longer listed
 	}
 	if ev.Kind != ListCached && b.disc.asked {
 		b.disc.asked, b.disc.subscribed, b.disc.failures = false, true, 0
@@ -117,18 +111,11 @@
 func (b *Balancer) tidy() {
 	kept := b.order[:0]
 	for _, s := range b.order {
-		if s.listed || s.inflight > 0 {
+		if s.listed || s.inflight+s.slow > 0 {
 			kept = append(kept, s)
 			continue
 		}
-		if s.slot >= 0 {
-			s.listed = false
-			b.place(s)
-		}
-		if s.suspended {
-			b.benched--
-		}
-		if s.stalled { // a server can be both
+		if s.suspended { // it has no turn, as it is not listed, and is not stalled, as nothing is out
 			b.benched--
 		}
 		delete(b.servers, s.id)
@@ -187,19 +174,17 @@
 		b.compare(s, t.cost, float64(ev.Elapsed), false)
 		b.revive(s)
 		s.backoff = 0
+		s.faults -= s.faults * faultGain
 	case Failed:
 		b.revive(s)
+		s.faults += (1 - s.faults) * faultGain
+	case Reset:
+		s.faults += (1 - s.faults) * faultGain
 	}
 	switch ev.Outcome {
 	case OK, Failed, Full:
 		s.silent, s.missed, s.answered = 0, 0, b.now
 	}
-	switch ev.Outcome {
-	case OK:
-		s.faults -= s.faults * faultGain
-	case Failed, Reset:
-		s.faults += (1 - s.faults) * faultGain
-	}
 	b.place(s)
 }
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -580,8 +580,7 @@
 		if s.suspended == answers {
 			t.Errorf("answers in between %v: left out %v", answers, s.suspended)
 		}
-		if s.stalled = true; s.suspended {
-			b.benched++
+		if s.suspended {
 			s.mode, s.listed = ModeGone, false
 			b.tidy()
 			if b.benched != 0 || len(b.order) != 9 {
--- /dev/null
+++ b/decide/slow_test.go
@@ -0,0 +1,66 @@
+package decide
+
+import "testing"
+
+// Requests whose clients are still sending are with no server: they leave the window to others, make no server seem silent, and count
+// from their last byte on. Their servers are kept until they have ended.
+func TestSlowRequestsLeaveTheWindow(t *testing.T) {
+	b := newBalancer(t, settings(), fleet(3))
+	b.usual, b.window = 100_000, 5
+	arrive := func(id uint64, slow bool) Action {
+		for _, a := range b.Handle(b.now, &Event{Kind: Arrival, ID: id, Patience: 4e6, Slow: slow}, nil) {
+			if a.Kind == Send || a.Kind == Refuse {
+				return a
+			}
+		}
+		return Action{}
+	}
+	sent := map[uint64]uint32{}
+	for id := range uint64(20) {
+		a := arrive(id+1, true)
+		if a.Kind != Send {
+			t.Fatalf("slow request %d: %+v", id+1, a)
+		}
+		sent[id+1] = a.Server
+	}
+	if b.inflight != 0 {
+		t.Fatalf("%d slow requests fill the window", b.inflight)
+	}
+	b.now += slowFrom*100_000 + 1_000_000
+	b.refresh()
+	if n := b.Avoided(); n != 0 {
+		t.Errorf("%d servers are taken for silent while clients send", n)
+	}
+	if a := arrive(100, false); a.Kind != Send {
+		t.Errorf("a quick request beside slow ones: %+v", a)
+	}
+	for id := range uint64(4) {
+		b.Handle(b.now, &Event{Kind: Handed, ID: id + 1}, nil)
+		b.Handle(b.now, &Event{Kind: Handed, ID: id + 1}, nil) // told twice it counts once
+	}
+	if b.inflight != 5 {
+		t.Errorf("%d out, want 5", b.inflight)
+	}
+	if a := arrive(101, false); a.Kind == Send {
+		t.Error("a request past the window was sent")
+	}
+	b.Handle(b.now, &Event{Kind: Departed, ID: 101}, nil)
+	for _, s := range b.order { // all go while clients still send
+		b.Handle(b.now, &Event{Kind: ListDelta, Members: []Member{{Server: s.id, Mode: ModeGone}}}, nil)
+	}
+	b.refresh()
+	for id, server := range sent {
+		b.Handle(b.now, &Event{Kind: Outcomed, ID: id, Server: server, Outcome: ConnectFailed, Final: true}, nil)
+		b.Handle(b.now, &Event{Kind: Handed, ID: id}, nil)
+	}
+	b.Handle(b.now, &Event{Kind: Departed, ID: 100}, nil)
+	for _, s := range b.order {
+		if s.inflight == 1 && s.slow == 0 { // request 100's, which was called off and has not ended
+			b.observe(s, &attempt{server: s, cost: 1}, &Event{Outcome: Cancelled})
+		}
+	}
+	b.refresh()
+	if b.inflight != 0 || b.benched != 0 || len(b.order) != 0 {
+		t.Errorf("left over: %d out, %d left out, %d servers", b.inflight, b.benched, len(b.order))
+	}
+}
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -39,6 +39,7 @@
 
 	toil     float64 // how long it takes for a piece of work, in the time of a mean server
 	inflight int
+	slow     int // attempts sent whose clients still send
 	conns    int // connections that should be open
 	lastSend Time
 	waiting  Time // since when attempts have been out without an outcome
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -65,6 +65,7 @@
 	Key      uint64
 	Work     decide.Time
 	Deadline time.Time // when the last route step has to have ended
+	Slow     bool      // the body is still coming; Handed tells when a destination has it
 }
 
 // maxActions is more than the module can say about one call: at most 8 sends, as many cancels, one answer.
@@ -97,10 +98,20 @@
 	c := &Call{planner: p, id: p.nextID, actions: make(chan decide.Action, maxActions)}
 	p.calls[c.id] = c
 	p.handle(&decide.Event{Kind: decide.Arrival, ID: c.id, Class: a.Class, Tenant: a.Tenant, Key: a.Key,
-		Work: a.Work, Patience: time.Until(a.Deadline).Microseconds()})
+		Work: a.Work, Patience: time.Until(a.Deadline).Microseconds(), Slow: a.Slow})
 	return c
 }
 
+// Handed tells the module that a slow request's last byte has come, and so is with the destination of a route step.
+func (c *Call) Handed(attempt uint8) {
+	p := c.planner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if int(attempt) < len(c.steps) && c.steps[attempt].out {
+		p.handle(&decide.Event{Kind: decide.Handed, ID: c.id, Attempt: attempt})
+	}
+}
+
 // Finish reports how a route step ended. It is true if the step's answer is the call's final one: the outcome
 // is OK and nothing had ended the call before. What a second report of the same step says is ignored. sent is when the last byte
 // of a request that took its time to send went out: a slow client is no slow server. It may be zero.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -85,7 +85,7 @@
 		steps, release = long, func() { cancel(nil) }
 		go in.Rest.Watch(long.Done(), answerMargin, func() { cancel(context.DeadlineExceeded) }, func(error) { cancel(nil) })
 	}
-	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Deadline: deadline})
+	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Deadline: deadline, Slow: in.Rest != nil})
 	life := &life{t: t, call: call, req: req, body: destination.Body{Text: in.Body, Rest: in.Rest}, answers: make(chan *destination.Answer, 1)}
 	defer life.releaseAfter(release)
 	defer life.cancelRest() // after Depart, which says what is to be called off
@@ -150,7 +150,20 @@
 	if action.After > 0 {
 		ctx, cancel = context.WithDeadline(ctx, time.Now().Add(time.Duration(action.After)*time.Microsecond))
 	}
+	done := make(chan struct{})
+	if l.body.Rest != nil {
+		go func() { // until then no destination is at work on it
+			select {
+			case <-l.body.Rest.Ended():
+				if _, err := l.body.Rest.End(); err == nil {
+					l.call.Handed(action.Attempt)
+				}
+			case <-done:
+			}
+		}()
+	}
 	l.running.Go(func() {
+		defer close(done)
 		defer cancel()
 		result := l.exchange(ctx, action.Server)
 		if result.Err != nil {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"pumiceline/decide"
 	"pumiceline/internal/destination"
 	"pumiceline/internal/planner"
+	"pumiceline/internal/upload"
 )
 
 type script func(ev *decide.Event) []decide.Action
@@ -157,3 +159,60 @@
 		t.Errorf("%v, %v", resp, err)
 	}
 }
+
+type bodied func(body destination.Body) destination.Result
+
+func (e bodied) Exchange(_ context.Context, _ uint32, _ *http.Request, body destination.Body) destination.Result {
+	return e(body)
+}
+
+// The module hears when the last byte of a body has come, and until then that it has not: a step whose body never ends is not handed.
+func TestSlowBodiesAreHandedAtTheirEnd(t *testing.T) {
+	for name, whole := range map[string]bool{"whole": true, "broken off": false} {
+		synctest.Test(t, func(t *testing.T) {
+			var told []decide.EventKind
+			module := script(func(ev *decide.Event) []decide.Action {
+				told = append(told, ev.Kind)
+				if ev.Kind == decide.Arrival && ev.Slow {
+					return []decide.Action{send(ev.ID, 1)}
+				}
+				return nil
+			})
+			from, to := io.Pipe()
+			in := &Inbound{Rest: upload.New(from, -1, time.Second)}
+			log := slog.New(slog.DiscardHandler)
+			tr := &Transport{Planner: planner.New(module, planner.Hooks{}, log), Log: log, Fleet: bodied(func(body destination.Body) destination.Result {
+				if _, err := io.Copy(io.Discard, body.Rest); err != nil {
+					return destination.Result{Outcome: decide.ConnectFailed}
+				}
+				time.Sleep(time.Millisecond) // the destination works
+				return destination.Result{Outcome: decide.OK, Answer: &destination.Answer{Header: http.Header{}}}
+			})}
+			ctx, leave := context.WithCancel(WithInbound(t.Context(), in))
+			defer leave()
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "/quote", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				_, _ = tr.RoundTrip(req)
+			}()
+			time.Sleep(10 * time.Second) // far longer than any answer takes
+			if synctest.Wait(); len(told) != 1 {
+				t.Errorf("%s: while the body comes: %v", name, told)
+			}
+			want := []decide.EventKind{decide.Arrival, decide.Handed, decide.Outcomed}
+			if whole {
+				to.Close()
+			} else {
+				to.CloseWithError(io.ErrUnexpectedEOF)
+				leave()
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if whole && !slices.Equal(told, want) || !whole && slices.Contains(told, decide.Handed) {
+				t.Errorf("%s: the module was told %v, want %v", name, told, want)
+			}
+		})
+	}
+}
