What is held by id, host, address or class is on the operators' door, and flat over an hour

Now svc_kept{what} tells 18 sizes at a scrape, beside the usual figures of a Go process (client_golang's collectors); nothing is counted on the path of a request.

The module's slow attempts count as connections from when they are handed over.

--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -132,6 +132,21 @@
 	hangups <-chan os.Signal // at each of them reload is called
 	reload  reload           // reads the configuration again
 	door    string           // the door's file
+	network network          // nil: TCP
+}
+
+// network is where the program listens and dials.
+type network interface {
+	Listen(addr string) (net.Listener, error)
+	Dial(ctx context.Context, addr string, by time.Time) (net.Conn, error)
+}
+
+// tcp is the network of the machine.
+type tcp struct{}
+
+func (tcp) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+func (tcp) Dial(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
+	return destination.OverTCP(ctx, addr, by)
 }
 
 // serve puts the parts together and runs them until stop ends and all that was taken is answered. At each hangup it
@@ -151,17 +166,21 @@
 			return err
 		}
 	}
+	if with.network == nil {
+		with.network = tcp{}
+	}
 	figures := metrics.New()
 	figures.Classes(classNames(&cfg.Settings))
 	limits := &cfg.Settings.Limits
 	allSockets := float64(cfg.Limits.Sockets)
 	fleetOptions := destination.Options{DialWithin: micros(limits.DialTimeout), IdleClose: micros(limits.IdleClose),
-		MostSockets: int(allSockets * destinationPart), Sent: figures.Sent}
+		MostSockets: int(allSockets * destinationPart), Sent: figures.Sent, Dial: with.network.Dial}
 	if cfg.Module.ReportVia == decide.ReportsInAnswers {
 		fleetOptions.Columns = cfg.Settings.LoadInfo.Columns
 	}
 	fleet := destination.NewFleet(fleetOptions, log)
 	watcher := pool.NewWatcher(cfg.Discovery, pool.NewTable(cfg.Settings.Zones, cfg.Settings.Flavors), fleet, log)
+	watcher.Over(with.network.Dial)
 	share := &sharing{memoryMB: cfg.Limits.MemoryMB}
 	share.at.Store(int32(handover.Starting))
 	if cfg.Shared != "" {
@@ -187,9 +206,16 @@
 		},
 		Transport: transport})
 
-	figures.Watch(metrics.Gauges{Current: clients.Current, Size: watcher.Size, Unhealthy: func() int { return plan.Avoided() + watcher.TakenOut() }})
+	figures.Watch(metrics.Gauges{Current: clients.Current, Size: watcher.Size,
+		Unhealthy: func() int { return plan.Avoided() + watcher.TakenOut() },
+		Kept:      func() map[string]int { return kept(plan, fleet, watcher, clients, figures) }})
 
-	ln, err := handover.Listen(cfg.ListenFD, cfg.Listen)
+	var ln net.Listener
+	if cfg.ListenFD == 0 {
+		ln, err = with.network.Listen(cfg.Listen)
+	} else {
+		ln, err = handover.Listen(cfg.ListenFD)
+	}
 	if err != nil {
 		return fmt.Errorf("config: listen: %w", err)
 	}
@@ -200,7 +226,7 @@
 	var background sync.WaitGroup
 	var taking atomic.Bool
 	if cfg.Operator != "" {
-		hatch, err := net.Listen("tcp", cfg.Operator)
+		hatch, err := with.network.Listen(cfg.Operator)
 		if err != nil {
 			return fmt.Errorf("config: operator: %w", err)
 		}
@@ -271,6 +297,20 @@
 	return err
 }
 
+// kept is how much the proxy holds in memory by id, host, address or class. Each of these comes down again with its owner, or has a
+// bound of its own; docs/operations.md says which.
+func kept(plan *planner.Planner, fleet *destination.Fleet, watcher *pool.Watcher, clients *front.Front, figures *metrics.Metrics) map[string]int {
+	calls, timers, module := plan.Kept()
+	destinations, idle := fleet.Known()
+	listed, names, out := watcher.Kept()
+	ids, classes, waiting := clients.Kept()
+	return map[string]int{"calls": calls, "timers": timers, "module_requests": module.Requests, "module_held": module.Held,
+		"module_spare": module.Spare, "module_servers": module.Servers, "module_kinds": module.Kinds, "destinations": destinations,
+		"connections": fleet.Open(), "idle_connections": idle, "hosts": listed, "host_names": names, "suspension_names": out,
+		"front_sockets": clients.Sockets(), "correlation_ids": ids, "class_numbers": classes, "class_series": figures.Shown(),
+		"gate_waiting": waiting}
+}
+
 // awaitList waits until discovery has told of the list, and says whether that came before stop. Beside a process that serves, one
 // with an older list would undo drains that the other knows of. Discovery may be down: then the list that there is has to do.
 func awaitList(stop context.Context, watcher *pool.Watcher) bool {
--- /dev/null
+++ b/cmd/pumiceline/soak_test.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceline/internal/config"
+	"pumiceline/internal/pool"
+	"pumiceline/internal/standin"
+)
+
+// An hour in which hosts, classes, clients and watches come and go, on a fake clock: whatever is held by id, host, address or class
+// is no more at the end of it than after its first tenth, nor are goroutines, connections and the heap.
+func TestSoakHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hour, breath = time.Hour, 20 * time.Second // breath: what is under way or idle has gone by then
+		mem := &standin.Memory{}
+		world, endWorld := context.WithCancel(t.Context())
+		defer endWorld()
+		host := func(h http.Handler, addr string) context.CancelFunc {
+			ln, err := mem.Listen(addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := &http.Server{Handler: h}
+			go server.Serve(ln)
+			ctx, end := context.WithCancel(world)
+			context.AfterFunc(ctx, func() { server.Close() })
+			return end
+		}
+		roster := standin.NewRoster()
+		host(roster, "10.0.0.1:8500")
+		rng := rand.New(rand.NewPCG(1, 2))
+		ends := map[string]context.CancelFunc{}
+		start := func(n int) pool.Entry {
+			e := pool.Entry{Host: fmt.Sprintf("s-%d", n), Dial: fmt.Sprintf("10.1.%d.%d:7070", n/250, n%250+1), Site: "ub-east", Class: "std-8",
+				Block: 1, Health: "SERVING", Share: 1, BornMs: float64(time.Now().UnixMilli())}
+			d := &standin.Destination{Name: e.Host, Cores: 8, Work: func() { time.Sleep(20 * time.Millisecond) }}
+			d.Fail(0.02)
+			ends[e.Host] = host(d, e.Dial)
+			roster.Put(e)
+			return e
+		}
+		var listed []pool.Entry
+		for n := range 8 {
+			listed = append(listed, start(n))
+		}
+
+		text, err := standin.Config("10.0.0.2:7070", "10.0.0.1:8500", []string{"ub-east"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := t.TempDir() + "/config.json"
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := config.Load(file, func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.Operator, cfg.Seed = "10.0.0.2:7071", 1
+		hangups := make(chan os.Signal)
+		var turn, asked, served atomic.Int64
+		reload := func(now *config.Config) (*config.Config, error) { // one class more, with a name that was never there
+			next := *now
+			class := next.Settings.Classes[0]
+			class.Name = fmt.Sprintf("season-%d", turn.Add(1))
+			next.Settings.Classes = append(slices.Clone(cfg.Settings.Classes[:len(standin.Classes)]), class)
+			var err error
+			next.Module, err = config.Module(&next.Settings)
+			return &next, err
+		}
+		stop, tellStop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			ended <- serve(stop, cfg, parts{network: mem, hangups: hangups, reload: reload}, slog.New(slog.DiscardHandler))
+		}()
+		time.Sleep(5 * time.Second)
+
+		transport := &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return mem.Dial(ctx, addr, time.Now().Add(time.Second))
+		}}
+		client := &http.Client{Transport: transport}
+		ask := func(n int) {
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			if n%10 == 0 { // it leaves before it can be answered
+				ctx, cancel = context.WithTimeout(t.Context(), 10*time.Millisecond)
+			}
+			defer cancel()
+			class, method, body := standin.Classes[0], "GET", ""
+			switch {
+			case n%50 == 1: // too long to be kept
+				class, method, body = standin.Classes[2], "POST", strings.Repeat("x", 100_000)
+			case n%50 == 2:
+				class.Name = fmt.Sprintf("season-%d", turn.Load())
+			}
+			req, err := http.NewRequestWithContext(ctx, method, "http://10.0.0.2:7070/q", strings.NewReader(body))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			req.Header = http.Header{"X-Correlation-Id": {fmt.Sprint("c", n)}, "X-Service-Class": {class.Name}, "X-Account": {"khan-air"},
+				"X-Time-Left-Ms": {"1500"}}
+			if method == "POST" {
+				req.Header.Set("Idempotency-Key", fmt.Sprint("k", n))
+			}
+			asked.Add(1)
+			resp, err := client.Do(req)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == 200 {
+				served.Add(1)
+			}
+		}
+		look := func() map[string]float64 {
+			time.Sleep(breath)
+			synctest.Wait()
+			runtime.GC()
+			found := map[string]float64{}
+			resp, err := client.Get("http://10.0.0.2:7071/v1/metrics")
+			if err != nil {
+				t.Fatal(err)
+			}
+			all, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for line := range strings.Lines(string(all)) {
+				name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+				if strings.HasPrefix(name, "svc_kept") || name == "go_goroutines" || name == "go_memstats_heap_alloc_bytes" {
+					if found[name], err = strconv.ParseFloat(value, 64); err != nil {
+						t.Error(line, err)
+					}
+				}
+			}
+			return found
+		}
+
+		hosts := len(listed)
+		begin := time.Now()
+		var early map[string]float64
+		for n := 1; time.Since(begin) < hour; n++ {
+			go ask(n)
+			if n%20 == 0 { // one host leaves, another comes
+				old := &listed[rng.IntN(len(listed))]
+				gone := *old
+				gone.Health = "DRAINING"
+				roster.Put(gone)
+				*old = start(hosts)
+				hosts++
+				go func() {
+					time.Sleep(2 * time.Second)
+					gone.Health = "DELETED"
+					roster.Put(gone)
+					ends[gone.Host]()
+				}()
+			}
+			if n%10 == 0 {
+				hangups <- os.Interrupt // whichever signal
+			}
+			time.Sleep(time.Duration(rng.Int64N(int64(time.Second))))
+			if early == nil && time.Since(begin) > hour/10 {
+				early = look()
+			}
+		}
+		late := look()
+		if len(late) < 20 {
+			t.Errorf("only %d figures: %v", len(late), late)
+		}
+		for name, was := range early {
+			if strings.Contains(name, "connections") && late[name] > 0 {
+				t.Errorf("%s: %v stand idle for longer than anybody can use them", name, late[name])
+			}
+			room := 0.0
+			switch name {
+			case "go_goroutines":
+				room = 2 // those of the scrape itself come and go
+			case "go_memstats_heap_alloc_bytes":
+				room = 0.5 * was // the stand-in roster keeps all its changes
+			case `svc_kept{what="suspension_names"}`:
+				room = 4096 // has a bound of its own, suspension.Most
+			}
+			if late[name] > was+room {
+				t.Errorf("%s grew from %v to %v", name, was, late[name])
+			}
+		}
+		t.Logf("%d of %d requests served, %d hosts, %d reloads; after a tenth %v, at the end %v", served.Load(), asked.Load(), hosts,
+			turn.Load(), early, late)
+		if asked.Load() < 7000 || float64(served.Load()) < 0.8*float64(asked.Load()) || hosts < 350 || turn.Load() < 700 {
+			t.Error("too calm, or broken")
+		}
+		tellStop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		transport.CloseIdleConnections()
+		endWorld()
+	})
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -319,13 +319,13 @@
 	r.out++
 	s.slow++
 	b.charge(s, r.cost)
-	if !r.slow {
-		b.handed(&r.tries[len(r.tries)-1])
-	}
 	if b.now-s.lastSend >= b.set.Limits.IdleClose {
 		s.conns = s.inflight
 	}
-	s.conns, s.lastSend = max(s.conns, s.inflight), b.now
+	s.lastSend = b.now
+	if !r.slow {
+		b.handed(&r.tries[len(r.tries)-1])
+	}
 	b.place(s)
 	b.do(Action{Kind: Send, ID: r.id, Server: s.id})
 }
@@ -339,9 +339,11 @@
 		s.waiting = b.now
 	}
 	s.inflight++
+	s.conns = max(s.conns, s.inflight)
 	if !s.stalled { // else its end adds all that is out there
 		b.inflight++
 	}
+	b.place(s)
 }
 
 // hold keeps r until a server can take it and the window has room. It ends by itself while a refusal is
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -28,6 +28,20 @@
 	Pace, Faults                              float64
 }
 
+// Kept is how much a balancer holds in memory. It decides nothing.
+type Kept struct {
+	Requests int // open: not answered, or with attempts out
+	Held     int // of these, waiting for room
+	Spare    int // kept for reuse; as many as were ever open at once
+	Servers  int
+	Kinds    int
+}
+
+// Kept returns how much this balancer holds.
+func (b *Balancer) Kept() Kept {
+	return Kept{Requests: len(b.open), Held: len(b.held), Spare: len(b.spare), Servers: len(b.servers), Kinds: len(b.kinds)}
+}
+
 // Learnt returns what this balancer has found out until now.
 func (b *Balancer) Learnt() *Learnt {
 	l := &Learnt{At: b.now, ArrivalRate: b.arrivalRate, MeanWork: b.meanWork, Usual: b.usual, Window: math.Min(b.window, 1e6),
--- a/internal/classes/classes.go
+++ b/internal/classes/classes.go
@@ -36,6 +36,9 @@
 // Leave ends a request that Take began.
 func (b *Book) Leave(number uint8) { b.slots[number].open-- }
 
+// Numbers is how many numbers have been given out, Most at the most.
+func (b *Book) Numbers() int { return len(b.slots) }
+
 // Plan places the classes of new settings: a name keeps its number, a new one gets the first number that no class of the new
 // settings and no request under way needs, or the next. Numbers that nobody needs keep their old class. The result, by number,
 // is for Change; the book stays as it is.
--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -402,3 +402,38 @@
 		}
 	})
 }
+
+// A connection that the module does not ask to be closed is closed by the clock once it is too old to be used; one used since is not.
+func TestOldIdleConnectionsAreReaped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(Options{DialWithin: time.Second, IdleClose: 10 * time.Second, MostSockets: 9,
+			Dial: func(context.Context, string, time.Time) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					br := bufio.NewReader(far)
+					for {
+						r, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						io.Copy(io.Discard, r.Body)
+						io.WriteString(far, ok)
+					}
+				}()
+				return near, nil
+			}}, slog.New(slog.DiscardHandler))
+		f.Set(1, "10.0.0.1:1", true)
+		for _, c := range []struct {
+			wait time.Duration
+			used bool
+			open int
+		}{{0, true, 1}, {7 * time.Second, true, 1}, {2 * time.Second, false, 1}, {6500 * time.Millisecond, false, 0}} {
+			if time.Sleep(c.wait); c.used {
+				exchange(t, f)
+			}
+			if synctest.Wait(); f.Open() != c.open {
+				t.Errorf("after %v more: %d open, want %d", c.wait, f.Open(), c.open)
+			}
+		}
+	})
+}
--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -26,6 +26,16 @@
 	MostSockets int           // connections to all destinations together
 	Columns     []string      // of load reports; empty: answers carry none
 	Sent        func()        // called for each request whose last byte is written; nil: nobody counts
+	Dial        Dial          // nil: over TCP
+}
+
+// Dial makes a connection to addr, or fails at the latest at by.
+type Dial func(ctx context.Context, addr string, by time.Time) (net.Conn, error)
+
+// OverTCP is the Dial of the network.
+func OverTCP(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
+	dialer := net.Dialer{Deadline: by}
+	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 // Fleet holds the destinations by id. It is safe for concurrent use and never calls back.
@@ -34,9 +44,10 @@
 	columns []string
 	log     *slog.Logger
 
-	mu   sync.Mutex
-	byID map[uint32]*dest
-	open int
+	mu      sync.Mutex
+	byID    map[uint32]*dest
+	open    int
+	reaping bool // reap will be called
 
 	complained time.Time // when a fault in what destinations say was logged last
 	unlogged   int       // such faults since
@@ -76,6 +87,9 @@
 
 // NewFleet returns a fleet without destinations.
 func NewFleet(opts Options, log *slog.Logger) *Fleet {
+	if opts.Dial == nil {
+		opts.Dial = OverTCP
+	}
 	return &Fleet{opts: opts, columns: opts.Columns, log: log, byID: map[uint32]*dest{}}
 }
 
@@ -138,6 +152,16 @@
 	f.complained, f.unlogged = time.Now(), 0
 }
 
+// Known is how many destinations are kept by their ids, and how many of their connections stand idle.
+func (f *Fleet) Known() (destinations, idle int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.byID {
+		idle += len(d.idle)
+	}
+	return len(f.byID), idle
+}
+
 // Open is how many connections there are.
 func (f *Fleet) Open() int {
 	f.mu.Lock()
@@ -184,8 +208,7 @@
 		return c, 0, nil
 	}
 	within, _ := f.told()
-	dialer := net.Dialer{Deadline: time.Now().Add(within)}
-	if c.nc, err = dialer.DialContext(ctx, "tcp", c.addr); err != nil {
+	if c.nc, err = f.opts.Dial(ctx, c.addr, time.Now().Add(within)); err != nil {
 		f.mu.Lock()
 		f.open--
 		f.mu.Unlock()
@@ -286,6 +309,31 @@
 		d.idle = slices.Delete(d.idle, 0, 1)
 	}
 	d.idle = append(d.idle, c)
+	if !f.reaping {
+		f.reaping = true
+		time.AfterFunc(f.keep(), f.reap)
+	}
+}
+
+// reap closes the connections that have stood idle for too long to be used again. The module calls for most of them to be closed
+// sooner; one that it does not know of, at a destination that gets no work any more, would hold its descriptor for good.
+func (f *Fleet) reap() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, next := time.Now(), time.Duration(-1)
+	for _, d := range f.byID {
+		old := 0
+		for old < len(d.idle) && now.Sub(d.idle[old].used) >= f.keep() {
+			f.closeConn(d.idle[old])
+			old++
+		}
+		if d.idle = slices.Delete(d.idle, 0, old); len(d.idle) > 0 {
+			next = max(next, now.Sub(d.idle[0].used))
+		}
+	}
+	if f.reaping = next >= 0; f.reaping {
+		time.AfterFunc(f.keep()-next, f.reap)
+	}
 }
 
 // Quiet says whether a connection without a request is still open with nothing to read. A destination that died or closed
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -142,6 +142,22 @@
 // Sockets is how many front sockets are open.
 func (f *Front) Sockets() int { return f.sockets.count() }
 
+// Kept is how many entries are held: correlation ids of requests under way, numbers of classes, requests waiting at the gate.
+func (f *Front) Kept() (ids, classes, waiting int) {
+	f.ids.mu.Lock()
+	ids = len(f.ids.ids)
+	f.ids.mu.Unlock()
+	f.reader.mu.Lock()
+	classes = f.reader.book.Numbers()
+	f.reader.mu.Unlock()
+	if g := f.opts.Gate; g != nil {
+		g.mu.Lock()
+		waiting = len(g.waiting)
+		g.mu.Unlock()
+	}
+	return ids, classes, waiting
+}
+
 // Current is how many requests are taken and not ended.
 func (f *Front) Current() int { return int(f.current.Load()) }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -97,7 +97,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ln, err := Listen(fd, "")
+		ln, err := Listen(fd)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -124,7 +124,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Listen(fd, ""); err == nil {
+	if _, err := Listen(fd); err == nil {
 		t.Error("a pipe was taken for a listening socket")
 	}
 }
--- a/internal/handover/presence.go
+++ b/internal/handover/presence.go
@@ -103,12 +103,8 @@
 	return states
 }
 
-// Listen takes up the listening socket that was inherited as a descriptor, or makes one at addr where there is none (0). The
-// descriptor's socket stays open and listening for whoever else holds it, also when the listener is closed.
-func Listen(fd int, addr string) (net.Listener, error) {
-	if fd == 0 {
-		return net.Listen("tcp", addr)
-	}
+// Listen takes up the listening socket that was inherited as a descriptor. The descriptor's socket stays open and listening for whoever else holds it, also when the listener is closed.
+func Listen(fd int) (net.Listener, error) {
 	f := os.NewFile(uintptr(fd), "listener")
 	if f == nil {
 		return nil, fmt.Errorf("ROUTER_FD: %d is no descriptor", fd)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -42,6 +43,8 @@
 	Current   func() int // requests taken and not ended
 	Size      func() int // destinations in the pool config
 	Unhealthy func() int // of these, the ones that get no work now
+	// Kept is how much is held in memory, by what it is held for. Each figure has to come down again when its cause is gone.
+	Kept func() map[string]int
 }
 
 // New returns figures that begin at 0.
@@ -79,6 +82,33 @@
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: k.name, Help: k.help},
 			func() float64 { return float64(k.read()) }))
 	}
+	if g.Kept != nil {
+		m.registry.MustRegister(&kept{read: g.Kept,
+			about: prometheus.NewDesc("svc_kept", "Entries held in memory, by what they are held for.", []string{"what"}, nil)})
+	}
+	// RSS, descriptors, goroutines and the collector's figures, under the names that every Go program has them.
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+}
+
+// kept reads all of svc_kept at once: its figures come from few locks.
+type kept struct {
+	read  func() map[string]int
+	about *prometheus.Desc
+}
+
+// Describe and Collect are prometheus.Collector's.
+func (k *kept) Describe(to chan<- *prometheus.Desc) { to <- k.about }
+func (k *kept) Collect(to chan<- prometheus.Metric) {
+	for what, n := range k.read() {
+		to <- prometheus.MustNewConstMetric(k.about, prometheus.GaugeValue, float64(n), what)
+	}
+}
+
+// Shown is how many classes have series, those that are gone from the settings included.
+func (m *Metrics) Shown() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.shown)
 }
 
 // Classes names the classes that there are now. New ones begin at 0; those that are gone keep their counts, until more than
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -16,7 +16,8 @@
 // Series begin at 0 with their class, outlast it, go on when it comes back, and are bounded.
 func TestClassesComeAndGo(t *testing.T) {
 	m := New()
-	m.Watch(Gauges{func() int { return 7 }, func() int { return 12 }, func() int { return 2 }})
+	m.Watch(Gauges{func() int { return 7 }, func() int { return 12 }, func() int { return 2 },
+		func() map[string]int { return map[string]int{"hosts": 3} }})
 	m.Classes([]string{"a", "b"})
 	m.End("a", Answered)
 	m.End("a", Left)
@@ -29,7 +30,7 @@
 	text := scrape(m)
 	for _, line := range []string{`svc_answered_total{group="a"} 1`, `svc_errored_total{group="a"} 1`, `svc_deferred_total{group="c"} 0`,
 		"svc_sends_total 1", "svc_conf_loaded_total 1", "svc_conf_invalid_total 1", "svc_current 7", "svc_cluster_size 12",
-		"svc_cluster_unhealthy 2"} {
+		"svc_cluster_unhealthy 2", `svc_kept{what="hosts"} 3`} {
 		if !strings.Contains(text, line+"\n") {
 			t.Errorf("%s is not in\n%s", line, text)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -210,6 +210,16 @@
 	return nil
 }
 
+// Kept is what is held in memory for calls: calls and timers here, and what the module says of itself.
+func (p *Planner) Kept() (calls, timers int, module decide.Kept) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m, ok := p.module.(interface{ Kept() decide.Kept }); ok {
+		module = m.Kept()
+	}
+	return len(p.calls), len(p.timers), module
+}
+
 // Avoided is how many listed servers the module gives no turns by its own choice; 0 where the module does not say.
 func (p *Planner) Avoided() int {
 	p.mu.Lock()
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,6 +16,7 @@
 	"time"
 
 	"pumiceline/decide"
+	"pumiceline/internal/destination"
 	"pumiceline/internal/handover"
 	"pumiceline/internal/suspension"
 )
@@ -41,7 +41,7 @@
 // Watcher keeps the pool config and asks discovery for it when the module wants it asked.
 type Watcher struct {
 	addr   string
-	dial   func(ctx context.Context, addr string, by time.Time) (net.Conn, error)
+	dial   destination.Dial
 	table  *Table
 	module Module
 	fleet  Fleet
@@ -61,16 +61,23 @@
 	stamp  handover.Stamp
 }
 
-// NewWatcher returns a watcher of discovery at addr.
+// NewWatcher returns a watcher of discovery at addr, which it reaches over TCP.
 func NewWatcher(addr string, table *Table, fleet Fleet, log *slog.Logger) *Watcher {
-	dial := func(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
-		dialer := net.Dialer{Deadline: by}
-		return dialer.DialContext(ctx, "tcp", addr)
-	}
+	dial := destination.OverTCP
 	return &Watcher{addr: addr, dial: dial, table: table, fleet: fleet, log: log, ask: make(chan struct{}, 1),
 		moved: make(chan struct{}, 1), listed: map[uint32]entry{}}
 }
 
+// Over has the watcher reach discovery by dial. It is to be called before Run.
+func (w *Watcher) Over(dial destination.Dial) { w.dial = dial }
+
+// Kept is how many hosts are kept: as listed, by name, and taken out by hand.
+func (w *Watcher) Kept() (listed, names, out int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.listed), len(w.table.ids), w.bans.Kept()
+}
+
 // Held says whether there is a pool config to work with.
 func (w *Watcher) Held() bool { return w.held.Load() }
 
--- a/internal/suspension/suspension.go
+++ b/internal/suspension/suspension.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// Kept is how many names are remembered, Most at the most.
+func (s *Set) Kept() int { return len(s.names) }
+
 // room forgets the name that was listed longest ago, of those that are not taken out, where there are too many.
 func (s *Set) room() {
 	if len(s.names) < Most {
