--- a/internal/lab/console/console.go
+++ b/internal/lab/console/console.go
@@ -117,6 +117,8 @@
 		p.Overdriven, p.ColdPeak)
 	fmt.Fprintf(out, "  %.2f crossings, %.3f connections a request; %.3f of the work for nothing; %d double effects\n", p.Crossed, p.Opened,
 		p.Wasted, p.Twice)
+	fmt.Fprintf(out, "  %d calls to discovery, %d failed, at most %d in a second; 95%% of the proxies' starts had their list within %.1f s\n", p.Asks,
+		p.AsksFailed, p.AsksPeak, p.ListedIn95)
 	fmt.Fprintf(out, "  rules broken: %v\n", p.Broken)
 	for _, b := range p.Breaches[:min(5, len(p.Breaches))] {
 		fmt.Fprintf(out, "    %v\n", b)
--- a/internal/lab/model/config.go
+++ b/internal/lab/model/config.go
@@ -197,12 +197,15 @@
 	"report_late":     "load reports come later by size seconds",
 	"deploy":          "part of the servers are replaced within the time, a share (size) of the fleet at a time; each drains for every",
 	"restart":         "part of the servers die at once and come back cold after every",
+	"zone_lost":       "all servers of one zone (from, else drawn) die at once and come back cold after every",
 	"zone_cut":        "one zone (from, else drawn) is cut off from the others",
 	"cut":             "nothing passes between from and to: zone:N, proxy:N, server:N, proxies, servers, discovery",
 	"discovery":       "discovery is down",
 	"discovery_zone":  "the proxies of one zone (from, else drawn) do not reach discovery",
 	"reconnect_storm": "all connections of part of the proxies break at once, each every",
 	"proxy_kill":      "part of the proxies are killed, and start anew after every",
+	"proxy_roll":      "part of the proxies are told to stop within the time, a share (size) of all at a time, and start anew every after their end",
+	"shift":           "clients of one zone (from, else drawn) ask size times as often, those of the others less",
 	"retry_storm":     "clients ask size times more often again, and at once",
 	"flood":           "one tenant (the first) sends size times its traffic",
 }
@@ -372,14 +375,14 @@
 		within(at+"part", t.Part, 0, 1)
 		within(at+"size", t.Size, 0, 1000)
 		switch t.Kind {
-		case "fast_errors", "gray", "neighbour", "deploy":
+		case "fast_errors", "gray", "neighbour", "deploy", "proxy_roll":
 			within(at+"size", t.Size, 0, 1)
 		case "cut":
 			for _, end := range []struct{ key, party string }{{"from", t.From}, {"to", t.To}} {
 				_, err := ParseParty(end.party)
 				must(err == nil, at+end.key, "%v", err)
 			}
-		case "zone_cut", "discovery_zone":
+		case "zone_cut", "zone_lost", "discovery_zone", "shift":
 			if t.From != "" {
 				p, err := ParseParty(t.From)
 				must(err == nil && p.Kind == "zone", at+"from", "%q is not zone:N", t.From)
--- a/internal/lab/model/fleet.go
+++ b/internal/lab/model/fleet.go
@@ -263,15 +263,22 @@
 		n := int32(i)
 		struck := []int32(nil)
 		switch t.Kind {
-		case "reconnect_storm", "proxy_kill":
+		case "reconnect_storm", "proxy_kill", "proxy_roll":
 			struck = strike(len(r.proxies), t.Part)
-		case "zone_cut", "discovery_zone":
+		case "zone_cut", "zone_lost", "discovery_zone", "shift":
 			zone := int32(g.IntN(r.w.Zones))
 			if t.From != "" {
 				p, _ := ParseParty(t.From) // Check has read it
 				zone = int32(p.N % r.w.Zones)
 			}
-			struck = []int32{zone}
+			if struck = []int32{zone}; t.Kind == "zone_lost" {
+				struck = struck[:0]
+				for _, s := range r.servers {
+					if int32(s.zone) == zone {
+						struck = append(struck, s.n)
+					}
+				}
+			}
 		case "cut", "discovery", "retry_storm", "flood":
 		default:
 			struck = strike(len(r.servers), t.Part)
@@ -280,8 +287,8 @@
 		r.at(Time(t.At), event{kind: evTrouble, a: n, n: troubleStart})
 		steps, every := 0, Time(0)
 		switch t.Kind {
-		case "deploy":
-			batch := max(1, int(math.Round(t.Size*float64(len(r.servers)))))
+		case "deploy", "proxy_roll":
+			batch := r.batch(t)
 			steps = (len(struck) + batch - 1) / batch
 			every = Time(t.For) / Time(steps)
 		case "neighbour", "reconnect_storm":
@@ -298,6 +305,21 @@
 	}
 }
 
+// batch is how many of the servers or proxies a step strikes.
+func (r *run) batch(t *Trouble) int {
+	n := r.w.Servers
+	if t.Kind == "proxy_roll" {
+		n = r.w.Proxies
+	}
+	return max(1, int(math.Round(t.Size*float64(n))))
+}
+
+// A proxy that is told to stop gets new clients for stopTakes, and has ended after stopEnds.
+const (
+	stopTakes = 600_000
+	stopEnds  = 3_700_000
+)
+
 // trouble carries out one step of a trouble.
 func (r *run) trouble(e *event) {
 	t := &r.w.Troubles[e.a]
@@ -342,12 +364,12 @@
 		})
 	case "deploy":
 		if e.n == troubleStep {
-			batch := max(1, int(math.Round(t.Size*float64(r.w.Servers))))
+			batch := r.batch(t)
 			for _, n := range struck[int(e.b)*batch : min(len(struck), int(e.b+1)*batch)] {
 				r.drain(r.servers[n], Time(t.Every), t.Fresh)
 			}
 		}
-	case "restart":
+	case "restart", "zone_lost":
 		if begins {
 			for _, n := range struck {
 				s := r.servers[n]
@@ -394,6 +416,20 @@
 				r.at(r.now+Time(t.Every), event{kind: evProxyUp, a: n})
 			}
 		}
+	case "proxy_roll":
+		if e.n == troubleStep {
+			batch := r.batch(t)
+			for _, n := range struck[int(e.b)*batch : min(len(struck), int(e.b+1)*batch)] {
+				r.proxies[n].stopsAt = r.now + stopTakes
+				r.at(r.now+stopEnds, event{kind: evProxyDown, a: n, b: r.proxies[n].inc})
+				r.at(r.now+stopEnds+Time(t.Every), event{kind: evProxyUp, a: n})
+			}
+		}
+	case "shift":
+		if r.zoneW[struck[0]] /= max(0.001, t.Size); begins {
+			r.zoneW[struck[0]] *= max(0.001, t.Size) * max(0.001, t.Size)
+		}
+		r.zoneAt = cumulate(len(r.zoneW), func(i int) float64 { return r.zoneW[i] })
 	case "retry_storm":
 		r.rapid = begins
 		if r.retries = r.w.Clients.Retries; begins {
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -283,6 +283,61 @@
 	}
 }
 
+// TestTroublesOfFleets plays what happens to fleets and looks at whom it strikes: a lost zone's servers alone, all of them, are back
+// cold after the time; proxies that are told to stop get no clients from then, lose no request, and start anew; clients of one
+// zone come more often and go again; successors under new names are listed and get work.
+func TestTroublesOfFleets(t *testing.T) {
+	type count struct {
+		started, up, sent, made map[uint32]int
+		down                    int
+	}
+	play := func(trouble model.Trouble) (c count, rep *referee.Report) {
+		w := model.Quotes()
+		w.Length, w.Servers, w.Proxies, w.Skew, w.Load, w.Discovery.Calls = 20*sec, 16, 20, 0, 0.3, 1000
+		w.Troubles = []model.Trouble{trouble}
+		c = count{map[uint32]int{}, map[uint32]int{}, map[uint32]int{}, map[uint32]int{}, 0}
+		ref := referee.New(&w)
+		if _, err := model.Play(&w, 1, baseline.Maker(baseline.TwoChoices), see(func(r *model.Record) {
+			ref.See(r)
+			switch {
+			case r.Kind == model.Started:
+				c.started[uint32(r.Zone)]++
+			case r.Kind == model.ProxyUp && r.At > 0:
+				c.up[uint32(r.Proxy)]++
+			case r.Kind == model.ProxyDown:
+				c.down++
+			case r.Kind == model.Sent:
+				c.sent[r.Server]++
+			case r.Kind == model.CallMade && r.At > model.Time(trouble.At) && r.At < model.Time(trouble.At+trouble.For):
+				c.made[uint32(r.Zone)]++
+			}
+		})); err != nil {
+			t.Fatal(err)
+		}
+		rep, err := ref.Report()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c, rep
+	}
+	if c, _ := play(model.Trouble{Kind: "zone_lost", At: 5 * sec, Every: 3 * sec, From: "zone:2"}); len(c.started) != 1 || c.started[2] < 4 {
+		t.Errorf("zone_lost: servers started by zone: %v", c.started)
+	}
+	c, rep := play(model.Trouble{Kind: "proxy_roll", At: 2 * sec, For: 10 * sec, Part: 1, Size: 0.2, Every: sec / 2})
+	if len(c.up) != 20 || c.down != 20 || rep.Answers.Failed > rep.Calls/200 || rep.ListedIn95 <= 0 {
+		t.Errorf("proxy_roll: %d of 20 started anew, %d went, %d of %d requests failed, lists within %v s", len(c.up), c.down,
+			rep.Answers.Failed, rep.Calls, rep.ListedIn95)
+	}
+	c, _ = play(model.Trouble{Kind: "shift", At: 5 * sec, For: 5 * sec, From: "zone:3", Size: 3})
+	if others := float64(c.made[0]+c.made[1]+c.made[2]) / 3; float64(c.made[3]) < 2.5*others || float64(c.made[3]) > 3.5*others {
+		t.Errorf("shift: calls by zone: %v", c.made)
+	}
+	c, _ = play(model.Trouble{Kind: "deploy", At: 2 * sec, For: 2 * sec, Part: 1, Size: 1, Every: sec, Fresh: true})
+	if len(c.sent) != 32 {
+		t.Errorf("deploy under new names: %d servers got work, want 16 and their successors", len(c.sent))
+	}
+}
+
 // gossip tells the others what it hears of, to count what arrives.
 type gossip struct {
 	model.Node
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -34,6 +34,7 @@
 	evSample                          // once a second
 	evServerUp                        // a server process starts: a=server
 	evServerDown                      // a draining server's process ends: a=server b=epoch n=1: a successor follows
+	evProxyDown                       // a proxy that was told to stop has ended: a=proxy b=incarnation
 	evProxyUp                         // a killed proxy starts: a=proxy
 	evFailed                          // an attempt that reached nobody: a=job n=attempt b=outcome id
 )
@@ -133,7 +134,8 @@
 	zone     uint8
 	up       bool
 	diedAt   Time
-	version  int // of the list that its node has
+	stopsAt  Time // it was told to stop, and gets no new clients from then; 0: it was not
+	version  int  // of the list that its node has
 	pending  bool
 	watching bool
 	calling  bool
@@ -175,6 +177,7 @@
 	rate     float64 // requests a microsecond at the nominal load
 	capacity float64 // requests a second of the warm fleet
 	zoneAt   []float64
+	zoneW    []float64
 	classAt  []float64
 	tenantAt []float64
 	bursting bool
@@ -296,18 +299,11 @@
 	r.capacity = total / mean * 1e6
 	r.rate = w.Load * total / mean
 	r.see(Record{Kind: Opening, Capacity: r.capacity})
-	cumulate := func(n int, of func(int) float64) []float64 {
-		out, sum := make([]float64, n), 0.0
-		for i := range out {
-			sum += of(i)
-			out[i] = sum
-		}
-		for i := range out {
-			out[i] /= sum
-		}
-		return out
+	r.zoneW = make([]float64, w.Zones)
+	for i := range r.zoneW {
+		r.zoneW[i] = 1 + w.Skew*(2*draw.Float64()-1)
 	}
-	r.zoneAt = cumulate(w.Zones, func(int) float64 { return 1 + w.Skew*(2*draw.Float64()-1) })
+	r.zoneAt = cumulate(w.Zones, func(i int) float64 { return r.zoneW[i] })
 	r.classAt = cumulate(len(w.Classes), func(i int) float64 { return w.Classes[i].Share })
 	if len(w.Tenants) > 0 {
 		r.tenantAt = cumulate(len(w.Tenants), func(i int) float64 { return max(1e-9, w.Tenants[i].Share*w.Tenants[i].Usage) })
@@ -327,6 +323,19 @@
 	r.at(1_000_000, event{kind: evSample})
 }
 
+// cumulate turns weights into the upper ends of their parts of 0 to 1.
+func cumulate(n int, of func(int) float64) []float64 {
+	out, sum := make([]float64, n), 0.0
+	for i := range out {
+		sum += of(i)
+		out[i] = sum
+	}
+	for i := range out {
+		out[i] /= sum
+	}
+	return out
+}
+
 // loop plays event by event until the last client has its answer.
 func (r *run) loop() Time {
 	last := Time(0)
@@ -418,6 +427,11 @@
 				r.succeed(s)
 			}
 		}
+	case evProxyDown:
+		if p := &r.proxies[e.a]; p.inc == e.b {
+			r.killProxy(e.a)
+			p.diedAt = p.stopsAt // the front layer has known since then
+		}
 	case evProxyUp:
 		r.startProxy(e.a)
 	}
@@ -551,7 +565,7 @@
 	for pass := 0; pass < 2 && chosen < 0; pass++ {
 		for i := range r.proxies {
 			p := &r.proxies[i]
-			if pass == 0 && p.zone != zone || !p.up && r.now-p.diedAt > Time(r.w.Clients.Notice) {
+			if pass == 0 && p.zone != zone || !p.up && r.now-p.diedAt > Time(r.w.Clients.Notice) || p.stopsAt > 0 && r.now >= p.stopsAt {
 				continue
 			}
 			if seen++; c.draw(uint64(i)<<8+uint64(c.tries))*seen < 1 { // each of them is as likely
@@ -695,6 +709,7 @@
 		return
 	}
 	p.node, p.up, p.open, p.watching, p.calling, p.pending, p.timers = node, true, 0, false, false, false, 0
+	p.stopsAt = 0
 	p.talker, _ = node.(Talker)
 	p.conns = map[int32]*conns{}
 	members := r.reg.cached(p.version)
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -507,7 +507,7 @@
 		next.cell, next.state = s.cell, down
 		r.reg.known = append(r.reg.known, decide.Member{Server: next.id, Zone: next.zone, Cell: next.cell,
 			Kind: uint16(next.kindNo), Mode: decide.ModeGone, Size: float64(next.kind.Cores)})
-		r.reg.epochs = append(r.reg.epochs, 0)
+		r.reg.epochs = append(r.reg.epochs, -1) // nothing of it is known: its first start is news
 		s = next
 	}
 	r.at(r.now+500_000, event{kind: evServerUp, a: s.n})
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -87,6 +87,8 @@
 	watching bool
 	asked    Time
 	failed   bool // the last call
+	began    Time
+	had      bool // a watch since then
 }
 
 // cold is a server that has started lately.
@@ -122,19 +124,22 @@
 	tokensAt Time
 	quota    []float64 // requests a microsecond
 
-	rep      Report
-	asked    []float64 // worth, by second
-	got      []float64
-	class    [][2]float64
-	tenant   [][2]float64
-	lateFail float64
-	firsts   float64
-	work     float64
-	waste    float64
-	crossed  float64
-	opened   float64
-	peer     float64
-	hist     []*hdrhistogram.Histogram
+	rep        Report
+	beginnings int       // starts of proxies
+	waits      []Time    // from a start to its first watch
+	askedIn    []int     // calls to discovery, by second
+	asked      []float64 // worth, by second
+	got        []float64
+	class      [][2]float64
+	tenant     [][2]float64
+	lateFail   float64
+	firsts     float64
+	work       float64
+	waste      float64
+	crossed    float64
+	opened     float64
+	peer       float64
+	hist       []*hdrhistogram.Histogram
 }
 
 // New makes the referee of one play of w.
@@ -216,7 +221,8 @@
 			}
 		}
 	case model.ProxyUp:
-		r.proxies[rec.Proxy] = proxy{gone: map[uint32]Time{}, starts: map[uint32]Time{}, asked: rec.At}
+		r.proxies[rec.Proxy] = proxy{gone: map[uint32]Time{}, starts: map[uint32]Time{}, asked: rec.At, began: rec.At}
+		r.beginnings++
 		r.informed(rec)
 	case model.Informed:
 		r.informed(rec)
@@ -224,14 +230,25 @@
 		p := &r.proxies[rec.Proxy]
 		p.asked = rec.At
 		if rec.Flag {
-			p.watching, p.failed = true, false
+			if p.watching, p.failed = true, false; !p.had {
+				p.had = true
+				r.waits = append(r.waits, rec.At-p.began)
+			}
+		} else {
+			r.rep.Asks++
+			for int(rec.At/1e6) >= len(r.askedIn) {
+				r.askedIn = append(r.askedIn, 0)
+			}
+			r.askedIn[rec.At/1e6]++
 		}
 	case model.Unwatched:
 		p := &r.proxies[rec.Proxy]
 		if p.watching {
 			p.asked = rec.At // till now it heard all
 		}
-		p.watching, p.failed = false, rec.Flag
+		if p.watching, p.failed = false, rec.Flag; rec.Flag {
+			r.rep.AsksFailed++
+		}
 	case model.ProxyDown:
 		for id, t := range r.open {
 			if t.proxy == rec.Proxy { // what dies with its proxy is its client's to repeat
--- a/internal/lab/referee/report.go
+++ b/internal/lab/referee/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -26,6 +28,13 @@
 	Overdriven int     `json:"overdriven"` // times that the sum of all proxies went past the multiple of a cold server's capacity
 	ColdPeak   float64 `json:"cold_peak"`  // the most that one was sent, in its capacity then
 
+	// Calls to discovery: all, those that failed, the most within a second, and how long 95% of the proxies' starts took until their
+	// first watch (seconds; -1: more than a twentieth had none).
+	Asks       int     `json:"asks"`
+	AsksFailed int     `json:"asks_failed"`
+	AsksPeak   int     `json:"asks_peak"`
+	ListedIn95 float64 `json:"listed_in_95_s"`
+
 	Calls    int `json:"calls"`
 	InTime   int `json:"in_time"`
 	Late     int `json:"late"`
@@ -95,6 +104,16 @@
 	for _, name := range []string{"late_fail", "waste", "cross", "handshake", "peer"} { // in one order: sums must not vary
 		rep.G -= rep.Prices[name]
 	}
+	for _, at := range r.askedIn {
+		rep.AsksPeak = max(rep.AsksPeak, at)
+	}
+	if slices.Sort(r.waits); len(r.waits) > 0 {
+		// Starts that never had a watch stand behind all others.
+		rep.ListedIn95 = -1
+		if at := int(math.Ceil(0.95*float64(r.beginnings))) - 1; at < len(r.waits) {
+			rep.ListedIn95 = float64(r.waits[at]) / 1e6
+		}
+	}
 	for i := range r.asked {
 		x := -1.0
 		if r.asked[i] > 0 {
