Calls to discovery spread over twice the time in groups of 200 and more, and from there back off

Need: a herd of 210 proxies that restarts at once must not bring discovery down by its own calls. Observed in the laboratory (docs/findings/herd.toml): all call within a fourth of AskWithin (2.5 s), and after a first failure within the same time again, so at 60 answers a second 94 of 604 calls fail, at 30 a second 464 of 965. Lines: listed and askSoon in decide/health.go.

Change: one formula (askSoon) gives the window of every planned call: full jitter, twice as long for each failure after the first, and longer with the group, up to twice from 200 proxies on; up to 100 it is what it was. permits is three lines shorter for it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -139,7 +139,7 @@
 	if b.started < 0 {
 		b.started, b.refreshed = b.now, b.now
 		b.timer(tagRefresh, b.jitter(refreshEvery))
-		b.askSoon(b.set.Rules.AskWithin / 4)
+		b.askSoon()
 	}
 	switch ev.Kind {
 	case Arrival:
@@ -238,10 +238,7 @@
 // permits says whether r may be sent to s now, and whether any further send is possible at all: the rules on
 // effects, from what each earlier attempt proves, and the limits of the deployment.
 func (b *Balancer) permits(r *request, s *server) bool {
-	if !b.another(r) {
-		return false
-	}
-	if s.mode != ModeReady || !s.listed {
+	if !b.another(r) || s.mode != ModeReady || !s.listed {
 		return false
 	}
 	for i := range r.tries {
--- a/decide/health.go
+++ b/decide/health.go
@@ -1,5 +1,7 @@
 package decide
 
+import "math"
+
 // discovery is the state of this balancer's subscription, where the list must be asked for.
 type discovery struct {
 	asked      bool // a call is out
@@ -8,12 +10,14 @@
 	failures   int
 }
 
-// askSoon plans a call to discovery within about the given time. Discovery's capacity does not grow with the
-// bank: after a start or a failure common to all, calls must not come together. There is one plan at a time:
-// a failed call must not leave two behind, or an outage of discovery would breed calls.
-func (b *Balancer) askSoon(within Time) {
-	if b.set.AskDiscovery {
-		b.askAfter(Time(b.rng.Float64() * float64(within)))
+// askSoon plans a call to discovery at random within a window that grows with failures and with the bank, as
+// discovery's capacity does not: after a start or a failure common to all, calls must not come together. There
+// is one plan at a time: a failed call must not leave two behind, or an outage would breed calls.
+func (b *Balancer) askSoon() {
+	if b.set.AskDiscovery { // after a failed call the rule allows four times as long, which leaves room
+		within := float64(b.set.Rules.AskWithin) / 8 * max(1, min(2, float64(b.set.GroupSize)/100))
+		within = min(within*math.Exp2(float64(max(1, b.disc.failures))), 2*float64(b.set.Rules.AskWithin))
+		b.askAfter(Time(b.rng.Float64() * within))
 	}
 }
 
@@ -39,9 +43,7 @@
 		}
 		b.disc.subscribed, b.disc.asked = false, false
 		b.disc.failures++
-		// After a failed call the rule allows four times as long, which leaves room to back off.
-		back := b.set.Rules.AskWithin / 8 << min(b.disc.failures, 4)
-		b.askSoon(min(back, 2*b.set.Rules.AskWithin))
+		b.askSoon()
 		return
 	}
 	for _, s := range b.order {
--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -35,6 +35,8 @@
 		return float64(r.Report.Fallen) / math.Max(1, float64(r.Report.ColdStarts))
 	}},
 	{"crossed", "attempts across zones, for each request", func(r *Result) float64 { return r.Report.Crossed }},
+	{"asks", "calls to discovery", func(r *Result) float64 { return float64(r.Report.Asks) }},
+	{"asks_failed", "calls to discovery that failed", func(r *Result) float64 { return float64(r.Report.AsksFailed) }},
 	{"asks_peak", "calls to discovery in the worst second", func(r *Result) float64 { return float64(r.Report.AsksPeak) }},
 	{"listed_in_95", "seconds until 95% of the proxies' starts had their list", func(r *Result) float64 { return r.Report.ListedIn95 }},
 	{"opened", "connections opened, for each request", func(r *Result) float64 { return r.Report.Opened }},
