A successor killed before and after its yes, and SIGHUP during an upgrade, with real processes

The test's own binary runs as the program (TestMain), on one lent socket with four clients. A class that comes with SIGHUP to both is served by both. Nothing in the program had to change.

--- /dev/null
+++ b/cmd/pumiceline/process_test.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"pumiceline/internal/standin"
+)
+
+// TestMain lets the test's own binary be the program: a process that is killed has to be a real one.
+func TestMain(m *testing.M) {
+	if os.Getenv("PUMICELINE_TEST_MAIN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// stage is a world of stand-ins with a lent socket, on which processes of one proxy come and go.
+type stage struct {
+	t         testing.TB
+	lent      *os.File
+	base      string // the lent socket's
+	discovery string
+	file      string // the configuration
+	shared    string
+	memoryMB  int
+	world     *standin.World
+}
+
+// process is one of a proxy.
+type process struct {
+	*exec.Cmd
+	operator string
+	log      *bytes.Buffer // whole once it has ended
+}
+
+func newStage(t testing.TB, memoryMB int) *stage {
+	open := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ln
+	}
+	discovery, lent := open(), open()
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	s := &stage{t: t, base: lent.Addr().String(), discovery: discovery.Addr().String(), shared: t.TempDir(), memoryMB: memoryMB,
+		file: filepath.Join(t.TempDir(), "config.json"),
+		world: standin.NewWorld(discovery, []net.Listener{open(), open(), open()}, []string{"ub-east"},
+			func() { time.Sleep(2 * time.Millisecond) })}
+	go s.world.Serve(ctx)
+	var err error
+	if s.lent, err = lent.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	lent.Close()
+	t.Cleanup(func() { s.lent.Close() })
+	s.write()
+	return s
+}
+
+// write writes the configuration, with further classes like the first.
+func (s *stage) write(further ...string) {
+	text, err := standin.Config(s.base, s.discovery, []string{"ub-east"})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var all map[string]any
+	if err := json.Unmarshal(text, &all); err != nil {
+		s.t.Fatal(err)
+	}
+	all["limits"] = map[string]any{"memory_mb": s.memoryMB, "sockets": 256}
+	set := all["settings"].(map[string]any)
+	classes := set["Classes"].([]any)
+	for _, name := range further {
+		class := map[string]any{}
+		for k, v := range classes[0].(map[string]any) {
+			class[k] = v
+		}
+		class["Name"] = name
+		classes = append(classes, class)
+	}
+	set["Classes"] = classes
+	if text, err = json.Marshal(all); err == nil {
+		if err = os.WriteFile(s.file+".new", text, 0o600); err == nil {
+			err = os.Rename(s.file+".new", s.file)
+		}
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// begin starts a process that asks discovery at the given address.
+func (s *stage) begin(discovery string) *process {
+	free, err := net.Listen("tcp", "127.0.0.5:0") // an address of its own: a connection of another test can't take the port
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p := &process{Cmd: exec.Command(os.Args[0], "serve"), operator: "http://" + free.Addr().String() + "/v1/", log: &bytes.Buffer{}}
+	p.Env = append(os.Environ(), "PUMICELINE_TEST_MAIN=1", "ROUTER_FD=3", "ROUTER_CONFIG="+s.file, "ROUTER_LISTEN="+s.base,
+		"ROUTER_DISCOVERY="+discovery, "ROUTER_OPERATOR="+free.Addr().String(), "TMPDIR="+s.shared)
+	p.ExtraFiles, p.Stderr = []*os.File{s.lent}, p.log
+	free.Close()
+	if err := p.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { p.Process.Kill() })
+	return p
+}
+
+func ask(method, url string, header http.Header) (status int, body string, err error) {
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	if header != nil {
+		req.Header = header
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// status waits until a process's operators' door says of itself what is wanted.
+func (s *stage) status(p *process, path string, want func(status int, body string) bool) {
+	for by := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		status, body, err := ask("GET", p.operator+path, nil)
+		if err == nil && want(status, body) {
+			return
+		}
+		if time.Now().After(by) {
+			p.Process.Kill()
+			p.Wait()
+			s.t.Fatalf("%s never came: %d %q %v; its log:\n%s", path, status, body, err, p.log)
+		}
+	}
+}
+
+func (s *stage) ready(p *process) {
+	s.status(p, "readyz", func(status int, _ string) bool { return status == 200 })
+}
+
+// quote asks the proxy for one quote, on a connection of its own.
+func (s *stage) quote(class string, n int64) (int, error) {
+	status, _, err := ask("GET", "http://"+s.base+"/"+class, http.Header{"X-Correlation-Id": {fmt.Sprint("q", n)}, "X-Service-Class": {class},
+		"X-Account": {"khan-air"}, "X-Time-Left-Ms": {"1500"}})
+	return status, err
+}
+
+// A successor that is killed, before its yes or after it, costs nothing but what it had taken itself: the old process serves on with
+// the whole budgets, and the next successor takes over without a request lost. A SIGHUP while two are there reaches both.
+func TestSuccessorIsKilled(t *testing.T) {
+	hole, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing, so that a successor waits for its list
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hole.Close()
+	for name, yes := range map[string]bool{"before its yes": false, "after its yes": true} {
+		s := newStage(t, 64)
+		old := s.begin(s.discovery)
+		s.ready(old)
+		var number, killing, dead, served, lost atomic.Int64 // killing, dead: Unix nanoseconds
+		load, end := context.WithCancel(context.Background())
+		var clients sync.WaitGroup
+		for range 4 {
+			clients.Go(func() {
+				for load.Err() == nil {
+					began := time.Now().UnixNano()
+					status, err := s.quote("quick-quote", number.Add(1))
+					switch gone := dead.Load(); {
+					case err == nil && status == 200:
+						served.Add(1)
+					case err != nil && yes && killing.Load() > 0 && (gone == 0 || began < gone):
+						lost.Add(1) // it was with the process that died
+					default:
+						t.Errorf("%s: a request got %d, %v", name, status, err)
+					}
+				}
+			})
+		}
+		first := s.begin(s.discovery)
+		if !yes {
+			first.Process.Kill()
+			first.Wait()
+			first = s.begin(hole.Addr().String())
+			s.status(first, "readyz", func(status int, _ string) bool { return status == 503 })
+		} else {
+			s.ready(first)
+			s.write("season")
+			for _, p := range []*process{old, first} {
+				if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+					t.Fatal(err)
+				}
+				s.status(p, "metrics", func(_ int, body string) bool { return strings.Contains(body, "svc_conf_loaded_total 1\n") })
+			}
+			for n := range int64(40) { // both take connections from the one socket
+				if status, err := s.quote("season", 1e6+n); status != 200 || err != nil {
+					t.Errorf("a class that came with SIGHUP during an upgrade: %d, %v", status, err)
+				}
+			}
+		}
+		killing.Store(time.Now().UnixNano())
+		first.Process.Kill()
+		first.Wait()
+		dead.Store(time.Now().UnixNano())
+		time.Sleep(4 * shareEvery) // the old process sees that it is alone
+		next := s.begin(s.discovery)
+		s.ready(next)
+		if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := old.Wait(); err != nil {
+			t.Errorf("%s: the old process: %v", name, err)
+		}
+		end()
+		clients.Wait()
+		if lost.Load() > 4 {
+			t.Errorf("%s: %d requests lost with the killed process, more than there were clients", name, lost.Load())
+		}
+		// Budgets are shared with who takes requests, and whole again once that is dead.
+		want := []string{"1", "2"}
+		if yes {
+			want = []string{"1", "2", "1", "2"}
+		}
+		var shared []string
+		for _, found := range regexp.MustCompile(`processes=(\d)`).FindAllStringSubmatch(old.log.String(), -1) {
+			shared = append(shared, found[1])
+		}
+		if !slices.Equal(shared, want) {
+			t.Errorf("%s: the old process shared its budgets among %v, want %v:\n%s", name, shared, want, old.log)
+		}
+		next.Process.Signal(syscall.SIGTERM)
+		if err := next.Wait(); err != nil {
+			t.Errorf("%s: the next process: %v", name, err)
+		}
+		t.Logf("%s: %d served, %d lost with the killed process", name, served.Load(), lost.Load())
+	}
+}
