--- /dev/null
+++ b/cmd/pumiceline/memory_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pumiceline/internal/pool"
+)
+
+// memory reads a figure of the kernel's about a process, in MB. A page that several processes share counts in Pss for each its part.
+func memory(b *testing.B, p *process, file, field string) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.Process.Pid, file))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, field+":"); ok {
+			if kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64); err == nil {
+				return kb / 1024
+			}
+		}
+	}
+	b.Fatalf("no %s in %s", field, file)
+	return 0
+}
+
+// load keeps clients asking, each as soon as it is answered, until the returned function is called, which says how many were served.
+func (s *stage) load(clients int) func() int {
+	ctx, end := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	counts := make([]int, clients)
+	transport := &http.Transport{MaxIdleConnsPerHost: clients}
+	for c := range clients {
+		all.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				req, err := http.NewRequest("GET", "http://"+s.base+"/quick-quote", nil)
+				if err != nil {
+					return
+				}
+				req.Header = http.Header{"X-Correlation-Id": {fmt.Sprint(c, ".", n)}, "X-Service-Class": {"quick-quote"},
+					"X-Account": {"khan-air"}, "X-Time-Left-Ms": {"1500"}}
+				resp, err := transport.RoundTrip(req)
+				if err != nil {
+					continue
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == 200 {
+					counts[c]++
+				}
+				resp.Body.Close()
+			}
+		})
+	}
+	return func() (sum int) {
+		end()
+		all.Wait()
+		transport.CloseIdleConnections()
+		for _, n := range counts {
+			sum += n
+		}
+		return sum
+	}
+}
+
+// BenchmarkTwoProcesses shows what two processes of one proxy take of 32 MB during an upgrade under load, and what one takes alone.
+func BenchmarkTwoProcesses(b *testing.B) {
+	for range b.N {
+		s := newStage(b, 32)
+		old := s.begin(s.discovery)
+		s.ready(old)
+		end := s.load(16)
+		time.Sleep(2 * time.Second)
+		one := memory(b, old, "smaps_rollup", "Pss")
+		next := s.begin(s.discovery)
+		s.ready(next)
+		time.Sleep(2 * time.Second)
+		first, second := memory(b, old, "smaps_rollup", "Pss"), memory(b, next, "smaps_rollup", "Pss")
+		end()
+		b.ReportMetric(one, "MB-alone")
+		b.ReportMetric(first+second, "MB-both")
+		b.ReportMetric((first+second)/32, "of-limit")
+	}
+}
+
+// BenchmarkLongAnswers shows what 100 answers of 8 MiB take that clients have begun to read and then stop reading.
+func BenchmarkLongAnswers(b *testing.B) {
+	const long, readers = 8 << 20, 100
+	for range b.N {
+		s := newStage(b, 64)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(long))
+			piece := make([]byte, 64<<10)
+			for range long / len(piece) {
+				if _, err := w.Write(piece); err != nil {
+					return
+				}
+			}
+		})}
+		go server.Serve(ln)
+		for _, e := range s.world.Entries {
+			e.Health = "DELETED"
+			s.world.Roster.Put(e)
+		}
+		s.world.Roster.Put(pool.Entry{Host: "long", Dial: ln.Addr().String(), Site: "ub-east", Class: "std-8", Health: "SERVING", Share: 1})
+		p := s.begin(s.discovery)
+		s.ready(p)
+		time.Sleep(3 * time.Second) // its list is there
+		before := memory(b, p, "status", "VmRSS")
+		var bodies []io.ReadCloser
+		for n := range readers {
+			req, err := http.NewRequest("GET", "http://"+s.base+"/full-quote", nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			req.Header = http.Header{"X-Correlation-Id": {fmt.Sprint("l", n)}, "X-Service-Class": {"full-quote"}, "X-Account": {"khan-air"},
+				"X-Time-Left-Ms": {"6000"}}
+			resp, err := (&http.Transport{ReadBufferSize: 4 << 10}).RoundTrip(req)
+			if err != nil || resp.StatusCode != 200 {
+				b.Fatal(resp, err)
+			}
+			if _, err := io.CopyN(io.Discard, resp.Body, 64<<10); err != nil {
+				b.Fatal(err)
+			}
+			bodies = append(bodies, resp.Body)
+		}
+		time.Sleep(time.Second)
+		after := memory(b, p, "status", "VmRSS")
+		for _, body := range bodies {
+			body.Close()
+		}
+		server.Close()
+		b.ReportMetric(before, "MB-before")
+		b.ReportMetric(after, "MB-with-100")
+		b.ReportMetric((after-before)*1024/readers, "KB/answer")
+	}
+}
+
+// BenchmarkScrapeAtOverload shows how long the operators' door takes while clients keep the proxy's one core busy.
+func BenchmarkScrapeAtOverload(b *testing.B) {
+	for range b.N {
+		s := newStage(b, 64)
+		p := s.begin(s.discovery)
+		s.ready(p)
+		times := func() (took []time.Duration) {
+			for range 50 {
+				start := time.Now()
+				if status, _, err := ask("GET", p.operator+"metrics", nil); err != nil || status != 200 {
+					b.Fatal(status, err)
+				}
+				took = append(took, time.Since(start))
+				time.Sleep(20 * time.Millisecond)
+			}
+			slices.Sort(took)
+			return took
+		}
+		calm := times()
+		end := s.load(64)
+		time.Sleep(time.Second)
+		busy := times()
+		b.ReportMetric(float64(end())/3, "requests/s")
+		for name, t := range map[string]time.Duration{"ms-calm": calm[25], "ms-median": busy[25], "ms-most": busy[49]} {
+			b.ReportMetric(float64(t.Microseconds())/1000, name)
+		}
+	}
+}
