A request looks past the due turns for a warm server whose connection stands idle

Change: past the 16 turns the heap's upper levels are scanned for warm servers with an idle connection; shares of cold ones stay those of their weights. At 16 servers and fewer nothing changes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -202,9 +202,8 @@
 	}
 	r := b.spare[len(b.spare)-1]
 	b.spare = b.spare[:len(b.spare)-1]
-	tries := r.tries[:0]
 	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], cost: 1, arrived: b.now,
-		deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: tries, slow: ev.Slow}
+		deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: r.tries[:0], slow: ev.Slow}
 	if ev.Work > 0 {
 		w := float64(ev.Work)
 		if b.meanWork == 0 {
@@ -347,8 +346,7 @@
 // still in time: what counts is the client's patience, and an answer past the aim is worth little.
 func (b *Balancer) hold(r *request) {
 	margin := heldEvery + 2*b.set.Round
-	aim := r.class.Aim
-	r.holdTill = min(r.deadline-margin, r.arrived+max(aim/8, aim-Time(2*b.usual)))
+	r.holdTill = min(r.deadline-margin, r.arrived+max(r.class.Aim/8, r.class.Aim-Time(2*b.usual)))
 	if !slices.ContainsFunc(r.tries, func(t attempt) bool { return t.mayHaveRun }) {
 		// Sent nowhere, it is owed its refusal while the client has half of its time left to do better.
 		r.holdTill = min(r.holdTill, r.arrived+(r.deadline-r.arrived)/2-margin)
--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -74,8 +74,7 @@
 // keep their place for the next request, so that long-run shares stay those of the weights.
 func (b *Balancer) pick(r *request) *server {
 	passed := b.passed[:0]
-	var found *server
-	best := 0.0
+	found, best := (*server)(nil), 0.0
 	for looked := 0; b.turns.Len() > 0 && looked < lookAhead; {
 		s := b.turns.due[0]
 		if b.permits(r, s) && !b.tooHeavy(s, r.cost) {
@@ -89,6 +88,11 @@
 		}
 		passed = append(passed, heap.Pop(&b.turns).(*server))
 	}
+	for _, s := range b.turns.due[:min(lookFar, len(b.turns.due))] { // the upper levels of the heap: due soon
+		if load := b.load(r, s); load < best && !s.cold && s.conns > s.inflight && b.permits(r, s) {
+			found, best = s, load
+		}
+	}
 	for _, s := range passed {
 		heap.Push(&b.turns, s)
 	}
@@ -101,8 +105,9 @@
 	return found
 }
 
-// lookAhead is how many due turns a request looks at.
-const lookAhead = 16
+// A request looks at lookAhead due turns, and at about lookFar more for a warm server with an idle connection: in a
+// large bank a server's next turn comes after its connection was closed. Cold ones keep to their weights.
+const lookAhead, lookFar = 16, 128
 
 // load ranks s for r within the look-ahead: 0 is as good as it gets. What is out counts for more at a server
 // that can do less.
--- a/decide/schedule_test.go
+++ b/decide/schedule_test.go
@@ -1,7 +1,10 @@
 package decide
 
 import (
+	"container/heap"
+	"fmt"
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -128,3 +131,44 @@
 		t.Errorf("%v allocations a request", n)
 	}
 }
+
+// Beyond the first turns only a warm server's idle connection is worth a turn out of order: not a server without one, nor a cold one.
+func TestFarTurnsAreForIdleConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		conns, inflight int
+		cold, taken     bool
+	}{"idle connection": {1, 0, false, true}, "none": {0, 0, false, false}, "busy": {1, 1, false, false}, "cold": {1, 0, true, false}} {
+		b := newBalancer(t, settings(), fleet(100))
+		for i, s := range b.order { // due in the order of their listing
+			s.due = float64(i) / 100
+			b.reweigh(s, 1)
+		}
+		heap.Init(&b.turns)
+		far := b.order[60]
+		far.conns, far.inflight, far.cold, far.tokens = c.conns, c.inflight, c.cold, 5
+		got := b.pick(&request{class: &b.set.Classes[0], deadline: b.now + 1e6, attempts: 3, cost: 1})
+		if (got == far) != c.taken {
+			t.Errorf("%s: server %d of 100 was picked, want the 61st: %v", name, slices.Index(b.order, got), c.taken)
+		}
+		if b.turns.Len() != 100 {
+			t.Errorf("%s: %d servers are left in the schedule", name, b.turns.Len())
+		}
+	}
+}
+
+// BenchmarkPick shows what a choice costs where no connection stands idle, which is the dearest: all turns are looked at.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 200, 10_000} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			m, err := New(settings(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Handle(1, &Event{Kind: ListFull, Members: fleet(n)}, nil)
+			r := &request{class: &m.set.Classes[0], deadline: math.MaxInt64, cost: 1, attempts: 9}
+			for range b.N {
+				m.pick(r)
+			}
+		})
+	}
+}
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -88,10 +88,8 @@
 	if s.nonEmptySince == 0 {
 		s.nonEmptySince = max(1, b.now)
 	}
-	fresh := v != s.last
 	elapsed := b.now - s.lastReport
-	s.lastReport = b.now
-	if !fresh {
+	if s.lastReport = b.now; v == s.last {
 		return // the same figures again, not yet renewed
 	}
 	s.last = v
