The part of a fleet that a proxy keeps to: a deterministic aperture, measured in the laboratory

The laboratory's policies half, quarter and eighth play the module with such a list; nothing in the program uses it yet, as a part has to widen first.

--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -17,6 +17,7 @@
 	"pumiceline/internal/lab/baseline"
 	"pumiceline/internal/lab/doored"
 	"pumiceline/internal/lab/model"
+	"pumiceline/internal/lab/subsetted"
 	"pumiceline/internal/tomlfile"
 )
 
@@ -50,7 +51,10 @@
 	makers := map[string]model.Maker{"decide": func(set decide.Settings, seed uint64, _ *model.Truth) (model.Node, error) {
 		return decide.New(set, seed)
 	}}
-	makers["door"] = doored.Maker(makers["decide"], true)         // the module behind the door
+	makers["door"] = doored.Maker(makers["decide"], true)   // the module behind the door
+	makers["half"] = subsetted.Maker(makers["decide"], 0.5) // the module with a part of the fleet
+	makers["quarter"] = subsetted.Maker(makers["decide"], 0.25)
+	makers["eighth"] = subsetted.Maker(makers["decide"], 0.125)
 	makers["door-silent"] = doored.Maker(makers["decide"], false) // which names no time to come back
 	for _, name := range []string{baseline.Random, baseline.RoundRobin, baseline.TwoChoices, baseline.Least, baseline.Truth} {
 		makers[name] = baseline.Maker(name)
--- /dev/null
+++ b/internal/lab/subsetted/subsetted.go
@@ -0,0 +1,87 @@
+// Package subsetted has the decision module see only its proxy's part of the fleet, within the laboratory: what keeping to a part is
+// worth, before the module itself heeds it. The part does not widen, whatever becomes of its servers.
+package subsetted
+
+import (
+	"math"
+	"slices"
+
+	"pumiceline/decide"
+	"pumiceline/internal/lab/model"
+	"pumiceline/internal/subset"
+)
+
+// node is a module that is told of a part of the list.
+type node struct {
+	module  model.Node
+	ordinal int
+	arc     float64
+	listed  map[uint32]decide.Member
+	told    map[uint32]bool
+	members []decide.Member
+}
+
+// least is how many servers of each zone a part has at least.
+const least = 4
+
+// Maker makes nodes of make that keep to an arc of each zone. Cold budgets are divided among the proxies that may have a server in
+// their part, and no more.
+func Maker(make model.Maker, arc float64) model.Maker {
+	return func(set decide.Settings, seed uint64, truth *model.Truth) (model.Node, error) {
+		all := set.GroupSize
+		if part := int(math.Ceil(float64(all)*arc)) + 4 + int(2*math.Log10(float64(max(1, all)))); part < all {
+			set.GroupSize = part
+			set.Tenants = slices.Clone(set.Tenants)
+			for i := range set.Tenants { // shares are of what this proxy gets, not of what its servers get
+				set.Tenants[i].QuotaPerS *= float64(part) / float64(all)
+			}
+		}
+		module, err := make(set, seed, truth)
+		if err != nil {
+			return nil, err
+		}
+		return &node{module: module, ordinal: set.Ordinal, arc: arc, listed: map[uint32]decide.Member{}, told: map[uint32]bool{}}, nil
+	}
+}
+
+// Handle is model.Node's.
+func (n *node) Handle(now model.Time, ev *decide.Event, out []decide.Action) []decide.Action {
+	switch ev.Kind {
+	case decide.ListFull, decide.ListCached:
+		clear(n.listed)
+	case decide.ListDelta:
+	default:
+		return n.module.Handle(now, ev, out)
+	}
+	for _, m := range ev.Members {
+		if m.Mode == decide.ModeGone {
+			delete(n.listed, m.Server)
+		} else {
+			n.listed[m.Server] = m
+		}
+	}
+	var servers []subset.Server
+	for _, m := range n.listed {
+		if m.Mode == decide.ModeReady {
+			servers = append(servers, subset.Server{ID: m.Server, Zone: m.Zone, Cell: m.Cell, Size: m.Size})
+		}
+	}
+	part := *ev
+	if part.Kind == decide.ListDelta {
+		part.Kind = decide.ListFull
+	}
+	n.members = n.members[:0]
+	for _, m := range subset.Pick(servers, n.ordinal, n.arc, least) {
+		n.members = append(n.members, n.listed[m.ID])
+	}
+	part.Members = n.members
+	return n.module.Handle(now, &part, out)
+}
+
+// Avoided is as the module says.
+func (n *node) Avoided() int {
+	if m, ok := n.module.(interface{ Avoided() int }); ok {
+		return m.Avoided()
+	}
+	return 0
+}
