--- a/decide/health.go
+++ b/decide/health.go
@@ -11,8 +11,8 @@
 }
 
 // askSoon plans a call to discovery at random within a window that grows with failures and with the bank, as
-// discovery's capacity does not: after a start or a failure common to all, calls must not come together. There
-// is one plan at a time: a failed call must not leave two behind, or an outage would breed calls.
+// discovery's capacity does not: after a start or a failure common to all, calls must not come together. One
+// plan stands at a time: a failed call must not leave two behind, or an outage would breed calls.
 func (b *Balancer) askSoon() {
 	if b.set.AskDiscovery { // after a failed call the rule allows four times as long, which leaves room
 		within := float64(b.set.Rules.AskWithin) / 8 * max(1, min(2, float64(b.set.GroupSize)/100))
