--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -105,8 +105,8 @@
 	return found
 }
 
-// A request looks at lookAhead due turns, and at about lookFar more for a warm server with an idle connection:
-// in a large bank a server's next turn comes after its connection was closed. Cold ones keep to their weights.
+// A request looks at lookAhead due turns, and at about lookFar more for a warm server with an idle connection.
+// In a large bank a server's next turn comes after its connection closed. Cold ones keep to their weights.
 const lookAhead, lookFar = 16, 128
 
 // load ranks s for r within the look-ahead: 0 is as good as it gets. What is out counts for more at a server
