--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -105,7 +105,7 @@
 	return found
 }
 
-// A request looks at lookAhead due turns, and at about lookFar more for a warm server with an idle connection.
+// A request looks at lookAhead due turns, then at about lookFar for a warm server whose connection is idle.
 // In a large bank a server's next turn comes after its connection closed. Cold ones keep to their weights.
 const lookAhead, lookFar = 16, 128
 
