Crowding is judged by what answers take where nothing queues, and load by size

Ruled out: hangs (refusals begin 6 s before the first), restarts (31 s), tenants' shares (refused alike within and beyond). At fault: health.go, crowdedFrom = half of the aim. With 120 to 370 ms of waiting on others, half of 600 and 800 ms is passed with nothing queued. And weights.go, refresh: without reports toil stayed 1, so that servers of size 1.5 held as much as those of 4.

Changed: internal/calm learns by class what four in five answers take where nothing queues (least of a running quantile, which rises by 1% a second); an answer speaks of a queue from twice that, half of the aim at least, the aim at most. Without reports listed sizes weigh what is out. Checks of settings stand beside their types in api.go.

--- a/decide/api.go
+++ b/decide/api.go
@@ -9,6 +9,11 @@
 // A Balancer is not safe for concurrent use. Balancers share nothing; run as many as you like.
 package decide
 
+import (
+	"fmt"
+	"math"
+)
+
 // Time is a moment or a span in microseconds.
 type Time = int64
 
@@ -111,6 +116,40 @@
 	Prices         Prices
 }
 
+// complete judges whether a balancer can act on s, and gives what is not told a safe meaning.
+func (s *Settings) complete() error {
+	r := &s.Rules
+	switch {
+	case len(s.Classes) == 0:
+		return fmt.Errorf("decide: settings name no classes")
+	case r.ColdShare < 0 || r.ColdShare > 1 || math.IsNaN(r.ColdShare):
+		return fmt.Errorf("decide: cold share %v is not a fraction", r.ColdShare)
+	case r.Cold < 0 || r.TipAfter < 0 || r.AskWithin < 0 || s.Round < 0 || r.AnswerSlack < 0:
+		return fmt.Errorf("decide: a time of the rules is negative")
+	case r.TipMultiple < 0 || math.IsNaN(r.TipMultiple) || math.IsInf(r.TipMultiple, 0):
+		return fmt.Errorf("decide: tip multiple %v is out of range", r.TipMultiple)
+	case s.GroupSize < 0 || s.Limits.Attempts < 0 || s.Limits.MostHeld < 0:
+		return fmt.Errorf("decide: a count is negative")
+	}
+	for i, c := range s.Classes {
+		if c.Aim < 0 || c.Deadline < 0 || c.Window < 0 || c.Semantics > Unsafe || c.Group > GroupCell {
+			return fmt.Errorf("decide: class %d is out of range", i)
+		}
+	}
+	// What is not told gets a safe meaning.
+	s.GroupSize = max(1, s.GroupSize)
+	if r.AskWithin == 0 {
+		r.AskWithin = 10_000_000
+	}
+	if r.TipMultiple == 0 {
+		r.TipMultiple = 1e6 // nothing tips; what a cold server can do still bounds what it is sent
+	}
+	if s.Limits.Attempts == 0 || s.Limits.Attempts > maxAttempts {
+		s.Limits.Attempts = maxAttempts
+	}
+	return nil
+}
+
 // Mode is a server's listed state.
 type Mode uint8
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,10 +4,11 @@
 // weights, A100's ramp and the cold budget, schedule.go the turns, health.go list, evidence and admission.
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"pumiceline/internal/calm"
 )
 
 const (
@@ -48,12 +49,13 @@
 
 	started, refreshed Time
 	heldTimer          bool
-	arrivals           float64   // since the last refresh
-	arrivalRate        float64   // requests a second, smoothed
-	meanWork           float64   // of the requests that tell theirs
-	retries            float64   // tokens of the retry budget
-	shares             []float64 // tokens of each tenant's share
-	usual              float64   // time of a served attempt, median
+	arrivals           float64     // since the last refresh
+	arrivalRate        float64     // requests a second, smoothed
+	meanWork           float64     // of the requests that tell theirs
+	retries            float64     // tokens of the retry budget
+	shares             []float64   // tokens of each tenant's share
+	usual              float64     // time of a served attempt, median
+	calm               []calm.Time // by class: what answers take where nothing queues
 	disc               discovery
 }
 
@@ -75,6 +77,7 @@
 type request struct {
 	id       uint64
 	class    *Class
+	number   uint8   // of its class
 	cost     float64 // work, in mean requests
 	value    float64 // worth for each unit of work
 	arrived  Time
@@ -98,38 +101,14 @@
 
 // Change takes over other settings, or none with an error. Requests keep the class and attempts they had.
 func (b *Balancer) Change(set Settings) error {
-	r := &set.Rules
-	switch {
-	case len(set.Classes) == 0:
-		return fmt.Errorf("decide: settings name no classes")
-	case r.ColdShare < 0 || r.ColdShare > 1 || math.IsNaN(r.ColdShare):
-		return fmt.Errorf("decide: cold share %v is not a fraction", r.ColdShare)
-	case r.Cold < 0 || r.TipAfter < 0 || r.AskWithin < 0 || set.Round < 0 || r.AnswerSlack < 0:
-		return fmt.Errorf("decide: a time of the rules is negative")
-	case r.TipMultiple < 0 || math.IsNaN(r.TipMultiple) || math.IsInf(r.TipMultiple, 0):
-		return fmt.Errorf("decide: tip multiple %v is out of range", r.TipMultiple)
-	case set.GroupSize < 0 || set.Limits.Attempts < 0 || set.Limits.MostHeld < 0:
-		return fmt.Errorf("decide: a count is negative")
-	}
-	for i, c := range set.Classes {
-		if c.Aim < 0 || c.Deadline < 0 || c.Window < 0 || c.Semantics > Unsafe || c.Group > GroupCell {
-			return fmt.Errorf("decide: class %d is out of range", i)
-		}
-	}
-	// What is not told gets a safe meaning.
-	set.GroupSize = max(1, set.GroupSize)
-	if r.AskWithin == 0 {
-		r.AskWithin = 10_000_000
-	}
-	if r.TipMultiple == 0 {
-		r.TipMultiple = 1e6 // nothing tips; what a cold server can do still bounds what it is sent
-	}
-	if set.Limits.Attempts == 0 || set.Limits.Attempts > maxAttempts {
-		set.Limits.Attempts = maxAttempts
+	if err := set.complete(); err != nil {
+		return err
 	}
 	shares := make([]float64, len(set.Tenants))
 	copy(shares, b.shares)
-	b.set, b.shares = set, shares
+	calms := make([]calm.Time, len(set.Classes))
+	copy(calms, b.calm)
+	b.set, b.shares, b.calm = set, shares, calms
 	return nil
 }
 
@@ -202,7 +181,7 @@
 	}
 	r := b.spare[len(b.spare)-1]
 	b.spare = b.spare[:len(b.spare)-1]
-	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], cost: 1, arrived: b.now,
+	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], number: ev.Class, cost: 1, arrived: b.now,
 		deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: r.tries[:0], slow: ev.Slow}
 	if ev.Work > 0 {
 		w := float64(ev.Work)
--- a/decide/health.go
+++ b/decide/health.go
@@ -288,10 +288,21 @@
 // answer is in time, whoever is picked. The window bounds this balancer's attempts out; the rest waits here,
 // where the most valuable goes first and a refusal is still harmless.
 const (
-	crowdedFrom = 0.5  // of the aim: an attempt this slow speaks of a queue
-	crowdedMost = 0.25 // share of such attempts that is borne; a few slow servers alone do not reach it
+	crowdedFrom = 0.5  // of the aim: no answer within this speaks of a queue
+	crowdedCalm = 2    // times what answers take where nothing queues: nor does one within this
+	crowdedMost = 0.25 // share of attempts that speak of one that is borne; a few slow servers alone do not reach it
 )
 
+// crowded says whether an answer to r that took this long speaks of a queue. Where work, or waits on others, fill most of the aim,
+// half of it would be passed with nothing queued. What comes after the aim speaks of one in any case.
+func (b *Balancer) crowded(r *request, elapsed Time) bool {
+	aim, line := float64(r.class.Aim), 0.75 // between the two, until enough is known
+	if took, known := b.calm[r.number].Least(); known {
+		line = max(crowdedFrom, min(crowdedCalm*took/aim, 1))
+	}
+	return float64(elapsed) > line*aim
+}
+
 // pace takes an outcome as a sign of how long the servers' queues are.
 func (b *Balancer) pace(r *request, t *attempt, ev *Event) {
 	if t.server.pace >= slowFrom || t.server.cold {
@@ -302,7 +313,10 @@
 	case Full:
 		sign = 1
 	case OK, TimedOut:
-		if float64(ev.Elapsed) > crowdedFrom*float64(r.class.Aim) {
+		if ev.Outcome == OK {
+			b.calm[r.number].Observe(b.now, 2*float64(ev.Elapsed)/(1+t.cost))
+		}
+		if b.crowded(r, ev.Elapsed) {
 			sign = 1
 		} else if ev.Outcome == TimedOut {
 			return // the client had little time; that says nothing of a queue
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -235,8 +235,11 @@
 		}
 		b.examine(s)
 		able := b.base(s) * s.evidence()
-		if s.toil = 1; b.mean.mean > 0 && able > 0 {
-			s.toil = max(0.3, min(b.mean.mean/able, 4))
+		if mean := b.mean.mean; able > 0 {
+			if mean == 0 { // without reports, sizes alone compare servers
+				mean = b.fairShare()
+			}
+			s.toil = max(0.3, min(mean/able, 4))
 		}
 		b.reweigh(s, max(1e-6, able*b.scale(s)*b.local(s)))
 		b.place(s)
