Requests go to the server that met their key, and the window follows what comes

The module never looked at the key. Then, after a restart on big-1, a trace: the new balancer's window stands at 10 after its first period and takes 6 s to 118, while 40 to 86 requests wait; no answer speaks of a queue. At fault: health.go, admit (1.5 times what is in use + 10) and pace (0.25 an answer at most).

The turn counts as any other. The window grows by half an attempt an answer while under a tenth speak of a queue.

--- a/decide/api.go
+++ b/decide/api.go
@@ -105,6 +105,7 @@
 	AskDiscovery   bool // the list comes only when asked for
 	SizesTold      bool // Member.Size compares servers' capacities
 	WorthByWork    bool // Class.Worth is for a unit of work
+	WarmKeys       bool // a server that met a key of late does less work for it
 	OverShareWorth float64
 	GroupSize      int // balancers in the bank, this one included
 	Ordinal        int // this balancer's number among them, from 0
@@ -150,6 +151,24 @@
 	return nil
 }
 
+// read returns rate, utilisation and errors of a load report, unless it has values that no server can mean.
+func (s *Settings) read(values []float32) (v [3]float64, ok bool) {
+	if len(values) < len(s.Columns) || len(values) == 0 {
+		return v, false
+	}
+	for i, c := range s.Columns {
+		x := float64(values[i])
+		if c == ColOther {
+			continue
+		}
+		if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+			return v, false
+		}
+		v[c-ColQPS] = x
+	}
+	return v, true
+}
+
 // Mode is a server's listed state.
 type Mode uint8
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"slices"
 
+	"pumiceline/internal/affinity"
 	"pumiceline/internal/calm"
+	"pumiceline/internal/turns"
 )
 
 const (
@@ -31,13 +33,16 @@
 	out []Action
 
 	servers  map[uint32]*server
-	order    []*server // in the order of their listing, so that nothing depends on the map's
-	turns    turns
+	order    []*server           // in the order of their listing, so that nothing depends on the map's
+	turns    turns.Queue[server] // each is due one every 1/weight, and the earliest due goes next
+	turn     float64             // virtual time: the deadline of the turn given out last
+	keys     affinity.Table
 	passed   []*server // scratch of pick
 	lost     [256]int  // failures to connect in each zone since the last success
 	benched  int       // servers suspended
 	inflight int       // attempts out
 	window   float64   // the most that may be
+	signs    float64   // share of recent answers that spoke of a queue
 	warmTill Time      // until then the window is not narrowed to what is in use
 	remote   float64   // the part of their weight that servers of other zones keep
 	kinds    []kindMean
@@ -77,9 +82,12 @@
 type request struct {
 	id       uint64
 	class    *Class
-	number   uint8   // of its class
-	cost     float64 // work, in mean requests
-	value    float64 // worth for each unit of work
+	number   uint8 // of its class
+	key      uint64
+	homes    [2]uint32 // servers that most likely met its key
+	miss     float64   // what it counts to go to any other
+	cost     float64   // work, in mean requests
+	value    float64   // worth for each unit of work
 	arrived  Time
 	deadline Time
 	holdTill Time // when held: the last moment to wait for
@@ -181,7 +189,7 @@
 	}
 	r := b.spare[len(b.spare)-1]
 	b.spare = b.spare[:len(b.spare)-1]
-	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], number: ev.Class, cost: 1, arrived: b.now,
+	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], number: ev.Class, key: ev.Key, cost: 1, arrived: b.now,
 		deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: r.tries[:0], slow: ev.Slow}
 	if ev.Work > 0 {
 		w := float64(ev.Work)
@@ -400,7 +408,7 @@
 		return
 	}
 	if r.mayRefuse() {
-		b.do(Action{Kind: Refuse, ID: r.id, After: b.comeBack(r)})
+		b.do(Action{Kind: Refuse, ID: r.id, After: b.comeBack()})
 	} else {
 		b.do(Action{Kind: Fail, ID: r.id})
 	}
@@ -408,9 +416,9 @@
 }
 
 // comeBack is when a refused client may find room: an answer's time for each windowful held, spread out.
-func (b *Balancer) comeBack(r *request) Time {
+func (b *Balancer) comeBack() Time {
 	wait := max(b.usual, heldEvery) * (1 + float64(len(b.held))/b.window)
-	wait *= 0.5 + float64(mix(r.id)>>11)/(1<<53)
+	wait *= 0.5 + b.rng.Float64()
 	return min(Time(wait), b.set.Limits.MaxRetryAfter)
 }
 
--- a/decide/health.go
+++ b/decide/health.go
@@ -1,6 +1,10 @@
 package decide
 
-import "math"
+import (
+	"math"
+
+	"pumiceline/internal/affinity"
+)
 
 // discovery is the state of this balancer's subscription, where the list must be asked for.
 type discovery struct {
@@ -52,9 +56,14 @@
 	for i := range ev.Members {
 		b.member(&ev.Members[i])
 	}
+	var members []affinity.Member
 	for _, s := range b.order {
 		b.place(s) // out of the schedule at once when no longer listed
+		if s.listed && s.mode == ModeReady {
+			members = append(members, affinity.Member{ID: s.id, Weight: s.size})
+		}
 	}
+	b.keys.Set(members)
 	if ev.Kind != ListCached && b.disc.asked {
 		b.disc.asked, b.disc.subscribed, b.disc.failures = false, true, 0
 	}
@@ -73,7 +82,8 @@
 	}
 	fresh := s == nil
 	if fresh {
-		s = &server{id: m.Server, slot: -1, pace: 1, readySince: -b.set.Rules.Cold, weight: 1, toil: 1}
+		s = &server{id: m.Server, pace: 1, readySince: -b.set.Rules.Cold, weight: 1, toil: 1}
+		s.Tie, s.Of = s.id, s
 		b.servers[m.Server] = s
 		b.order = append(b.order, s)
 	}
@@ -94,7 +104,7 @@
 	}
 	if fresh {
 		s.weight = max(1e-6, b.like(s)*b.scale(s)*b.local(s))
-		s.due = b.turns.time + b.rng.Float64()/s.weight
+		s.Due = b.turn + b.rng.Float64()/s.weight
 	}
 	b.place(s)
 }
@@ -290,6 +300,8 @@
 const (
 	crowdedFrom = 0.5  // of the aim: no answer within this speaks of a queue
 	crowdedCalm = 2    // times what answers take where nothing queues: nor does one within this
+	signsFew    = 0.1  // share of such attempts that may be there without a queue
+	signGain    = 0.05 // how much the latest counts in it
 	crowdedMost = 0.25 // share of attempts that speak of one that is borne; a few slow servers alone do not reach it
 )
 
@@ -325,10 +337,15 @@
 		return
 	}
 	// One step for each outcome, so that a narrow window does not fall on old news. Narrow ones grow
-	// faster, so that balancers with the same servers come to share them evenly.
-	if sign > 0 {
+	// faster, so that balancers with the same servers come to share them evenly; and all do while hardly an answer speaks
+	// of a queue, as after a start, or when the clients of another balancer come to this one.
+	b.signs += (sign - b.signs) * signGain
+	switch {
+	case sign > 0:
 		b.window = max(windowLeast, b.window-(1-crowdedMost))
-	} else if float64(b.inflight)+1 > 0.8*b.window {
+	case float64(b.inflight)+1 > 0.8*b.window && b.signs < signsFew:
+		b.window += max(0.5, crowdedMost*(0.5+5/b.window))
+	case float64(b.inflight)+1 > 0.8*b.window:
 		b.window += crowdedMost * (0.5 + 5/b.window)
 	}
 }
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -505,8 +505,10 @@
 	}{{1, false}, {3, true}} {
 		b := newBalancer(t, settings(), fleet(1))
 		s := b.order[0]
-		b.window = 50
 		for i := range 300 { // the first of them teach what answers take
+			if i == 100 {
+				b.window = 50
+			}
 			ev := Event{Outcome: OK, Elapsed: 10_000}
 			if i >= 100 && i%10 < c.slow {
 				ev.Elapsed = 270_000 // of 500_000
@@ -532,8 +534,10 @@
 			set := settings()
 			set.Classes[0].Aim = Time(500_000 * pace)
 			b := newBalancer(t, set, fleet(1))
-			b.window = 50
 			for i := range 400 {
+				if i == 200 {
+					b.window = 50
+				}
 				took := c.calm * (0.8 + 0.2*float64(i%4)/3)
 				if i >= 200 {
 					took += c.queue
@@ -703,25 +707,25 @@
 		b.inflight++
 		b.observe(s, &attempt{cost: 1}, &Event{Outcome: o, Elapsed: 1000})
 	}
-	if b.later(refreshEvery); s.slot < 0 || s.cold {
+	if b.later(refreshEvery); !s.Waits() || s.cold {
 		t.Fatal("a server that answers is left out, or cold")
 	}
 	out := b.Handle(b.now, &Event{Kind: Arrival, ID: 1, Patience: 1e7}, nil)
 	for i := range missedMost {
-		if s.slot < 0 || len(out) == 0 || out[0].Kind != Send {
+		if !s.Waits() || len(out) == 0 || out[0].Kind != Send {
 			t.Fatalf("after %d failures: %v", i, out)
 		}
 		out = b.Handle(b.now, &Event{Kind: Outcomed, ID: 1, Server: s.id, Attempt: uint8(i), Outcome: ConnectFailed}, nil)
 	}
-	if s.slot >= 0 {
+	if s.Waits() {
 		t.Fatal("still in the schedule after failures to connect")
 	}
 	b.later(2_000_000)
-	if !s.trial || s.slot < 0 {
+	if !s.trial || !s.Waits() {
 		t.Fatal("no trial came")
 	}
 	out = b.Handle(b.now, &Event{Kind: Arrival, ID: 2, Patience: 1e7}, nil)
-	if out[0].Kind != Send || s.slot >= 0 {
+	if out[0].Kind != Send || s.Waits() {
 		t.Fatalf("the trial is not a single attempt: %v", out)
 	}
 	b.Handle(b.now, &Event{Kind: Outcomed, ID: 2, Server: s.id, Elapsed: 1000, Final: true}, nil)
@@ -824,8 +828,8 @@
 	b := newBalancer(t, set, nil)
 	b.usual, b.window = 200_000, 10
 	idle, spans := Time(0), map[Time]bool{}
-	for id := range uint64(100) {
-		span := b.comeBack(&request{id: id})
+	for range 100 {
+		span := b.comeBack()
 		if span < 100_000 || span > 300_000 {
 			t.Errorf("span %d with nothing held", span)
 		}
@@ -837,18 +841,18 @@
 	}
 	b.held = make([]*request, 20)
 	crowded := Time(0)
-	for id := range uint64(100) {
-		crowded += b.comeBack(&request{id: id})
+	for range 100 {
+		crowded += b.comeBack()
 	}
 	if crowded < 2*idle {
 		t.Errorf("%d when crowded, %d when not", crowded, idle)
 	}
 	b.held = make([]*request, 1e6)
-	if span := b.comeBack(&request{}); span != set.Limits.MaxRetryAfter {
+	if span := b.comeBack(); span != set.Limits.MaxRetryAfter {
 		t.Errorf("span %d is over what clients heed", span)
 	}
 	b.set.Limits.MaxRetryAfter = 0
-	if span := b.comeBack(&request{}); span != 0 {
+	if span := b.comeBack(); span != 0 {
 		t.Errorf("span %d where none may be told", span)
 	}
 }
--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -1,56 +1,20 @@
 package decide
 
-import "container/heap"
-
-// turns is an earliest-deadline-first schedule: each server in it is due one turn every 1/weight, and the
-// earliest due goes next. Virtual time is the deadline of the turn given out last.
-type turns struct {
-	due  []*server
-	time float64
-}
-
-func (t *turns) Len() int { return len(t.due) }
-
-// Less breaks ties by id, so that the order never depends on how the heap came about.
-func (t *turns) Less(i, j int) bool {
-	a, b := t.due[i], t.due[j]
-	if a.due != b.due {
-		return a.due < b.due
-	}
-	return a.id < b.id
-}
-
-func (t *turns) Swap(i, j int) {
-	t.due[i], t.due[j] = t.due[j], t.due[i]
-	t.due[i].slot, t.due[j].slot = i, j
-}
-
-func (t *turns) Push(x any) {
-	s := x.(*server)
-	s.slot = len(t.due)
-	t.due = append(t.due, s)
-}
-
-func (t *turns) Pop() any {
-	n := len(t.due) - 1
-	s := t.due[n]
-	t.due[n] = nil
-	t.due = t.due[:n]
-	s.slot = -1
-	return s
-}
+import (
+	"math"
+)
 
 // place puts s into the schedule or takes it out, as its state asks.
 func (b *Balancer) place(s *server) {
 	in := b.schedulable(s)
 	switch {
-	case in && s.slot < 0:
-		if s.due < b.turns.time { // it was away: a place at random within its own interval, not a backlog
-			s.due = b.turns.time + b.rng.Float64()/s.weight
+	case in && !s.Waits():
+		if s.Due < b.turn { // it was away: a place at random within its own interval, not a backlog
+			s.Due = b.turn + b.rng.Float64()/s.weight
 		}
-		heap.Push(&b.turns, s)
-	case !in && s.slot >= 0:
-		heap.Remove(&b.turns, s.slot)
+		b.turns.Add(&s.Turn)
+	case !in && s.Waits():
+		b.turns.Remove(&s.Turn)
 	}
 }
 
@@ -59,52 +23,73 @@
 	if w == s.weight {
 		return
 	}
-	if s.due > b.turns.time && w > 0 && s.weight > 0 {
-		s.due = b.turns.time + (s.due-b.turns.time)*s.weight/w
+	if s.Due > b.turn && w > 0 && s.weight > 0 {
+		s.Due = b.turn + (s.Due-b.turn)*s.weight/w
 	}
 	s.weight = w
-	if s.slot >= 0 {
-		heap.Fix(&b.turns, s.slot)
+	if s.Waits() {
+		b.turns.Fix(&s.Turn)
 	}
 	b.place(s)
 }
 
-// pick gives r one of the next few due turns that it may use: the one whose server has the fewest of this
+// pick gives r a turn of its key's home, or one of the next few due turns that it may use: the one whose server has the fewest of this
 // balancer's attempts out, then one with an idle connection, then the earliest due. Turns that are passed
 // keep their place for the next request, so that long-run shares stay those of the weights.
 func (b *Balancer) pick(r *request) *server {
 	passed := b.passed[:0]
-	found, best := (*server)(nil), 0.0
-	for looked := 0; b.turns.Len() > 0 && looked < lookAhead; {
-		s := b.turns.due[0]
+	found, best := b.atHome(r)
+	for looked := 0; best > r.miss && b.turns.Len() > 0 && looked < lookAhead; {
+		s := b.turns.First()
 		if b.permits(r, s) && !b.tooHeavy(s, r.cost) {
 			looked++
-			if load := b.load(r, s); found == nil || load < best {
+			if load := b.load(r, s); load < best {
 				found, best = s, load
 			}
-			if best == 0 {
-				break
-			}
 		}
-		passed = append(passed, heap.Pop(&b.turns).(*server))
+		passed = append(passed, b.turns.Pop())
 	}
-	for _, s := range b.turns.due[:min(lookFar, len(b.turns.due))] { // the upper levels of the heap: due soon
+	for _, t := range b.turns.Soon(lookFar) {
+		s := t.Of
 		if load := b.load(r, s); load < best && !s.cold && s.conns > s.inflight && b.permits(r, s) {
 			found, best = s, load
 		}
 	}
 	for _, s := range passed {
-		heap.Push(&b.turns, s)
+		b.turns.Add(&s.Turn)
 	}
 	if b.passed = passed; found == nil {
 		return nil
 	}
-	b.turns.time = max(b.turns.time, b.turns.due[0].due)
-	found.due = max(found.due, b.turns.time) + 1/found.weight
-	heap.Fix(&b.turns, found.slot)
+	b.turn = max(b.turn, b.turns.First().Due)
+	found.Due = max(found.Due, b.turn) + 1/found.weight
+	b.turns.Fix(&found.Turn)
 	return found
 }
 
+// atHome returns the better of the servers that r's key belongs to, as far as r may use them, and its load. Its turn counts as any
+// other: what a server is given for its keys, it is not given of the rest.
+func (b *Balancer) atHome(r *request) (found *server, best float64) {
+	r.miss, best = 0, math.Inf(1)
+	if r.key == 0 || !b.set.WarmKeys {
+		return nil, best
+	}
+	r.homes, _ = b.keys.Homes(r.key)
+	r.miss = missLeast+missPart*2*float64(b.inflight)/float64(max(1, len(b.order)))
+	for _, id := range r.homes {
+		if s := b.servers[id]; s != nil && s.Waits() && b.permits(r, s) && !b.tooHeavy(s, r.cost) {
+			if load := b.load(r, s); load < best {
+				found, best = s, load
+			}
+		}
+	}
+	return found, best
+}
+
+// A server that met a key does less than half of the work for it, so a request goes elsewhere only if much more is out at its key's
+// home than at others: in the measure of load, missLeast and missPart times the mean. Half as much sends it to the second home.
+const missLeast, missPart = 10.0, 1.0
+
 // A request looks at lookAhead due turns, then at about lookFar for a warm server whose connection is idle.
 // In a large bank a server's next turn comes after its connection closed. Cold ones keep to their weights.
 const lookAhead, lookFar = 16, 128
@@ -116,6 +101,13 @@
 	if s.inflight >= s.conns {
 		load++ // a new connection costs time, and servers take only so many
 	}
+	switch {
+	case r.miss == 0 || s.id == r.homes[0]:
+	case s.id == r.homes[1]:
+		load += r.miss / 2
+	default:
+		load += r.miss
+	}
 	for i := range r.tries {
 		if r.tries[i].server == s {
 			load += 1000 // it had an attempt of r already; better than none
--- a/decide/schedule_test.go
+++ b/decide/schedule_test.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"slices"
@@ -140,10 +139,10 @@
 	}{"idle connection": {1, 0, false, true}, "none": {0, 0, false, false}, "busy": {1, 1, false, false}, "cold": {1, 0, true, false}} {
 		b := newBalancer(t, settings(), fleet(100))
 		for i, s := range b.order { // due in the order of their listing
-			s.due = float64(i) / 100
+			s.Due = float64(i) / 100
+			b.turns.Fix(&s.Turn)
 			b.reweigh(s, 1)
 		}
-		heap.Init(&b.turns)
 		far := b.order[60]
 		far.conns, far.inflight, far.cold, far.tokens = c.conns, c.inflight, c.cold, 5
 		got := b.pick(&request{class: &b.set.Classes[0], deadline: b.now + 1e6, attempts: 3, cost: 1})
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -1,6 +1,10 @@
 package decide
 
-import "math"
+import (
+	"math"
+
+	"pumiceline/internal/turns"
+)
 
 // Parameters of A58 and A100. Window and floor of the ramp come from the settings' cold time and cold share.
 const (
@@ -15,6 +19,7 @@
 
 // server is what this balancer knows of one.
 type server struct {
+	turns.Turn[server]
 	id      uint32
 	zone    uint8
 	cell    uint16
@@ -34,8 +39,6 @@
 	tokens               float64 // cold budget, in mean requests
 
 	weight float64 // in use, scaled
-	due    float64
-	slot   int
 
 	toil     float64 // how long it takes for a piece of work, in the time of a mean server
 	inflight int
@@ -68,20 +71,10 @@
 // report takes a load report. Values that no server can mean are no report at all: a server whose figures
 // are broken keeps the mean weight.
 func (b *Balancer) report(s *server, values []float32) {
-	if len(values) < len(b.set.Columns) || len(values) == 0 {
+	v, ok := b.set.read(values)
+	if !ok {
 		return
 	}
-	var v [3]float64
-	for i, c := range b.set.Columns {
-		x := float64(values[i])
-		if c == ColOther {
-			continue
-		}
-		if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
-			return
-		}
-		v[c-ColQPS] = x
-	}
 	if v[0] <= 0 || v[1] <= 0 {
 		return // A58: an empty report says nothing of capacity
 	}
@@ -252,7 +245,7 @@
 func (b *Balancer) roam(dt float64) {
 	var util, weight [2]float64
 	for _, s := range b.order {
-		if s.slot < 0 || s.mass == 0 {
+		if !s.Waits() || s.mass == 0 {
 			continue
 		}
 		i := 0
@@ -293,14 +286,6 @@
 	return near
 }
 
-// mix scrambles an id (the finaliser of SplitMix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func clamp(x float64) float64 { return max(0, min(1, x)) }
 
 // means takes the mean weight of each kind and of all: the ratio of summed rates to summed utilisation, which
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,7 @@
 		Columns []string
 		How     string
 	}
+	FamilyInfo     struct{ WarmKeys bool }
 	Flavors        []string
 	Locality       int
 	OverShareWorth float64
@@ -79,7 +80,7 @@
 func (t *Settings) Module() (decide.Settings, error) {
 	s := decide.Settings{
 		AskDiscovery: t.RegistryMode == "subscribe", SizesTold: t.Weights != "silent" && t.Weights != "",
-		WorthByWork: t.WorthBy == "work", OverShareWorth: t.OverShareWorth,
+		WorthByWork: t.WorthBy == "work", WarmKeys: t.FamilyInfo.WarmKeys, OverShareWorth: t.OverShareWorth,
 		GroupSize: t.GroupSize, Ordinal: t.Ordinal, Zone: t.Locality, Zones: len(t.Zones),
 		Round: Micros(t.Round),
 		Rules: decide.Rules{AnswerSlack: Micros(t.Rules.AnswerSlack), AskWithin: Micros(t.Rules.AskWithin),
