The session key of a request reaches the module

Need: placement by key does nothing on real nodes while the front sockets drop X-Session-Key. Changed: read.go reads it (xxhash of the text, the same number at every proxy; none, or one that stands twice, is no key), route passes it on at the arrival, and it reaches a destination even where a client names it in Connection. xxhash/v2 was taken already by client_golang.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -299,7 +299,7 @@
 	pr.Out.Header.Del("Expect") // the body is in
 	// A client that names them in Connection would have ReverseProxy drop them, and a keyed request without its
 	// key could be carried out twice.
-	for _, name := range []string{idHeader, keyHeader} {
+	for _, name := range []string{idHeader, keyHeader, sessionHeader} {
 		if v, ok := pr.In.Header[name]; ok {
 			pr.Out.Header[name] = v
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -15,6 +15,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pumiceline/internal/destination"
 	"pumiceline/internal/route"
 	"pumiceline/settings"
@@ -73,7 +75,7 @@
 }
 
 const headers = "Host: api.internal\r\nX-Correlation-Id: 9b1f\r\nX-Service-Class: issue\r\nX-Account: zenith\r\n" +
-	"X-Time-Left-Ms: 480\r\nX-Weight-Hint: 900\r\nIdempotency-Key: 5c0f\r\nX-Forwarded-For: 1.2.3.4\r\n"
+	"X-Time-Left-Ms: 480\r\nX-Weight-Hint: 900\r\nIdempotency-Key: 5c0f\r\nX-Session-Key: 7f3a\r\nX-Forwarded-For: 1.2.3.4\r\n"
 
 func request(c net.Conn, r *bufio.Reader, text string) (*http.Response, string, error) {
 	go io.WriteString(c, text) // a pipe has no buffer, and an answer may come before the last byte
@@ -94,11 +96,14 @@
 					t.Errorf("target %q became %q", target, got)
 				}
 				if r.Method != "POST" || r.Host != "api.internal" || r.Header.Get("Idempotency-Key") != "5c0f" ||
-					r.Header.Get("X-Correlation-Id") != "9b1f" || len(r.Header["X-Forwarded-For"]) != 0 ||
+					r.Header.Get("X-Correlation-Id") != "9b1f" || r.Header.Get("X-Session-Key") != "7f3a" || len(r.Header["X-Forwarded-For"]) != 0 ||
 					len(r.Header["Upgrade"]) != 0 || len(r.Header["Connection"]) != 0 {
 					t.Errorf("%s %s %v", r.Method, r.Host, r.Header)
 				}
 				deadline, _ := r.Context().Deadline()
+				if key := route.InboundOf(r.Context()).Key; key != xxhash.Sum64String("7f3a") {
+					t.Errorf("key %x goes to the module", key)
+				}
 				if left := time.Until(deadline); left != 480*time.Millisecond {
 					t.Errorf("%v left", left)
 				}
@@ -107,7 +112,7 @@
 			ln, stop := start(t, f)
 			c, r := ln.dial()
 			resp, body, err := request(c, r, "POST "+target+" HTTP/1.1\r\n"+headers+
-				"Connection: Upgrade, Idempotency-Key\r\nUpgrade: h2c\r\nContent-Length: 4\r\n\r\nbody")
+				"Connection: Upgrade, Idempotency-Key, X-Session-Key\r\nUpgrade: h2c\r\nContent-Length: 4\r\n\r\nbody")
 			if err != nil || resp.StatusCode != 200 || body != "42" {
 				t.Errorf("%s: %v %q %v", target, resp, body, err)
 			}
@@ -570,6 +575,25 @@
 	})
 }
 
+// A session key is the same number at every proxy, and none, or one that stands twice, is no key.
+func TestSessionKeys(t *testing.T) {
+	rd := newFront(nil, 1).reader
+	for _, c := range []struct {
+		values []string
+		want   uint64
+	}{{nil, 0}, {[]string{""}, 0}, {[]string{"a", "b"}, 0}, {[]string{"7f3a9c21e0b4d655"}, 0x580fd9631c029177}, {[]string{"\xff"}, xxhash.Sum64String("\xff")}} {
+		in, _, err := rd.head("POST", http.Header{idHeader: {"9b1f"}, classHeader: {"issue"}, tenantHeader: {"zenith"}, timeLeftHeader: {"480"},
+			keyHeader: {"k"}, sessionHeader: c.values})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if in.Key != c.want {
+			t.Errorf("%q: %#x, want %#x", c.values, in.Key, c.want)
+		}
+		rd.leave(in)
+	}
+}
+
 // FuzzHead feeds garbled headers: what passes must be within the settings.
 func FuzzHead(f *testing.F) {
 	f.Add("POST", "9b1f", "issue", "zenith", "480", "900", "5c0f")
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pumiceline/decide"
 	"pumiceline/internal/classes"
 	"pumiceline/internal/destination"
@@ -25,6 +27,7 @@
 	timeLeftHeader = "X-Time-Left-Ms"
 	hintHeader     = "X-Weight-Hint"
 	keyHeader      = "Idempotency-Key"
+	sessionHeader  = "X-Session-Key"
 	repeatHeader   = "X-Repeat"
 )
 
@@ -182,7 +185,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	in.Work = work
+	in.Work, in.Key = work, sessionKey(one(h, sessionHeader))
 	want := http.MethodGet
 	if c.Semantics != "pure" {
 		want = http.MethodPost
@@ -199,6 +202,14 @@
 	return in, min(time.Duration(left)*time.Millisecond, most), nil
 }
 
+// sessionKey is a session key as a number, the same at every proxy; 0 for none.
+func sessionKey(text string) uint64 {
+	if text == "" {
+		return 0
+	}
+	return max(1, xxhash.Sum64String(text))
+}
+
 // openIDs are the correlation ids of the requests under way. Another request with one of them would be taken for the
 // same one at a destination and in every log.
 type openIDs struct {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -26,6 +26,7 @@
 	Class   uint8
 	Tenant  uint32
 	Work    decide.Time
+	Key     uint64         // what the request is about; 0: not told
 	Body    []byte         // as far as it is at hand
 	Rest    *upload.Upload // what is still to come; nil: nothing. Its context has no deadline until that has come.
 	Served  bool           // set by RoundTrip when a destination has answered
@@ -85,7 +86,7 @@
 		steps, release = long, func() { cancel(nil) }
 		go in.Rest.Watch(long.Done(), answerMargin, func() { cancel(context.DeadlineExceeded) }, func(error) { cancel(nil) })
 	}
-	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Deadline: deadline, Slow: in.Rest != nil})
+	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Key: in.Key, Deadline: deadline, Slow: in.Rest != nil})
 	life := &life{t: t, call: call, req: req, body: destination.Body{Text: in.Body, Rest: in.Rest}, answers: make(chan *destination.Answer, 1)}
 	defer life.releaseAfter(release)
 	defer life.cancelRest() // after Depart, which says what is to be called off
