--- a/cmd/pumiceline/change.go
+++ b/cmd/pumiceline/change.go
@@ -77,12 +77,8 @@
 	if err != nil {
 		return err
 	}
-	var columns []string
-	if next.Module.ReportVia == decide.ReportsInAnswers {
-		columns = next.Settings.LoadInfo.Columns
-	}
 	limits := &next.Settings.Limits
-	c.fleet.Change(micros(limits.DialTimeout), micros(limits.IdleClose), columns)
+	c.fleet.Change(micros(limits.DialTimeout), micros(limits.IdleClose), config.Columns(&next.Settings, &next.Module))
 	c.transport.MaxRetryAfter.Store(settings.Micros(limits.MaxRetryAfter))
 	c.figures.Classes(classNames(&next.Settings))
 	for _, key := range fixed(c.cfg, next) {
--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -175,9 +175,7 @@
 	allSockets := float64(cfg.Limits.Sockets)
 	fleetOptions := destination.Options{DialWithin: micros(limits.DialTimeout), IdleClose: micros(limits.IdleClose),
 		MostSockets: int(allSockets * destinationPart), Sent: figures.Sent, Dial: with.network.Dial}
-	if cfg.Module.ReportVia == decide.ReportsInAnswers {
-		fleetOptions.Columns = cfg.Settings.LoadInfo.Columns
-	}
+	fleetOptions.Columns = config.Columns(&cfg.Settings, &cfg.Module)
 	fleet := destination.NewFleet(fleetOptions, log)
 	watcher := pool.NewWatcher(cfg.Discovery, pool.NewTable(cfg.Settings.Zones, cfg.Settings.Flavors), fleet, log)
 	watcher.Over(with.network.Dial)
@@ -193,7 +191,10 @@
 			defer share.presence.Leave()
 		}
 	}
-	plan := planner.New(module, planner.Hooks{Subscribe: watcher.Ask, CloseUnused: fleet.CloseUnused}, log)
+	probes := route.NewProbes(fleet, log)
+	defer probes.Close()
+	plan := planner.New(module, planner.Hooks{Subscribe: watcher.Ask, CloseUnused: fleet.CloseUnused, Probe: probes.Ask}, log)
+	probes.Tell(plan)
 	share.plan, share.log = plan, log
 	transport := &route.Transport{Planner: plan, Fleet: fleet, Log: log}
 	transport.MaxRetryAfter.Store(settings.Micros(limits.MaxRetryAfter))
@@ -208,7 +209,7 @@
 
 	figures.Watch(metrics.Gauges{Current: clients.Current, Size: watcher.Size,
 		Unhealthy: func() int { return plan.Avoided() + watcher.TakenOut() },
-		Kept:      func() map[string]int { return kept(plan, fleet, watcher, clients, figures) }})
+		Kept:      func() map[string]int { return kept(plan, fleet, watcher, clients, figures, probes) }})
 
 	var ln net.Listener
 	if cfg.ListenFD == 0 {
@@ -299,7 +300,8 @@
 
 // kept is how much the proxy holds in memory by id, host, address or class. Each of these comes down again with its owner, or has a
 // bound of its own; docs/operations.md says which.
-func kept(plan *planner.Planner, fleet *destination.Fleet, watcher *pool.Watcher, clients *front.Front, figures *metrics.Metrics) map[string]int {
+func kept(plan *planner.Planner, fleet *destination.Fleet, watcher *pool.Watcher, clients *front.Front, figures *metrics.Metrics,
+	probes *route.Probes) map[string]int {
 	calls, timers, module := plan.Kept()
 	destinations, idle := fleet.Known()
 	listed, names, out := watcher.Kept()
@@ -308,7 +310,7 @@
 		"module_spare": module.Spare, "module_servers": module.Servers, "module_kinds": module.Kinds, "destinations": destinations,
 		"connections": fleet.Open(), "idle_connections": idle, "hosts": listed, "host_names": names, "suspension_names": out,
 		"front_sockets": clients.Sockets(), "correlation_ids": ids, "class_numbers": classes, "class_series": figures.Shown(),
-		"gate_waiting": waiting}
+		"gate_waiting": waiting, "probes": probes.Out()}
 }
 
 // awaitList waits until discovery has told of the list, and says whether that came before stop. Beside a process that serves, one
--- a/decide/api.go
+++ b/decide/api.go
@@ -169,6 +169,9 @@
 	return v, true
 }
 
+// probes says whether servers are to be asked for their load.
+func (s *Settings) probes() bool { return s.Limits.Probe && s.ReportVia == ReportsByProbe }
+
 // Mode is a server's listed state.
 type Mode uint8
 
@@ -189,6 +192,14 @@
 	UpSince Time // the latest start; 0: long ago
 }
 
+// size is Size if that compares servers, else 1.
+func (m *Member) size() float64 {
+	if m.Size > 0 && m.Size < 1e9 {
+		return m.Size
+	}
+	return 1
+}
+
 // Outcome tells how an attempt or a probe ended.
 type Outcome uint8
 
@@ -203,6 +214,9 @@
 	Moot                         // never sent
 )
 
+// neverRan says whether o proves that the server did not carry the request out.
+func (o Outcome) neverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
+
 // EventKind tells which fields of an Event count.
 type EventKind uint8
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -148,6 +148,10 @@
 		}
 	case TimerFired:
 		b.fired(ev.ID)
+	case Probed:
+		if s := b.servers[ev.Server]; s != nil {
+			b.report(s, ev.Report)
+		}
 	case ListFull, ListCached, ListDelta, ListFailed:
 		b.listed(ev)
 	}
@@ -189,8 +193,9 @@
 	}
 	r := b.spare[len(b.spare)-1]
 	b.spare = b.spare[:len(b.spare)-1]
-	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], number: ev.Class, key: ev.Key, cost: 1, arrived: b.now,
-		deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: r.tries[:0], slow: ev.Slow}
+	*r = request{id: ev.ID, class: &b.set.Classes[ev.Class], number: ev.Class, key: ev.Key, cost: 1,
+		arrived: b.now, deadline: b.now + ev.Patience, attempts: b.set.Limits.Attempts, tries: r.tries[:0],
+		slow: ev.Slow}
 	if ev.Work > 0 {
 		w := float64(ev.Work)
 		if b.meanWork == 0 {
@@ -459,10 +464,7 @@
 		b.handed(t)
 	}
 	r.out--
-	switch ev.Outcome {
-	case Full, ConnectFailed, Moot:
-		t.mayHaveRun = false
-	}
+	t.mayHaveRun = t.mayHaveRun && !ev.Outcome.neverRan()
 	b.observe(t.server, t, ev)
 	b.pace(r, t, ev)
 	defer b.releaseHeld()
--- a/decide/health.go
+++ b/decide/health.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"pumiceline/internal/affinity"
+	"pumiceline/internal/calm"
 )
 
 // discovery is the state of this balancer's subscription, where the list must be asked for.
@@ -87,11 +88,7 @@
 		b.servers[m.Server] = s
 		b.order = append(b.order, s)
 	}
-	size := m.Size
-	if !(size > 0 && size < 1e9) {
-		size = 1
-	}
-	s.zone, s.cell, s.mode, s.size, s.listed = m.Zone, m.Cell, m.Mode, size, true
+	s.zone, s.cell, s.mode, s.size, s.listed = m.Zone, m.Cell, m.Mode, m.size(), true
 	s.kind = b.kindOf(m.Kind)
 	if m.UpSince != s.upSince || fresh {
 		s.upSince = m.UpSince
@@ -193,10 +190,6 @@
 	case Reset:
 		s.faults += (1 - s.faults) * faultGain
 	}
-	switch ev.Outcome {
-	case OK, Failed, Full:
-		s.silent, s.missed, s.answered = 0, 0, b.now
-	}
 	b.place(s)
 }
 
@@ -218,6 +211,7 @@
 		b.chill(s, b.now)
 	}
 	s.trial, s.lost = false, s.lost && s.suspended
+	s.silent, s.missed, s.answered = 0, 0, b.now
 }
 
 // compare takes a server's time for an attempt against the usual one: the median of all, which servers that
@@ -235,11 +229,7 @@
 	if !givenUp || ratio > s.pace {
 		s.pace += (min(ratio, 10) - s.pace) / 2
 	}
-	step := 1.03
-	if ratio < 1 {
-		step = 1 / step
-	}
-	b.usual *= step
+	b.usual = calm.Follow(b.usual, b.usual*ratio, 0.5, 0.06)
 	return ratio
 }
 
@@ -300,13 +290,13 @@
 const (
 	crowdedFrom = 0.5  // of the aim: no answer within this speaks of a queue
 	crowdedCalm = 2    // times what answers take where nothing queues: nor does one within this
-	signsFew    = 0.1  // share of such attempts that may be there without a queue
+	signsFew    = 0.1  // share of attempts beyond both that comes without a queue
 	signGain    = 0.05 // how much the latest counts in it
-	crowdedMost = 0.25 // share of attempts that speak of one that is borne; a few slow servers alone do not reach it
+	crowdedMost = 0.25 // share of such attempts that is borne; a few slow servers alone do not reach it
 )
 
-// crowded says whether an answer to r that took this long speaks of a queue. Where work, or waits on others, fill most of the aim,
-// half of it would be passed with nothing queued. What comes after the aim speaks of one in any case.
+// crowded says whether an answer to r that took this long speaks of a queue. Where work, or waits on others,
+// fill the aim, half of it is passed with nothing queued. What comes after the aim speaks of one in any case.
 func (b *Balancer) crowded(r *request, elapsed Time) bool {
 	aim, line := float64(r.class.Aim), 0.75 // between the two, until enough is known
 	if took, known := b.calm[r.number].Least(); known {
@@ -337,16 +327,17 @@
 		return
 	}
 	// One step for each outcome, so that a narrow window does not fall on old news. Narrow ones grow
-	// faster, so that balancers with the same servers come to share them evenly; and all do while hardly an answer speaks
-	// of a queue, as after a start, or when the clients of another balancer come to this one.
+	// faster, so that balancers with the same servers come to share them evenly; all do while hardly an
+	// answer speaks of a queue: after a start, or when the clients of another balancer come to this one.
 	b.signs += (sign - b.signs) * signGain
-	switch {
-	case sign > 0:
+	if sign > 0 {
 		b.window = max(windowLeast, b.window-(1-crowdedMost))
-	case float64(b.inflight)+1 > 0.8*b.window && b.signs < signsFew:
-		b.window += max(0.5, crowdedMost*(0.5+5/b.window))
-	case float64(b.inflight)+1 > 0.8*b.window:
-		b.window += crowdedMost * (0.5 + 5/b.window)
+	} else if float64(b.inflight)+1 > 0.8*b.window {
+		step := crowdedMost * (0.5 + 5/b.window)
+		if b.signs < signsFew {
+			step = max(step, 0.5)
+		}
+		b.window += step
 	}
 }
 
--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -33,9 +33,9 @@
 	b.place(s)
 }
 
-// pick gives r a turn of its key's home, or one of the next few due turns that it may use: the one whose server has the fewest of this
-// balancer's attempts out, then one with an idle connection, then the earliest due. Turns that are passed
-// keep their place for the next request, so that long-run shares stay those of the weights.
+// pick gives r a turn of its key's home, or one of the next few due turns that it may use: the one whose
+// server has the fewest of this balancer's attempts out, then one with an idle connection, then the earliest
+// due. Turns that are passed keep their place, so that long-run shares stay those of the weights.
 func (b *Balancer) pick(r *request) *server {
 	passed := b.passed[:0]
 	found, best := b.atHome(r)
@@ -67,15 +67,15 @@
 	return found
 }
 
-// atHome returns the better of the servers that r's key belongs to, as far as r may use them, and its load. Its turn counts as any
-// other: what a server is given for its keys, it is not given of the rest.
+// atHome returns the better of the servers that r's key belongs to, as far as r may use them, and its load.
+// Its turn counts as any other: what a server is given for its keys, it is not given of the rest.
 func (b *Balancer) atHome(r *request) (found *server, best float64) {
 	r.miss, best = 0, math.Inf(1)
 	if r.key == 0 || !b.set.WarmKeys {
 		return nil, best
 	}
 	r.homes, _ = b.keys.Homes(r.key)
-	r.miss = missLeast+missPart*2*float64(b.inflight)/float64(max(1, len(b.order)))
+	r.miss = missLeast + missPart*2*float64(b.inflight)/float64(max(1, len(b.order)))
 	for _, id := range r.homes {
 		if s := b.servers[id]; s != nil && s.Waits() && b.permits(r, s) && !b.tooHeavy(s, r.cost) {
 			if load := b.load(r, s); load < best {
@@ -86,8 +86,8 @@
 	return found, best
 }
 
-// A server that met a key does less than half of the work for it, so a request goes elsewhere only if much more is out at its key's
-// home than at others: in the measure of load, missLeast and missPart times the mean. Half as much sends it to the second home.
+// A server that met a key does less than half of the work for it, so a request goes elsewhere only if much
+// more is out at its home: in the measure of load, missLeast and missPart times the mean (half: to the second).
 const missLeast, missPart = 10.0, 1.0
 
 // A request looks at lookAhead due turns, then at about lookFar for a warm server whose connection is idle.
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"pumiceline/internal/probing"
 	"pumiceline/internal/turns"
 )
 
@@ -33,6 +34,7 @@
 	qps, util, eps, mass float64
 	last                 [3]float64
 	lastReport           Time
+	probe                probing.Turn
 	nonEmptySince        Time // 0: no valid report yet, or they expired
 	readySince           Time
 	cold                 bool
@@ -143,8 +145,7 @@
 	if !s.cold || age >= window {
 		return 1
 	}
-	factor := max(age, 1e6) / window
-	return min(1, max(b.set.Rules.ColdShare, math.Pow(factor, 1/aggression)))
+	return min(1, max(b.set.Rules.ColdShare, math.Pow(max(age, 1e6)/window, 1/aggression)))
 }
 
 // guaranteed is the share of its capacity that a cold server is sure to have: an even climb from the cold
@@ -204,8 +205,7 @@
 	dt := float64(b.now-b.refreshed) / 1e6
 	b.refreshed = b.now
 	if dt > 0 {
-		gain := 1 - math.Exp(-dt/2)
-		b.arrivalRate += gain * (b.arrivals/dt - b.arrivalRate)
+		b.arrivalRate += (1 - math.Exp(-dt/2)) * (b.arrivals/dt - b.arrivalRate)
 		b.arrivals = 0
 	}
 	for i, tenant := range b.set.Tenants { // this balancer's part of each tenant's share
@@ -216,7 +216,11 @@
 	b.means()
 	b.roam(dt)
 	b.admit()
+	every := probing.Every(len(b.order), b.set.GroupSize, b.arrivalRate)
 	for _, s := range b.order {
+		if b.set.probes() && s.Waits() && s.probe.Due(b.now, every, b.rng.Float64()) {
+			b.do(Action{Kind: Probe, Server: s.id})
+		}
 		if s.cold {
 			if b.now-s.readySince >= b.set.Rules.Cold {
 				s.cold = false
--- a/internal/calm/calm.go
+++ b/internal/calm/calm.go
@@ -12,6 +12,15 @@
 	forgets = 0.01      // a second, of the least: what takes longer for good comes to be known as calm
 )
 
+// Follow moves quantile, that under which a share of samples lie, by a step (a part of its value) towards where sample says
+// that it is.
+func Follow(quantile, sample, share, step float64) float64 {
+	if sample < quantile {
+		return quantile * (1 - (1-share)*step)
+	}
+	return quantile * (1 + share*step)
+}
+
 // Time is the estimate for one kind of answers. The zero Time knows nothing.
 type Time struct {
 	seen    int
@@ -28,12 +37,7 @@
 	if t.seen++; t.seen == 1 {
 		t.running = took
 	}
-	by := step * float64(max(1, warmup/2/t.seen))
-	if took < t.running {
-		t.running *= 1 - (1-share)*by
-	} else {
-		t.running *= 1 + share*by
-	}
+	t.running = Follow(t.running, took, share, step*float64(max(1, warmup/2/t.seen)))
 	switch passed := now - t.looked; {
 	case t.seen == warmup:
 		t.least, t.looked = t.running, now
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -275,16 +275,23 @@
 	return err
 }
 
-// Module is the module's form of settings, as this proxy may use them: destinations are never probed, whatever they allow.
+// Module is the module's form of settings. Destinations are probed where it allows that, and nowhere else.
 func Module(s *settings.Settings) (decide.Settings, error) {
 	m, err := s.Module()
 	if err != nil {
 		return m, fmt.Errorf("config: %w", err)
 	}
-	m.Limits.Probe = false
 	return m, nil
 }
 
+// Columns are the names of the columns of load reports that the module of these settings makes use of.
+func Columns(s *settings.Settings, m *decide.Settings) []string {
+	if m.ReportVia == decide.ReportsNone || m.ReportVia == decide.ReportsByProbe && !m.Limits.Probe {
+		return nil
+	}
+	return s.LoadInfo.Columns
+}
+
 func (l *Limits) check() error {
 	if l.Cores == 0 {
 		l.Cores = defaultCores
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,6 +22,7 @@
 type Hooks struct {
 	Subscribe   func()
 	CloseUnused func(server uint32)
+	Probe       func(server uint32) // asks a server for its load; Probed tells what came of it
 }
 
 // Module makes the decisions: a *decide.Balancer, save in tests.
@@ -155,6 +156,13 @@
 	}
 }
 
+// Probed tells the module how a probe ended that Hooks.Probe was called for.
+func (p *Planner) Probed(server uint32, outcome decide.Outcome, took time.Duration, report []float32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handle(&decide.Event{Kind: decide.Probed, Server: server, Outcome: outcome, Elapsed: took.Microseconds(), Report: report})
+}
+
 // List tells the module what discovery said. kind is one of the module's list events.
 func (p *Planner) List(kind decide.EventKind, members []decide.Member) {
 	p.mu.Lock()
@@ -260,6 +268,10 @@
 		p.hooks.Subscribe()
 	case decide.CloseUnused:
 		p.hooks.CloseUnused(a.Server)
+	case decide.Probe:
+		if p.hooks.Probe != nil {
+			p.hooks.Probe(a.Server)
+		}
 	case decide.LogLine:
 		p.log.Info("module", "text", a.Text)
 	case decide.Send, decide.Refuse, decide.Fail, decide.Cancel:
