--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -87,7 +87,7 @@
 }
 
 // A server that met a key does less than half of the work for it, so a request goes elsewhere only if much
-// more is out at its home: in the measure of load, missLeast and missPart times the mean; half for the second.
+// more is out at its home: in the measure of load, missLeast and missPart times the mean; half to the second.
 const missLeast, missPart = 10.0, 1.0
 
 // A request looks at lookAhead due turns, then at about lookFar for a warm server whose connection is idle.
