--- a/internal/lab/model/config.go
+++ b/internal/lab/model/config.go
@@ -36,6 +36,7 @@
 	Spread  float64 `toml:"spread" json:"spread"`     // how far drawn figures lie from those written
 	Hint    float64 `toml:"hint" json:"hint"`         // coefficient of variation of the clients' guess at work; <0: no guess
 
+	Keys      Keys      `toml:"keys" json:"keys"`
 	Kinds     []Kind    `toml:"kinds" json:"kinds"`
 	Classes   []Class   `toml:"classes" json:"classes"`
 	Tenants   []Tenant  `toml:"tenants" json:"tenants"`
@@ -76,6 +77,7 @@
 	Work     Span    `toml:"work" json:"work"`   // mean, on a standard core
 	CV       float64 `toml:"cv" json:"cv"`       // coefficient of variation of the work (lognormal)
 	Noise    float64 `toml:"noise" json:"noise"` // that of one attempt's work about its request's
+	Wait     Span    `toml:"wait" json:"wait"`   // mean time that it then waits on others, taking no core and no slot
 	Aim      Span    `toml:"aim" json:"aim"`
 	Deadline Span    `toml:"deadline" json:"deadline"`
 	Worth    float64 `toml:"worth" json:"worth"`   // for each unit of work
@@ -85,6 +87,15 @@
 	Window   Span    `toml:"window" json:"window"` // for keyed: for this long
 }
 
+// Keys are what requests are about. Where Count is not 0, a server that met a request's key of late does less of its work.
+type Keys struct {
+	Count   int     `toml:"count" json:"count"`
+	Zipf    float64 `toml:"zipf" json:"zipf"`         // the n-th key is asked for in proportion to 1/n^zipf
+	Gain    float64 `toml:"gain" json:"gain"`         // share of the work that is saved
+	For     Span    `toml:"for" json:"for"`           // how long a server remembers a key
+	PerCore int     `toml:"per_core" json:"per_core"` // keys that it remembers; the one met longest ago goes first
+}
+
 // Tenant is a customer of the service.
 type Tenant struct {
 	Name  string  `toml:"name" json:"name"`
@@ -126,8 +137,9 @@
 	Tax        float64 `toml:"tax" json:"tax"` // share of the capacity that a full table takes
 }
 
-// Reports are the load reports inside answers.
+// Reports are the load reports.
 type Reports struct {
+	Via   string  `toml:"via" json:"via"` // answers (or nothing): inside answers; probe: to those who ask; none: there are none
 	Every Span    `toml:"every" json:"every"`
 	Delay Span    `toml:"delay" json:"delay"`
 	Noise float64 `toml:"noise" json:"noise"`
@@ -172,6 +184,7 @@
 	Waste     float64 `toml:"waste" json:"waste"`         // work for nothing, as much as was asked for
 	Cross     float64 `toml:"cross" json:"cross"`         // each request crossing zones once
 	Handshake float64 `toml:"handshake" json:"handshake"` // a connection for each request
+	Probe     float64 `toml:"probe" json:"probe"`         // a probe for each request; the work that it costs a server is left out
 	Peer      float64 `toml:"peer" json:"peer"`           // a message of 256 bytes for each request
 }
 
@@ -287,6 +300,11 @@
 	within("skew", w.Skew, 0, 1)
 	within("spread", w.Spread, 0, 0.9)
 	within("hint", w.Hint, -1, 5)
+	count("keys.count", w.Keys.Count, 0, 1_000_000)
+	within("keys.zipf", w.Keys.Zipf, 0, 5)
+	within("keys.gain", w.Keys.Gain, 0, 0.99)
+	spans("keys.for", w.Keys.For, 0, hour)
+	count("keys.per_core", w.Keys.PerCore, 0, 1_000_000)
 	count("kinds", len(w.Kinds), 1, 50)
 	for i, k := range w.Kinds {
 		at := fmt.Sprintf("kinds.%d.", i)
@@ -312,6 +330,7 @@
 		spans(at+"work", c.Work, 1, hour)
 		within(at+"cv", c.CV, 0, 10)
 		within(at+"noise", c.Noise, 0, 10)
+		spans(at+"wait", c.Wait, 0, hour)
 		spans(at+"aim", c.Aim, 1, hour)
 		spans(at+"deadline", c.Deadline, c.Aim, hour)
 		within(at+"worth", c.Worth, 0, 1e6)
@@ -346,6 +365,8 @@
 	spans("conn.dial_within", w.Conn.DialWithin, 1000, hour)
 	count("conn.cap_per_core", w.Conn.CapPerCore, 1, 1_000_000)
 	within("conn.tax", w.Conn.Tax, 0, 0.99)
+	_, known := reportVias[w.Reports.Via]
+	must(known, "reports.via", "%q is none of answers, probe, none", w.Reports.Via)
 	spans("reports.every", w.Reports.Every, 1000, hour)
 	spans("reports.delay", w.Reports.Delay, 0, hour)
 	within("reports.noise", w.Reports.Noise, 0, 1)
@@ -396,6 +417,9 @@
 var groups = map[string]*decide.Group{"": ref(decide.GroupAll), "all": ref(decide.GroupAll), "zone": ref(decide.GroupZone),
 	"cell": ref(decide.GroupCell)}
 
+var reportVias = map[string]decide.ReportVia{"": decide.ReportsInAnswers, "answers": decide.ReportsInAnswers,
+	"probe": decide.ReportsByProbe, "none": decide.ReportsNone}
+
 func ref[T any](v T) *T { return &v }
 
 // Party is one end of a cut: a kind and, where it names one, its number.
@@ -432,12 +456,13 @@
 // Settings is what the decider of one proxy is told. quota is what the fleet can do, in requests a second.
 func (w *World) settings(ordinal, zone int, quota float64) decide.Settings {
 	s := decide.Settings{Columns: []decide.Column{decide.ColUtil, decide.ColQPS, decide.ColEPS},
-		ReportVia: decide.ReportsInAnswers, AskDiscovery: true, SizesTold: true, WorthByWork: true,
+		ReportVia: reportVias[w.Reports.Via], WarmKeys: w.Keys.Count > 0 && w.Keys.Gain > 0, AskDiscovery: true, SizesTold: true, WorthByWork: true,
 		OverShareWorth: w.Clients.OverShare, GroupSize: w.Proxies, Ordinal: ordinal, Zone: zone, Zones: w.Zones,
 		Round: Time(w.Tick),
 		Rules: decide.Rules{AnswerSlack: Time(w.Told.AnswerSlack), AskWithin: Time(w.Told.AskWithin), Cold: Time(w.Told.Cold),
 			ColdShare: w.Told.ColdShare, TipMultiple: w.Told.TipMultiple, TipAfter: Time(w.Tip.Over)},
 		Limits: decide.Limits{Attempts: w.Told.Attempts, MostHeld: w.Told.MostHeld, Cancel: w.Told.Cancel,
+			Probe:        reportVias[w.Reports.Via] == decide.ReportsByProbe,
 			SecondCopies: w.Told.Copies, IdleClose: Time(w.Conn.Idle), MaxRetryAfter: Time(w.Clients.MostHeeded)},
 		Prices: decide.Prices{CrossZone: w.Prices.Cross},
 	}
--- a/internal/lab/model/record.go
+++ b/internal/lab/model/record.go
@@ -28,6 +28,7 @@
 	ProxyDown                       // a proxy is killed [Proxy]
 	PeerSent                        // a message between proxies is delivered [Proxy=receiver Span=bytes]
 	Twice                           // a keyed or unsafe call had its effect again [Server ID Call Span=since the first]
+	Probed                          // a proxy probes a server [Proxy Server]
 	Sample                          // once a second: the servers' use [Load]
 )
 
@@ -84,6 +85,6 @@
 var kindNames = [...]string{Opening: "opening", CallMade: "call", CallOver: "call over", Taken: "taken", Sent: "sent", Opened: "connection",
 	Proven: "outcome", Answered: "answered", Overdue: "overdue", Ran: "ran", Reached: "reached cold", Started: "started", Fell: "fell",
 	Listed: "listed", Informed: "told", Asked: "asked", Unwatched: "watch lost", ProxyUp: "proxy up", ProxyDown: "proxy down",
-	PeerSent: "message", Twice: "twice", Sample: "sample"}
+	PeerSent: "message", Twice: "twice", Probed: "probe", Sample: "sample"}
 
 func (k RecordKind) String() string { return kindNames[k] }
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"pumiceline/decide"
 )
@@ -36,6 +37,8 @@
 	evServerDown                      // a draining server's process ends: a=server b=epoch n=1: a successor follows
 	evProxyDown                       // a proxy that was told to stop has ended: a=proxy b=incarnation
 	evProxyUp                         // a killed proxy starts: a=proxy
+	evProbed                          // a probe's answer comes: a=proxy b=incarnation id=server
+	evWaited                          // an attempt has waited on others: a=task n=outcome
 	evFailed                          // an attempt that reached nobody: a=job n=attempt b=outcome id
 )
 
@@ -180,6 +183,7 @@
 	zoneW    []float64
 	classAt  []float64
 	tenantAt []float64
+	keyAt    []float64
 	bursting bool
 	burstEnd Time
 	flood    float64
@@ -308,6 +312,9 @@
 	if len(w.Tenants) > 0 {
 		r.tenantAt = cumulate(len(w.Tenants), func(i int) float64 { return max(1e-9, w.Tenants[i].Share*w.Tenants[i].Usage) })
 	}
+	if w.Keys.Count > 0 {
+		r.keyAt = cumulate(w.Keys.Count, func(i int) float64 { return math.Pow(float64(i+1), -w.Keys.Zipf) })
+	}
 	r.reg.begin(r)
 	r.proxies = make([]proxy, w.Proxies)
 	for i := range r.proxies {
@@ -390,6 +397,10 @@
 		}
 	case evOverdue:
 		r.overdue(e.a, e.id)
+	case evProbed:
+		r.probed(e.a, e.b, uint32(e.id))
+	case evWaited:
+		r.waited(e.a, decide.Outcome(e.n))
 	case evTimer:
 		if p := &r.proxies[e.a]; p.inc == e.b && p.up {
 			r.ev = decide.Event{Kind: decide.TimerFired, ID: e.id}
@@ -504,6 +515,10 @@
 	c.zone = uint8(pickAt(r.zoneAt, g.Float64()))
 	c.work = lognormal(g, float64(k.Work), k.CV)
 	c.habit, c.key = g.Uint64(), g.Uint64()
+	if len(r.keyAt) > 0 {
+		at, _ := slices.BinarySearch(r.keyAt, float64(mix(c.key)>>11)/(1<<53))
+		c.key = mix(r.seed + uint64(at) + 1)
+	}
 	c.hint = 0
 	if guess := lognormal(g, c.work, max(0, w.Hint)); w.Hint >= 0 {
 		c.hint = max(1, Time(guess))
@@ -801,6 +816,8 @@
 				}
 			}
 		case decide.LogLine:
+		case decide.Probe:
+			r.probe(n, a.Server)
 		default:
 			r.fail(n, "wants action %d, which this world does not know", a.Kind)
 		}
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -44,6 +44,8 @@
 	replacing    bool // a successor is to follow
 	fresh        bool // under a new id
 
+	met map[uint64]Time // keys, and when it met them last
+
 	v      float64
 	vAt    Time
 	rate   float64 // of one request
@@ -194,7 +196,11 @@
 		}
 		r.see(Record{Kind: Ran, Server: s.id, ID: k.id, Attempt: k.attempt, Call: r.calls[k.call].no, Work: Time(k.work),
 			Flag: !k.dropped && !r.calls[k.call].over && out == decide.OK})
-		r.reply(t, out)
+		if wait := r.w.Classes[r.calls[k.call].class].Wait; wait > 0 {
+			r.at(r.now+Time(lognormal(r.chance, float64(wait), waitCV)), event{kind: evWaited, a: t, n: uint8(out)})
+		} else {
+			r.reply(t, out)
+		}
 	}
 	for s.head < len(s.queue) && len(s.slots) < s.kind.Slots {
 		t := s.queue[s.head]
@@ -320,6 +326,9 @@
 		r.returned(t, decide.Full, true)
 		return
 	}
+	if r.meets(s, r.calls[k.call].key) {
+		k.work *= 1 - r.w.Keys.Gain
+	}
 	r.begin(s, k)
 	r.advance(s)
 	s.owed += k.work
@@ -387,7 +396,9 @@
 	}
 	k.outcome = out
 	if answered {
-		k.report, k.reports = r.reportOf(s)
+		if k.report, k.reports = r.reportOf(s); reportVias[r.w.Reports.Via] != decide.ReportsInAnswers {
+			k.reports = false
+		}
 	} else {
 		r.release(k, false)
 		k.dropped = true // its connection is gone; only the news is under way
@@ -471,7 +482,7 @@
 	}
 	s.state, s.started, s.cold, s.warmWork, s.pushed = up, max(1, r.now), true, 0, tally{}
 	s.vAt, s.busy, s.done, s.errors, s.reported, s.reportN = r.now, 0, 0, 0, r.now, 0
-	s.paused, s.replacing = 0, false
+	s.paused, s.replacing, s.met = 0, false, nil
 	r.see(Record{Kind: Started, Server: s.id, Zone: s.zone})
 	r.notice(s, decide.ModeReady, Time(r.w.Discovery.Add))
 	r.pauseLater(s.n)
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -124,22 +124,22 @@
 	tokensAt Time
 	quota    []float64 // requests a microsecond
 
-	rep        Report
-	beginnings int       // starts of proxies
-	waits      []Time    // from a start to its first watch
-	askedIn    []int     // calls to discovery, by second
-	asked      []float64 // worth, by second
-	got        []float64
-	class      [][2]float64
-	tenant     [][2]float64
-	lateFail   float64
-	firsts     float64
-	work       float64
-	waste      float64
-	crossed    float64
-	opened     float64
-	peer       float64
-	hist       []*hdrhistogram.Histogram
+	rep            Report
+	beginnings     int       // starts of proxies
+	waits          []Time    // from a start to its first watch
+	askedIn        []int     // calls to discovery, by second
+	asked          []float64 // worth, by second
+	got            []float64
+	class          [][2]float64
+	tenant         [][2]float64
+	lateFail       float64
+	firsts         float64
+	work           float64
+	waste          float64
+	crossed        float64
+	opened, probes float64
+	peer           float64
+	hist           []*hdrhistogram.Histogram
 }
 
 // New makes the referee of one play of w.
@@ -189,6 +189,8 @@
 		r.sent(rec)
 	case model.Opened:
 		r.opened++
+	case model.Probed:
+		r.probes++
 	case model.Proven:
 		r.proven(rec)
 	case model.Answered:
--- a/internal/lab/referee/report.go
+++ b/internal/lab/referee/report.go
@@ -99,9 +99,10 @@
 	rep.Crossed, rep.Opened, rep.Wasted = r.crossed/firsts, r.opened/firsts, r.waste/max(1, r.work)
 	p := &r.w.Prices
 	rep.Prices = map[string]float64{"late_fail": p.LateFail * ratio0(r.lateFail, asked), "waste": p.Waste * rep.Wasted,
-		"cross": p.Cross * rep.Crossed, "handshake": p.Handshake * rep.Opened, "peer": p.Peer * r.peer / 256 / firsts}
+		"cross": p.Cross * rep.Crossed, "handshake": p.Handshake * rep.Opened, "peer": p.Peer * r.peer / 256 / firsts,
+		"probe": p.Probe * r.probes / firsts}
 	rep.G = goal.whole*rep.Whole + goal.window*rep.Worst10s + goal.class*worstClass + goal.tenant*worstTenant
-	for _, name := range []string{"late_fail", "waste", "cross", "handshake", "peer"} { // in one order: sums must not vary
+	for _, name := range []string{"late_fail", "waste", "cross", "handshake", "peer", "probe"} { // in one order: sums must not vary
 		rep.G -= rep.Prices[name]
 	}
 	for _, at := range r.askedIn {
