--- a/internal/route/probes.go
+++ b/internal/route/probes.go
@@ -57,7 +57,7 @@
 }
 
 func (p *Probes) probe(server uint32) {
-	ctx, cancel := context.WithTimeout(p.ctx, probeWithin)
+	ctx, cancel := context.WithDeadline(p.ctx, time.Now().Add(probeWithin))
 	defer cancel()
 	start := time.Now()
 	outcome, report, err := p.fleet.Probe(ctx, server)
--- a/internal/standin/destination.go
+++ b/internal/standin/destination.go
@@ -21,6 +21,7 @@
 	cores    chan struct{}
 	draining atomic.Bool
 	served   atomic.Int64
+	probed   atomic.Int64
 	held     atomic.Int64
 	failing  atomic.Int64 // of a thousand requests
 	load     meter
@@ -41,6 +42,9 @@
 func (d *Destination) Served() int64 { return d.served.Load() }
 func (d *Destination) Held() int64   { return d.held.Load() }
 
+// Probed is how often it was asked for its load.
+func (d *Destination) Probed() int64 { return d.probed.Load() }
+
 // ServeHTTP answers as the protocol's destinations do: 404 without an id, 503 with X-Unprocessed where it turns away, 500 on
 // an error, else 200 and a body that names what it was asked.
 func (d *Destination) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -50,6 +54,11 @@
 		http.Error(w, "the request did not come whole", http.StatusBadRequest)
 		return
 	}
+	if r.URL.Path == "/status/load" {
+		d.probed.Add(1)
+		fmt.Fprintln(w, d.load.report(max(1, d.Cores)))
+		return
+	}
 	if r.Header.Get("X-Correlation-Id") == "" {
 		http.NotFound(w, r)
 		return
