A key's home no longer depends on past sizes of the fleet; tests share tables and a stage

Seen on reading the change again: affinity grew its slots with the members and never shrank them, so a proxy that had seen more servers ranked other homes than one that starts: its own comment said otherwise. The test for agreement missed it, as it never crossed a step. A successor on a lent socket takes over what answers take unqueued (Learnt.Calm), which it had to learn anew.

--- a/cmd/pumiceline/process_test.go
+++ b/cmd/pumiceline/process_test.go
@@ -42,6 +42,7 @@
 	shared    string
 	memoryMB  int
 	world     *standin.World
+	tune      func(settings map[string]any) // nil: they stay
 }
 
 // process is one of a proxy.
@@ -89,6 +90,9 @@
 	}
 	all["limits"] = map[string]any{"memory_mb": s.memoryMB, "sockets": 512}
 	set := all["settings"].(map[string]any)
+	if s.tune != nil {
+		s.tune(set)
+	}
 	classes := set["Classes"].([]any)
 	for _, name := range further {
 		class := map[string]any{}
@@ -191,6 +195,56 @@
 	return func() { cancel(); all.Wait() }
 }
 
+// Where servers are warm for keys, all requests of a key go to one destination, and each has keys. Destinations are asked for their load
+// about once a second where that is allowed, and no more from the SIGHUP on that forbids it.
+func TestKeysAndProbes(t *testing.T) {
+	s := newStage(t, 64)
+	allowed := true
+	s.tune = func(set map[string]any) {
+		set["FamilyInfo"] = map[string]any{"WarmKeys": true}
+		set["LoadInfo"].(map[string]any)["How"] = "pull"
+		set["Limits"].(map[string]any)["MayProbe"] = allowed
+	}
+	s.write()
+	p := s.begin(s.discovery)
+	s.ready(p)
+	homes, met := map[string]string{}, map[string]int{}
+	begun := time.Now()
+	for n := 0; time.Since(begun) < 2500*time.Millisecond; n++ {
+		key := fmt.Sprint("key ", n*n%31)
+		status, body, err := ask(http.DefaultTransport, "http://"+s.base+"/quick-quote", http.Header{"X-Correlation-Id": {fmt.Sprint("k", n)},
+			"X-Service-Class": {"quick-quote"}, "X-Account": {"khan-air"}, "X-Time-Left-Ms": {"1500"}, "X-Session-Key": {key}})
+		toy, _, _ := strings.Cut(body, " ")
+		if at := homes[key]; status != 200 || err != nil || at != "" && at != toy {
+			t.Fatalf("request %d of %s, at home at %q: %d %q %v", n, key, at, status, body, err)
+		}
+		homes[key] = toy
+	}
+	for _, toy := range homes {
+		met[toy]++
+	}
+	if len(met) != len(s.world.Destinations) {
+		t.Errorf("keys are at %v", met)
+	}
+	probes := func() (n int64) {
+		for _, d := range s.world.Destinations {
+			n += d.Probed()
+		}
+		return n
+	}
+	if n := probes(); n < 3 || n > 12 {
+		t.Errorf("%d probes in %v", n, time.Since(begun))
+	}
+	allowed = false
+	s.write()
+	p.Process.Signal(syscall.SIGHUP)
+	s.status(p, "metrics", func(_ int, body string) bool { return strings.Contains(body, "svc_conf_loaded_total 1\n") })
+	n := probes()
+	if time.Sleep(1500 * time.Millisecond); probes() > n+1 { // one may have been on its way
+		t.Errorf("%d probes after they were forbidden", probes()-n)
+	}
+}
+
 // A successor that is killed, before its yes or after it, costs nothing but what it had taken itself: the old process serves on with
 // the whole budgets, and the next successor takes over without a request lost. A SIGHUP while two are there reaches both.
 func TestSuccessorIsKilled(t *testing.T) {
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -1,6 +1,10 @@
 package decide
 
-import "math"
+import (
+	"math"
+
+	"pumiceline/internal/calm"
+)
 
 // Learnt is what a balancer has found out, for one that takes its place. It decides nothing. Times are on the clock of `now`, which
 // both must share.
@@ -10,6 +14,7 @@
 	Mean                                         LearntKind
 	Kinds                                        []LearntKind
 	Shares                                       []float64
+	Calm                                         []float64 // by class; 0: not known
 	Servers                                      []LearntServer
 }
 
@@ -46,6 +51,13 @@
 func (b *Balancer) Learnt() *Learnt {
 	l := &Learnt{At: b.now, ArrivalRate: b.arrivalRate, MeanWork: b.meanWork, Usual: b.usual, Window: math.Min(b.window, 1e6),
 		Remote: b.remote, Mean: b.mean.learnt(), Shares: append([]float64(nil), b.shares...)}
+	for i := range b.calm {
+		least, known := b.calm[i].Least()
+		if !known {
+			least = 0
+		}
+		l.Calm = append(l.Calm, least)
+	}
 	for i := range b.kinds {
 		l.Kinds = append(l.Kinds, b.kinds[i].learnt())
 	}
@@ -74,6 +86,7 @@
 	number(1e9, l.ArrivalRate, l.MeanWork, l.Usual, l.Window, l.Mean.Mean, l.Mean.Size)
 	number(1, l.Remote)
 	number(1e9, l.Shares...)
+	number(1e12, l.Calm...)
 	for _, k := range l.Kinds {
 		number(1e9, k.QPS, k.Util, k.Size, k.Mean)
 	}
@@ -101,6 +114,11 @@
 	if len(l.Shares) == len(b.shares) {
 		copy(b.shares, l.Shares)
 	}
+	if len(l.Calm) == len(b.calm) {
+		for i, least := range l.Calm {
+			b.calm[i] = calm.Known(least)
+		}
+	}
 	for _, t := range l.Servers {
 		s := b.servers[t.Server]
 		if s == nil || s.upSince != t.UpSince {
--- a/decide/schedule.go
+++ b/decide/schedule.go
@@ -1,8 +1,6 @@
 package decide
 
-import (
-	"math"
-)
+import "math"
 
 // place puts s into the schedule or takes it out, as its state asks.
 func (b *Balancer) place(s *server) {
--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"math"
-	"math/bits"
 	"slices"
 )
 
@@ -16,13 +15,9 @@
 	Weight float64
 }
 
-// Keys are shared out in slots, whose homes are worked out when they are first asked for and kept until the members change. There
-// are perMember of them for each member, so that parts come out near the weights, and no more than mostSlots.
-const (
-	leastSlots = 4 << 10
-	perMember  = 32
-	mostSlots  = 256 << 10
-)
+// slots is how many parts the keys are shared out in. The homes of a part are worked out when it is first asked for and kept until the
+// members change. It must not follow the number of members: a balancer that has seen more of them would differ from one that starts.
+const slots = 16 << 10
 
 type slot struct {
 	homes [2]uint32
@@ -32,7 +27,7 @@
 // Table tells the homes of keys. The zero Table has no members. It is not safe for concurrent use.
 type Table struct {
 	members []Member
-	slots   []slot
+	slots   []slot // nil until the first key
 	changes uint32
 }
 
@@ -44,10 +39,8 @@
 		return
 	}
 	t.members = next
-	// It never shrinks, or a fleet about the size of a step would have its keys move at each change.
-	want := min(mostSlots, max(leastSlots, 1<<bits.Len(uint(perMember*len(next)))))
-	if t.changes++; t.changes == 0 || want > len(t.slots) {
-		t.slots, t.changes = make([]slot, max(want, len(t.slots))), 1
+	if t.changes++; t.changes == 0 { // the count has come round: what was worked out long ago would pass for new
+		t.slots, t.changes = nil, 1
 	}
 }
 
@@ -57,7 +50,10 @@
 	if len(t.members) == 0 {
 		return homes, false
 	}
-	at := mix(key) & uint64(len(t.slots)-1)
+	if t.slots == nil {
+		t.slots = make([]slot, slots)
+	}
+	at := mix(key) % slots
 	s := &t.slots[at]
 	if s.since != t.changes {
 		s.homes, s.since = t.rank(at), t.changes
--- a/internal/calm/calm.go
+++ b/internal/calm/calm.go
@@ -46,5 +46,13 @@
 	}
 }
 
+// Known is an estimate that another has come to; nothing is known if it is not over 0.
+func Known(least float64) (t Time) {
+	if least > 0 {
+		t = Time{seen: warmup, running: least, least: least}
+	}
+	return t
+}
+
 // Least is what most answers take where nothing queues, in the unit of Observe, once enough have come.
 func (t *Time) Least() (took float64, known bool) { return t.least, t.seen >= warmup }
