--- a/cmd/pumiceline/memory_test.go
+++ b/cmd/pumiceline/memory_test.go
@@ -35,7 +35,7 @@
 }
 
 // keeping makes connections that clients keep.
-func keeping(b *testing.B) *http.Transport {
+func keeping(b testing.TB) *http.Transport {
 	t := &http.Transport{MaxIdleConnsPerHost: 64}
 	b.Cleanup(t.CloseIdleConnections)
 	return t
@@ -46,7 +46,7 @@
 func BenchmarkCost(b *testing.B) {
 	for name, tune := range map[string]func(map[string]any){"plain": nil, "keys": func(set map[string]any) { warm(set, true) }} {
 		b.Run(name, func(b *testing.B) {
-			s := newStage(b, 64)
+			s := newScene(b, 64)
 			s.tune = tune
 			s.write()
 			p := s.begin(s.discovery)
@@ -79,7 +79,7 @@
 // BenchmarkTwoProcesses shows what two processes of one proxy take of 32 MB during an upgrade under load, and what one takes alone.
 func BenchmarkTwoProcesses(b *testing.B) {
 	for range b.N {
-		s := newStage(b, 32)
+		s := newScene(b, 32)
 		old := s.begin(s.discovery)
 		s.ready(old)
 		end := s.load(16, keeping(b), func(int, error, time.Time) {})
@@ -100,7 +100,7 @@
 func BenchmarkLongAnswers(b *testing.B) {
 	const long, readers = 8 << 20, 100
 	for range b.N {
-		s := newStage(b, 64)
+		s := newScene(b, 64)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
@@ -156,7 +156,7 @@
 // BenchmarkScrapeAtOverload shows how long the operators' door takes while clients keep the proxy's one core busy.
 func BenchmarkScrapeAtOverload(b *testing.B) {
 	for range b.N {
-		s := newStage(b, 64)
+		s := newScene(b, 64)
 		p := s.begin(s.discovery)
 		s.ready(p)
 		times := func() (took []time.Duration) {
--- a/cmd/pumiceline/process_test.go
+++ b/cmd/pumiceline/process_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"pumiceline/internal/stage"
 	"pumiceline/internal/standin"
 )
 
@@ -32,8 +33,8 @@
 	os.Exit(m.Run())
 }
 
-// stage is a world of stand-ins with a lent socket, on which processes of one proxy come and go.
-type stage struct {
+// scene is a world of stand-ins with a lent socket, on which processes of one proxy come and go.
+type scene struct {
 	t         testing.TB
 	lent      *os.File
 	base      string // the lent socket's
@@ -52,7 +53,7 @@
 	log      *bytes.Buffer // whole once it has ended
 }
 
-func newStage(t testing.TB, memoryMB int) *stage {
+func newScene(t testing.TB, memoryMB int) *scene {
 	open := func() net.Listener {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -63,7 +64,7 @@
 	discovery, lent := open(), open()
 	ctx, end := context.WithCancel(context.Background())
 	t.Cleanup(end)
-	s := &stage{t: t, base: lent.Addr().String(), discovery: discovery.Addr().String(), shared: t.TempDir(), memoryMB: memoryMB,
+	s := &scene{t: t, base: lent.Addr().String(), discovery: discovery.Addr().String(), shared: t.TempDir(), memoryMB: memoryMB,
 		file: filepath.Join(t.TempDir(), "config.json"),
 		world: standin.NewWorld(discovery, []net.Listener{open(), open(), open()}, []string{"ub-east"},
 			func() { time.Sleep(2 * time.Millisecond) })}
@@ -79,7 +80,7 @@
 }
 
 // write writes the configuration, with further classes like the first.
-func (s *stage) write(further ...string) {
+func (s *scene) write(further ...string) {
 	text, err := standin.Config(s.base, s.discovery, []string{"ub-east"})
 	if err != nil {
 		s.t.Fatal(err)
@@ -114,7 +115,7 @@
 }
 
 // begin starts a process that asks discovery at the given address.
-func (s *stage) begin(discovery string) *process {
+func (s *scene) begin(discovery string) *process {
 	free, err := net.Listen("tcp", "127.0.0.5:0") // an address of its own: a connection of another test can't take the port
 	if err != nil {
 		s.t.Fatal(err)
@@ -152,7 +153,7 @@
 }
 
 // status waits until a process's operators' door says of itself what is wanted.
-func (s *stage) status(p *process, path string, want func(status int, body string) bool) {
+func (s *scene) status(p *process, path string, want func(status int, body string) bool) {
 	for by := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		status, body, err := ask(single, p.operator+path, nil)
 		if err == nil && want(status, body) {
@@ -166,12 +167,12 @@
 	}
 }
 
-func (s *stage) ready(p *process) {
+func (s *scene) ready(p *process) {
 	s.status(p, "readyz", func(status int, _ string) bool { return status == 200 })
 }
 
 // quote asks the proxy for one quote.
-func (s *stage) quote(by http.RoundTripper, class string, n int64) (int, error) {
+func (s *scene) quote(by http.RoundTripper, class string, n int64) (int, error) {
 	status, _, err := ask(by, "http://"+s.base+"/"+class, http.Header{"X-Correlation-Id": {fmt.Sprint("q", n)}, "X-Service-Class": {class},
 		"X-Account": {"khan-air"}, "X-Time-Left-Ms": {"1500"}, "X-Session-Key": {fmt.Sprint(n % 300)}})
 	return status, err
@@ -179,7 +180,7 @@
 
 // load keeps clients asking for quick quotes, each as soon as it has its answer, until end is called. It is told of each answer, and
 // when its request began, by several goroutines.
-func (s *stage) load(clients int, by http.RoundTripper, told func(status int, err error, began time.Time)) (end func()) {
+func (s *scene) load(clients int, by http.RoundTripper, told func(status int, err error, began time.Time)) (end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var number atomic.Int64
 	var all sync.WaitGroup
@@ -205,7 +206,7 @@
 // Where servers are warm for keys, all requests of a key go to one destination, and each has keys. Destinations are asked for their load
 // about once a second where that is allowed, and no more from the SIGHUP on that forbids it.
 func TestKeysAndProbes(t *testing.T) {
-	s := newStage(t, 64)
+	s := newScene(t, 64)
 	allowed := true
 	s.tune = func(set map[string]any) { warm(set, allowed) }
 	s.write()
@@ -248,6 +249,53 @@
 	}
 }
 
+// A proxy that is cut off from discovery serves on, and ends a drain's work within 500 ms of what was held reaching it. One that is
+// frozen for a second and a half serves on when it is thawed, and fails at most what was with it.
+func TestProxyIsCutOffAndFrozen(t *testing.T) {
+	s := newScene(t, 64)
+	faults := stage.New()
+	defer faults.Close()
+	roster, err := faults.Relay("roster", s.discovery)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.begin(roster.Addr())
+	s.ready(p)
+	var served, failed atomic.Int64
+	end := s.load(4, keeping(t), func(status int, err error, _ time.Time) {
+		if err == nil && status == 200 {
+			served.Add(1)
+		} else {
+			failed.Add(1)
+		}
+	})
+	roster.Set(stage.Down, stage.Fault{Hold: true})
+	drained, before := s.world.Destinations[0], served.Load()
+	entry := s.world.Entries[0]
+	entry.Health = "DRAINING"
+	s.world.Roster.Put(entry)
+	time.Sleep(time.Second)
+	if at := drained.Served(); served.Load() == before || failed.Load() > 0 || at == 0 {
+		t.Errorf("cut off: %d served, %d failed, %d by the destination that drains", served.Load()-before, failed.Load(), at)
+	}
+	roster.Heal()
+	time.Sleep(500 * time.Millisecond)
+	at := drained.Served()
+	if time.Sleep(500 * time.Millisecond); drained.Served() != at {
+		t.Errorf("half a second after it was told, %d requests came to a destination that drains", drained.Served()-at)
+	}
+	p.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(1500 * time.Millisecond)
+	p.Process.Signal(syscall.SIGCONT)
+	time.Sleep(200 * time.Millisecond)
+	before = served.Load()
+	time.Sleep(300 * time.Millisecond)
+	end()
+	if served.Load() == before || failed.Load() > 4 { // one of each client at most was with it
+		t.Errorf("frozen and thawed: %d served since, %d failed\n%s", served.Load()-before, failed.Load(), faults)
+	}
+}
+
 // A successor that is killed, before its yes or after it, costs nothing but what it had taken itself: the old process serves on with
 // the whole budgets, and the next successor takes over without a request lost. A SIGHUP while two are there reaches both.
 func TestSuccessorIsKilled(t *testing.T) {
@@ -257,7 +305,7 @@
 	}
 	defer hole.Close()
 	for name, yes := range map[string]bool{"before its yes": false, "after its yes": true} {
-		s := newStage(t, 64)
+		s := newScene(t, 64)
 		old := s.begin(s.discovery)
 		s.ready(old)
 		var killing, dead, served, lost atomic.Int64 // killing, dead: Unix nanoseconds
--- /dev/null
+++ b/internal/stage/stage_test.go
@@ -0,0 +1,172 @@
+package stage
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os/exec"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A relay passes a stream whole, late, slowly or after a cut as its faults say; while its way up is cut nothing comes up behind it; an
+// end in order comes as one, and a break as a break.
+func TestRelay(t *testing.T) {
+	s := New()
+	defer s.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var accepted atomic.Int64
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			accepted.Add(1)
+			go func() { io.Copy(c, c); c.(*net.TCPConn).CloseWrite() }() // an echo
+		}
+	}()
+	r, err := s.Relay("echo", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := bytes.Repeat([]byte("0123456789abcdef"), 4<<10) // 64 KiB
+	for name, c := range map[string]struct {
+		up, down    Fault
+		heal        time.Duration // when all passes again; 0: never
+		least, most time.Duration // of an echo
+		breaks      bool
+	}{
+		"nothing":   {},
+		"late":      {up: Fault{Delay: 100 * time.Millisecond}, least: 100 * time.Millisecond},
+		"slow":      {down: Fault{Rate: 256 << 10}, least: 180 * time.Millisecond},
+		"cut up":    {up: Fault{Hold: true}, heal: 200 * time.Millisecond, least: 190 * time.Millisecond},
+		"cut down":  {down: Fault{Hold: true}, heal: 200 * time.Millisecond, least: 190 * time.Millisecond},
+		"broken":    {down: Fault{Hold: true}, breaks: true},
+		"half open": {up: Fault{Hold: true}, breaks: true},
+	} {
+		before := accepted.Load()
+		r.Set(Up, c.up)
+		r.Set(Down, c.down)
+		begun := time.Now()
+		conn, err := net.Dial("tcp", r.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { conn.Write(text); conn.(*net.TCPConn).CloseWrite() }()
+		if c.heal > 0 || c.breaks {
+			time.Sleep(max(c.heal, 50*time.Millisecond))
+		}
+		if c.up.Hold && accepted.Load() != before {
+			t.Errorf("%s: a connection came up behind a cut", name)
+		}
+		if c.breaks {
+			r.Break()
+		} else if c.heal > 0 {
+			r.Heal()
+		}
+		got, err := io.ReadAll(conn)
+		if (err != nil) != c.breaks || !c.breaks && !bytes.Equal(got, text) || time.Since(begun) < c.least {
+			t.Errorf("%s: %d bytes and %v after %v", name, len(got), err, time.Since(begun))
+		}
+		conn.Close()
+	}
+	r.Refuse(true)
+	if conn, err := net.Dial("tcp", r.Addr()); err == nil {
+		if n, err := conn.Read(text); err == nil {
+			t.Errorf("refused, and yet %d bytes came", n)
+		}
+	}
+	if up, down := r.Passed(Up), r.Passed(Down); up < 5<<16 || down < 5<<16 || up > 7<<16 {
+		t.Errorf("%d bytes passed up and %d down", up, down)
+	}
+}
+
+// Datagrams are lost, doubled and late as drawn from the seed, the same each time, and those held come once the way is free again; what
+// is answered comes back to who asked.
+func TestDatagrams(t *testing.T) {
+	receiver, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	take := func(from *net.UDPConn) (text string, sender *net.UDPAddr) {
+		b := make([]byte, 99)
+		from.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		n, sender, _ := from.ReadFromUDP(b)
+		return string(b[:max(0, n)]), sender
+	}
+	verdict := func(seed uint64) (got string) {
+		s := New()
+		defer s.Close()
+		g, err := s.Datagrams("letters", receiver.LocalAddr().String(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		to, _ := net.ResolveUDPAddr("udp", g.Addr())
+		c, err := net.DialUDP("udp", nil, to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		g.Set(Up, Fault{Drop: 0.3, Duplicate: 0.3})
+		for n := range 30 {
+			fmt.Fprint(c, n, " ")
+			time.Sleep(time.Millisecond)
+		}
+		g.Set(Up, Fault{Hold: true})
+		fmt.Fprint(c, "held")
+		for text, _ := take(receiver); text != ""; text, _ = take(receiver) {
+			got += text
+		}
+		g.Heal()
+		text, sender := take(receiver)
+		receiver.WriteToUDP([]byte("answer"), sender)
+		back, _ := take(c)
+		return got + text + back
+	}
+	one, again, other := verdict(1), verdict(1), verdict(2)
+	if one != again || one == other || !strings.HasSuffix(one, "heldanswer") || strings.Contains(one, "0 1 2 3 4 5 6 7 8 9 10") {
+		t.Errorf("%q, then %q; with another seed %q", one, again, other)
+	}
+}
+
+// A frozen process says nothing and goes on when it is thawed; the stage ends it, and its history tells all of that in order.
+func TestProcess(t *testing.T) {
+	s := New()
+	p, err := s.Start("ticker", exec.Command("sh", "-c", "while :; do echo tick; sleep 0.01; done"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	grows := func() bool {
+		before := len(p.Log())
+		time.Sleep(200 * time.Millisecond)
+		return len(p.Log()) > before
+	}
+	running := grows()
+	p.Freeze()
+	time.Sleep(50 * time.Millisecond)
+	frozen := grows()
+	p.Thaw()
+	if thawed := grows(); !running || frozen || !thawed {
+		t.Errorf("running %v, frozen %v, thawed %v", running, frozen, thawed)
+	}
+	s.Close()
+	if err := p.Wait(time.Now().Add(time.Second)); err == nil || grows() {
+		t.Errorf("it goes on after the stage's end: %v", err)
+	}
+	at := -1
+	for _, what := range []string{"starts", "is frozen", "is thawed", "is killed", "has ended: signal: killed"} {
+		if next := strings.Index(s.String(), what); next <= at {
+			t.Errorf("%q is missing or out of order in\n%s", what, s)
+		} else {
+			at = next
+		}
+	}
+	if _, err := s.Relay("late", "127.0.0.1:1"); err == nil {
+		t.Error("a closed stage starts a relay")
+	}
+}
