--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -40,6 +40,7 @@
 	Check   checkCmd   `cmd:"" help:"Check a configuration and say what it amounts to."`
 	Version versionCmd `cmd:"" help:"Say which version this is."`
 	Try     tryCmd     `cmd:"" help:"Run the proxy with stand-ins and a gentle load in one process, and show what happens."`
+	Stage   stageCmd   `cmd:"" help:"Run real proxies and stand-ins with faults between them."`
 	Lab     labCmd     `cmd:"" help:"Try designs in the laboratory: a model of the whole fleet, without sockets."`
 }
 
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -163,3 +166,27 @@
 		t.Error("a closed stage starts a relay")
 	}
 }
+
+// A seed draws the same faults each time, all of them playable; a script that can't be played is told with file, line and key.
+func TestScripts(t *testing.T) {
+	s := &Script{Length: 10e6, Proxies: 2, Destinations: 3, Rate: 1, Draw: 200}
+	first, again, other := s.Steps(1), s.Steps(1), s.Steps(2)
+	if !slices.Equal(first, again) || slices.Equal(first, other) {
+		t.Error("the seed does not decide")
+	}
+	s.Faults, s.Draw = first, 0
+	if key, why := s.check(); why != "" {
+		t.Errorf("drawn, and can't be played: %s: %s", key, why)
+	}
+	for line, want := range map[string]string{`do = "cut"` + "\n" + `who = "proxy"`: `:4: fault.0.who: "cut" is done to none of`,
+		`do = "melt"`: `:3: fault.0.do: "melt" is no fault`, `do = "kill"` + "\n" + `who = "proxy"` + "\n" + `n = 2`: ":5: fault.0.n: there are 2",
+		`at = 3`: ":3: fault.0.at: is a time and has no unit", `what = 1`: ":3: fault.what: there is no such key"} {
+		file := filepath.Join(t.TempDir(), "x.toml")
+		if err := os.WriteFile(file, []byte("proxies = 2\n[[fault]]\n"+line+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadScript(file); err == nil || !strings.Contains(err.Error(), "x.toml"+want) {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+}
