--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -277,6 +277,10 @@
 // assign gives a field a value as TOML or JSON decode it.
 func assign(v reflect.Value, s Setting) error {
 	wrong := fmt.Errorf("%s: %v (%T) does not fit", s.Key, s.Value, s.Value)
+	if list, ok := s.Value.([]any); ok && len(list) == 0 && v.Kind() == reflect.Slice { // world.trouble=[]: none of them
+		v.SetZero()
+		return nil
+	}
 	if span, ok := v.Addr().Interface().(*model.Span); ok {
 		text, ok := s.Value.(string)
 		if !ok {
--- a/tools/labrank/main.go
+++ b/tools/labrank/main.go
@@ -27,10 +27,9 @@
 
 type cli struct {
 	Sim   string `help:"The simulator." default:"../given/kit/bin/lbsim" type:"path"`
-	Site  string `help:"Its site file." default:"../given/kit/sites/ub-quotes.toml" type:"path"`
+	On    string `help:"The deployment." enum:"quotes,invitations" default:"quotes"`
 	Days  int    `help:"Days of each kind." default:"3"`
-	Plots string `help:"Folder for the scatter plot." default:"docs/plots" type:"path"`
-	Out   string `help:"File for the figures, as JSON." default:"docs/plots/ranking.json" type:"path"`
+	Plots string `help:"Folder for the scatter plot and the figures." default:"docs/plots" type:"path"`
 }
 
 func main() {
@@ -44,8 +43,8 @@
 
 var variants = []variant{
 	{"as it is", "", "", ""},
-	{"look-ahead 1", "decide/schedule.go", "const lookAhead = 16", "const lookAhead = 1"},
-	{"look-ahead 3", "decide/schedule.go", "const lookAhead = 16", "const lookAhead = 3"},
+	{"look-ahead 1", "decide/schedule.go", "const lookAhead, lookFar = 16,", "const lookAhead, lookFar = 1,"},
+	{"look-ahead 3", "decide/schedule.go", "const lookAhead, lookFar = 16,", "const lookAhead, lookFar = 3,"},
 	{"aggression 4", "decide/weights.go", "aggression              = 1.0 ", "aggression              = 4.0 "},
 	{"blackout 20 s", "decide/weights.go", "blackoutPeriod          = 2_000_000 ", "blackoutPeriod          = 20_000_000 "},
 	{"cold load 0.7", "decide/weights.go", "coldLoad = 2.4", "coldLoad = 0.7"},
@@ -53,11 +52,37 @@
 	{"crowded at 0.2 of the aim", "decide/health.go", "crowdedFrom = 0.5 ", "crowdedFrom = 0.2 "},
 	{"crowded borne 0.1", "decide/health.go", "crowdedMost = 0.25", "crowdedMost = 0.1"},
 	{"slow from 1.5", "decide/health.go", "const slowFrom = 4", "const slowFrom = 1.5"},
+	{"crowded at 1.2 times calm", "decide/health.go", "crowdedCalm = 2 ", "crowdedCalm = 1.2 "},
 }
 
-// worlds pairs the simulator's kinds of day with the experiments beside this program.
-var worlds = []struct{ kind, file string }{
-	{"quiet", "quiet"}, {"only:hang", "hang"}, {"only:neighbour", "neighbour"}, {"only:deploy", "deploy"}, {"overload", "overload"},
+// keyed are those that matter only where servers are warm for keys.
+var keyed = []variant{
+	{"a cold key for 1", "decide/schedule.go", "missLeast, missPart = 10.0, 1.0", "missLeast, missPart = 1.0, 0.0"},
+	{"no keys", "decide/schedule.go", "r.key == 0 || !b.set.WarmKeys", "true"},
+}
+
+// world pairs one of the simulator's kinds of day with an experiment of ours, and what is changed in it.
+type world struct {
+	kind, file string
+	set        []string
+}
+
+const (
+	ours        = "tools/labrank/worlds/"
+	invitations = "example/lab/invitations.toml"
+)
+
+// deployments are the sites and worlds of each deployment.
+var deployments = map[string]struct {
+	site   string
+	more   []variant
+	worlds []world
+}{
+	"quotes": {"../given/kit/sites/ub-quotes.toml", nil, []world{{"quiet", ours + "quiet.toml", nil}, {"only:hang", ours + "hang.toml", nil},
+		{"only:neighbour", ours + "neighbour.toml", nil}, {"only:deploy", ours + "deploy.toml", nil}, {"overload", ours + "overload.toml", nil}}},
+	"invitations": {"../given/kit/users/convite-lisboa.toml", keyed, []world{
+		{"quiet", invitations, []string{"world.trouble=[]", "world.load=0.48"}},
+		{"trouble", invitations, []string{"world.load=0.82"}}, {"overload", invitations, []string{"world.load=1.45"}}}},
 }
 
 type point struct {
@@ -74,17 +99,17 @@
 	}
 	defer os.RemoveAll(dir)
 	var points []point
-	for i, v := range variants {
+	for i, v := range append(variants, deployments[c.On].more...) {
 		folder := filepath.Join(dir, strconv.Itoa(i))
 		if err := v.build(folder); err != nil {
 			return fmt.Errorf("%s: %w", v.name, err)
 		}
-		for _, w := range worlds {
+		for _, w := range deployments[c.On].worlds {
 			sim, err := c.simulate(folder, v, w.kind)
 			if err != nil {
 				return fmt.Errorf("%s on %s: %w", v.name, w.kind, err)
 			}
-			lab, err := play(folder, w.file)
+			lab, err := play(folder, w)
 			if err != nil {
 				return fmt.Errorf("%s on %s: %w", v.name, w.file, err)
 			}
@@ -138,7 +163,7 @@
 	sum := 0.0
 	for day := 1; day <= c.Days; day++ {
 		why := fmt.Sprintf("Truth of the laboratory: %s on day %d of kind %s", v.name, day, kind)
-		out, err := exec.Command(c.Sim, "run", c.Site, "--seed", strconv.Itoa(day), "--kind", kind, "--json", "--no-build", "--why", why, "--",
+		out, err := exec.Command(c.Sim, "run", deployments[c.On].site, "--seed", strconv.Itoa(day), "--kind", kind, "--json", "--no-build", "--why", why, "--",
 			filepath.Join(folder, "benchlink")).Output()
 		if err != nil {
 			var exit *exec.ExitError
@@ -156,11 +181,14 @@
 	return sum / float64(c.Days), nil
 }
 
-// play is the mean G of one of our worlds.
-func play(folder, world string) (float64, error) {
-	out := filepath.Join(folder, world+".jsonl")
-	text, err := exec.Command(filepath.Join(folder, "pumiceline"), "lab", "sweep", filepath.Join("tools/labrank/worlds", world+".toml"),
-		"--out", out).CombinedOutput()
+// play is the mean G of the module in one of our worlds.
+func play(folder string, w world) (float64, error) {
+	out := filepath.Join(folder, "results.jsonl")
+	args := []string{"lab", "sweep", w.file, "--out", out}
+	for _, s := range w.set {
+		args = append(args, "--set", s)
+	}
+	text, err := exec.Command(filepath.Join(folder, "pumiceline"), args...).CombinedOutput()
 	if err != nil {
 		return 0, fmt.Errorf("%w: %s", err, text)
 	}
@@ -233,7 +261,7 @@
 	result := map[string]any{"points": points, "all": spearman(xs, ys)}
 	fmt.Printf("rank correlation over %d variants: %.3f\n", len(points), spearman(xs, ys))
 	within := map[string]float64{}
-	for _, k := range worlds {
+	for _, k := range deployments[c.On].worlds {
 		within[k.kind] = spearman(by[k.kind].sim, by[k.kind].lab)
 		fmt.Printf("  within %s, %d variants: %.3f\n", k.kind, len(by[k.kind].sim), within[k.kind])
 	}
@@ -241,7 +269,7 @@
 	if err := os.MkdirAll(c.Plots, 0o755); err != nil {
 		return err
 	}
-	f, err := plots.Scatter("ranking", "Service that simulator and laboratory give the same variant", "simulator, G", "laboratory, G", xs, ys, in)
+	f, err := plots.Scatter("ranking-"+c.On, "Service that simulator and laboratory give the same variant", "simulator, G", "laboratory, G", xs, ys, in)
 	if err != nil {
 		return err
 	}
@@ -252,5 +280,5 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(c.Out, append(text, '\n'), 0o644)
+	return os.WriteFile(filepath.Join(c.Plots, "ranking-"+c.On+".json"), append(text, '\n'), 0o644)
 }
