--- a/cmd/pumiceline/stage.go
+++ b/cmd/pumiceline/stage.go
@@ -106,7 +106,7 @@
 	}
 	v.Faults = t.end()
 	v.History = t.History()
-	fmt.Fprint(out, t)
+	fmt.Fprintf(out, "%s, seed %d\n%s", script.Title, c.Seed, t)
 	for i, p := range v.Proxies {
 		fmt.Fprintf(out, "proxy %d: %d asked, %d served, %d refused, %d failed\n", i, p.Asked, p.Served, p.Refused, p.Failed)
 	}
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -169,6 +169,9 @@
 
 // A seed draws the same faults each time, all of them playable; a script that can't be played is told with file, line and key.
 func TestScripts(t *testing.T) {
+	if _, err := ReadScript("../../example/stage/cuts.toml"); err != nil {
+		t.Error(err)
+	}
 	s := &Script{Length: 10e6, Proxies: 2, Destinations: 3, Rate: 1, Draw: 200}
 	first, again, other := s.Steps(1), s.Steps(1), s.Steps(2)
 	if !slices.Equal(first, again) || slices.Equal(first, other) {
