Ownership: one owner at a time for a piece of work, with leases, tokens and a fence

Some work must be done once for the fleet, by one process, and an old owner that wakes late must do no harm. Changed: internal/ownership (pure): the state that a quorum agrees on, the arbiter at the member that leads (progress, not heartbeats, holds a lease; damping; work spread; hand-over on a drain), an instance's own side, which is over before the lease whatever clocks do within a stated drift, and a receiver's fence. internal/quorum: a member on go.etcd.io/raft (a pure state machine with the network and the disk left to us, which fits here; hashicorp/raft brings its own goroutines and transport) and bbolt; a disk older than what it once acknowledged is refused. internal/owner: an instance's link. The explorer found one of its own: a beat without progress must not renew the whole lease.

--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,83 @@
+package operator
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+
+	"pumiceline/internal/ownership"
+	"pumiceline/internal/span"
+	"pumiceline/internal/tomlfile"
+)
+
+// Fleet is deploy/fleet.toml: who agrees on the fleet's work, and what work there is.
+type Fleet struct {
+	Settings  ownership.Settings
+	Members   map[uint64]string // addresses by number
+	Receivers map[string]string // by work, where its effects go
+}
+
+type fleetFile struct {
+	Lease   span.Span         `toml:"lease"`
+	Drift   float64           `toml:"drift"`
+	Damp    span.Span         `toml:"damp"`
+	Members map[string]string `toml:"members"`
+	Works   map[string]struct {
+		Receiver string `toml:"receiver"`
+	} `toml:"works"`
+}
+
+// ReadFleet reads the fleet's file. Faults are *tomlfile.Error.
+func ReadFleet(path string) (*Fleet, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	f := fleetFile{Lease: 2e6, Drift: 0.2, Damp: 2e6}
+	if err := tomlfile.Decode(path, text, &f); err != nil {
+		return nil, err
+	}
+	keys := tomlfile.Index(text)
+	fault := func(key, why string) error {
+		return &tomlfile.Error{File: path, Line: keys.Line(key), Key: key, Why: why}
+	}
+	for _, key := range keys.Numbers {
+		if key == "lease" || key == "damp" {
+			return nil, fault(key, `is a time and has no unit: write it as "250ms"`)
+		}
+	}
+	out := &Fleet{Settings: ownership.Settings{Lease: ownership.Time(f.Lease), Drift: f.Drift, Damp: ownership.Time(f.Damp)}, Members: map[uint64]string{},
+		Receivers: map[string]string{}}
+	if n := len(f.Members); n != 1 && n != 3 && n != 5 && n != 7 {
+		return nil, fault("members", fmt.Sprintf("there are %d, and an even number or more than 7 bears no more failures than one less", n))
+	}
+	for number, addr := range f.Members {
+		id, err := strconv.ParseUint(number, 10, 64)
+		if err != nil || id == 0 || strconv.FormatUint(id, 10) != number {
+			return nil, fault("members."+number, "is no number from 1")
+		}
+		if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
+			return nil, fault("members."+number, fmt.Sprintf("%q is no address with a port", addr))
+		}
+		for other, there := range out.Members {
+			if there == addr {
+				return nil, fault("members."+number, fmt.Sprintf("has the address of member %d", other))
+			}
+		}
+		out.Members[id] = addr
+	}
+	for work, w := range f.Works {
+		if u, err := url.Parse(w.Receiver); err != nil || u.Scheme != "http" || u.Host == "" {
+			return nil, fault("works."+work+".receiver", fmt.Sprintf("%q is no http address", w.Receiver))
+		}
+		out.Settings.Works, out.Receivers[work] = append(out.Settings.Works, work), w.Receiver
+	}
+	slices.Sort(out.Settings.Works)
+	if key, why := out.Settings.Check(); key != "" {
+		return nil, fault(key, why)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,241 @@
+// Package owner is an instance's link to the members that agree on who owns which work: it beats, and does the steps of what it owns.
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"pumiceline/internal/ownership"
+)
+
+// Act has an effect carried out: do is called with the effect's name if the work is still owned, and never otherwise.
+type Act func(do func(ownership.Effect) error) error
+
+// Step is one step of a work. It has to be over, and to do nothing more, soon after ctx ends. A step that has nothing to do and found that out is
+// done: an error is one that made no progress.
+type Step func(ctx context.Context, act Act) error
+
+// ErrOver is what Act returns once the work is no longer owned.
+var ErrOver = errors.New("the lease is over")
+
+// Options are what an agent needs to know.
+type Options struct {
+	Name     string
+	Life     uint64 // never used by another process of this name
+	Zone     string
+	Build    uint64
+	Members  []string // addresses
+	Settings ownership.Settings
+	Works    map[string]Step // those that this instance can do; it beats for all
+	Log      *slog.Logger
+	Rate     float64 // of this instance's clock, for tests; 0: 1
+}
+
+// Parts of a lease: a beat, the time that one has, the rest between two steps.
+const (
+	beatPart = 10
+	callPart = 4
+	restPart = 10
+	// leaveLeases is how long an instance that stops waits for others to take over what it owns.
+	leaveLeases = 3
+)
+
+// Agent is an instance's side.
+type Agent struct {
+	opts   Options
+	begun  time.Time
+	lease  time.Duration
+	client *http.Client
+	kick   chan struct{} // a beat is due at once
+
+	mu     sync.Mutex
+	holder *ownership.Holder
+	at     int // of Members, the one that is taken to lead
+	why    string
+}
+
+// New returns an agent that owns nothing yet.
+func New(opts Options) (*Agent, error) {
+	if key, why := opts.Settings.Check(); key != "" {
+		return nil, fmt.Errorf("owner: %s: %s", key, why)
+	}
+	if len(opts.Members) == 0 || opts.Name == "" {
+		return nil, errors.New("owner: members and a name must be given")
+	}
+	if opts.Rate == 0 {
+		opts.Rate = 1
+	}
+	return &Agent{opts: opts, begun: time.Now(), lease: time.Duration(opts.Settings.Lease) * time.Microsecond, kick: make(chan struct{}, 1),
+		holder: ownership.NewHolder(opts.Settings, opts.Name, opts.Life, opts.Zone, opts.Build),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}}, nil
+}
+
+// now is the instance's clock: it never jumps, not when the process is frozen either.
+func (a *Agent) now() ownership.Time {
+	return ownership.Time(float64(time.Since(a.begun).Microseconds()) * a.opts.Rate)
+}
+
+// Owned are the works that may be acted on now, with their tokens.
+func (a *Agent) Owned() map[string]uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder.Owned(a.now())
+}
+
+// Run beats and works until stop ends and what is owned then has gone to others, or three leases have passed since.
+func (a *Agent) Run(stop context.Context) {
+	running, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	var all sync.WaitGroup
+	for work, step := range a.opts.Works {
+		all.Go(func() { a.work(running, work, step) })
+	}
+	leaving := context.AfterFunc(stop, func() {
+		a.mu.Lock()
+		a.holder.Leave()
+		a.mu.Unlock()
+		a.beatNow()
+	})
+	defer leaving()
+	every := time.NewTicker(a.lease / beatPart)
+	defer every.Stop()
+	var last time.Time // by when this ends, once it is to stop
+	for {
+		a.beat(running)
+		if stop.Err() != nil {
+			if last.IsZero() {
+				last = time.Now().Add(leaveLeases * a.lease)
+			}
+			if len(a.Owned()) == 0 || time.Now().After(last) {
+				break
+			}
+		}
+		select {
+		case <-every.C:
+		case <-a.kick:
+		}
+	}
+	a.opts.Log.Info("an instance leaves", "name", a.opts.Name, "still_owned", a.Owned())
+	cancel()
+	all.Wait()
+	a.client.CloseIdleConnections()
+}
+
+func (a *Agent) beatNow() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// beat says to the member that leads what this instance holds and learns what it owns.
+func (a *Agent) beat(ctx context.Context) {
+	a.mu.Lock()
+	sent := a.now()
+	text, err := json.Marshal(a.holder.Beat())
+	at := a.at
+	a.mu.Unlock()
+	if err != nil {
+		a.opts.Log.Error("a beat can't be written", "error", err)
+		return
+	}
+	answer, leader, err := a.call(ctx, time.Now().Add(a.lease/callPart), a.opts.Members[at], text)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.opts.Log.Debug("a beat is not answered", "member", a.opts.Members[at], "error", err)
+		a.at = (at + 1) % len(a.opts.Members)
+		for i, m := range a.opts.Members {
+			if m == leader {
+				a.at = i
+			}
+		}
+		return
+	}
+	if answer.Why != a.why && answer.Why != "" {
+		a.opts.Log.Warn("this instance gets no work", "name", a.opts.Name, "why", answer.Why)
+	}
+	a.why = answer.Why
+	before := a.holder.Owned(sent)
+	a.holder.Answer(sent, answer)
+	for work, token := range a.holder.Owned(a.now()) {
+		if before[work] != token {
+			a.opts.Log.Info("this instance owns a work", "name", a.opts.Name, "work", work, "token", token)
+		}
+	}
+}
+
+// call makes a beat, which is over by a moment. leader is the one to ask, where the member named it.
+func (a *Agent) call(ctx context.Context, by time.Time, member string, beat []byte) (answer ownership.Answer, leader string, err error) {
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+member+"/v1/beat", bytes.NewReader(beat))
+	if err != nil {
+		return answer, "", fmt.Errorf("owner: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return answer, "", fmt.Errorf("owner: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return answer, resp.Header.Get("X-Leader"), fmt.Errorf("owner: %s answers %s", member, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&answer); err != nil {
+		return answer, "", fmt.Errorf("owner: %s: %w", member, err)
+	}
+	return answer, "", nil
+}
+
+// work does the steps of a work whenever it is owned.
+func (a *Agent) work(ctx context.Context, work string, step Step) {
+	act := func(do func(ownership.Effect) error) error {
+		a.mu.Lock()
+		e, ok := a.holder.Effect(a.now(), work)
+		a.mu.Unlock()
+		if !ok {
+			return ErrOver
+		}
+		return do(e) // the lease may be over before it arrives: the receiver's fence is for that
+	}
+	rest := time.NewTicker(a.lease / restPart)
+	defer rest.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-rest.C:
+		}
+		a.mu.Lock()
+		begun := a.holder.Begin(a.now(), work)
+		a.mu.Unlock()
+		if !begun {
+			continue
+		}
+		// A step that outlives the lease makes no progress that counts.
+		within, cancel := context.WithDeadline(ctx, time.Now().Add(a.lease))
+		err := step(within, act)
+		cancel()
+		a.mu.Lock()
+		a.holder.End(work, err == nil)
+		a.mu.Unlock()
+		if err != nil {
+			a.opts.Log.Warn("a step is not done", "name", a.opts.Name, "work", work, "error", err)
+		}
+		a.mu.Lock()
+		over := len(a.holder.Owned(a.now())) == 0
+		a.mu.Unlock()
+		if over {
+			a.beatNow() // it is given back, or over: whoever comes next should not wait
+		}
+	}
+}
--- /dev/null
+++ b/internal/quorum/serve.go
@@ -0,0 +1,186 @@
+package quorum
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"pumiceline/internal/ownership"
+)
+
+// handler answers members, instances and operators.
+func (m *Member) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/raft", m.takeMessage)
+	mux.HandleFunc("POST /v1/hello", m.takeHello)
+	mux.HandleFunc("POST /v1/beat", m.takeBeat)
+	mux.HandleFunc("GET /v1/status", m.tellStatus)
+	mux.HandleFunc("POST /v1/works/{work}/want", func(w http.ResponseWriter, r *http.Request) {
+		m.operator(w, r, func(work string, _ ownership.Work) (ownership.Command, error) {
+			return ownership.Command{Kind: ownership.Want, Work: work, Who: r.URL.Query().Get("who"), Why: "an operator wants it"}, nil
+		})
+	})
+	mux.HandleFunc("POST /v1/works/{work}/free", func(w http.ResponseWriter, r *http.Request) {
+		m.operator(w, r, func(work string, now ownership.Work) (ownership.Command, error) {
+			if now.Owner == "" {
+				return ownership.Command{}, errors.New("nobody owns it")
+			}
+			return ownership.Command{Kind: ownership.Free, Work: work, Token: now.Token, Why: "taken away by an operator"}, nil
+		})
+	})
+	return mux
+}
+
+// do has f called by the loop and waits for that; false: the loop has not begun or is over.
+func (m *Member) do(r *http.Request, f func()) bool {
+	done := make(chan struct{})
+	select {
+	case m.calls <- func() { f(); close(done) }:
+		<-done
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (m *Member) takeMessage(w http.ResponseWriter, r *http.Request) {
+	msg := &pb.Message{}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	if err == nil {
+		err = proto.Unmarshal(text, msg)
+	}
+	if err != nil || m.peers[msg.GetFrom()] == nil || msg.GetTo() != m.opts.ID {
+		http.Error(w, "no message from a member to this one", http.StatusBadRequest)
+		return
+	}
+	m.heard(msg)
+	select {
+	case m.inbox <- msg:
+	default: // lost
+	}
+}
+
+func (m *Member) takeHello(w http.ResponseWriter, r *http.Request) {
+	var h Hello
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody)).Decode(&h); err != nil || m.peers[h.ID] == nil {
+		http.Error(w, "no hello of a member", http.StatusBadRequest)
+		return
+	}
+	m.mu.Lock()
+	was := m.marks[h.ID]
+	err := was.check(h.mark)
+	if err == nil {
+		m.marks[h.ID], m.unsaved = h.mark, true
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.opts.Log.Error("a member is refused", "member", h.ID, "error", err)
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	if err := m.note(); err != nil { // it would not be remembered
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
+
+// elsewhere says that another member leads.
+func (m *Member) elsewhere(w http.ResponseWriter, leader uint64) {
+	if addr := m.opts.Members[leader]; addr != "" && leader != m.opts.ID {
+		w.Header().Set("X-Leader", addr)
+	}
+	http.Error(w, "this member does not lead", http.StatusServiceUnavailable)
+}
+
+func (m *Member) takeBeat(w http.ResponseWriter, r *http.Request) {
+	var b ownership.Beat
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody)).Decode(&b); err != nil || b.Name == "" || len(b.Name) > 64 ||
+		len(b.Held) > ownership.MostWorks {
+		http.Error(w, "no beat of an instance", http.StatusBadRequest)
+		return
+	}
+	var answer ownership.Answer
+	var leader uint64
+	confirmed := make(chan bool, 1)
+	if !m.do(r, func() {
+		leader = m.leader
+		if m.arbiter == nil || len(m.asking) >= mostAsking {
+			confirmed <- false
+			return
+		}
+		var commands []ownership.Command
+		commands, answer = m.arbiter.Beat(m.now(), b, m.state)
+		m.propose(commands...)
+		m.asking = append(m.asking, func(led bool) { confirmed <- led })
+	}) {
+		return
+	}
+	select {
+	case led := <-confirmed:
+		if !led {
+			m.elsewhere(w, leader)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer)
+	case <-r.Context().Done():
+	}
+}
+
+func (m *Member) tellStatus(w http.ResponseWriter, r *http.Request) {
+	s := Status{ID: m.opts.ID, Works: map[string]ownership.Work{}}
+	if !m.do(r, func() {
+		s.Leader, s.Term, s.Applied, s.Changes = m.leader, m.term, m.applied, m.changes
+		for _, name := range m.opts.Settings.Works {
+			s.Works[name] = m.state.Works[name]
+		}
+		if m.arbiter != nil {
+			s.Instances, s.AgeMs = m.arbiter.Instances(), map[string]int64{}
+			for name, w := range s.Works {
+				if w.Owner != "" {
+					s.AgeMs[name] = int64(m.arbiter.Age(m.now(), name)) / 1000
+				}
+			}
+		}
+	}) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s)
+}
+
+func (m *Member) operator(w http.ResponseWriter, r *http.Request, make func(string, ownership.Work) (ownership.Command, error)) {
+	work := r.PathValue("work")
+	var leads, known bool
+	var leader uint64
+	var err error
+	if !m.do(r, func() {
+		leader, leads = m.leader, m.arbiter != nil
+		for _, name := range m.opts.Settings.Works {
+			known = known || name == work
+		}
+		if !leads || !known {
+			return
+		}
+		var c ownership.Command
+		if c, err = make(work, m.state.Works[work]); err == nil {
+			m.propose(c)
+		}
+	}) {
+		return
+	}
+	switch {
+	case !leads:
+		m.elsewhere(w, leader)
+	case !known:
+		http.Error(w, "there is no such work", http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusConflict)
+	default:
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
