--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -41,6 +41,7 @@
 	Version versionCmd `cmd:"" help:"Say which version this is."`
 	Try     tryCmd     `cmd:"" help:"Run the proxy with stand-ins and a gentle load in one process, and show what happens."`
 	Stage   stageCmd   `cmd:"" help:"Run real proxies and stand-ins with faults between them."`
+	Owner   ownerCmd   `cmd:"" help:"One owner at a time for the work that is done once for a fleet."`
 	Lab     labCmd     `cmd:"" help:"Try designs in the laboratory: a model of the whole fleet, without sockets."`
 }
 
