pumiceline stage owners: faults drawn from a seed on members, instances and a recorder

Changed: a relay on each way between members, instances and recorder; faults are freezes with effects held on the way, one-way cuts, standing work, kills, lost quorums, clocks off by 15%; the checker looks at what counted alone. The leader is told by number, as addresses differ from caller to caller.

--- a/cmd/pumiceline/owner.go
+++ b/cmd/pumiceline/owner.go
@@ -99,10 +99,7 @@
 	stop, cancel := untilTold()
 	defer cancel()
 	opts := owner.Options{Name: c.Name, Life: rand.Uint64(), Zone: c.Zone, Build: c.Build, Settings: fleet.Settings, Log: log, Rate: c.ClockRate,
-		Works: map[string]owner.Step{}}
-	for _, id := range slices.Sorted(maps.Keys(fleet.Members)) {
-		opts.Members = append(opts.Members, fleet.Members[id])
-	}
+		Members: fleet.Members, Works: map[string]owner.Step{}}
 	for work, receiver := range fleet.Receivers {
 		opts.Works[work] = func(ctx context.Context, act owner.Act) error {
 			return act(func(e ownership.Effect) error { return sendEffect(ctx, receiver, c.Name, e) })
--- /dev/null
+++ b/cmd/pumiceline/owners.go
@@ -0,0 +1,433 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"pumiceline/internal/stage"
+	"pumiceline/internal/standin"
+)
+
+// guild is members, instances and a recorder on a stage: every process real, and a relay on each way between two of them.
+type guild struct {
+	*stage.Stage
+	dir, program string
+	env          []string
+	lease        time.Duration
+	works        []string
+	real         []string // the members' own addresses
+	ways         map[string]*stage.Relay
+	processes    map[string]*stage.Process
+	rates        map[string]float64 // of instances' clocks; absent: 1
+	recorder     *standin.Recorder
+	server       *http.Server
+	receiver     string
+}
+
+// newGuild sets the stage. Nothing runs yet but the recorder. program is the built program, with env for what it is started with.
+func newGuild(program string, env []string, members int, lease time.Duration, works []string, unfenced bool) (*guild, error) {
+	g := &guild{Stage: stage.New(), program: program, env: env, lease: lease, works: works, ways: map[string]*stage.Relay{},
+		processes: map[string]*stage.Process{}, rates: map[string]float64{}}
+	var err error
+	if g.dir, err = os.MkdirTemp("", "guild"); err != nil {
+		return g, fmt.Errorf("stage: %w", err)
+	}
+	if g.recorder, err = standin.NewRecorder(filepath.Join(g.dir, "effects")); err != nil {
+		return g, err
+	}
+	g.recorder.Unfenced = unfenced
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return g, fmt.Errorf("stage: %w", err)
+	}
+	g.receiver, g.server = ln.Addr().String(), &http.Server{Handler: g.recorder, ReadHeaderTimeout: 10 * time.Second}
+	go g.server.Serve(ln) // its end is close's
+	for i := range members {
+		free, err := net.Listen("tcp", fmt.Sprintf("127.0.2.%d:0", i+1)) // an address of its own: no connection of others takes the port
+		if err != nil {
+			return g, fmt.Errorf("stage: %w", err)
+		}
+		g.real = append(g.real, free.Addr().String())
+		free.Close()
+	}
+	return g, g.file("operator", 0)
+}
+
+// close ends all that runs on the stage.
+func (g *guild) close() {
+	g.Close()
+	if g.server != nil {
+		g.server.Close()
+	}
+	if g.recorder != nil {
+		g.recorder.Close()
+	}
+	os.RemoveAll(g.dir)
+}
+
+func member(i int) string   { return fmt.Sprint("member ", i+1) }
+func instance(i int) string { return fmt.Sprint("instance ", i+1) }
+
+// way is the relay from a party to another, made at first use.
+func (g *guild) way(from, to string) (*stage.Relay, error) {
+	name := from + " to " + to
+	if r := g.ways[name]; r != nil {
+		return r, nil
+	}
+	target := g.receiver
+	for i := range g.real {
+		if to == member(i) {
+			target = g.real[i]
+		}
+	}
+	r, err := g.Relay(name, target)
+	if err == nil {
+		g.ways[name] = r
+	}
+	return r, err
+}
+
+// file writes the fleet's file as a party has it: with its own ways to the others. self is the member's number, 0 for none.
+func (g *guild) file(party string, self int) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "lease = %q\ndamp = %q\n[members]\n", g.lease, g.lease)
+	addr := func(to string, direct string) (string, error) {
+		if party == "operator" {
+			return direct, nil
+		}
+		r, err := g.way(party, to)
+		if err != nil {
+			return "", err
+		}
+		return r.Addr(), nil
+	}
+	for i, direct := range g.real {
+		at := direct
+		var err error
+		if i+1 != self {
+			if at, err = addr(member(i), direct); err != nil {
+				return err
+			}
+		}
+		fmt.Fprintf(&text, "%d = %q\n", i+1, at)
+	}
+	for _, work := range g.works {
+		at := g.receiver
+		var err error
+		if self == 0 {
+			if at, err = addr("recorder", g.receiver); err != nil {
+				return err
+			}
+		}
+		fmt.Fprintf(&text, "[works.%s]\nreceiver = \"http://%s/effects\"\n", work, at)
+	}
+	if err := os.WriteFile(g.path(party), []byte(text.String()), 0o600); err != nil {
+		return fmt.Errorf("stage: %w", err)
+	}
+	return nil
+}
+
+func (g *guild) path(party string) string {
+	return filepath.Join(g.dir, strings.ReplaceAll(party, " ", "-")+".toml")
+}
+
+func (g *guild) disk(i int) string { return filepath.Join(g.dir, fmt.Sprint("disk-", i+1)) }
+
+// command is the program with arguments.
+func (g *guild) command(args ...string) *exec.Cmd {
+	cmd := exec.Command(g.program, args...)
+	cmd.Env = append(os.Environ(), g.env...)
+	return cmd
+}
+
+// startMember starts a member's process, on the disk that it has.
+func (g *guild) startMember(i int) error {
+	if err := os.MkdirAll(g.disk(i), 0o700); err != nil {
+		return fmt.Errorf("stage: %w", err)
+	}
+	if err := g.file(member(i), i+1); err != nil {
+		return err
+	}
+	return g.begin(member(i), "owner", "member", "--fleet", g.path(member(i)), "--id", fmt.Sprint(i+1), "--dir", g.disk(i), "--listen", g.real[i])
+}
+
+// startInstance starts an instance's process.
+func (g *guild) startInstance(i int) error {
+	if err := g.file(instance(i), 0); err != nil {
+		return err
+	}
+	rate := 1.0
+	if r, there := g.rates[instance(i)]; there {
+		rate = r
+	}
+	return g.begin(instance(i), "owner", "run", "--fleet", g.path(instance(i)), "--name", instance(i), "--zone", fmt.Sprint("z", i%2),
+		"--clock-rate", fmt.Sprint(rate))
+}
+
+func (g *guild) begin(name string, args ...string) error {
+	p, err := g.Start(name, g.command(args...))
+	if err == nil {
+		g.processes[name] = p
+	}
+	return err
+}
+
+// status is what an operator sees.
+func (g *guild) status() (s fleetStatus, text string, err error) {
+	out, err := g.command("owner", "status", "--json", "--fleet", g.path("operator")).Output()
+	if json.Unmarshal(out, &s) != nil && err == nil {
+		err = fmt.Errorf("stage: status: %s", out)
+	}
+	return s, string(out), err
+}
+
+// await waits until yes is so, till by.
+func (g *guild) await(by time.Time, yes func() bool) bool {
+	for !yes() {
+		if time.Now().After(by) {
+			return false
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return true
+}
+
+// last is the latest effect that counted of a work.
+func (g *guild) last(work string) (last standin.Taken) {
+	for _, t := range g.recorder.Taken() {
+		if t.Work == work {
+			last = t
+		}
+	}
+	return last
+}
+
+type stageOwnersCmd struct {
+	Seed      uint64        `help:"What the faults are drawn from." default:"1"`
+	Members   int           `help:"Of the quorum: 1, 3, 5 or 7." default:"5"`
+	Instances int           `help:"That do the work." default:"30"`
+	Works     int           `help:"Pieces of work." default:"4"`
+	Lease     time.Duration `help:"A lease." default:"1s"`
+	Length    time.Duration `help:"For how long faults begin." default:"60s"`
+	Unfenced  bool          `help:"The recorder takes whatever comes: the checker must find harm."`
+	Out       string        `help:"File for the verdict and the history, as JSON." type:"path"`
+}
+
+// ownersVerdict is what a play of owners came to.
+type ownersVerdict struct {
+	Seed      uint64             `json:"seed"`
+	Harms     int                `json:"harms"` // effects that counted out of turn
+	First     string             `json:"first,omitempty"`
+	Taken     int                `json:"taken"`
+	Refused   int                `json:"late_refused"`
+	HandOvers int                `json:"hand_overs"`
+	Gaps      map[string]float64 `json:"longest_gap_s"` // by work, between two effects that counted
+	AgainS    float64            `json:"owned_again_s"` // all works, after the last fault's end
+	Why       []string           `json:"why,omitempty"`
+	History   []stage.Note       `json:"history,omitempty"`
+}
+
+// Run plays faults drawn from a seed and fails where an effect counted out of turn, or a work was not owned again.
+func (c *stageOwnersCmd) Run(out output) error {
+	program, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("stage: %w", err)
+	}
+	v, err := playOwners(program, nil, c)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "seed %d: %d effects counted, %d late ones refused, %d hand-overs, longest gap %.1f s, all owned again %.1f s after the last fault, %d harms\n",
+		v.Seed, v.Taken, v.Refused, v.HandOvers, longest(v.Gaps), v.AgainS, v.Harms)
+	if c.Out != "" {
+		text, err := json.MarshalIndent(v, "", " ")
+		if err == nil {
+			err = os.WriteFile(c.Out, append(text, '\n'), 0o644)
+		}
+		if err != nil {
+			return fmt.Errorf("stage: %w", err)
+		}
+	}
+	if len(v.Why) > 0 {
+		return fmt.Errorf("stage: %s; again with: pumiceline stage owners --seed %d", strings.Join(v.Why, "; "), c.Seed)
+	}
+	return nil
+}
+
+func longest(gaps map[string]float64) (most float64) {
+	for _, g := range gaps {
+		most = max(most, g)
+	}
+	return most
+}
+
+// againLeases is within how many leases after the last fault every work has to be owned again: a lease that runs out, the damping of
+// who let it run out several times, an election.
+const againLeases = 12
+
+// playOwners plays the faults of a seed.
+func playOwners(program string, env []string, c *stageOwnersCmd) (*ownersVerdict, error) {
+	v := &ownersVerdict{Seed: c.Seed, Gaps: map[string]float64{}}
+	var works []string
+	for i := range c.Works {
+		works = append(works, fmt.Sprint("work-", i+1))
+	}
+	g, err := newGuild(program, env, c.Members, c.Lease, works, c.Unfenced)
+	defer g.close()
+	if err != nil {
+		return v, err
+	}
+	draw := rand.New(rand.NewPCG(c.Seed, 27))
+	for i := range c.Members {
+		if err := g.startMember(i); err != nil {
+			return v, err
+		}
+	}
+	for i := range c.Instances {
+		g.rates[instance(i)] = []float64{1, 1, 0.85, 1.15}[draw.IntN(4)] // wrong by less than the drift that the file bears
+		if err := g.startInstance(i); err != nil {
+			return v, err
+		}
+	}
+	owned := func(since time.Time) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(works, func(w string) bool { return !g.last(w).At.After(since) })
+		}
+	}
+	if !g.await(time.Now().Add(30*time.Second), owned(time.Time{})) {
+		v.Why = append(v.Why, "not all works were owned within 30 s of the start")
+		v.History = g.History()
+		return v, nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(c.Length))
+	defer cancel()
+	for ctx.Err() == nil {
+		end := g.fault(draw, c)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration((0.3 + 2.5*draw.Float64()) * float64(c.Lease))):
+		}
+		end()
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(draw.Float64() * float64(c.Lease))):
+		}
+	}
+	calm := time.Now()
+	g.Say("script", "the last fault is over")
+	if !g.await(calm.Add(againLeases*c.Lease), owned(calm)) {
+		v.Why = append(v.Why, fmt.Sprintf("not all works were owned again %d leases after the last fault", againLeases))
+	}
+	v.AgainS = time.Since(calm).Seconds()
+	taken := g.recorder.Taken()
+	latest := map[string]standin.Taken{}
+	for _, t := range taken {
+		if was, there := latest[t.Work]; there {
+			v.Gaps[t.Work] = max(v.Gaps[t.Work], t.At.Sub(was.At).Seconds())
+			if t.Token != was.Token {
+				v.HandOvers++
+			}
+		}
+		latest[t.Work] = t
+	}
+	v.Taken, v.Refused = len(taken), len(g.recorder.Refused())
+	if v.Harms, v.First = standin.Interleaved(taken); v.Harms > 0 {
+		v.Why = append(v.Why, v.First)
+	}
+	v.History = g.History()
+	return v, nil
+}
+
+// fault begins one fault and returns what ends it.
+func (g *guild) fault(draw *rand.Rand, c *stageOwnersCmd) (end func()) {
+	work := g.works[draw.IntN(len(g.works))]
+	victim := g.last(work).From // who owns something is the one worth hitting
+	m := draw.IntN(c.Members)
+	hold := func(direction stage.Direction, ways ...*stage.Relay) func() {
+		for _, r := range ways {
+			r.Set(direction, stage.Fault{Hold: true})
+		}
+		return func() {
+			for _, r := range ways {
+				r.Heal()
+			}
+		}
+	}
+	between := func(from, to func(name string) bool) (found []*stage.Relay) {
+		for name, r := range g.ways {
+			a, b, _ := strings.Cut(name, " to ")
+			if from(a) && to(b) {
+				found = append(found, r)
+			}
+		}
+		return found
+	}
+	is := func(name string) func(string) bool { return func(s string) bool { return s == name } }
+	members := func(s string) bool { return strings.HasPrefix(s, "member") }
+	switch kind := draw.IntN(7); kind {
+	case 0, 1: // the owner is frozen, in 1 with an effect that arrives later
+		release := func() {}
+		if kind == 1 {
+			release = hold(stage.Up, between(is(victim), is("recorder"))...)
+			time.Sleep(c.Lease / 5)
+		}
+		if err := g.processes[victim].Freeze(); err != nil {
+			g.Say("script", "%v", err)
+		}
+		return func() {
+			release()
+			if err := g.processes[victim].Thaw(); err != nil {
+				g.Say("script", "%v", err)
+			}
+		}
+	case 2: // the quorum does not hear the owner, or the reverse; what was sent arrives later
+		return hold(stage.Direction(draw.IntN(2)), between(is(victim), members)...)
+	case 3: // the owner's effects stand still while it beats
+		return hold(stage.Up, between(is(victim), is("recorder"))...)
+	case 4:
+		g.processes[victim].Kill()
+		return func() {
+			for i := range c.Instances {
+				if instance(i) == victim {
+					if err := g.startInstance(i); err != nil {
+						g.Say("script", "%v", err)
+					}
+				}
+			}
+		}
+	case 5: // a member is killed, or so many that there is no quorum
+		many := 1
+		if draw.IntN(3) == 0 {
+			many = c.Members/2 + 1
+		}
+		var gone []int
+		for k := range many {
+			gone = append(gone, (m+k)%c.Members)
+			g.processes[member(gone[k])].Kill()
+		}
+		return func() {
+			for _, i := range gone {
+				if err := g.startMember(i); err != nil {
+					g.Say("script", "%v", err)
+				}
+			}
+		}
+	default: // a member is cut off from the others, one way or both
+		release := hold(stage.Up, between(is(member(m)), members)...)
+		if draw.IntN(2) == 0 {
+			other := hold(stage.Up, between(members, is(member(m)))...)
+			return func() { release(); other() }
+		}
+		return release
+	}
+}
--- a/cmd/pumiceline/stage.go
+++ b/cmd/pumiceline/stage.go
@@ -17,7 +17,8 @@
 )
 
 type stageCmd struct {
-	Run stageRunCmd `cmd:"" help:"Play a script: real proxies, with faults between them and stand-ins."`
+	Owners stageOwnersCmd `cmd:"" help:"Play faults drawn from a seed on owners of work: members, instances and a recorder."`
+	Run    stageRunCmd    `cmd:"" help:"Play a script: real proxies, with faults between them and stand-ins."`
 }
 
 type stageRunCmd struct {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,7 +9,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,7 +35,7 @@
 	Life     uint64 // never used by another process of this name
 	Zone     string
 	Build    uint64
-	Members  []string // addresses
+	Members  map[uint64]string // addresses by number
 	Settings ownership.Settings
 	Works    map[string]Step // those that this instance can do; it beats for all
 	Log      *slog.Logger
@@ -58,7 +61,8 @@
 
 	mu     sync.Mutex
 	holder *ownership.Holder
-	at     int // of Members, the one that is taken to lead
+	order  []uint64 // the members' numbers
+	at     int      // in order, the one that is taken to lead
 	why    string
 }
 
@@ -74,6 +78,7 @@
 		opts.Rate = 1
 	}
 	return &Agent{opts: opts, begun: time.Now(), lease: time.Duration(opts.Settings.Lease) * time.Microsecond, kick: make(chan struct{}, 1),
+		order:  slices.Sorted(maps.Keys(opts.Members)),
 		holder: ownership.NewHolder(opts.Settings, opts.Name, opts.Life, opts.Zone, opts.Build),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}}, nil
 }
@@ -141,22 +146,19 @@
 	a.mu.Lock()
 	sent := a.now()
 	text, err := json.Marshal(a.holder.Beat())
-	at := a.at
+	at, member := a.at, a.opts.Members[a.order[a.at]]
 	a.mu.Unlock()
 	if err != nil {
 		a.opts.Log.Error("a beat can't be written", "error", err)
 		return
 	}
-	answer, leader, err := a.call(ctx, time.Now().Add(a.lease/callPart), a.opts.Members[at], text)
+	answer, leader, err := a.call(ctx, time.Now().Add(a.lease/callPart), member, text)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
-		a.opts.Log.Debug("a beat is not answered", "member", a.opts.Members[at], "error", err)
-		a.at = (at + 1) % len(a.opts.Members)
-		for i, m := range a.opts.Members {
-			if m == leader {
-				a.at = i
-			}
+		a.opts.Log.Debug("a beat is not answered", "member", member, "error", err)
+		if a.at = slices.Index(a.order, leader); a.at < 0 {
+			a.at = (at + 1) % len(a.order)
 		}
 		return
 	}
@@ -174,26 +176,27 @@
 }
 
 // call makes a beat, which is over by a moment. leader is the one to ask, where the member named it.
-func (a *Agent) call(ctx context.Context, by time.Time, member string, beat []byte) (answer ownership.Answer, leader string, err error) {
+func (a *Agent) call(ctx context.Context, by time.Time, member string, beat []byte) (answer ownership.Answer, leader uint64, err error) {
 	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+member+"/v1/beat", bytes.NewReader(beat))
 	if err != nil {
-		return answer, "", fmt.Errorf("owner: %w", err)
+		return answer, 0, fmt.Errorf("owner: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := a.client.Do(req)
 	if err != nil {
-		return answer, "", fmt.Errorf("owner: %w", err)
+		return answer, 0, fmt.Errorf("owner: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return answer, resp.Header.Get("X-Leader"), fmt.Errorf("owner: %s answers %s", member, resp.Status)
+		leader, _ = strconv.ParseUint(resp.Header.Get("X-Leader"), 10, 64) // 0: it knows none
+		return answer, leader, fmt.Errorf("owner: %s answers %s", member, resp.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&answer); err != nil {
-		return answer, "", fmt.Errorf("owner: %s: %w", member, err)
+		return answer, 0, fmt.Errorf("owner: %s: %w", member, err)
 	}
-	return answer, "", nil
+	return answer, 0, nil
 }
 
 // work does the steps of a work whenever it is owned.
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -10,7 +10,7 @@
 //	POST /v1/hello                  Hello as JSON, from a member that starts; 409 where its disk is older than what it once said
 //	POST /v1/raft                   one raftpb.Message
 //
-// A member that does not lead answers 503 with the leader's address in X-Leader, if it knows one.
+// A member that does not lead answers 503 with the leader's number in X-Leader, if it knows one.
 package quorum
 
 import (
--- a/internal/quorum/serve.go
+++ b/internal/quorum/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
@@ -90,8 +91,8 @@
 
 // elsewhere says that another member leads.
 func (m *Member) elsewhere(w http.ResponseWriter, leader uint64) {
-	if addr := m.opts.Members[leader]; addr != "" && leader != m.opts.ID {
-		w.Header().Set("X-Leader", addr)
+	if leader != 0 && leader != m.opts.ID {
+		w.Header().Set("X-Leader", strconv.FormatUint(leader, 10)) // its address may differ from caller to caller
 	}
 	http.Error(w, "this member does not lead", http.StatusServiceUnavailable)
 }
--- a/internal/standin/recorder.go
+++ b/internal/standin/recorder.go
@@ -117,3 +117,22 @@
 	}
 	r.taken = append(r.taken, t)
 }
+
+// Interleaved finds the first effect that harms: of an older token than one before it, of another sender than its token's others, or out of
+// order within its token. It looks at what counted alone, not at what anybody believed. 0 harms, "" where there is none.
+func Interleaved(taken []Taken) (harms int, first string) {
+	latest := map[string]Taken{}
+	for _, t := range taken {
+		was, there := latest[t.Work]
+		if there && (t.Token < was.Token || t.Token == was.Token && (t.From != was.From || t.Serial <= was.Serial)) {
+			if harms++; first == "" {
+				first = fmt.Sprintf("%s: token %d, serial %d of %s counts after token %d, serial %d of %s", t.Work, t.Token, t.Serial, t.From, was.Token,
+					was.Serial, was.From)
+			}
+		}
+		if !there || t.Token >= was.Token {
+			latest[t.Work] = t
+		}
+	}
+	return harms, first
+}
