Owners: an instance leaves only once the quorum knows; tests of late owners and lost quorums

Seen: a hand-over on SIGTERM took 1.2 s with a lease of 1 s, each time. Checked: the member's log has the lease run out for silence, the instance's log has it leave 4 ms after SIGTERM; ruled out: damping (nobody was damped). At fault: owner.go Run, which ended once nothing was owned here, before a beat had said so. Changed: it stays until it holds nothing. Tests with real processes: an effect on the way while its owner is frozen is refused by name (and harms without the fence, which the checker sees), work that stands still, one-way cuts, hand-over within a lease, a wish, a dead leader, an older copy of a disk, a lost quorum.

--- /dev/null
+++ b/cmd/pumiceline/owner_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pumiceline/internal/stage"
+	"pumiceline/internal/standin"
+)
+
+var asProgram = []string{"PUMICELINE_TEST_MAIN=1"}
+
+// tryGuild is a guild of real processes whose one work is owned.
+func tryGuild(t *testing.T, members, instances int, unfenced bool) *guild {
+	g, err := newGuild(os.Args[0], asProgram, members, time.Second, []string{"export"}, unfenced)
+	t.Cleanup(g.close)
+	for i := 0; err == nil && i < members; i++ {
+		err = g.startMember(i)
+	}
+	for i := 0; err == nil && i < instances; i++ {
+		err = g.startInstance(i)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	soon(t, g, "the work is owned", func() bool { return g.last("export").Token > 0 })
+	return g
+}
+
+// soon waits for what has to come; the bound is for a slow machine and says nothing of how long it takes.
+func soon(t *testing.T, g *guild, what string, yes func() bool) {
+	t.Helper()
+	if !g.await(time.Now().Add(30*time.Second), yes) {
+		t.Fatalf("in vain: %s\n%s", what, g)
+	}
+}
+
+// another waits until an effect of another than old counts, and returns who it is.
+func another(t *testing.T, g *guild, old string) string {
+	t.Helper()
+	soon(t, g, "another than "+old+" owns the work", func() bool { return g.last("export").From != old })
+	return g.last("export").From
+}
+
+// An owner that is frozen with an effect on the way, and wakes up after another has begun, does no harm: what it had sent is refused by name, and so
+// would be whatever it sends. Without the fence the same faults do harm, and the checker sees it.
+func TestLateOwner(t *testing.T) {
+	for _, unfenced := range []bool{false, true} {
+		g := tryGuild(t, 3, 2, unfenced)
+		old := g.last("export").From
+		way := g.ways[old+" to recorder"]
+		way.Set(stage.Up, stage.Fault{Hold: true})
+		time.Sleep(300 * time.Millisecond) // several rests between two steps: one has begun, and its effect is on the way
+		g.processes[old].Freeze()
+		another(t, g, old)
+		way.Heal() // it comes while its sender is still frozen
+		soon(t, g, "the late effect comes", func() bool {
+			harms, _ := standin.Interleaved(g.recorder.Taken())
+			return len(g.recorder.Refused())+harms > 0
+		})
+		g.processes[old].Thaw()
+		time.Sleep(time.Second)
+		harms, first := standin.Interleaved(g.recorder.Taken())
+		refused := strings.Join(g.recorder.Refused(), "\n")
+		if (harms > 0) != unfenced || (refused == "") != unfenced || !unfenced && !strings.Contains(refused, "token 1, serial") {
+			t.Errorf("unfenced %v: %d harms (%s), refused: %s\n%s", unfenced, harms, first, refused, g)
+		}
+	}
+}
+
+// What else may happen to owners and members: work that stands still though its owner beats, an owner that the quorum does not hear, one that
+// is told to stop, a wish, a leader that dies, a quorum that is lost and comes back, a disk that is too old.
+func TestOwnersAndMembers(t *testing.T) {
+	g := tryGuild(t, 3, 3, false)
+	said := func(i int, text string) func() bool {
+		return func() bool { return strings.Contains(g.processes[member(i)].Log(), text) }
+	}
+
+	old := g.last("export").From
+	g.ways[old+" to recorder"].Set(stage.Up, stage.Fault{Hold: true})
+	now := another(t, g, old)
+	soon(t, g, "the cause is told", said(0, old+" is there and its work stands still"))
+	g.ways[old+" to recorder"].Heal()
+	soon(t, g, "its effect is refused", func() bool { return len(g.recorder.Refused()) == 1 })
+
+	for i := range 3 { // the quorum hears nothing of the owner, which sends on; it stops by itself before another starts
+		g.ways[now+" to "+member(i)].Set(stage.Up, stage.Fault{Hold: true})
+	}
+	then := another(t, g, now)
+	for i := range 3 {
+		g.ways[now+" to "+member(i)].Heal()
+	}
+	time.Sleep(300 * time.Millisecond)
+	if refused := g.recorder.Refused(); len(refused) != 1 {
+		t.Errorf("an owner that was cut off did not stop in time: %v", refused)
+	}
+
+	time.Sleep(1200 * time.Millisecond) // till neither of the others is damped: else there is nobody to hand over to
+	before := g.last("export")
+	g.processes[then].Stop()
+	after := another(t, g, then)
+	if err := g.processes[then].Wait(time.Now().Add(10 * time.Second)); err != nil {
+		t.Error(err)
+	}
+	for _, e := range g.recorder.Taken() {
+		if e.From == after && e.Token > before.Token {
+			if gap := e.At.Sub(before.At); gap > time.Second {
+				t.Errorf("a hand-over took %v\n%s", gap, g)
+			}
+			break
+		}
+	}
+	var to string
+	for i := range 3 {
+		if name := instance(i); name != then && name != after {
+			to = name
+		}
+	}
+	if out, err := g.command("owner", "move", "export", to, "--fleet", g.path("operator")).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	soon(t, g, "the wish is done", func() bool { return g.last("export").From == to })
+
+	s, _, err := g.status()
+	if err != nil || !s.Quorum || s.latest().Works["export"].Owner != to {
+		t.Errorf("status: %+v, %v", s, err)
+	}
+	leader := int(s.latest().Leader) - 1
+	copied := filepath.Join(g.dir, "copy")
+	g.processes[member(leader)].Kill()
+	if out, err := exec.Command("cp", "-r", g.disk(leader), copied).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	token, at := g.last("export").Token, time.Now()
+	soon(t, g, "the work goes on without the leader", func() bool { return g.last("export").At.After(at.Add(2 * time.Second)) })
+	if last := g.last("export"); last.Token != token || last.From != to {
+		t.Errorf("a leader's death moved the work: %+v, before token %d of %s", last, token, to)
+	}
+
+	if err := g.startMember(leader); err != nil {
+		t.Fatal(err)
+	}
+	soon(t, g, "the old leader takes part again", func() bool { s, _, err := g.status(); return err == nil && len(s.Silent) == 0 })
+	g.processes[member(leader)].Kill()
+	os.RemoveAll(g.disk(leader))
+	os.Rename(copied, g.disk(leader))
+	g.startMember(leader)
+	if err := g.processes[member(leader)].Wait(time.Now().Add(20 * time.Second)); err == nil || !strings.Contains(g.processes[member(leader)].Log(), "disk is older") {
+		t.Errorf("an older copy of a disk: %v, %s", err, g.processes[member(leader)].Log())
+	}
+
+	other := (leader + 1) % 3 // one of three is left: nothing is owned, which shows
+	g.processes[member(other)].Kill()
+	soon(t, g, "the owner stops without a quorum", func() bool { return time.Since(g.last("export").At) > 2*time.Second })
+	if _, text, err := g.status(); err == nil {
+		t.Errorf("status without a quorum: %s", text)
+	}
+	quiet := time.Now()
+	if err := g.startMember(other); err != nil {
+		t.Fatal(err)
+	}
+	soon(t, g, "the work is owned again", func() bool { return g.last("export").At.After(quiet) })
+	if harms, first := standin.Interleaved(g.recorder.Taken()); harms > 0 {
+		t.Error(first)
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -119,7 +119,10 @@
 			if last.IsZero() {
 				last = time.Now().Add(leaveLeases * a.lease)
 			}
-			if len(a.Owned()) == 0 || time.Now().After(last) {
+			a.mu.Lock()
+			gone := a.holder.Empty() // it is not enough to have stopped: until the quorum knows, nobody else may start
+			a.mu.Unlock()
+			if gone || time.Now().After(last) {
 				break
 			}
 		}
@@ -230,14 +233,12 @@
 		cancel()
 		a.mu.Lock()
 		a.holder.End(work, err == nil)
+		_, still := a.holder.Owned(a.now())[work]
 		a.mu.Unlock()
 		if err != nil {
 			a.opts.Log.Warn("a step is not done", "name", a.opts.Name, "work", work, "error", err)
 		}
-		a.mu.Lock()
-		over := len(a.holder.Owned(a.now())) == 0
-		a.mu.Unlock()
-		if over {
+		if !still {
 			a.beatNow() // it is given back, or over: whoever comes next should not wait
 		}
 	}
--- a/internal/ownership/holder.go
+++ b/internal/ownership/holder.go
@@ -132,6 +132,9 @@
 	return owned
 }
 
+// Empty says whether there is nothing left that the arbiter may take for owned here.
+func (h *Holder) Empty() bool { return len(h.works) == 0 }
+
 // Fence is a receiver's memory of the highest token and serial that it has taken of each work. It belongs where the effects are, and has to last as long
 // as they do. Its JSON form is its memory.
 type Fence struct {
