A copy of the roster beside each instance: the owner of the work asks discovery for all

Changed: internal/mirror keeps a copy (pure, versions that no earlier life had), follows discovery at the owner and the owner elsewhere, refuses an older list and an older owner's token, and goes back to discovery, spread, when no owner is of use; it serves what discovery serves, so a proxy needs no change. Beats say where an instance is reached and which works it can do; answers say who owns what. Seen on the way: an owner that had just become one was given up at once by all, 20 calls of 20; it is now tried on for a while.

--- a/cmd/pumiceline/owner.go
+++ b/cmd/pumiceline/owner.go
@@ -16,10 +16,12 @@
 	"os"
 	"os/signal"
 	"slices"
+	"sync"
 	"syscall"
 	"text/tabwriter"
 	"time"
 
+	"pumiceline/internal/mirror"
 	"pumiceline/internal/operator"
 	"pumiceline/internal/owner"
 	"pumiceline/internal/ownership"
@@ -87,6 +89,7 @@
 	Name      string  `help:"This instance's name." required:""`
 	Zone      string  `help:"Where it stands: of two that own as much, the one whose zone owns less gets the next."`
 	Build     uint64  `help:"Newer builds are preferred."`
+	Mirror    string  `help:"Where to serve the copy of the roster, for proxies here and mirrors elsewhere; none if it is not given."`
 	ClockRate float64 `hidden:"" help:"Of this process's clock, for tests." default:"1"`
 }
 
@@ -105,11 +108,43 @@
 			return act(func(e ownership.Effect) error { return sendEffect(ctx, receiver, c.Name, e) })
 		}
 	}
+	var copy *mirror.Mirror // its work's step says whether discovery is heard here
+	if fleet.Roster != "" && c.Mirror != "" {
+		opts.Addr = c.Mirror
+		opts.Works[fleet.Roster] = func(context.Context, owner.Act) error {
+			if !copy.Direct() {
+				return errors.New("owner: discovery is not heard here")
+			}
+			return nil
+		}
+	}
 	agent, err := owner.New(opts)
 	if err != nil {
 		return err
 	}
+	if opts.Addr == "" {
+		agent.Run(stop)
+		return nil
+	}
+	copy = mirror.New(mirror.Options{Discovery: fleet.Discovery, Spread: time.Duration(fleet.Settings.Lease) * time.Microsecond, Log: log,
+		Owner: func() (string, uint64, bool) { return agent.Owner(fleet.Roster) }}, time.Now())
+	ln, err := net.Listen("tcp", c.Mirror)
+	if err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	running, end := context.WithCancel(context.Background())
+	server := &http.Server{Handler: copy, ReadHeaderTimeout: 5 * time.Second}
+	var all sync.WaitGroup
+	all.Go(func() {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("the mirror no longer listens", "error", err)
+		}
+	})
+	all.Go(func() { copy.Run(running) })
 	agent.Run(stop)
+	end()
+	server.Close()
+	all.Wait()
 	return nil
 }
 
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,300 @@
+package mirror
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pumiceline/internal/pool"
+)
+
+// Silence is how long a source may say nothing: a watch brings a line every 2 s at least.
+const (
+	Silence   = 3 * time.Second
+	heartbeat = 2 * time.Second
+	mostLine  = 8 << 20
+)
+
+// Options are what a mirror needs to know.
+type Options struct {
+	Discovery string // its address
+	// Owner is where the owner of the work listens and its token, as far as is known, and whether that is this instance.
+	Owner  func() (addr string, token uint64, here bool)
+	Spread time.Duration // over which instances that lost their owner go to discovery by themselves
+	Log    *slog.Logger
+}
+
+// Mirror serves a copy of the roster:
+//
+//	GET /v1/endpoints  as discovery does, for proxies; 503 while the copy is not fresh
+//	GET /v1/mirror     for other mirrors: a watch whose lines name discovery's version; 503 at who does not own the work
+type Mirror struct {
+	opts  Options
+	calls atomic.Int64 // to discovery
+
+	mu      sync.Mutex
+	copy    *Copy
+	heard   time.Time // when the source last said anything
+	direct  bool      // that was discovery
+	token   uint64    // the highest that was followed
+	changed chan struct{}
+
+	doubted          source // an owner that was of no use just now, till when it is tried on, and when it was tried last
+	patience, latest time.Time
+
+	failed     source // an owner that was of no use, and until when it is not tried again
+	failedTill time.Time
+}
+
+// New returns a mirror that holds nothing. now is what its versions begin at, in microseconds: no earlier mirror at this place got so far.
+func New(opts Options, now time.Time) *Mirror {
+	return &Mirror{opts: opts, copy: NewCopy(uint64(now.UnixMicro())), changed: make(chan struct{})}
+}
+
+// Calls is how often discovery was called.
+func (m *Mirror) Calls() int64 { return m.calls.Load() }
+
+// Fresh says whether the copy's source is alive.
+func (m *Mirror) Fresh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, held := m.copy.Origin()
+	return held && time.Since(m.heard) < Silence
+}
+
+// Direct says whether discovery itself is heard here.
+func (m *Mirror) Direct() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.direct && time.Since(m.heard) < Silence
+}
+
+// source is whom a mirror follows.
+type source struct {
+	addr, path string
+	token      uint64 // 0: discovery itself
+}
+
+// pick says whom to follow now.
+func (m *Mirror) pick() source {
+	addr, token, here := m.opts.Owner()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	owner := source{addr, "/v1/mirror", token}
+	// An owner before the one that was followed last is none, nor is one that was of no use of late.
+	if here || addr == "" || token < m.token || owner == m.failed && time.Now().Before(m.failedTill) {
+		return source{m.opts.Discovery, "/v1/endpoints", 0}
+	}
+	return owner
+}
+
+// Run follows until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	// Hundreds that start at once must not all ask discovery because nobody owns the work yet.
+	for patience := time.Now().Add(m.opts.Spread + time.Duration(rand.Int64N(int64(2*m.opts.Spread)+1))); time.Now().Before(patience) && ctx.Err() == nil; {
+		if addr, _, here := m.opts.Owner(); here || addr != "" {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for ctx.Err() == nil {
+		from := m.pick()
+		again := m.opts.Spread / 10
+		switch err := m.follow(ctx, from); {
+		case ctx.Err() != nil:
+			return
+		case err != nil && from.token == 0:
+			m.opts.Log.Warn("discovery is not heard", "error", err)
+			again = time.Duration(rand.Int64N(int64(m.opts.Spread) + 1))
+		case err != nil:
+			m.doubt(from, time.Now(), err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(rand.Int64N(int64(again) + 1))):
+		}
+	}
+}
+
+// doubt notes that an owner is of no use at now. It may have just become one: it is tried on for a while, which is another at each mirror,
+// so that of many that lose the same owner each goes to discovery at a time of its own. The copy is served meanwhile.
+func (m *Mirror) doubt(owner source, now time.Time, why error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.doubted != owner || now.Sub(m.latest) > m.opts.Spread {
+		m.doubted, m.patience = owner, now.Add(m.opts.Spread/4+time.Duration(rand.Int64N(int64(m.opts.Spread)+1)))
+	}
+	m.latest = now
+	if now.After(m.patience) {
+		m.failed, m.failedTill = owner, now.Add(10*m.opts.Spread)
+		m.opts.Log.Warn("an owner of the roster is given up", "owner", owner.addr, "token", owner.token, "error", why)
+	}
+}
+
+// line is what a watch brings. Origin is a mirror's alone.
+type line struct {
+	pool.Update
+	Origin uint64 `json:"origin,omitempty"`
+}
+
+// follow follows a source until it is gone, falls silent, or another is to be followed; then there is no error.
+func (m *Mirror) follow(ctx context.Context, from source) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(Silence, cancel)
+	defer silent.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.addr+from.path+"?stream=1&index=0", nil)
+	if err != nil {
+		return fmt.Errorf("mirror: %w", err)
+	}
+	if from.token == 0 {
+		m.calls.Add(1)
+	}
+	transport := &http.Transport{DisableKeepAlives: true} // a watch has its connection to itself
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return fmt.Errorf("mirror: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("mirror: %s", resp.Status)
+	}
+	if at, _ := strconv.ParseUint(resp.Header.Get("X-Token"), 10, 64); at < from.token {
+		return fmt.Errorf("mirror: the owner serves token %d, %d is wanted", at, from.token)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 64<<10), mostLine)
+	for first := true; lines.Scan(); {
+		silent.Reset(Silence)
+		if text := bytes.TrimSpace(lines.Bytes()); len(text) > 0 {
+			var l line
+			if err := json.Unmarshal(text, &l); err != nil {
+				return fmt.Errorf("mirror: a line is not understood: %w", err)
+			}
+			if from.token != 0 {
+				l.Seq = l.Origin
+			}
+			if err := m.take(l.Update, from, first && from.token != 0); err != nil {
+				return err
+			}
+			first = false
+		} else {
+			m.hear(from)
+		}
+		if m.pick() != from {
+			return nil
+		}
+	}
+	if lines.Err() == nil {
+		return errors.New("mirror: the source ended the watch")
+	}
+	return fmt.Errorf("mirror: the source fell silent or broke off: %w", lines.Err())
+}
+
+func (m *Mirror) hear(from source) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard, m.token, m.direct = time.Now(), max(m.token, from.token), from.token == 0
+}
+
+func (m *Mirror) take(u pool.Update, from source, first bool) error {
+	m.mu.Lock()
+	if from.token < m.token && from.token != 0 {
+		m.mu.Unlock()
+		return fmt.Errorf("mirror: an owner with token %d speaks after one with token %d", from.token, m.token)
+	}
+	changed, err := m.copy.Take(u, first)
+	if changed {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	m.mu.Unlock()
+	if err == nil {
+		m.hear(from)
+	}
+	return err
+}
+
+// since is what changed after a version, discovery's version of that, and a channel that closes at the next change.
+func (m *Mirror) since(version uint64) (u pool.Update, origin uint64, changed <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	origin, _ = m.copy.Origin()
+	return m.copy.Since(version), origin, m.changed
+}
+
+// ServeHTTP implements http.Handler.
+func (m *Mirror) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	token, goes := uint64(0), m.Fresh
+	switch req.URL.Path {
+	case "/v1/endpoints":
+	case "/v1/mirror":
+		goes = func() bool { // an owner whose lease is over says nothing more
+			_, now, here := m.opts.Owner()
+			if token == 0 {
+				token = now
+			}
+			return here && now == token && m.Fresh()
+		}
+	default:
+		http.NotFound(w, req)
+		return
+	}
+	if !goes() {
+		http.Error(w, "the copy of the roster is not fresh, or this is not its owner", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if token != 0 {
+		w.Header().Set("X-Token", strconv.FormatUint(token, 10))
+	}
+	query := req.URL.Query()
+	version, _ := strconv.ParseUint(query.Get("index"), 10, 64) // what is no number gets the whole list
+	write := func(u pool.Update, origin uint64) error {
+		if token != 0 {
+			return json.NewEncoder(w).Encode(line{u, origin})
+		}
+		return json.NewEncoder(w).Encode(u)
+	}
+	if query.Get("stream") != "1" {
+		u, origin, _ := m.since(0)
+		_ = write(u, origin) // a caller that has gone needs no answer
+		return
+	}
+	u, origin, changed := m.since(version)
+	lines, beat := http.NewResponseController(w), time.NewTicker(heartbeat/2)
+	defer beat.Stop()
+	for first := true; ; first = false {
+		if first || len(u.Hosts) > 0 {
+			if write(u, origin) != nil {
+				return
+			}
+		} else if _, err := fmt.Fprintln(w); err != nil {
+			return
+		}
+		if lines.Flush() != nil {
+			return
+		}
+		version = u.Seq
+		select {
+		case <-req.Context().Done():
+			return
+		case <-changed:
+		case <-beat.C:
+		}
+		if !goes() { // ended, not silent: whoever watches must look elsewhere at once
+			return
+		}
+		u, origin, changed = m.since(version)
+	}
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -18,6 +18,8 @@
 	Settings  ownership.Settings
 	Members   map[uint64]string // addresses by number
 	Receivers map[string]string // by work, where its effects go
+	Roster    string            // the work that is to follow discovery for all; empty: there is none
+	Discovery string            // its address
 }
 
 type fleetFile struct {
@@ -26,7 +28,8 @@
 	Damp    span.Span         `toml:"damp"`
 	Members map[string]string `toml:"members"`
 	Works   map[string]struct {
-		Receiver string `toml:"receiver"`
+		Receiver  string `toml:"receiver"`
+		Discovery string `toml:"discovery"`
 	} `toml:"works"`
 }
 
@@ -70,6 +73,16 @@
 		out.Members[id] = addr
 	}
 	for work, w := range f.Works {
+		if w.Discovery != "" {
+			if _, port, err := net.SplitHostPort(w.Discovery); err != nil || port == "" {
+				return nil, fault("works."+work+".discovery", fmt.Sprintf("%q is no address with a port", w.Discovery))
+			}
+			if w.Receiver != "" || out.Roster != "" {
+				return nil, fault("works."+work+".discovery", "a work has either a receiver or discovery, and one work alone has discovery")
+			}
+			out.Settings.Works, out.Roster, out.Discovery = append(out.Settings.Works, work), work, w.Discovery
+			continue
+		}
 		if u, err := url.Parse(w.Receiver); err != nil || u.Scheme != "http" || u.Host == "" {
 			return nil, fault("works."+work+".receiver", fmt.Sprintf("%q is no http address", w.Receiver))
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -33,6 +33,7 @@
 type Options struct {
 	Name     string
 	Life     uint64 // never used by another process of this name
+	Addr     string // where others reach this instance; empty: they need not
 	Zone     string
 	Build    uint64
 	Members  map[uint64]string // addresses by number
@@ -64,6 +65,7 @@
 	order  []uint64 // the members' numbers
 	at     int      // in order, the one that is taken to lead
 	why    string
+	owners map[string]ownership.Owner
 }
 
 // New returns an agent that owns nothing yet.
@@ -95,6 +97,19 @@
 	return a.holder.Owned(a.now())
 }
 
+// Owner is where the owner of a work is reached and its token, as far as is known, and whether that is this instance, which may act on it now.
+func (a *Agent) Owner(work string) (addr string, token uint64, here bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if token, here = a.holder.Owned(a.now())[work]; here {
+		return a.opts.Addr, token, true
+	}
+	if o := a.owners[work]; o.Addr != a.opts.Addr { // its own, which is over: there is none yet
+		return o.Addr, o.Token, false
+	}
+	return "", 0, false
+}
+
 // Run beats and works until stop ends and what is owned then has gone to others, or three leases have passed since.
 func (a *Agent) Run(stop context.Context) {
 	running, cancel := context.WithCancel(context.WithoutCancel(stop))
@@ -148,7 +163,9 @@
 func (a *Agent) beat(ctx context.Context) {
 	a.mu.Lock()
 	sent := a.now()
-	text, err := json.Marshal(a.holder.Beat())
+	b := a.holder.Beat()
+	b.Addr, b.Does = a.opts.Addr, slices.Sorted(maps.Keys(a.opts.Works))
+	text, err := json.Marshal(b)
 	at, member := a.at, a.opts.Members[a.order[a.at]]
 	a.mu.Unlock()
 	if err != nil {
@@ -168,7 +185,7 @@
 	if answer.Why != a.why && answer.Why != "" {
 		a.opts.Log.Warn("this instance gets no work", "name", a.opts.Name, "why", answer.Why)
 	}
-	a.why = answer.Why
+	a.why, a.owners = answer.Why, answer.Owners
 	before := a.holder.Owned(sent)
 	a.holder.Answer(sent, answer)
 	for work, token := range a.holder.Owned(a.now()) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -154,12 +154,14 @@
 
 // Beat is what an instance says to the arbiter.
 type Beat struct {
-	Name    string `json:"name"`
-	Life    uint64 `json:"life"`
-	Zone    string `json:"zone,omitempty"`
-	Build   uint64 `json:"build,omitempty"`   // newer ones are preferred
-	Leaving bool   `json:"leaving,omitempty"` // wants no work any more
-	Held    []Held `json:"held,omitempty"`
+	Name    string   `json:"name"`
+	Life    uint64   `json:"life"`
+	Addr    string   `json:"addr,omitempty"` // where others reach it, if they are to
+	Zone    string   `json:"zone,omitempty"`
+	Build   uint64   `json:"build,omitempty"`   // newer ones are preferred
+	Leaving bool     `json:"leaving,omitempty"` // wants no work any more
+	Does    []string `json:"does,omitempty"`    // the works that it can do; none named: all
+	Held    []Held   `json:"held,omitempty"`
 }
 
 // Yours is a piece of work in an answer.
@@ -174,6 +176,14 @@
 type Answer struct {
 	Yours []Yours `json:"yours,omitempty"` // all that is owned by the life that beat
 	Why   string  `json:"why,omitempty"`   // why it gets nothing
+	// Owners are those that others may reach, by work. What they say is fenced by the token, as any effect is.
+	Owners map[string]Owner `json:"owners,omitempty"`
+}
+
+// Owner is who owns a work, for others.
+type Owner struct {
+	Addr  string `json:"addr"`
+	Token uint64 `json:"token"`
 }
 
 // Arbiter decides at the member that leads. What it knows besides the state is learnt anew by each leader; until then every lease
@@ -245,11 +255,17 @@
 	var answer Answer
 	for _, name := range slices.Sorted(maps.Keys(s.Works)) {
 		w := s.Works[name]
+		if i := a.instances[w.Owner]; i != nil && i.beat.Life == w.Life && i.beat.Addr != "" {
+			if answer.Owners == nil {
+				answer.Owners = map[string]Owner{}
+			}
+			answer.Owners[name] = Owner{i.beat.Addr, w.Token}
+		}
 		if w.Owner != b.Name || w.Life != b.Life || slices.ContainsFunc(out, func(c Command) bool { return c.Work == name }) {
 			continue
 		}
 		if l := a.leases[name]; l.token == w.Token && !l.ending && now-l.from < a.set.Lease { // else it is about to be taken away
-			end := b.Leaving && a.choose(now, name, s, b.Name) != "" || w.Want != "" && w.Want != b.Name && a.fit(now, w.Want)
+			end := b.Leaving && a.choose(now, name, s, b.Name) != "" || w.Want != "" && w.Want != b.Name && a.fit(now, w.Want, name)
 			answer.Yours = append(answer.Yours, Yours{Work: name, Token: w.Token, Left: a.set.Lease - (now - l.from), End: end})
 		}
 	}
@@ -299,7 +315,7 @@
 			i := a.instances[to]
 			given[to]++
 			out = append(out, Command{Kind: Grant, Work: name, Who: to, Life: i.beat.Life, Token: w.Token, Why: "nobody owns it"})
-		} else if w.Want != "" && !a.fit(now, w.Want) {
+		} else if w.Want != "" && !a.fit(now, w.Want, name) {
 			out = append(out, Command{Kind: Want, Work: name, Why: w.Want + " is not there"})
 		}
 	}
@@ -320,10 +336,10 @@
 	return w.Owner + " is silent"
 }
 
-// fit says whether an instance may be given work at now.
-func (a *Arbiter) fit(now Time, name string) bool {
+// fit says whether an instance may be given a work at now.
+func (a *Arbiter) fit(now Time, name, work string) bool {
 	i := a.instances[name]
-	return i != nil && !i.beat.Leaving && now-i.at < a.set.Lease/2 && now >= a.damped[name]
+	return i != nil && (len(i.beat.Does) == 0 || slices.Contains(i.beat.Does, work)) && !i.beat.Leaving && now-i.at < a.set.Lease/2 && now >= a.damped[name]
 }
 
 func (a *Arbiter) choose(now Time, work string, s *State, not string) string {
@@ -334,7 +350,7 @@
 // order that differs from work to work; empty: nobody is fit.
 func (a *Arbiter) chooseWith(now Time, work string, s *State, not string, given map[string]int) string {
 	if want := s.Works[work].Want; want != "" {
-		if want != not && a.fit(now, want) {
+		if want != not && a.fit(now, want, work) {
 			return want
 		}
 		return ""
@@ -355,7 +371,7 @@
 	}
 	best := ""
 	for name, i := range a.instances {
-		if name == not || !a.fit(now, name) {
+		if name == not || !a.fit(now, name, work) {
 			continue
 		}
 		if best == "" {
