--- /dev/null
+++ b/cmd/pumiceline/mirrors.go
@@ -0,0 +1,263 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pumiceline/internal/pool"
+	"pumiceline/internal/standin"
+)
+
+type stageRosterCmd struct {
+	Members   int           `help:"Of the quorum: 1, 3, 5 or 7." default:"5"`
+	Instances int           `help:"Each with a copy of the roster." default:"60"`
+	Lease     time.Duration `help:"A lease." default:"2s"`
+	Calm      time.Duration `help:"For how long calls are counted before the owner is killed." default:"10s"`
+}
+
+// rosterVerdict is what a play with copies of the roster came to.
+type rosterVerdict struct {
+	Instances  int     `json:"instances"`
+	AllServeS  float64 `json:"all_serve_s"` // from the start of the first process till each copy was served
+	StartCalls int64   `json:"start_calls"` // to discovery till then
+	CalmCalls  int64   `json:"calm_calls"`  // while nothing happened
+	Change     spread  `json:"change"`      // from a change at discovery till it is at a copy's watcher
+	NewOwner   spread  `json:"new_owner"`   // from the owner's death till a later change is there
+	LostCalls  int64   `json:"lost_calls"`  // to discovery from the owner's death on
+	MemberMB   float64 `json:"member_mb"`   // resident, of one in the mean
+	InstanceMB float64 `json:"instance_mb"`
+	MemberCPU  float64 `json:"member_cpu"` // share of a core while calm
+	InstCPU    float64 `json:"instance_cpu"`
+}
+
+// spread is how long something took to be at all, in milliseconds.
+type spread struct {
+	P50 float64 `json:"p50_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// Run starts members and instances, counts what discovery is asked, and kills the owner.
+func (c *stageRosterCmd) Run(out output) error {
+	program, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("stage: %w", err)
+	}
+	v, err := playRoster(program, nil, c)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return fmt.Errorf("stage: %w", err)
+	}
+	fmt.Fprintln(out, string(text))
+	return nil
+}
+
+// copies are watchers of all mirrors, as proxies would be, and when each saw which change.
+type copies struct {
+	mu   sync.Mutex
+	seen []map[string]time.Time // by mirror and host
+}
+
+// watch follows a mirror from where it left off until ctx ends.
+func (k *copies) watch(ctx context.Context, i int, addr string) {
+	version := uint64(0)
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/endpoints?stream=1&index=%d", addr, version), nil)
+		if err != nil {
+			return
+		}
+		if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+			for lines := bufio.NewScanner(resp.Body); resp.StatusCode == http.StatusOK && lines.Scan(); {
+				var u struct {
+					Seq   uint64
+					Hosts []pool.Entry
+				}
+				if text := bytes.TrimSpace(lines.Bytes()); len(text) == 0 || json.Unmarshal(text, &u) != nil {
+					continue
+				}
+				version = u.Seq
+				k.mu.Lock()
+				for _, h := range u.Hosts {
+					if _, there := k.seen[i][h.Host]; !there {
+						k.seen[i][h.Host] = time.Now()
+					}
+				}
+				k.mu.Unlock()
+			}
+			resp.Body.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// all waits till each mirror has told of a host, until by, and returns how long after since each did.
+func (k *copies) all(by time.Time, host string, since time.Time) (spread, error) {
+	for {
+		took := hdrhistogram.New(1, 60_000_000, 3)
+		k.mu.Lock()
+		missing := 0
+		for _, seen := range k.seen {
+			at, there := seen[host]
+			if !there {
+				missing++
+				continue
+			}
+			if err := took.RecordValue(max(1, at.Sub(since).Microseconds())); err != nil {
+				k.mu.Unlock()
+				return spread{}, fmt.Errorf("stage: %w", err)
+			}
+		}
+		k.mu.Unlock()
+		if missing == 0 {
+			ms := func(q float64) float64 { return float64(took.ValueAtQuantile(q)) / 1000 }
+			return spread{ms(50), ms(99), ms(100)}, nil
+		}
+		if time.Now().After(by) {
+			return spread{}, fmt.Errorf("stage: %d mirrors never told of %s", missing, host)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// playRoster plays it.
+func playRoster(program string, env []string, c *stageRosterCmd) (*rosterVerdict, error) {
+	v := &rosterVerdict{Instances: c.Instances}
+	g, err := newGuild(program, env, c.Members, c.Lease, nil, false)
+	defer g.close()
+	if err != nil {
+		return v, err
+	}
+	host := func(name string) pool.Entry {
+		return pool.Entry{Host: name, Dial: "127.0.0.1:1", Site: "a", Class: "m", Block: 1, Health: "SERVING", Share: 1}
+	}
+	roster := standin.NewRoster(host("first"))
+	var calls atomic.Int64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return v, fmt.Errorf("stage: %w", err)
+	}
+	server := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		roster.ServeHTTP(w, r)
+	})}
+	go server.Serve(ln) // its end is Close's
+	defer server.Close()
+
+	var text strings.Builder
+	fmt.Fprintf(&text, "lease = %q\ndamp = %q\n[members]\n", c.Lease, c.Lease)
+	for i, addr := range g.real {
+		fmt.Fprintf(&text, "%d = %q\n", i+1, addr)
+	}
+	fmt.Fprintf(&text, "[works.roster]\ndiscovery = %q\n", ln.Addr())
+	if err := os.WriteFile(g.path("operator"), []byte(text.String()), 0o600); err != nil {
+		return v, fmt.Errorf("stage: %w", err)
+	}
+	begun := time.Now()
+	var members, instances, addrs []string
+	for i := range c.Members {
+		if err := os.MkdirAll(g.disk(i), 0o700); err != nil {
+			return v, fmt.Errorf("stage: %w", err)
+		}
+		members = append(members, member(i))
+		if err := g.begin(member(i), "owner", "member", "--fleet", g.path("operator"), "--id", fmt.Sprint(i+1), "--dir", g.disk(i)); err != nil {
+			return v, err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	watchers := &copies{}
+	for i := range c.Instances {
+		free, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 3+i/250, i%250+1))
+		if err != nil {
+			return v, fmt.Errorf("stage: %w", err)
+		}
+		addrs, instances = append(addrs, free.Addr().String()), append(instances, instance(i))
+		free.Close()
+		if err := g.begin(instance(i), "owner", "run", "--fleet", g.path("operator"), "--name", instance(i), "--mirror", addrs[i]); err != nil {
+			return v, err
+		}
+		watchers.seen = append(watchers.seen, map[string]time.Time{})
+	}
+	for i, addr := range addrs {
+		go watchers.watch(ctx, i, addr)
+	}
+	if _, err := watchers.all(time.Now().Add(time.Minute), "first", begun); err != nil {
+		return v, err
+	}
+	v.AllServeS, v.StartCalls = time.Since(begun).Seconds(), calls.Load()
+	time.Sleep(5 * c.Lease) // who had given the first owner up comes back to it
+
+	use := func(names []string) (mb, cpu float64, err error) {
+		for _, name := range names {
+			resident, used, err := g.processes[name].Usage()
+			if err != nil {
+				return 0, 0, err
+			}
+			mb, cpu = mb+float64(resident)/(1<<20)/float64(len(names)), cpu+used.Seconds()/float64(len(names))
+		}
+		return mb, cpu, nil
+	}
+	before := calls.Load()
+	_, memberCPU, err := use(members)
+	if err != nil {
+		return v, err
+	}
+	_, instCPU, err := use(instances)
+	if err != nil {
+		return v, err
+	}
+	now := time.Now()
+	roster.Put(host("second"))
+	if v.Change, err = watchers.all(now.Add(20*time.Second), "second", now); err != nil {
+		return v, err
+	}
+	time.Sleep(time.Until(now.Add(c.Calm)))
+	v.CalmCalls = calls.Load() - before
+	seconds := time.Since(now).Seconds()
+	if v.MemberMB, v.MemberCPU, err = use(members); err != nil {
+		return v, err
+	}
+	if v.InstanceMB, v.InstCPU, err = use(instances); err != nil {
+		return v, err
+	}
+	v.MemberCPU, v.InstCPU = (v.MemberCPU-memberCPU)/seconds, (v.InstCPU-instCPU)/seconds
+
+	s, _, err := g.status()
+	if err != nil {
+		return v, err
+	}
+	owner := slices.Index(instances, s.latest().Works["roster"].Owner)
+	if owner < 0 {
+		return v, errors.New("stage: nobody owns the roster's work")
+	}
+	before = calls.Load()
+	g.processes[instances[owner]].Kill()
+	dead := time.Now()
+	roster.Put(host("third"))
+	watchers.mu.Lock()
+	watchers.seen[owner]["third"] = dead // its watcher has nobody left to tell it
+	watchers.mu.Unlock()
+	v.NewOwner, err = watchers.all(dead.Add(30*time.Second), "third", dead)
+	v.LostCalls = calls.Load() - before
+	return v, err
+}
--- a/cmd/pumiceline/owner.go
+++ b/cmd/pumiceline/owner.go
@@ -90,6 +90,7 @@
 	Zone      string  `help:"Where it stands: of two that own as much, the one whose zone owns less gets the next."`
 	Build     uint64  `help:"Newer builds are preferred."`
 	Mirror    string  `help:"Where to serve the copy of the roster, for proxies here and mirrors elsewhere; none if it is not given."`
+	History   string  `help:"File for when each effect was sent and what came of it, a JSON object a line." type:"path"`
 	ClockRate float64 `hidden:"" help:"Of this process's clock, for tests." default:"1"`
 }
 
@@ -103,9 +104,24 @@
 	defer cancel()
 	opts := owner.Options{Name: c.Name, Life: rand.Uint64(), Zone: c.Zone, Build: c.Build, Settings: fleet.Settings, Log: log, Rate: c.ClockRate,
 		Members: fleet.Members, Works: map[string]owner.Step{}}
+	told := io.Discard
+	if c.History != "" {
+		file, err := os.OpenFile(c.History, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+		if err != nil {
+			return fmt.Errorf("owner: %w", err)
+		}
+		defer file.Close()
+		told = file
+	}
 	for work, receiver := range fleet.Receivers {
 		opts.Works[work] = func(ctx context.Context, act owner.Act) error {
-			return act(func(e ownership.Effect) error { return sendEffect(ctx, receiver, c.Name, e) })
+			return act(func(e ownership.Effect) error {
+				if err := json.NewEncoder(told).Encode(tellEffect{e, time.Now().UnixNano(), "sent"}); err != nil {
+					return fmt.Errorf("owner: %w", err)
+				}
+				did, err := sendEffect(ctx, receiver, c.Name, e)
+				return errors.Join(err, json.NewEncoder(told).Encode(tellEffect{e, time.Now().UnixNano(), did}))
+			})
 		}
 	}
 	var copy *mirror.Mirror // its work's step says whether discovery is heard here
@@ -148,27 +164,40 @@
 	return nil
 }
 
-// sendEffect sends an effect to its receiver. An error says that it may not have come, or why it does not count.
-func sendEffect(ctx context.Context, receiver, from string, e ownership.Effect) error {
+// tellEffect is a line of a history: when an effect was sent, or what came of it.
+type tellEffect struct {
+	ownership.Effect
+	At  int64  `json:"at"`  // Unix time in nanoseconds
+	Did string `json:"did"` // sent, taken, refused, unknown
+}
+
+// sendEffect sends an effect to its receiver and says what came of it. An error says that it may not have come, or why it does not count.
+func sendEffect(ctx context.Context, receiver, from string, e ownership.Effect) (did string, err error) {
 	text, err := json.Marshal(e)
 	if err != nil {
-		return fmt.Errorf("owner: %w", err)
+		return "unknown", fmt.Errorf("owner: %w", err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, receiver, bytes.NewReader(text))
 	if err != nil {
-		return fmt.Errorf("owner: %w", err)
+		return "unknown", fmt.Errorf("owner: %w", err)
 	}
 	req.GetBody = nil // written once: a second copy would not count, but it would look like a fault of the work
 	req.Header.Set("X-From", from)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fmt.Errorf("owner: %w", err)
+		return "unknown", fmt.Errorf("owner: %w", err)
 	}
 	defer resp.Body.Close()
-	if why, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10)); resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("owner: effect %d of token %d: %s: %s", e.Serial, e.Token, resp.Status, bytes.TrimSpace(why))
+	why, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return "taken", nil
+	case http.StatusConflict:
+		did = "refused"
+	default:
+		did = "unknown"
 	}
-	return nil
+	return did, fmt.Errorf("owner: effect %d of token %d: %s: %s", e.Serial, e.Token, resp.Status, bytes.TrimSpace(why))
 }
 
 type ownerStatusCmd struct {
--- a/cmd/pumiceline/owners.go
+++ b/cmd/pumiceline/owners.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +17,9 @@
 	"strings"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
+	"pumiceline/internal/ownership"
 	"pumiceline/internal/stage"
 	"pumiceline/internal/standin"
 )
@@ -171,7 +177,76 @@
 		rate = r
 	}
 	return g.begin(instance(i), "owner", "run", "--fleet", g.path(instance(i)), "--name", instance(i), "--zone", fmt.Sprint("z", i%2),
-		"--clock-rate", fmt.Sprint(rate))
+		"--clock-rate", fmt.Sprint(rate), "--history", g.path(instance(i))+".history")
+}
+
+// look reads, until ctx ends, which effect of each work counted last: what somebody who uses the outside system would see.
+func (g *guild) look(ctx context.Context) (seen []porcupine.Operation) {
+	for every := time.NewTicker(50 * time.Millisecond); ; {
+		select {
+		case <-ctx.Done():
+			every.Stop()
+			return seen
+		case <-every.C:
+		}
+		for _, work := range g.works {
+			call := time.Now().UnixNano()
+			last := g.last(work).Effect
+			seen = append(seen, porcupine.Operation{Input: ownership.Effect{Work: work}, Call: call, Output: last, Return: time.Now().UnixNano()})
+		}
+	}
+}
+
+// linear judges what the instances and a reader saw of the recorder: whether there is an order of all effects and looks, each between its call
+// and its answer, in which a receiver that compares tokens gives those answers. An effect without an answer may have come at any time since.
+func (g *guild) linear(all []porcupine.Operation) (bool, error) {
+	files, err := filepath.Glob(filepath.Join(g.dir, "*.history"))
+	if err != nil {
+		return false, fmt.Errorf("stage: %w", err)
+	}
+	for client, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return false, fmt.Errorf("stage: %w", err)
+		}
+		open := map[ownership.Effect]int{}
+		for line := range bytes.Lines(text) {
+			var e tellEffect
+			if json.Unmarshal(line, &e) != nil {
+				break // killed in the middle of it
+			}
+			if e.Did == "sent" {
+				open[e.Effect] = len(all)
+				all = append(all, porcupine.Operation{ClientId: 1 + client, Input: e.Effect, Call: e.At, Output: "unknown", Return: math.MaxInt64})
+			} else if at, there := open[e.Effect]; there && e.Did != "unknown" {
+				all[at].Output, all[at].Return = e.Did, e.At
+			}
+		}
+	}
+	model := porcupine.Model{
+		Partition: func(all []porcupine.Operation) (out [][]porcupine.Operation) {
+			by := map[string][]porcupine.Operation{}
+			for _, o := range all {
+				work := o.Input.(ownership.Effect).Work
+				by[work] = append(by[work], o)
+			}
+			return slices.Collect(maps.Values(by))
+		},
+		Init: func() any { return ownership.Effect{} },
+		Step: func(state, input, output any) (bool, any) {
+			known, e := state.(ownership.Effect), input.(ownership.Effect)
+			if e.Token == 0 {
+				return output == known, known
+			}
+			newer := e.Token > known.Token || e.Token == known.Token && e.Serial > known.Serial
+			next := known
+			if newer {
+				next = e
+			}
+			return output == "unknown" || newer == (output == "taken"), next
+		},
+	}
+	return porcupine.CheckOperations(model, all), nil
 }
 
 func (g *guild) begin(name string, args ...string) error {
@@ -228,6 +303,7 @@
 	Seed      uint64             `json:"seed"`
 	Harms     int                `json:"harms"` // effects that counted out of turn
 	First     string             `json:"first,omitempty"`
+	Linear    bool               `json:"linearizable"` // what instances saw fits a receiver that compares tokens
 	Taken     int                `json:"taken"`
 	Refused   int                `json:"late_refused"`
 	HandOvers int                `json:"hand_overs"`
@@ -247,8 +323,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "seed %d: %d effects counted, %d late ones refused, %d hand-overs, longest gap %.1f s, all owned again %.1f s after the last fault, %d harms\n",
-		v.Seed, v.Taken, v.Refused, v.HandOvers, longest(v.Gaps), v.AgainS, v.Harms)
+	fmt.Fprintf(out, "seed %d: %d effects counted, %d late ones refused, %d hand-overs, longest gap %.1f s, all owned again %.1f s after the last fault, %d harms, linearizable %v\n",
+		v.Seed, v.Taken, v.Refused, v.HandOvers, longest(v.Gaps), v.AgainS, v.Harms, v.Linear)
 	if c.Out != "" {
 		text, err := json.MarshalIndent(v, "", " ")
 		if err == nil {
@@ -309,6 +385,10 @@
 		v.History = g.History()
 		return v, nil
 	}
+	watching := make(chan []porcupine.Operation, 1)
+	looking, endLook := context.WithCancel(context.Background())
+	defer endLook()
+	go func() { watching <- g.look(looking) }()
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(c.Length))
 	defer cancel()
 	for ctx.Err() == nil {
@@ -344,6 +424,13 @@
 	if v.Harms, v.First = standin.Interleaved(taken); v.Harms > 0 {
 		v.Why = append(v.Why, v.First)
 	}
+	endLook()
+	if v.Linear, err = g.linear(<-watching); err != nil {
+		return v, err
+	}
+	if !v.Linear {
+		v.Why = append(v.Why, "what the instances saw fits no order of effects")
+	}
 	v.History = g.History()
 	return v, nil
 }
--- a/cmd/pumiceline/stage.go
+++ b/cmd/pumiceline/stage.go
@@ -17,6 +17,7 @@
 )
 
 type stageCmd struct {
+	Roster stageRosterCmd `cmd:"" help:"Count what discovery is asked when each instance has a copy of the roster, and kill its owner."`
 	Owners stageOwnersCmd `cmd:"" help:"Play faults drawn from a seed on owners of work: members, instances and a recorder."`
 	Run    stageRunCmd    `cmd:"" help:"Play a script: real proxies, with faults between them and stand-ins."`
 }
--- /dev/null
+++ b/internal/operator/fleet_test.go
@@ -0,0 +1,42 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pumiceline/internal/tomlfile"
+)
+
+// The file under deploy/ is usable, and what is not usable is told with file, line and key.
+func TestFleetFile(t *testing.T) {
+	f, err := ReadFleet("../../deploy/fleet.toml")
+	if err != nil || f.Settings.Lease != 2e6 || f.Settings.Drift != 0.2 || len(f.Members) != 3 || f.Receivers["export"] == "" {
+		t.Errorf("%+v, %v", f, err)
+	}
+	const members = "[members]\n1 = \"h:1\"\n2 = \"h:2\"\n3 = \"h:3\"\n"
+	for text, want := range map[string]string{
+		members:                               "works: there are 0",
+		"[members]\n1 = \"h:1\"\n2 = \"h:2\"": ":1: members: there are 2, and an even number",
+		"[members]\n0 = \"h:1\"":              ":2: members.0: is no number from 1",
+		"[members]\n1 = \"h\"":                ":2: members.1: \"h\" is no address",
+		"lease = 2\n" + members:               ":1: lease: is a time and has no unit",
+		"drift = 0.5\n" + members + "[works.w]\nreceiver = \"http://h/\"":    ":1: drift: 0.5 is not within",
+		members + "[works.w]\nreceiver = \"ftp://h/\"":                       ":6: works.w.receiver: \"ftp://h/\" is no http address",
+		members + "[works.w]\ndiscovery = \"h:1\"\nreceiver = \"http://h/\"": ":6: works.w.discovery: a work has either",
+		members + "[works.w]\nreciever = \"http://h/\"":                      ":6: works.w.reciever: there is no such key",
+		"[members]\n1 = \"h:1\"\n2 = \"h:2\"\n3 = \"h:1\"\n":                 "has the address of member",
+	} {
+		file := filepath.Join(t.TempDir(), "f.toml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := ReadFleet(file)
+		var fault *tomlfile.Error
+		if !errors.As(err, &fault) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/stage/process.go
+++ b/internal/stage/process.go
@@ -114,3 +114,30 @@
 		return fmt.Errorf("stage: %s has not ended; its log:\n%s", p.name, p.Log())
 	}
 }
+
+// Usage is what the process holds in memory, in bytes, and what it has used of processors so far, as the kernel tells.
+func (p *Process) Usage() (resident int64, cpu time.Duration, err error) {
+	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	memory, err := os.ReadFile(dir + "statm")
+	if err != nil {
+		return 0, 0, fmt.Errorf("stage: %s: %w", p.name, err)
+	}
+	times, err := os.ReadFile(dir + "stat")
+	if err != nil {
+		return 0, 0, fmt.Errorf("stage: %s: %w", p.name, err)
+	}
+	var pages, user, system int64
+	_, inner, _ := bytes.Cut(times, []byte(") ")) // behind the name, which may hold anything
+	fields := bytes.Fields(inner)
+	if len(fields) < 13 {
+		return 0, 0, fmt.Errorf("stage: %s: its times can't be read: %s", p.name, times)
+	}
+	if _, err := fmt.Sscan(string(memory), new(int64), &pages); err != nil {
+		return 0, 0, fmt.Errorf("stage: %s: %w", p.name, err)
+	}
+	if _, err := fmt.Sscan(string(fields[11])+" "+string(fields[12]), &user, &system); err != nil {
+		return 0, 0, fmt.Errorf("stage: %s: %w", p.name, err)
+	}
+	const tick = 10 * time.Millisecond // USER_HZ is 100 to every program
+	return pages * int64(os.Getpagesize()), time.Duration(user+system) * tick, nil
+}
