--- a/cmd/pumiceline/owner_test.go
+++ b/cmd/pumiceline/owner_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -130,6 +132,15 @@
 		t.Errorf("status: %+v, %v", s, err)
 	}
 	leader := int(s.latest().Leader) - 1
+	resp, err := http.Get("http://" + g.real[leader] + "/v1/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	figures, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if err != nil || !strings.Contains(string(figures), `owner_work_owned{work="export"} 1`) || !strings.Contains(string(figures), "\nowner_instances ") {
+		t.Errorf("%v: %s", err, figures)
+	}
 	copied := filepath.Join(g.dir, "copy")
 	g.processes[member(leader)].Kill()
 	if out, err := exec.Command("cp", "-r", g.disk(leader), copied).CombinedOutput(); err != nil {
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -5,6 +5,7 @@
 //
 //	POST /v1/beat                   an ownership.Beat as JSON; 200 with an ownership.Answer once a quorum has confirmed that this member leads
 //	GET  /v1/status                 Status as JSON, from any member
+//	GET  /v1/metrics                the same as figures
 //	POST /v1/works/{work}/want?who= an operator's wish; 202 once it is proposed
 //	POST /v1/works/{work}/free      has the owner of now lose it; 202 once it is proposed
 //	POST /v1/hello                  Hello as JSON, from a member that starts; 409 where its disk is older than what it once said
--- a/internal/quorum/serve.go
+++ b/internal/quorum/serve.go
@@ -21,6 +21,7 @@
 	mux.HandleFunc("POST /v1/hello", m.takeHello)
 	mux.HandleFunc("POST /v1/beat", m.takeBeat)
 	mux.HandleFunc("GET /v1/status", m.tellStatus)
+	mux.HandleFunc("GET /v1/metrics", m.tellMetrics)
 	mux.HandleFunc("POST /v1/works/{work}/want", func(w http.ResponseWriter, r *http.Request) {
 		m.operator(w, r, func(work string, _ ownership.Work) (ownership.Command, error) {
 			return ownership.Command{Kind: ownership.Want, Work: work, Who: r.URL.Query().Get("who"), Why: "an operator wants it"}, nil
@@ -132,9 +133,10 @@
 	}
 }
 
-func (m *Member) tellStatus(w http.ResponseWriter, r *http.Request) {
+// status is what this member knows; false: the caller has gone, or the loop is over.
+func (m *Member) status(r *http.Request) (Status, bool) {
 	s := Status{ID: m.opts.ID, Works: map[string]ownership.Work{}}
-	if !m.do(r, func() {
+	ok := m.do(r, func() {
 		s.Leader, s.Term, s.Applied, s.Changes = m.leader, m.term, m.applied, m.changes
 		for _, name := range m.opts.Settings.Works {
 			s.Works[name] = m.state.Works[name]
@@ -147,7 +149,13 @@
 				}
 			}
 		}
-	}) {
+	})
+	return s, ok
+}
+
+func (m *Member) tellStatus(w http.ResponseWriter, r *http.Request) {
+	s, ok := m.status(r)
+	if !ok {
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
