A lent socket that somebody has made block no longer keeps a stopping process from its end

Seen: a test run hung for 600 s; again in 3 of 6 loops of TestUpgradeUnderLoad beside each other. Checked by stack dump: Close of the lent listener (front.go Serve) waits for an Accept that sleeps in accept4: the socket blocks. Whether it blocks is one flag for all processes that hold it, and Go's os.File.Fd, by which a launcher hands it on, clears it; when another process takes the connection first the sleeper stays. Ruled out: the soak on the fake clock (64 runs), a killed successor (18 runs), SO_RCVTIMEO as a bound (no effect on MPTCP sockets, which Go's listeners are). At fault: handover.Listen, which trusts the flag of the start. Changed: it is set anew before each accept.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -128,3 +128,56 @@
 		t.Error("a pipe was taken for a listening socket")
 	}
 }
+
+// A lent socket that somebody has made block, as Go does where it hands one to a further process, must not hold up a listener that is closed
+// while it sleeps in accept, nor lose a connection.
+func TestLentSocketThatBlocks(t *testing.T) {
+	lent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := lent.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	lent.Close()
+	fd, err := syscall.Dup(int(file.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := Listen(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, ended := make(chan net.Conn, 1), make(chan error, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			accepted <- c
+			_, err = ln.Accept()
+		}
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond) // it waits
+	if err := syscall.SetNonblock(int(file.Fd()), false); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	(<-accepted).Close()
+	time.Sleep(50 * time.Millisecond) // it is in the next Accept
+	closed := make(chan struct{})
+	go func() { ln.Close(); close(closed) }()
+	select {
+	case <-closed:
+		if err := <-ended; !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the listener can't be closed")
+	}
+}
--- a/internal/handover/presence.go
+++ b/internal/handover/presence.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -106,14 +107,70 @@
 // Listen takes up the listening socket that was inherited as a descriptor. The descriptor's socket stays open and listening for
 // whoever else holds it, also when the listener is closed.
 func Listen(fd int) (net.Listener, error) {
+	if err := syscall.SetNonblock(fd, true); err != nil { // else the file would not know how to wait
+		return nil, fmt.Errorf("ROUTER_FD: %d is no descriptor: %w", fd, err)
+	}
 	f := os.NewFile(uintptr(fd), "listener")
 	if f == nil {
 		return nil, fmt.Errorf("ROUTER_FD: %d is no descriptor", fd)
 	}
-	defer f.Close() // the listener has one of its own
 	ln, err := net.FileListener(f)
 	if err != nil {
+		f.Close()
 		return nil, fmt.Errorf("ROUTER_FD: %d is no listening socket: %w", fd, err)
 	}
-	return ln, nil
+	defer ln.Close() // it was asked for what it knows
+	raw, err := f.SyscallConn()
+	if err != nil {
+		f.Close()
+		return nil, fmt.Errorf("ROUTER_FD: %d: %w", fd, err)
+	}
+	return &lent{file: f, raw: raw, addr: ln.Addr()}, nil
 }
+
+// lent is a listening socket that other processes hold too. Whether it blocks is one flag for all of them, and whoever hands it to a further process
+// may make it block: Go's os.File.Fd does. An accept that then finds that another process has taken the connection would sleep in the kernel
+// till the next one comes, and Close would wait for it: a process told to stop would not end. So the flag is set anew before each accept.
+type lent struct {
+	file   *os.File
+	raw    syscall.RawConn
+	addr   net.Addr
+	closed atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *lent) Accept() (net.Conn, error) {
+	var fd int
+	var failed error
+	if err := l.raw.Read(func(own uintptr) bool {
+		for {
+			if failed = syscall.SetNonblock(int(own), true); failed != nil {
+				return true
+			}
+			fd, _, failed = syscall.Accept4(int(own), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if failed != syscall.EINTR && failed != syscall.ECONNABORTED {
+				return failed != syscall.EAGAIN // if so: wait for the next
+			}
+		}
+	}); err != nil {
+		if l.closed.Load() { // the file's own error for that is no public one
+			err = net.ErrClosed
+		}
+		return nil, &net.OpError{Op: "accept", Net: l.addr.Network(), Addr: l.addr, Err: err}
+	}
+	if failed != nil {
+		return nil, &net.OpError{Op: "accept", Net: l.addr.Network(), Addr: l.addr, Err: os.NewSyscallError("accept4", failed)}
+	}
+	f := os.NewFile(uintptr(fd), "client")
+	defer f.Close() // the connection has a descriptor of its own
+	return net.FileConn(f)
+}
+
+// Close ends Accept here. The socket goes on listening for others.
+func (l *lent) Close() error {
+	l.closed.Store(true)
+	return l.file.Close()
+}
+
+// Addr implements net.Listener.
+func (l *lent) Addr() net.Addr { return l.addr }
