--- a/cmd/pumiceline/owners.go
+++ b/cmd/pumiceline/owners.go
@@ -325,14 +325,8 @@
 	}
 	fmt.Fprintf(out, "seed %d: %d effects counted, %d late ones refused, %d hand-overs, longest gap %.1f s, all owned again %.1f s after the last fault, %d harms, linearizable %v\n",
 		v.Seed, v.Taken, v.Refused, v.HandOvers, longest(v.Gaps), v.AgainS, v.Harms, v.Linear)
-	if c.Out != "" {
-		text, err := json.MarshalIndent(v, "", " ")
-		if err == nil {
-			err = os.WriteFile(c.Out, append(text, '\n'), 0o644)
-		}
-		if err != nil {
-			return fmt.Errorf("stage: %w", err)
-		}
+	if err := keepVerdict(c.Out, v); err != nil {
+		return err
 	}
 	if len(v.Why) > 0 {
 		return fmt.Errorf("stage: %s; again with: pumiceline stage owners --seed %d", strings.Join(v.Why, "; "), c.Seed)
--- a/cmd/pumiceline/stage.go
+++ b/cmd/pumiceline/stage.go
@@ -113,14 +113,8 @@
 		fmt.Fprintf(out, "proxy %d: %d asked, %d served, %d refused, %d failed\n", i, p.Asked, p.Served, p.Refused, p.Failed)
 	}
 	fmt.Fprintf(out, "after the last fault: %d asked, %d served, %d refused, %d failed\n", v.After.Asked, v.After.Served, v.After.Refused, v.After.Failed)
-	if c.Out != "" {
-		text, err := json.MarshalIndent(v, "", " ")
-		if err == nil {
-			err = os.WriteFile(c.Out, append(text, '\n'), 0o644)
-		}
-		if err != nil {
-			return fmt.Errorf("stage: %w", err)
-		}
+	if err := keepVerdict(c.Out, v); err != nil {
+		return err
 	}
 	if len(v.Faults) > 0 {
 		return fmt.Errorf("stage: %v; again with: pumiceline stage run %s --seed %d", v.Faults, c.File, c.Seed)
@@ -128,6 +122,21 @@
 	return nil
 }
 
+// keepVerdict writes a verdict as JSON, where a file for it is named.
+func keepVerdict(path string, v any) error {
+	if path == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(v, "", " ")
+	if err == nil {
+		err = os.WriteFile(path, append(text, '\n'), 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("stage: %w", err)
+	}
+	return nil
+}
+
 // open sets the stage for a script: stand-ins behind relays, and proxies that are ready.
 func open(ctx context.Context, script *stage.Script) (*theatre, error) {
 	t := &theatre{Stage: stage.New(), processes: make([]*stage.Process, script.Proxies)}
