--- a/internal/handover/presence.go
+++ b/internal/handover/presence.go
@@ -161,8 +161,9 @@
 	if failed != nil {
 		return nil, &net.OpError{Op: "accept", Net: l.addr.Network(), Addr: l.addr, Err: os.NewSyscallError("accept4", failed)}
 	}
+	// The connection gets a descriptor of its own. Where there is none left for that moment it is closed unread, and its client may send again.
 	f := os.NewFile(uintptr(fd), "client")
-	defer f.Close() // the connection has a descriptor of its own
+	defer f.Close()
 	return net.FileConn(f)
 }
 
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -24,6 +24,7 @@
 
 type host struct {
 	name string
+	gone bool            // it is deleted; never of one that is held
 	text json.RawMessage // byte for byte as discovery said it
 }
 
@@ -57,7 +58,7 @@
 		if err := json.Unmarshal(text, &head); err != nil || head.Host == "" {
 			return false, fmt.Errorf("mirror: an entry of version %d is not understood: %.100s", u.Seq, text)
 		}
-		heads = append(heads, host{head.Host, text})
+		heads = append(heads, host{head.Host, head.Health == "DELETED", text})
 		if u.Whole && head.Health == "DELETED" {
 			return false, fmt.Errorf("mirror: %s is deleted and listed, in version %d", head.Host, u.Seq)
 		}
@@ -70,16 +71,12 @@
 				if err != nil {
 					return false, err
 				}
-				c.put(host{h.name, gone}, true)
+				c.put(host{h.name, true, gone})
 			}
 		}
 	}
 	for _, h := range heads {
-		var head struct {
-			Health string `json:"health"`
-		}
-		_ = json.Unmarshal(h.text, &head) // it was read above
-		c.put(h, head.Health == "DELETED")
+		c.put(h)
 	}
 	c.origin, c.held = u.Seq, true
 	changed = len(c.changes) > before
@@ -104,12 +101,12 @@
 	return gone, nil
 }
 
-func (c *Copy) put(h host, gone bool) {
+func (c *Copy) put(h host) {
 	at := slices.IndexFunc(c.hosts, func(o host) bool { return o.name == h.name })
 	switch {
-	case gone && at < 0, at >= 0 && string(c.hosts[at].text) == string(h.text):
+	case h.gone && at < 0, at >= 0 && string(c.hosts[at].text) == string(h.text):
 		return
-	case gone:
+	case h.gone:
 		c.hosts = slices.Delete(c.hosts, at, at+1)
 	case at >= 0:
 		c.hosts[at] = h
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/url"
 	"os"
@@ -57,7 +58,8 @@
 	if n := len(f.Members); n != 1 && n != 3 && n != 5 && n != 7 {
 		return nil, fault("members", fmt.Sprintf("there are %d, and an even number or more than 7 bears no more failures than one less", n))
 	}
-	for number, addr := range f.Members {
+	for _, number := range slices.Sorted(maps.Keys(f.Members)) { // the same fault first each time
+		addr := f.Members[number]
 		id, err := strconv.ParseUint(number, 10, 64)
 		if err != nil || id == 0 || strconv.FormatUint(id, 10) != number {
 			return nil, fault("members."+number, "is no number from 1")
@@ -72,7 +74,8 @@
 		}
 		out.Members[id] = addr
 	}
-	for work, w := range f.Works {
+	for _, work := range slices.Sorted(maps.Keys(f.Works)) {
+		w := f.Works[work]
 		if w.Discovery != "" {
 			if _, port, err := net.SplitHostPort(w.Discovery); err != nil || port == "" {
 				return nil, fault("works."+work+".discovery", fmt.Sprintf("%q is no address with a port", w.Discovery))
@@ -88,7 +91,6 @@
 		}
 		out.Settings.Works, out.Receivers[work] = append(out.Settings.Works, work), w.Receiver
 	}
-	slices.Sort(out.Settings.Works)
 	if key, why := out.Settings.Check(); key != "" {
 		return nil, fault(key, why)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,8 +45,7 @@
 
 // Parts of a lease: a beat, the time that one has, the rest between two steps.
 const (
-	beatPart = 10 // of who owns something
-	idlePart = 5  // of who owns nothing: hundreds do, and the member that leads answers all
+	beatPart = 10
 	callPart = 4
 	restPart = 10
 	// leaveLeases is how long an instance that stops waits for others to take over what it owns.
@@ -128,14 +127,13 @@
 	defer leaving()
 	every := time.NewTicker(a.lease / beatPart)
 	defer every.Stop()
-	var last, beaten time.Time // last: by when this ends, once it is to stop
-	for {
+	var last time.Time // by when this ends, once it is to stop
+	for turn := 0; ; turn++ {
 		a.mu.Lock()
 		idle := a.holder.Empty()
 		a.mu.Unlock()
-		if now := time.Now(); !idle || stop.Err() != nil || now.Sub(beaten) > a.lease/idlePart-a.lease/beatPart/2 {
+		if !idle || stop.Err() != nil || turn%2 == 0 { // hundreds own nothing, and the member that leads answers all
 			a.beat(running)
-			beaten = now
 		}
 		if stop.Err() != nil {
 			if last.IsZero() {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -265,7 +265,7 @@
 			continue
 		}
 		if l := a.leases[name]; l.token == w.Token && !l.ending && now-l.from < a.set.Lease { // else it is about to be taken away
-			end := b.Leaving && a.choose(now, name, s, b.Name) != "" || w.Want != "" && w.Want != b.Name && a.fit(now, w.Want, name)
+			end := b.Leaving && a.choose(now, name, s, b.Name, nil) != "" || w.Want != "" && w.Want != b.Name && a.fit(now, w.Want, name)
 			answer.Yours = append(answer.Yours, Yours{Work: name, Token: w.Token, Left: a.set.Lease - (now - l.from), End: end})
 		}
 	}
@@ -311,7 +311,7 @@
 			continue
 		}
 		delete(a.leases, name)
-		if to := a.chooseWith(now, name, s, "", given); to != "" {
+		if to := a.choose(now, name, s, "", given); to != "" {
 			i := a.instances[to]
 			given[to]++
 			out = append(out, Command{Kind: Grant, Work: name, Who: to, Life: i.beat.Life, Token: w.Token, Why: "nobody owns it"})
@@ -342,13 +342,9 @@
 	return i != nil && (len(i.beat.Does) == 0 || slices.Contains(i.beat.Does, work)) && !i.beat.Leaving && now-i.at < a.set.Lease/2 && now >= a.damped[name]
 }
 
-func (a *Arbiter) choose(now Time, work string, s *State, not string) string {
-	return a.chooseWith(now, work, s, not, nil)
-}
-
-// chooseWith returns who should have a piece of work: whom the operators want, else who has least, then the newest build, then in an
-// order that differs from work to work; empty: nobody is fit.
-func (a *Arbiter) chooseWith(now Time, work string, s *State, not string, given map[string]int) string {
+// choose returns who should have a piece of work: whom the operators want, else who has least, then the newest build, then in an
+// order that differs from work to work; empty: nobody is fit. given is what each is getting on top of what the state says.
+func (a *Arbiter) choose(now Time, work string, s *State, not string, given map[string]int) string {
 	if want := s.Works[work].Want; want != "" {
 		if want != not && a.fit(now, want, work) {
 			return want
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -9,7 +9,7 @@
 //	POST /v1/works/{work}/want?who= an operator's wish; 202 once it is proposed
 //	POST /v1/works/{work}/free      has the owner of now lose it; 202 once it is proposed
 //	POST /v1/hello                  Hello as JSON, from a member that starts; 409 where its disk is older than what it once said
-//	POST /v1/raft                   one raftpb.Message
+//	POST /v1/raft                   one raftpb.Message; X-Start names the sender's start, and 409 says that a later one of its number is known
 //
 // A member that does not lead answers 503 with the leader's number in X-Leader, if it knows one.
 package quorum
@@ -45,6 +45,8 @@
 	Dir      string            // for its file
 	Settings ownership.Settings
 	Log      *slog.Logger
+	// CompactFrom is how many entries are carried out between two snapshots; 0: 2,000. A quarter of them stay, for a member that is a little late.
+	CompactFrom uint64
 }
 
 // Status is what a member knows.
@@ -53,7 +55,6 @@
 	Leader    uint64                    `json:"leader"` // 0: none is known
 	Term      uint64                    `json:"term"`
 	Applied   uint64                    `json:"applied"`
-	Waiting   string                    `json:"waiting,omitempty"` // for whom it waits before it takes part
 	Works     map[string]ownership.Work `json:"works"`
 	AgeMs     map[string]int64          `json:"age_ms,omitempty"` // since each owner's latest progress; of the leader alone
 	Instances []string                  `json:"instances,omitempty"`
@@ -68,11 +69,12 @@
 
 // Bounds of what waits. Whatever is over them is lost, as on a network.
 const (
-	mostInbox   = 1024
-	mostOutbox  = 256
-	mostBody    = 4 << 20
-	mostAsking  = 4096 // beats that wait for a confirmation
-	compactFrom = 2000 // entries that are applied since the latest snapshot
+	mostInbox  = 1024
+	mostOutbox = 256
+	mostBody   = 4 << 20
+	mostAsking = 4096 // beats that wait for a confirmation
+
+	compactFrom = 2000
 )
 
 // Member takes part in the agreement.
@@ -84,10 +86,11 @@
 	begun  time.Time
 	inbox  chan *pb.Message
 	calls  chan func()
+	failed chan error // that this member must not go on
 	peers  map[uint64]*peer
 	client *http.Client
 
-	mu      sync.Mutex // of what is known of the others' disks
+	mu      sync.Mutex // of what is known of the others' disks, also while that is written: an older state must not come after a newer one
 	marks   map[uint64]mark
 	unsaved bool
 
@@ -120,11 +123,14 @@
 	if _, there := opts.Members[opts.ID]; !there {
 		return nil, fmt.Errorf("quorum: member %d is not among the members", opts.ID)
 	}
+	if opts.CompactFrom == 0 {
+		opts.CompactFrom = compactFrom
+	}
 	s, err := openStore(opts.Dir)
 	if err != nil {
 		return nil, err
 	}
-	m := &Member{opts: opts, store: s, nonce: rand.Uint64(), begun: time.Now(), inbox: make(chan *pb.Message, mostInbox), calls: make(chan func()),
+	m := &Member{opts: opts, store: s, nonce: rand.Uint64(), begun: time.Now(), inbox: make(chan *pb.Message, mostInbox), calls: make(chan func()), failed: make(chan error, 1),
 		peers: map[uint64]*peer{}, state: ownership.NewState(), confirm: map[uint64][]func(bool){}, confirmAt: map[uint64]uint64{},
 		// Ten ticks without a word from the leader bring an election, which has to be over well within a lease.
 		tick:   max(5*time.Millisecond, min(100*time.Millisecond, time.Duration(opts.Settings.Lease)*time.Microsecond/50)),
@@ -200,7 +206,7 @@
 			if passed[id] {
 				continue
 			}
-			status, answer, err := m.post(ctx, time.Now().Add(10*m.tick), p.addr, "/v1/hello", "application/json", text)
+			status, answer, err := m.post(ctx, time.Now().Add(10*m.tick), p.addr, "/v1/hello", text)
 			switch {
 			case err == nil && status == http.StatusOK:
 				passed[id] = true
@@ -258,6 +264,8 @@
 			if err := m.note(); err != nil {
 				return err
 			}
+		case err := <-m.failed:
+			return err
 		case msg := <-m.inbox:
 			_ = m.node.Step(msg) // an error is a message that fits no more: it is lost
 		case call := <-m.calls:
@@ -338,7 +346,7 @@
 		m.arbiter = nil
 	}
 	for _, msg := range rd.Messages {
-		m.post1(msg)
+		m.pass(msg)
 	}
 	if !raft.IsEmptySnap(rd.Snapshot) {
 		state, err := ownership.ReadState(rd.Snapshot.GetData())
@@ -367,12 +375,12 @@
 		delete(m.confirmAt, n)
 	}
 	m.node.Advance(rd)
-	if m.applied-m.snapAt >= compactFrom {
+	if m.applied-m.snapAt >= m.opts.CompactFrom {
 		text, err := json.Marshal(m.state)
 		if err != nil {
 			return fmt.Errorf("quorum: snapshot: %w", err)
 		}
-		if err := m.store.compact(m.applied, m.conf, text); err != nil {
+		if err := m.store.compact(m.applied, m.opts.CompactFrom/4, m.conf, text); err != nil {
 			return err
 		}
 		m.snapAt = m.applied
@@ -420,8 +428,8 @@
 	return nil
 }
 
-// post1 gives a message to its link. A full link loses it, as a network would.
-func (m *Member) post1(msg *pb.Message) {
+// pass gives a message to its link. A full link loses it, as a network would.
+func (m *Member) pass(msg *pb.Message) {
 	p := m.peers[msg.GetTo()]
 	text, err := proto.Marshal(msg)
 	if p == nil || err != nil {
@@ -444,20 +452,25 @@
 		case <-ctx.Done():
 			return
 		case text := <-p.out:
-			_, _, _ = m.post(ctx, time.Now().Add(10*m.tick), p.addr, "/v1/raft", "application/x-protobuf", text) // a loss
+			if status, answer, _ := m.post(ctx, time.Now().Add(10*m.tick), p.addr, "/v1/raft", text); status == http.StatusConflict {
+				select { // anything else is a loss
+				case m.failed <- fmt.Errorf("quorum: member %d has been started elsewhere: %s", m.opts.ID, answer):
+				default:
+				}
+			}
 		}
 	}
 }
 
 // post makes a call that is over by a moment.
-func (m *Member) post(ctx context.Context, by time.Time, addr, path, kind string, body []byte) (status int, answer string, err error) {
+func (m *Member) post(ctx context.Context, by time.Time, addr, path string, body []byte) (status int, answer string, err error) {
 	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
-	req.Header.Set("Content-Type", kind)
+	req.Header.Set("X-Start", fmt.Sprintf("%d %d", m.store.boot, m.nonce))
 	resp, err := m.client.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -470,24 +483,34 @@
 // note keeps what was learnt of the others' disks.
 func (m *Member) note() error {
 	m.mu.Lock()
-	marks := maps.Clone(m.marks)
-	unsaved := m.unsaved
-	m.unsaved = false
-	m.mu.Unlock()
-	if !unsaved {
+	defer m.mu.Unlock()
+	if !m.unsaved {
 		return nil
 	}
-	return m.store.remember(marks)
+	err := m.store.remember(m.marks)
+	m.unsaved = err != nil
+	return err
 }
 
-// heard learns from a message how far another's disk has come: what it acknowledges and the term in which it speaks are on it.
-func (m *Member) heard(msg *pb.Message) {
+// heard learns from a message how far another's disk has come: what it acknowledges and the term in which it speaks are on it. The error is that
+// a later start of that member is known: two processes of one number must not both vote.
+func (m *Member) heard(msg *pb.Message, boot, nonce uint64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	was := m.marks[msg.GetFrom()]
+	if boot < was.Boot || boot == was.Boot && was.Nonce != nonce {
+		return fmt.Errorf("start %d, where start %d is known: %w", boot, was.Boot, errOlder)
+	}
 	now := was
+	now.Boot, now.Nonce = boot, nonce // its hello may have passed without this member
+	defer func() {
+		if now != was {
+			m.marks[msg.GetFrom()] = now
+			m.unsaved = m.unsaved || now.Term != was.Term || now.Boot != was.Boot
+		}
+	}()
 	if msg.GetType() == pb.MessageType_MsgPreVote || msg.GetType() == pb.MessageType_MsgPreVoteResp {
-		return // these name a term that nobody has entered
+		return nil // these name a term that nobody has entered
 	}
 	if msg.GetTerm() > now.Term {
 		now.Term, now.Index = msg.GetTerm(), 0
@@ -495,10 +518,7 @@
 	if msg.GetType() == pb.MessageType_MsgAppResp && !msg.GetReject() && msg.GetTerm() == now.Term {
 		now.Index = max(now.Index, msg.GetIndex())
 	}
-	if now != was {
-		m.marks[msg.GetFrom()] = now
-		m.unsaved = m.unsaved || now.Term != was.Term
-	}
+	return nil
 }
 
 // engineLog passes on what the engine says: what it finds worth a warning, and the rest at the level of debugging.
--- a/internal/quorum/serve.go
+++ b/internal/quorum/serve.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -60,7 +61,16 @@
 		http.Error(w, "no message from a member to this one", http.StatusBadRequest)
 		return
 	}
-	m.heard(msg)
+	var boot, nonce uint64
+	if _, err := fmt.Sscan(r.Header.Get("X-Start"), &boot, &nonce); err != nil {
+		http.Error(w, "no X-Start", http.StatusBadRequest)
+		return
+	}
+	if err := m.heard(msg, boot, nonce); err != nil {
+		m.opts.Log.Error("a member's message is refused", "member", msg.GetFrom(), "error", err)
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
 	select {
 	case m.inbox <- msg:
 	default: // lost
--- a/internal/quorum/store.go
+++ b/internal/quorum/store.go
@@ -190,11 +190,8 @@
 	return nil
 }
 
-// keepEntries stay behind a snapshot, for a member that is a little late.
-const keepEntries = 500
-
-// compact puts a snapshot of the state at an index in place of the log before it.
-func (s *store) compact(index uint64, conf *pb.ConfState, state []byte) error {
+// compact puts a snapshot of the state at an index in place of the log before it. The last entries before it, as many as keep says, stay in memory.
+func (s *store) compact(index, keep uint64, conf *pb.ConfState, state []byte) error {
 	snap, err := s.mem.CreateSnapshot(index, conf, state)
 	if err != nil {
 		return fmt.Errorf("quorum: snapshot: %w", err)
@@ -203,7 +200,7 @@
 	if err != nil {
 		return fmt.Errorf("quorum: snapshot: %w", err)
 	}
-	before := index - min(index, keepEntries)
+	before := index - min(index, keep)
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		if err := tx.Bucket(metaBucket).Put([]byte("snapshot"), text); err != nil {
 			return err
