The guild of owners in a package of its own, full disks, and proxies under load beside owners

Changed: internal/stage/guild plays and tests owners, quorum.Ask and Tell and owner.Sender left the command; a member's file may stop growing (prlimit on the stage's own process; SIGXFSZ is an error there, no crash), which the seeds draw too; stage roster has proxies that ask discovery and as many that ask a copy; the explorer follows a wish to its hand-over, with a sixth planted fault; a recorder that starts anew.

--- a/cmd/pumiceline/owner.go
+++ b/cmd/pumiceline/owner.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,7 +23,6 @@
 	"pumiceline/internal/mirror"
 	"pumiceline/internal/operator"
 	"pumiceline/internal/owner"
-	"pumiceline/internal/ownership"
 	"pumiceline/internal/quorum"
 	"pumiceline/internal/standin"
 )
@@ -70,6 +68,7 @@
 	}
 	stop, cancel := untilTold()
 	defer cancel()
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error with its place, and no crash
 	member, err := quorum.Open(quorum.Options{ID: c.ID, Members: fleet.Members, Dir: c.Dir, Settings: fleet.Settings, Log: log})
 	if err != nil {
 		return err
@@ -114,21 +113,13 @@
 		told = file
 	}
 	for work, receiver := range fleet.Receivers {
-		opts.Works[work] = func(ctx context.Context, act owner.Act) error {
-			return act(func(e ownership.Effect) error {
-				if err := json.NewEncoder(told).Encode(tellEffect{e, time.Now().UnixNano(), "sent"}); err != nil {
-					return fmt.Errorf("owner: %w", err)
-				}
-				did, err := sendEffect(ctx, receiver, c.Name, e)
-				return errors.Join(err, json.NewEncoder(told).Encode(tellEffect{e, time.Now().UnixNano(), did}))
-			})
-		}
+		opts.Works[work] = owner.Sender(receiver, c.Name, told)
 	}
-	var copy *mirror.Mirror // its work's step says whether discovery is heard here
+	var here *mirror.Mirror // its work's step says whether discovery is heard here
 	if fleet.Roster != "" && c.Mirror != "" {
 		opts.Addr = c.Mirror
 		opts.Works[fleet.Roster] = func(context.Context, owner.Act) error {
-			if !copy.Direct() {
+			if !here.Direct() {
 				return errors.New("owner: discovery is not heard here")
 			}
 			return nil
@@ -142,21 +133,21 @@
 		agent.Run(stop)
 		return nil
 	}
-	copy = mirror.New(mirror.Options{Discovery: fleet.Discovery, Spread: time.Duration(fleet.Settings.Lease) * time.Microsecond, Log: log,
+	here = mirror.New(mirror.Options{Discovery: fleet.Discovery, Spread: time.Duration(fleet.Settings.Lease) * time.Microsecond, Log: log,
 		Owner: func() (string, uint64, bool) { return agent.Owner(fleet.Roster) }}, time.Now())
 	ln, err := net.Listen("tcp", c.Mirror)
 	if err != nil {
 		return fmt.Errorf("owner: %w", err)
 	}
 	running, end := context.WithCancel(context.Background())
-	server := &http.Server{Handler: copy, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: here, ReadHeaderTimeout: 5 * time.Second}
 	var all sync.WaitGroup
 	all.Go(func() {
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("the mirror no longer listens", "error", err)
 		}
 	})
-	all.Go(func() { copy.Run(running) })
+	all.Go(func() { here.Run(running) })
 	agent.Run(stop)
 	end()
 	server.Close()
@@ -164,112 +155,18 @@
 	return nil
 }
 
-// tellEffect is a line of a history: when an effect was sent, or what came of it.
-type tellEffect struct {
-	ownership.Effect
-	At  int64  `json:"at"`  // Unix time in nanoseconds
-	Did string `json:"did"` // sent, taken, refused, unknown
-}
-
-// sendEffect sends an effect to its receiver and says what came of it. An error says that it may not have come, or why it does not count.
-func sendEffect(ctx context.Context, receiver, from string, e ownership.Effect) (did string, err error) {
-	text, err := json.Marshal(e)
-	if err != nil {
-		return "unknown", fmt.Errorf("owner: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, receiver, bytes.NewReader(text))
-	if err != nil {
-		return "unknown", fmt.Errorf("owner: %w", err)
-	}
-	req.GetBody = nil // written once: a second copy would not count, but it would look like a fault of the work
-	req.Header.Set("X-From", from)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return "unknown", fmt.Errorf("owner: %w", err)
-	}
-	defer resp.Body.Close()
-	why, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
-	switch resp.StatusCode {
-	case http.StatusOK:
-		return "taken", nil
-	case http.StatusConflict:
-		did = "refused"
-	default:
-		did = "unknown"
-	}
-	return did, fmt.Errorf("owner: effect %d of token %d: %s: %s", e.Serial, e.Token, resp.Status, bytes.TrimSpace(why))
-}
-
 type ownerStatusCmd struct {
 	fleetArgs
 	JSON bool `help:"As JSON."`
 }
 
-// fleetStatus is what the members say.
-type fleetStatus struct {
-	Quorum  bool                     `json:"quorum"` // a majority follows one leader
-	Members map[uint64]quorum.Status `json:"members"`
-	Silent  map[uint64]string        `json:"silent,omitempty"` // by member, why nothing is known of it
-}
-
-// askMembers asks all members how they are, by a moment.
-func askMembers(by time.Time, fleet *operator.Fleet) fleetStatus {
-	ctx, cancel := context.WithDeadline(context.Background(), by)
-	defer cancel()
-	type said struct {
-		id  uint64
-		s   quorum.Status
-		err error
-	}
-	all := make(chan said, len(fleet.Members))
-	for id, addr := range fleet.Members {
-		go func() {
-			one := said{id: id}
-			var resp *http.Response
-			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/status", nil)
-			if err == nil {
-				resp, err = http.DefaultClient.Do(req)
-			}
-			if err == nil {
-				err = json.NewDecoder(resp.Body).Decode(&one.s)
-				resp.Body.Close()
-			}
-			one.err = err
-			all <- one
-		}()
-	}
-	out, follow := fleetStatus{Members: map[uint64]quorum.Status{}, Silent: map[uint64]string{}}, map[uint64]int{}
-	for range fleet.Members {
-		if one := <-all; one.err != nil {
-			out.Silent[one.id] = one.err.Error()
-		} else {
-			out.Members[one.id] = one.s
-			follow[one.s.Leader]++
-		}
-	}
-	for leader, n := range follow {
-		out.Quorum = out.Quorum || leader != 0 && n > len(fleet.Members)/2
-	}
-	return out
-}
-
-// latest is the status of the member that knows most: the leader's, or that of who has applied most.
-func (f *fleetStatus) latest() (best quorum.Status) {
-	for id, s := range f.Members {
-		if s.Leader == id || best.Leader != best.ID && s.Applied >= best.Applied || best.ID == 0 {
-			best = s
-		}
-	}
-	return best
-}
-
 // Run shows the members and the work. It fails where there is no quorum: then nothing new is owned.
 func (c *ownerStatusCmd) Run(out output) error {
 	fleet, _, err := c.open("status")
 	if err != nil {
 		return err
 	}
-	s := askMembers(time.Now().Add(time.Second), fleet)
+	s := quorum.Ask(time.Now().Add(time.Second), fleet.Members)
 	if c.JSON {
 		text, err := json.MarshalIndent(s, "", " ")
 		if err != nil {
@@ -286,7 +183,7 @@
 				fmt.Fprintf(t, "%d\t%s\tsilent: %s\n", id, fleet.Members[id], s.Silent[id])
 			}
 		}
-		latest := s.latest()
+		latest := s.Latest()
 		fmt.Fprintln(t, "\nWORK\tOWNER\tTOKEN\tPROGRESS\tWANTED")
 		for _, work := range slices.Sorted(maps.Keys(latest.Works)) {
 			w, age := latest.Works[work], "unknown"
@@ -309,29 +206,6 @@
 	return nil
 }
 
-// tell asks the leader to do something, by a moment.
-func tell(by time.Time, fleet *operator.Fleet, path string) error {
-	ctx, cancel := context.WithDeadline(context.Background(), by)
-	defer cancel()
-	s := askMembers(by, fleet)
-	if leader := s.latest(); s.Quorum && leader.ID == leader.Leader {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fleet.Members[leader.ID]+path, nil)
-		if err != nil {
-			return fmt.Errorf("owner: %w", err)
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return fmt.Errorf("owner: %w", err)
-		}
-		defer resp.Body.Close()
-		if why, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10)); resp.StatusCode != http.StatusAccepted {
-			return fmt.Errorf("owner: %s: %s", resp.Status, bytes.TrimSpace(why))
-		}
-		return nil
-	}
-	return errors.New("owner: no member leads")
-}
-
 type ownerReleaseCmd struct {
 	fleetArgs
 	Work string `arg:"" help:"The work."`
@@ -343,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	return tell(time.Now().Add(2*time.Second), fleet, "/v1/works/"+url.PathEscape(c.Work)+"/free")
+	return quorum.Tell(time.Now().Add(2*time.Second), fleet.Members, "/v1/works/"+url.PathEscape(c.Work)+"/free")
 }
 
 type ownerMoveCmd struct {
@@ -358,7 +232,7 @@
 	if err != nil {
 		return err
 	}
-	return tell(time.Now().Add(2*time.Second), fleet, "/v1/works/"+url.PathEscape(c.Work)+"/want?who="+url.QueryEscape(c.To))
+	return quorum.Tell(time.Now().Add(2*time.Second), fleet.Members, "/v1/works/"+url.PathEscape(c.Work)+"/want?who="+url.QueryEscape(c.To))
 }
 
 type ownerReceiveCmd struct {
--- a/cmd/pumiceline/stage.go
+++ b/cmd/pumiceline/stage.go
@@ -197,17 +197,8 @@
 
 // configure writes the configuration of a proxy.
 func (t *theatre) configure(i, of int, sites []string) error {
-	text, err := standin.Config(t.fronts[i], t.rosters[i].Addr(), sites)
-	if err != nil {
-		return fmt.Errorf("stage: %w", err)
-	}
-	var all map[string]any
-	if err := json.Unmarshal(text, &all); err != nil {
-		return fmt.Errorf("stage: %w", err)
-	}
-	set := all["settings"].(map[string]any)
-	set["GroupSize"], set["Ordinal"], set["Locality"] = of, i, i%len(sites)
-	if text, err = json.Marshal(all); err == nil {
+	text, err := standin.ConfigOf(t.fronts[i], t.rosters[i].Addr(), sites, i, of)
+	if err == nil {
 		err = os.WriteFile(t.file(i), text, 0o600)
 	}
 	if err != nil {
--- a/internal/ownership/explore_test.go
+++ b/internal/ownership/explore_test.go
@@ -43,19 +43,22 @@
 	wholeLease   // a beat without progress is taken to renew the whole lease
 	renewsEnding // a lease is renewed though its end stands in the log
 	fromAnswer   // the lease is taken to run from when the answer came
-	bugs
+	goesOn       // what is given back is still acted on
 )
 
 // In a tick the arbiter's clock, which is fast, moves on by 4 and an instance's, which is slow, by 2: each is off by a third.
 func (w *world) fast() Time { return 4 * w.ticks }
 func (w *world) slow() Time { return 2 * w.ticks }
 
-func start(b bug, effective bool) *world {
+func start(b bug, effective, wish bool) *world {
 	w := &world{effective: effective, set: Settings{Works: []string{"w"}, Lease: 8, Drift: 1.0 / 3}, state: NewState(), fence: &Fence{}}
 	if b == noGrace {
 		w.set.Drift = 0
 	}
 	w.state.Apply(Command{Kind: Grant, Work: "w", Who: "0", Life: 1})
+	if wish {
+		w.state.Apply(Command{Kind: Want, Work: "w", Who: "1"})
+	}
 	w.arbiter = NewArbiter(w.set, w.state, 0)
 	for i := range w.holders {
 		w.holders[i] = NewHolder(w.set, fmt.Sprint(i), 1, "", 0)
@@ -119,10 +122,11 @@
 		add(len(held))
 		for _, x := range held {
 			add(behind(x.Token), int(x.Steps-lease.steps))
+			b = strconv.AppendBool(b, x.Over)
 		}
 	}
 	b = append(b, own.Owner+"/"...)
-	add(behind(lease.token), ago(lease.from, w.fast()), behind(w.latest), w.changes)
+	add(len(own.Want), behind(lease.token), ago(lease.from, w.fast()), behind(w.latest), w.changes)
 	b = strconv.AppendBool(b, lease.ending)
 	for _, c := range w.log {
 		b = append(b, '/')
@@ -137,6 +141,7 @@
 		b = append(b, 'h')
 		if x := h.works["w"]; x != nil {
 			add(behind(x.token), ago(x.heard, w.slow()), int(max(0, x.until-w.slow())), int(x.steps-lease.steps))
+			b = strconv.AppendBool(strconv.AppendBool(b, x.end), x.over)
 		}
 		b = append(b, 'b')
 		if w.beats[i] != nil {
@@ -148,6 +153,7 @@
 			add(ago(w.sent[i], w.slow()), len(w.answers[i].Yours), len(w.answers[i].Why))
 			for _, y := range w.answers[i].Yours {
 				add(behind(y.Token), int(y.Left))
+				b = strconv.AppendBool(b, y.End)
 			}
 		}
 	}
@@ -163,7 +169,7 @@
 	do := func(name string, parts int, f func(c *world)) {
 		c := w.clone(parts)
 		f(c)
-		if x, y := c.holders[0].Owned(c.slow()), c.holders[1].Owned(c.slow()); len(x) > 0 && len(y) > 0 {
+		if x, y := c.owned(b, 0), c.owned(b, 1); len(x) > 0 && len(y) > 0 {
 			c.harm = fmt.Sprintf("two act at once, with tokens %d and %d", x["w"], y["w"])
 		}
 		out, what = append(out, c), append(what, name)
@@ -243,6 +249,14 @@
 	return out, what
 }
 
+// owned is what an instance takes itself to own.
+func (w *world) owned(b bug, i int) map[string]uint64 {
+	if x := w.holders[i].works["w"]; b == goesOn && x != nil && w.slow() < x.until {
+		return map[string]uint64{"w": x.token}
+	}
+	return w.holders[i].Owned(w.slow())
+}
+
 func (w *world) propose(c ...Command) {
 	for _, x := range c {
 		if len(w.log) < 3 && !slices.Contains(w.log, x) {
@@ -252,14 +266,14 @@
 }
 
 // explore visits every world within depth steps, the shortest ways first, and returns how many there are and the way to the first harm.
-func explore(b bug, effective bool, depth int) (states int, way []string) {
+func explore(b bug, effective, wish bool, depth int) (states int, way []string) {
 	type node struct {
 		w    *world
 		from int
 		what string
 		key  uint64
 	}
-	all, seen := []node{{w: start(b, effective), from: -1}}, map[uint64]bool{}
+	all, seen := []node{{w: start(b, effective, wish), from: -1}}, map[uint64]bool{}
 	for done, level := 0, 0; level < depth && done < len(all); level++ {
 		found := make([][]node, len(all)-done) // by node of this level, so that the order does not hang on who is faster
 		var running sync.WaitGroup
@@ -308,11 +322,13 @@
 		name      string
 		bug       bug
 		effective bool
+		wish      bool
 		depth     int
-	}{{"no fault, changes of the leader", sound, false, 17}, {"no fault, effects", sound, true, 17}, {"no fence", noFence, true, 17},
-		{"no grace", noGrace, false, 16}, {"whole lease", wholeLease, false, 16}, {"renews what ends", renewsEnding, false, 17},
-		{"from the answer", fromAnswer, false, 16}} {
-		states, way := explore(c.bug, c.effective, c.depth)
+	}{{"no fault, changes of the leader", sound, false, false, 17}, {"no fault, effects", sound, true, false, 17},
+		{"no fault, another is wanted", sound, false, true, 17}, {"no fence", noFence, true, false, 17}, {"no grace", noGrace, false, false, 16},
+		{"whole lease", wholeLease, false, false, 16}, {"renews what ends", renewsEnding, false, false, 17},
+		{"from the answer", fromAnswer, false, false, 16}, {"gives back and goes on", goesOn, false, true, 16}} {
+		states, way := explore(c.bug, c.effective, c.wish, c.depth)
 		t.Logf("%s: %d states to depth %d; %s", c.name, states, c.depth, strings.Join(way, "; "))
 		if (c.bug == sound) != (way == nil) {
 			t.Errorf("%s: %v", c.name, way)
--- a/cmd/pumiceline/owners.go
+++ b/internal/stage/guild/guild.go
@@ -1,4 +1,6 @@
-package main
+// Package guild plays owners of work with real processes: members of a quorum, instances and a recorder, with a relay on each way between two of
+// them, faults drawn from a seed, and a checker of what counted.
+package guild
 
 import (
 	"bytes"
@@ -19,7 +21,9 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"pumiceline/internal/owner"
 	"pumiceline/internal/ownership"
+	"pumiceline/internal/quorum"
 	"pumiceline/internal/stage"
 	"pumiceline/internal/standin"
 )
@@ -28,7 +32,6 @@
 type guild struct {
 	*stage.Stage
 	dir, program string
-	env          []string
 	lease        time.Duration
 	works        []string
 	real         []string // the members' own addresses
@@ -40,9 +43,9 @@
 	receiver     string
 }
 
-// newGuild sets the stage. Nothing runs yet but the recorder. program is the built program, with env for what it is started with.
-func newGuild(program string, env []string, members int, lease time.Duration, works []string, unfenced bool) (*guild, error) {
-	g := &guild{Stage: stage.New(), program: program, env: env, lease: lease, works: works, ways: map[string]*stage.Relay{},
+// set sets the stage. Nothing runs yet but the recorder. program is the built program.
+func set(program string, members int, lease time.Duration, works []string, unfenced bool) (*guild, error) {
+	g := &guild{Stage: stage.New(), program: program, lease: lease, works: works, ways: map[string]*stage.Relay{},
 		processes: map[string]*stage.Process{}, rates: map[string]float64{}}
 	var err error
 	if g.dir, err = os.MkdirTemp("", "guild"); err != nil {
@@ -151,9 +154,7 @@
 
 // command is the program with arguments.
 func (g *guild) command(args ...string) *exec.Cmd {
-	cmd := exec.Command(g.program, args...)
-	cmd.Env = append(os.Environ(), g.env...)
-	return cmd
+	return exec.Command(g.program, args...)
 }
 
 // startMember starts a member's process, on the disk that it has.
@@ -211,7 +212,7 @@
 		}
 		open := map[ownership.Effect]int{}
 		for line := range bytes.Lines(text) {
-			var e tellEffect
+			var e owner.Told
 			if json.Unmarshal(line, &e) != nil {
 				break // killed in the middle of it
 			}
@@ -258,7 +259,7 @@
 }
 
 // status is what an operator sees.
-func (g *guild) status() (s fleetStatus, text string, err error) {
+func (g *guild) status() (s quorum.Fleet, text string, err error) {
 	out, err := g.command("owner", "status", "--json", "--fleet", g.path("operator")).Output()
 	if json.Unmarshal(out, &s) != nil && err == nil {
 		err = fmt.Errorf("stage: status: %s", out)
@@ -287,19 +288,19 @@
 	return last
 }
 
-type stageOwnersCmd struct {
-	Seed      uint64        `help:"What the faults are drawn from." default:"1"`
-	Members   int           `help:"Of the quorum: 1, 3, 5 or 7." default:"5"`
-	Instances int           `help:"That do the work." default:"30"`
-	Works     int           `help:"Pieces of work." default:"4"`
-	Lease     time.Duration `help:"A lease." default:"1s"`
-	Length    time.Duration `help:"For how long faults begin." default:"60s"`
-	Unfenced  bool          `help:"The recorder takes whatever comes: the checker must find harm."`
-	Out       string        `help:"File for the verdict and the history, as JSON." type:"path"`
+// Options are what is to be played. The stage's command says what each means.
+type Options struct {
+	Seed      uint64
+	Members   int
+	Instances int
+	Works     int
+	Lease     time.Duration
+	Length    time.Duration
+	Unfenced  bool
 }
 
-// ownersVerdict is what a play of owners came to.
-type ownersVerdict struct {
+// Verdict is what a play of owners came to.
+type Verdict struct {
 	Seed      uint64             `json:"seed"`
 	Harms     int                `json:"harms"` // effects that counted out of turn
 	First     string             `json:"first,omitempty"`
@@ -313,29 +314,9 @@
 	History   []stage.Note       `json:"history,omitempty"`
 }
 
-// Run plays faults drawn from a seed and fails where an effect counted out of turn, or a work was not owned again.
-func (c *stageOwnersCmd) Run(out output) error {
-	program, err := os.Executable()
-	if err != nil {
-		return fmt.Errorf("stage: %w", err)
-	}
-	v, err := playOwners(program, nil, c)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "seed %d: %d effects counted, %d late ones refused, %d hand-overs, longest gap %.1f s, all owned again %.1f s after the last fault, %d harms, linearizable %v\n",
-		v.Seed, v.Taken, v.Refused, v.HandOvers, longest(v.Gaps), v.AgainS, v.Harms, v.Linear)
-	if err := keepVerdict(c.Out, v); err != nil {
-		return err
-	}
-	if len(v.Why) > 0 {
-		return fmt.Errorf("stage: %s; again with: pumiceline stage owners --seed %d", strings.Join(v.Why, "; "), c.Seed)
-	}
-	return nil
-}
-
-func longest(gaps map[string]float64) (most float64) {
-	for _, g := range gaps {
+// Longest is the longest time, in seconds, for which no effect of a work counted.
+func (v *Verdict) Longest() (most float64) {
+	for _, g := range v.Gaps {
 		most = max(most, g)
 	}
 	return most
@@ -345,14 +326,14 @@
 // who let it run out several times, an election.
 const againLeases = 12
 
-// playOwners plays the faults of a seed.
-func playOwners(program string, env []string, c *stageOwnersCmd) (*ownersVerdict, error) {
-	v := &ownersVerdict{Seed: c.Seed, Gaps: map[string]float64{}}
+// Play plays the faults of a seed.
+func Play(program string, c *Options) (*Verdict, error) {
+	v := &Verdict{Seed: c.Seed, Gaps: map[string]float64{}}
 	var works []string
 	for i := range c.Works {
 		works = append(works, fmt.Sprint("work-", i+1))
 	}
-	g, err := newGuild(program, env, c.Members, c.Lease, works, c.Unfenced)
+	g, err := set(program, c.Members, c.Lease, works, c.Unfenced)
 	defer g.close()
 	if err != nil {
 		return v, err
@@ -430,7 +411,7 @@
 }
 
 // fault begins one fault and returns what ends it.
-func (g *guild) fault(draw *rand.Rand, c *stageOwnersCmd) (end func()) {
+func (g *guild) fault(draw *rand.Rand, c *Options) (end func()) {
 	work := g.works[draw.IntN(len(g.works))]
 	victim := g.last(work).From // who owns something is the one worth hitting
 	m := draw.IntN(c.Members)
@@ -455,7 +436,7 @@
 	}
 	is := func(name string) func(string) bool { return func(s string) bool { return s == name } }
 	members := func(s string) bool { return strings.HasPrefix(s, "member") }
-	switch kind := draw.IntN(7); kind {
+	switch kind := draw.IntN(8); kind {
 	case 0, 1: // the owner is frozen, in 1 with an effect that arrives later
 		release := func() {}
 		if kind == 1 {
@@ -503,6 +484,16 @@
 				}
 			}
 		}
+	case 6: // a member's disk is full: it ends by itself
+		if err := g.processes[member(m)].Fill(); err != nil {
+			g.Say("script", "%v", err)
+		}
+		return func() {
+			g.processes[member(m)].Kill()
+			if err := g.startMember(m); err != nil {
+				g.Say("script", "%v", err)
+			}
+		}
 	default: // a member is cut off from the others, one way or both
 		release := hold(stage.Up, between(is(member(m)), members)...)
 		if draw.IntN(2) == 0 {
--- a/cmd/pumiceline/owner_test.go
+++ b/internal/stage/guild/guild_test.go
@@ -1,6 +1,7 @@
-package main
+package guild
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -14,11 +15,30 @@
 	"pumiceline/internal/standin"
 )
 
-var asProgram = []string{"PUMICELINE_TEST_MAIN=1"}
+// program is the program as it is now, built for these tests: a process that is frozen or killed has to be a real one.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "guild")
+	if err == nil {
+		program = filepath.Join(dir, "pumiceline")
+		var said []byte
+		if said, err = exec.Command("go", "build", "-buildvcs=false", "-o", program, "pumiceline/cmd/pumiceline").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, said)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
 
 // tryGuild is a guild of real processes whose one work is owned.
 func tryGuild(t *testing.T, members, instances int, unfenced bool) *guild {
-	g, err := newGuild(os.Args[0], asProgram, members, time.Second, []string{"export"}, unfenced)
+	g, err := set(program, members, time.Second, []string{"export"}, unfenced)
 	t.Cleanup(g.close)
 	for i := 0; err == nil && i < members; i++ {
 		err = g.startMember(i)
@@ -119,10 +139,10 @@
 	soon(t, g, "the wish is done", func() bool { return g.last("export").From == to })
 
 	s, _, err := g.status()
-	if err != nil || !s.Quorum || s.latest().Works["export"].Owner != to {
+	if err != nil || !s.Quorum || s.Latest().Works["export"].Owner != to {
 		t.Errorf("status: %+v, %v", s, err)
 	}
-	leader := int(s.latest().Leader) - 1
+	leader := int(s.Latest().Leader) - 1
 	resp, err := http.Get("http://" + g.real[leader] + "/v1/metrics")
 	if err != nil {
 		t.Fatal(err)
@@ -155,6 +175,22 @@
 		t.Errorf("an older copy of a disk: %v, %s", err, g.processes[member(leader)].Log())
 	}
 
+	// A disk that takes no more ends its member, which says so; once there is room it takes part again.
+	os.RemoveAll(g.disk(leader))
+	full := (leader + 1) % 3
+	if err := g.processes[member(full)].Fill(); err != nil {
+		t.Fatal(err)
+	}
+	g.command("owner", "release", "export", "--fleet", g.path("operator")).Run() // something to write, if that can still be agreed on
+	if err := g.processes[member(full)].Wait(time.Now().Add(20 * time.Second)); err == nil || !strings.Contains(g.processes[member(full)].Log(), "can't be kept") {
+		t.Errorf("a full disk: %v, %s", err, g.processes[member(full)].Log())
+	}
+	if err := g.startMember(full); err != nil {
+		t.Fatal(err)
+	}
+	room := time.Now()
+	soon(t, g, "the work is owned once there is room", func() bool { return g.last("export").At.After(room) })
+
 	other := (leader + 1) % 3 // one of three is left: nothing is owned, which shows
 	g.processes[member(other)].Kill()
 	soon(t, g, "the owner stops without a quorum", func() bool { return time.Since(g.last("export").At) > 2*time.Second })
--- a/cmd/pumiceline/mirrors.go
+++ b/internal/stage/guild/roster.go
@@ -1,4 +1,4 @@
-package main
+package guild
 
 import (
 	"bufio"
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -22,53 +23,44 @@
 	"pumiceline/internal/standin"
 )
 
-type stageRosterCmd struct {
-	Members   int           `help:"Of the quorum: 1, 3, 5 or 7." default:"5"`
-	Instances int           `help:"Each with a copy of the roster." default:"60"`
-	Lease     time.Duration `help:"A lease." default:"2s"`
-	Calm      time.Duration `help:"For how long calls are counted before the owner is killed." default:"10s"`
+// RosterOptions are what is to be played. The stage's command says what each means.
+type RosterOptions struct {
+	Members   int
+	Instances int
+	Lease     time.Duration
+	Calm      time.Duration
+	Proxies   int
 }
 
-// rosterVerdict is what a play with copies of the roster came to.
-type rosterVerdict struct {
+// RosterVerdict is what a play with copies of the roster came to.
+type RosterVerdict struct {
 	Instances  int     `json:"instances"`
 	AllServeS  float64 `json:"all_serve_s"` // from the start of the first process till each copy was served
 	StartCalls int64   `json:"start_calls"` // to discovery till then
 	CalmCalls  int64   `json:"calm_calls"`  // while nothing happened
-	Change     spread  `json:"change"`      // from a change at discovery till it is at a copy's watcher
-	NewOwner   spread  `json:"new_owner"`   // from the owner's death till a later change is there
+	Change     Spread  `json:"change"`      // from a change at discovery till it is at a copy's watcher
+	NewOwner   Spread  `json:"new_owner"`   // from the owner's death till a later change is there
 	LostCalls  int64   `json:"lost_calls"`  // to discovery from the owner's death on
 	MemberMB   float64 `json:"member_mb"`   // resident, of one in the mean
 	InstanceMB float64 `json:"instance_mb"`
 	MemberCPU  float64 `json:"member_cpu"` // share of a core while calm
 	InstCPU    float64 `json:"instance_cpu"`
+	Direct     Served  `json:"direct"`   // by proxies that ask discovery themselves, from before the owner's death on
+	Mirrored   Served  `json:"mirrored"` // by as many that ask a copy
 }
 
-// spread is how long something took to be at all, in milliseconds.
-type spread struct {
+// Served is what clients of some proxies got.
+type Served struct {
+	Asked, Served, Refused, Failed int
+}
+
+// Spread is how long something took to be at all, in milliseconds.
+type Spread struct {
 	P50 float64 `json:"p50_ms"`
 	P99 float64 `json:"p99_ms"`
 	Max float64 `json:"max_ms"`
 }
 
-// Run starts members and instances, counts what discovery is asked, and kills the owner.
-func (c *stageRosterCmd) Run(out output) error {
-	program, err := os.Executable()
-	if err != nil {
-		return fmt.Errorf("stage: %w", err)
-	}
-	v, err := playRoster(program, nil, c)
-	if err != nil {
-		return err
-	}
-	text, err := json.MarshalIndent(v, "", " ")
-	if err != nil {
-		return fmt.Errorf("stage: %w", err)
-	}
-	fmt.Fprintln(out, string(text))
-	return nil
-}
-
 // copies are watchers of all mirrors, as proxies would be, and when each saw which change.
 type copies struct {
 	mu   sync.Mutex
@@ -111,7 +103,7 @@
 }
 
 // all waits till each mirror has told of a host, until by, and returns how long after since each did.
-func (k *copies) all(by time.Time, host string, since time.Time) (spread, error) {
+func (k *copies) all(by time.Time, host string, since time.Time) (Spread, error) {
 	for {
 		took := hdrhistogram.New(1, 60_000_000, 3)
 		k.mu.Lock()
@@ -124,33 +116,47 @@
 			}
 			if err := took.RecordValue(max(1, at.Sub(since).Microseconds())); err != nil {
 				k.mu.Unlock()
-				return spread{}, fmt.Errorf("stage: %w", err)
+				return Spread{}, fmt.Errorf("stage: %w", err)
 			}
 		}
 		k.mu.Unlock()
 		if missing == 0 {
 			ms := func(q float64) float64 { return float64(took.ValueAtQuantile(q)) / 1000 }
-			return spread{ms(50), ms(99), ms(100)}, nil
+			return Spread{ms(50), ms(99), ms(100)}, nil
 		}
 		if time.Now().After(by) {
-			return spread{}, fmt.Errorf("stage: %d mirrors never told of %s", missing, host)
+			return Spread{}, fmt.Errorf("stage: %d mirrors never told of %s", missing, host)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// playRoster plays it.
-func playRoster(program string, env []string, c *stageRosterCmd) (*rosterVerdict, error) {
-	v := &rosterVerdict{Instances: c.Instances}
-	g, err := newGuild(program, env, c.Members, c.Lease, nil, false)
+// PlayRoster starts members and instances, counts what discovery is asked, and kills the owner.
+func PlayRoster(program string, c *RosterOptions) (*RosterVerdict, error) {
+	v := &RosterVerdict{Instances: c.Instances}
+	g, err := set(program, c.Members, c.Lease, nil, false)
 	defer g.close()
 	if err != nil {
 		return v, err
 	}
-	host := func(name string) pool.Entry {
-		return pool.Entry{Host: name, Dial: "127.0.0.1:1", Site: "a", Class: "m", Block: 1, Health: "SERVING", Share: 1}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sites := []string{"east", "west"}
+	host := func(name string) pool.Entry { // a line to wait for: no proxy sends anything there
+		return pool.Entry{Host: name, Dial: "127.0.0.1:1", Site: sites[0], Class: "std-8", Block: 1, Health: "DRAINING", Share: 1}
+	}
+	var listeners []net.Listener
+	for range 1 + 4 { // discovery for those who ask it themselves, and destinations
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return v, fmt.Errorf("stage: %w", err)
+		}
+		listeners = append(listeners, ln)
 	}
-	roster := standin.NewRoster(host("first"))
+	world := standin.NewWorld(listeners[0], listeners[1:], sites, standin.Sleep(20*time.Millisecond))
+	go world.Serve(ctx) // its end is the play's
+	roster := world.Roster
+	roster.Put(host("first"))
 	var calls atomic.Int64
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -183,8 +189,6 @@
 			return v, err
 		}
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	watchers := &copies{}
 	for i := range c.Instances {
 		free, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 3+i/250, i%250+1))
@@ -207,6 +211,34 @@
 	v.AllServeS, v.StartCalls = time.Since(begun).Seconds(), calls.Load()
 	time.Sleep(5 * c.Lease) // who had given the first owner up comes back to it
 
+	load, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	var loading sync.WaitGroup
+	tallies := make([]*standin.Clients, 2*c.Proxies)
+	for i := range tallies {
+		discovery := listeners[0].Addr().String()
+		if i%2 == 1 {
+			discovery = addrs[i/2%len(addrs)]
+		}
+		front, err := g.startProxy(i, len(tallies), discovery, sites)
+		if err != nil {
+			return v, err
+		}
+		tallies[i] = &standin.Clients{Base: "http://" + front, Rate: 50, Classes: standin.Classes, Tenants: standin.Tenants}
+		if !g.await(time.Now().Add(20*time.Second), func() bool {
+			resp, err := http.Get("http://" + front + "/ready")
+			if err == nil {
+				resp.Body.Close()
+			}
+			return err == nil && resp.StatusCode == http.StatusOK
+		}) {
+			return v, fmt.Errorf("stage: proxy %d is not ready; its log:\n%s", i, g.processes[proxy(i)].Log())
+		}
+	}
+	for _, k := range tallies { // all at once: what one kind gets is compared with what the other gets
+		loading.Go(func() { k.Run(load) })
+	}
+
 	use := func(names []string) (mb, cpu float64, err error) {
 		for _, name := range names {
 			resident, used, err := g.processes[name].Usage()
@@ -246,7 +278,7 @@
 	if err != nil {
 		return v, err
 	}
-	owner := slices.Index(instances, s.latest().Works["roster"].Owner)
+	owner := slices.Index(instances, s.Latest().Works["roster"].Owner)
 	if owner < 0 {
 		return v, errors.New("stage: nobody owns the roster's work")
 	}
@@ -259,5 +291,39 @@
 	watchers.mu.Unlock()
 	v.NewOwner, err = watchers.all(dead.Add(30*time.Second), "third", dead)
 	v.LostCalls = calls.Load() - before
-	return v, err
+	if err != nil {
+		return v, err
+	}
+	time.Sleep(time.Until(dead.Add(c.Calm)))
+	endLoad()
+	loading.Wait()
+	for i, k := range tallies {
+		to, n := &v.Direct, k.Take()
+		if i%2 == 1 {
+			to = &v.Mirrored
+		}
+		to.Asked, to.Served, to.Refused, to.Failed = to.Asked+n.Asked, to.Served+n.Served, to.Refused+n.Refused, to.Failed+n.Failed
+	}
+	return v, nil
+}
+
+func proxy(i int) string { return fmt.Sprint("proxy ", i+1) }
+
+// startProxy starts a proxy that asks discovery at an address, and returns where it listens.
+func (g *guild) startProxy(i, of int, discovery string, sites []string) (front string, err error) {
+	free, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", 100+i)) // an address of its own: no connection of others takes the port
+	if err != nil {
+		return "", fmt.Errorf("stage: %w", err)
+	}
+	front = free.Addr().String()
+	free.Close()
+	text, err := standin.ConfigOf(front, discovery, sites, i, of)
+	file := filepath.Join(g.dir, fmt.Sprintf("proxy-%d.json", i))
+	if err == nil {
+		err = os.WriteFile(file, text, 0o600)
+	}
+	if err != nil {
+		return "", fmt.Errorf("stage: %w", err)
+	}
+	return front, g.begin(proxy(i), "serve", "--config", file)
 }
--- a/internal/stage/process.go
+++ b/internal/stage/process.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Process is a process that the stage has started. Signals go to it alone, by its id.
@@ -79,6 +81,15 @@
 func (p *Process) Stop() error   { return p.signal("is told to stop", syscall.SIGTERM) }
 func (p *Process) Hangup() error { return p.signal("is sent SIGHUP", syscall.SIGHUP) }
 
+// Fill has no file of the process grow or be written behind its first page, as on a disk that is full; the process's limits are its own.
+func (p *Process) Fill() error {
+	p.stage.Say(p.name, "finds its disk full")
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: unix.RLIM_INFINITY}, nil); err != nil {
+		return fmt.Errorf("stage: %s: %w", p.name, err)
+	}
+	return nil
+}
+
 func (p *Process) signal(what string, sig syscall.Signal) error {
 	p.stage.Say(p.name, "%s", what)
 	if err := p.cmd.Process.Signal(sig); err != nil {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"pumiceline/internal/config"
+	"pumiceline/internal/ownership"
 	"pumiceline/internal/pool"
 )
 
@@ -157,3 +160,44 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// What a recorder took it still knows after it has started anew: older effects stay refused, and a line that was cut off by its end counts as never
+// acknowledged.
+func TestRecorderStartsAnew(t *testing.T) {
+	file := t.TempDir() + "/effects"
+	send := func(r *Recorder, e ownership.Effect) int {
+		text, err := json.Marshal(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := httptest.NewRecorder()
+		r.ServeHTTP(w, httptest.NewRequest("POST", "/effects", bytes.NewReader(text)))
+		return w.Code
+	}
+	first, err := NewRecorder(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, b := send(first, ownership.Effect{Work: "w", Token: 2, Serial: 1}), send(first, ownership.Effect{Work: "w", Token: 1, Serial: 9}); a != 200 || b != 409 {
+		t.Errorf("%d, then %d", a, b)
+	}
+	first.Close()
+	whole, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, append(whole, `{"work":"w","token":3,"ser`...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again, err := NewRecorder(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if late, next := send(again, ownership.Effect{Work: "w", Token: 1, Serial: 10}), send(again, ownership.Effect{Work: "w", Token: 2, Serial: 2}); late != 409 || next != 200 {
+		t.Errorf("%d, then %d", late, next)
+	}
+	if n := len(again.Taken()); n != 2 {
+		t.Errorf("%d effects count", n)
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -66,10 +66,15 @@
 	Tenants = []string{"steppe-tours", "khan-air"}
 )
 
-// Config writes a whole configuration in the platform's form for a proxy of this world.
+// Config writes a whole configuration in the platform's form for the one proxy of this world.
 func Config(listen, discovery string, sites []string) ([]byte, error) {
+	return ConfigOf(listen, discovery, sites, 0, 1)
+}
+
+// ConfigOf writes that of proxy i, from 0, of so many.
+func ConfigOf(listen, discovery string, sites []string, i, of int) ([]byte, error) {
 	const us = 1e6
-	s := settings.Settings{RegistryMode: "subscribe", GroupSize: 1, Flavors: []string{"std-8"}, OverShareWorth: 0.1, Round: 5000,
+	s := settings.Settings{RegistryMode: "subscribe", GroupSize: of, Ordinal: i, Locality: i % len(sites), Flavors: []string{"std-8"}, OverShareWorth: 0.1, Round: 5000,
 		Weights: "nominal", WorthBy: "work", Zones: sites}
 	for _, c := range Classes {
 		k := settings.Class{Name: c.Name, Semantics: "pure", Group: "all", Window: 5 * us, OnTime: c.Deadline.Seconds() / 2 * us,
