Members whose files name different leases: the longer one counts until it is over

Seen on reading the change again: a new leader counts leases by its own file; with a shorter one it gave work away that the leader before it had promised for longer. Nothing that the tests played had two files. Changed: how long a lease may have been told is part of what is agreed on; longer ones are agreed on before any is told, shorter ones once all longer ones are over. Eight planted faults are found.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"pumiceline/internal/pool"
@@ -39,8 +38,7 @@
 //	GET /v1/endpoints  as discovery does, for proxies; 503 while the copy is not fresh
 //	GET /v1/mirror     for other mirrors: a watch whose lines name discovery's version; 503 at who does not own the work
 type Mirror struct {
-	opts  Options
-	calls atomic.Int64 // to discovery
+	opts Options
 
 	mu      sync.Mutex
 	copy    *Copy
@@ -61,9 +59,6 @@
 	return &Mirror{opts: opts, copy: NewCopy(uint64(now.UnixMicro())), changed: make(chan struct{})}
 }
 
-// Calls is how often discovery was called.
-func (m *Mirror) Calls() int64 { return m.calls.Load() }
-
 // Fresh says whether the copy's source is alive.
 func (m *Mirror) Fresh() bool {
 	m.mu.Lock()
@@ -159,9 +154,6 @@
 	if err != nil {
 		return fmt.Errorf("mirror: %w", err)
 	}
-	if from.token == 0 {
-		m.calls.Add(1)
-	}
 	transport := &http.Transport{DisableKeepAlives: true} // a watch has its connection to itself
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
--- a/internal/ownership/explore_test.go
+++ b/internal/ownership/explore_test.go
@@ -17,6 +17,7 @@
 // every order: an instance that is not heard of for a while is the same as one that is frozen, cut off or slow.
 type world struct {
 	set       Settings
+	shorter   bool // another that leads has half the lease in its file
 	effective bool // effects are followed, and no change of the leader; else the reverse, as both together are too many
 	ticks     Time
 	state     *State
@@ -44,17 +45,20 @@
 	renewsEnding // a lease is renewed though its end stands in the log
 	fromAnswer   // the lease is taken to run from when the answer came
 	goesOn       // what is given back is still acted on
+	shortens     // a shorter lease is agreed on while longer ones that were told run on
+	forgetsLease // a leader with a shorter lease does not mind what the one before it told
 )
 
 // In a tick the arbiter's clock, which is fast, moves on by 4 and an instance's, which is slow, by 2: each is off by a third.
 func (w *world) fast() Time { return 4 * w.ticks }
 func (w *world) slow() Time { return 2 * w.ticks }
 
-func start(b bug, effective, wish bool) *world {
-	w := &world{effective: effective, set: Settings{Works: []string{"w"}, Lease: 8, Drift: 1.0 / 3}, state: NewState(), fence: &Fence{}}
+func start(b bug, effective, wish, shorter bool) *world {
+	w := &world{effective: effective, shorter: shorter, set: Settings{Works: []string{"w"}, Lease: 8, Drift: 1.0 / 3}, state: NewState(), fence: &Fence{}}
 	if b == noGrace {
 		w.set.Drift = 0
 	}
+	w.state.Apply(Command{Kind: Term, Lease: w.set.Lease})
 	w.state.Apply(Command{Kind: Grant, Work: "w", Who: "0", Life: 1})
 	if wish {
 		w.state.Apply(Command{Kind: Want, Work: "w", Who: "1"})
@@ -79,7 +83,7 @@
 func (w *world) clone(parts int) *world {
 	c := *w
 	if parts&ofState != 0 {
-		c.state = &State{Works: maps.Clone(w.state.Works), Lapses: maps.Clone(w.state.Lapses)}
+		c.state = &State{Works: maps.Clone(w.state.Works), Lapses: maps.Clone(w.state.Lapses), Lease: w.state.Lease}
 	}
 	if parts&ofArbiter != 0 {
 		a := *w.arbiter
@@ -116,7 +120,7 @@
 			b = append(b, byte(x))
 		}
 	}
-	ago := func(at, now Time) int { return int(min(now-at, w.set.Lease)) }
+	ago := func(at, now Time) int { return int(min(now-at, 8)) } // the longest lease
 	behind := func(token uint64) int { return int(own.Token - token) }
 	list := func(held []Held) {
 		add(len(held))
@@ -126,12 +130,12 @@
 		}
 	}
 	b = append(b, own.Owner+"/"...)
-	add(len(own.Want), behind(lease.token), ago(lease.from, w.fast()), behind(w.latest), w.changes)
+	add(len(own.Want), behind(lease.token), ago(lease.from, w.fast()), int(max(0, lease.least-w.fast())), int(w.state.Lease), int(w.set.Lease), int(max(0, w.arbiter.runOut-w.fast())), behind(w.latest), w.changes)
 	b = strconv.AppendBool(b, lease.ending)
 	for _, c := range w.log {
 		b = append(b, '/')
 		b = append(append(b, c.Kind...), c.Who...)
-		add(behind(c.Token))
+		add(behind(c.Token), int(c.Lease))
 	}
 	for i, h := range w.holders {
 		b = append(b, '#')
@@ -184,9 +188,18 @@
 			c.log = nil
 		})
 	}
-	if w.changes < 1 && !w.effective {
+	if most := map[bool]int{false: 1, true: 2}[w.shorter]; w.changes < most && !w.effective {
 		do("another leads, what was proposed is lost", 0, func(c *world) {
+			if c.shorter {
+				c.set.Lease = 4
+			}
+			if b == forgetsLease {
+				c.state = &State{Works: c.state.Works, Lapses: c.state.Lapses}
+			}
 			c.log, c.arbiter, c.changes = nil, NewArbiter(c.set, c.state, c.fast()), c.changes+1
+			if b == shortens {
+				c.arbiter.runOut = c.fast()
+			}
 		})
 	}
 	for i, h := range w.holders {
@@ -266,14 +279,14 @@
 }
 
 // explore visits every world within depth steps, the shortest ways first, and returns how many there are and the way to the first harm.
-func explore(b bug, effective, wish bool, depth int) (states int, way []string) {
+func explore(b bug, effective, wish, shorter bool, depth int) (states int, way []string) {
 	type node struct {
 		w    *world
 		from int
 		what string
 		key  uint64
 	}
-	all, seen := []node{{w: start(b, effective, wish), from: -1}}, map[uint64]bool{}
+	all, seen := []node{{w: start(b, effective, wish, shorter), from: -1}}, map[uint64]bool{}
 	for done, level := 0, 0; level < depth && done < len(all); level++ {
 		found := make([][]node, len(all)-done) // by node of this level, so that the order does not hang on who is faster
 		var running sync.WaitGroup
@@ -323,12 +336,15 @@
 		bug       bug
 		effective bool
 		wish      bool
+		shorter   bool
 		depth     int
-	}{{"no fault, changes of the leader", sound, false, false, 17}, {"no fault, effects", sound, true, false, 17},
-		{"no fault, another is wanted", sound, false, true, 17}, {"no fence", noFence, true, false, 17}, {"no grace", noGrace, false, false, 16},
-		{"whole lease", wholeLease, false, false, 16}, {"renews what ends", renewsEnding, false, false, 17},
-		{"from the answer", fromAnswer, false, false, 16}, {"gives back and goes on", goesOn, false, true, 16}} {
-		states, way := explore(c.bug, c.effective, c.wish, c.depth)
+	}{{"no fault, changes of the leader", sound, false, false, false, 17}, {"no fault, effects", sound, true, false, false, 17},
+		{"no fault, another is wanted", sound, false, true, false, 17}, {"no fault, a shorter lease", sound, false, false, true, 18}, {"no fence", noFence, true, false, false, 17},
+		{"no grace", noGrace, false, false, false, 16},
+		{"whole lease", wholeLease, false, false, false, 16}, {"renews what ends", renewsEnding, false, false, false, 17},
+		{"from the answer", fromAnswer, false, false, false, 16}, {"gives back and goes on", goesOn, false, true, false, 16},
+		{"shortens at once", shortens, false, false, true, 18}, {"forgets a longer lease", forgetsLease, false, false, true, 18}} {
+		states, way := explore(c.bug, c.effective, c.wish, c.shorter, c.depth)
 		t.Logf("%s: %d states to depth %d; %s", c.name, states, c.depth, strings.Join(way, "; "))
 		if (c.bug == sound) != (way == nil) {
 			t.Errorf("%s: %v", c.name, way)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -76,6 +76,7 @@
 	Free   = "free"   // the owner with Token has given it back
 	Want   = "want"   // an operator wants Who to have it; empty: no more
 	Spare  = "spare"  // the lapses of Who are forgotten
+	Term   = "term"   // from now on leases may be told that last as long as Lease says
 )
 
 // Command is an entry of the log on which the quorum agrees.
@@ -85,6 +86,7 @@
 	Who   string `json:"who,omitempty"`
 	Life  uint64 `json:"life,omitempty"`
 	Token uint64 `json:"token,omitempty"`
+	Lease Time   `json:"lease,omitempty"`
 	Why   string `json:"why,omitempty"`
 }
 
@@ -92,6 +94,7 @@
 type State struct {
 	Works  map[string]Work `json:"works"`
 	Lapses map[string]int  `json:"lapses,omitempty"` // by name, how often a lease of its ran out
+	Lease  Time            `json:"lease,omitempty"`  // the longest that a holder may have been told by who leads now
 }
 
 // NewState is the state before the first command.
@@ -134,6 +137,9 @@
 	case Spare:
 		delete(s.Lapses, c.Who)
 		return nil
+	case Term:
+		s.Lease = c.Lease
+		return nil
 	default: // of a newer build: to be the same at all members it must change nothing at any that does not know it
 		return fmt.Errorf("ownership: a command of the kind %q is not known", c.Kind)
 	}
@@ -195,6 +201,7 @@
 	damped    map[string]Time      // by name, until when it gets nothing
 	lapses    map[string]int       // as seen last, so that a new lapse is noticed
 	clean     map[string]Time      // by name with lapses, since when it has had none
+	runOut    Time                 // by then every lease that was told before this arbiter is over
 }
 
 type instance struct {
@@ -206,16 +213,17 @@
 	token  uint64
 	steps  uint64
 	from   Time // of the latest progress
+	least  Time // it is not over before this: an earlier arbiter, with another file, may have told its holder so
 	ending bool // that it is over stands in the log, perhaps: it must not be renewed any more
 }
 
 // NewArbiter returns one for a member that begins to lead at now, over a state that holds all that was agreed on before.
 func NewArbiter(set Settings, s *State, now Time) *Arbiter {
 	a := &Arbiter{set: set, instances: map[string]*instance{}, leases: map[string]lease{}, damped: map[string]Time{}, lapses: map[string]int{},
-		clean: map[string]Time{}}
+		clean: map[string]Time{}, runOut: now + max(set.Lease, s.Lease)}
 	for name, w := range s.Works {
 		if w.Owner != "" {
-			a.leases[name] = lease{token: w.Token, from: now}
+			a.leases[name] = lease{token: w.Token, from: now, least: a.runOut}
 		}
 	}
 	for name, n := range s.Lapses { // when they were is not known: the whole of it
@@ -249,7 +257,7 @@
 		}
 		// Progress holds a lease, not that somebody beats: an owner whose work stands still is of no use.
 		if l := a.leases[h.Work]; !l.ending && (l.token != h.Token || h.Steps > l.steps) {
-			a.leases[h.Work] = lease{token: h.Token, steps: h.Steps, from: now}
+			a.leases[h.Work] = lease{token: h.Token, steps: h.Steps, from: now, least: l.least}
 		}
 	}
 	var answer Answer
@@ -264,7 +272,8 @@
 		if w.Owner != b.Name || w.Life != b.Life || slices.ContainsFunc(out, func(c Command) bool { return c.Work == name }) {
 			continue
 		}
-		if l := a.leases[name]; l.token == w.Token && !l.ending && now-l.from < a.set.Lease { // else it is about to be taken away
+		// Else it is about to be taken away, or how long a lease lasts is not agreed on yet, and who leads next would not know.
+		if l := a.leases[name]; l.token == w.Token && !l.ending && now-l.from < a.set.Lease && s.Lease >= a.set.Lease {
 			end := b.Leaving && a.choose(now, name, s, b.Name, nil) != "" || w.Want != "" && w.Want != b.Name && a.fit(now, w.Want, name)
 			answer.Yours = append(answer.Yours, Yours{Work: name, Token: w.Token, Left: a.set.Lease - (now - l.from), End: end})
 		}
@@ -296,6 +305,11 @@
 			delete(a.clean, name)
 		}
 	}
+	// Longer leases are agreed on before any is told, shorter ones once all that may have been told are over: until then each that leads must wait
+	// for the longer ones.
+	if s.Lease < a.set.Lease || s.Lease > a.set.Lease && now >= a.runOut {
+		out = append(out, Command{Kind: Term, Lease: a.set.Lease, Why: "the leader's file says so"})
+	}
 	given := map[string]int{} // in this tick, on top of what the state says
 	for _, name := range a.set.Works {
 		w := s.Works[name]
@@ -303,7 +317,7 @@
 			l := a.leases[name]
 			if l.token != w.Token { // just granted, by a command whose answer has not been seen yet
 				a.leases[name] = lease{token: w.Token, from: now}
-			} else if l.ending || now-l.from >= a.set.Lease {
+			} else if l.ending || now-l.from >= a.set.Lease && now >= l.least {
 				l.ending = true
 				a.leases[name] = l
 				out = append(out, Command{Kind: Expire, Work: name, Token: w.Token, Why: a.cause(now, w)})
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -22,6 +22,7 @@
 
 func newPlay(works ...string) *play {
 	p := &play{set: Settings{Works: works, Lease: 1e6, Drift: 0.2, Damp: 1e6}, state: NewState(), beats: map[string]Beat{}, still: map[string]bool{}}
+	p.state.Apply(Command{Kind: Term, Lease: p.set.Lease})
 	p.arb = NewArbiter(p.set, p.state, 0)
 	return p
 }
