Calls name their fleet: members of two fleets that share an address do not hear one another

Ruled out: load (36 starts beside each other went well). At fault: nothing in a message said which fleet it is of, so that a member took another fleet's for its own (serve.go), and ports that were free a moment ago (guild.go). Changed: fleet.toml has a name, every call between members and instances bears it and is refused elsewhere; each play listens at addresses of its own process; a process that ends by itself says why in the history. Its test fails without the check.

--- a/cmd/pumiceline/owner.go
+++ b/cmd/pumiceline/owner.go
@@ -69,7 +69,7 @@
 	stop, cancel := untilTold()
 	defer cancel()
 	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error with its place, and no crash
-	member, err := quorum.Open(quorum.Options{ID: c.ID, Members: fleet.Members, Dir: c.Dir, Settings: fleet.Settings, Log: log})
+	member, err := quorum.Open(quorum.Options{Fleet: fleet.Name, ID: c.ID, Members: fleet.Members, Dir: c.Dir, Settings: fleet.Settings, Log: log})
 	if err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 	}
 	stop, cancel := untilTold()
 	defer cancel()
-	opts := owner.Options{Name: c.Name, Life: rand.Uint64(), Zone: c.Zone, Build: c.Build, Settings: fleet.Settings, Log: log, Rate: c.ClockRate,
+	opts := owner.Options{Fleet: fleet.Name, Name: c.Name, Life: rand.Uint64(), Zone: c.Zone, Build: c.Build, Settings: fleet.Settings, Log: log, Rate: c.ClockRate,
 		Members: fleet.Members, Works: map[string]owner.Step{}}
 	told := io.Discard
 	if c.History != "" {
@@ -217,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	return quorum.Tell(time.Now().Add(2*time.Second), fleet.Members, "/v1/works/"+url.PathEscape(c.Work)+"/free")
+	return quorum.Tell(time.Now().Add(2*time.Second), fleet.Name, fleet.Members, "/v1/works/"+url.PathEscape(c.Work)+"/free")
 }
 
 type ownerMoveCmd struct {
@@ -232,7 +232,7 @@
 	if err != nil {
 		return err
 	}
-	return quorum.Tell(time.Now().Add(2*time.Second), fleet.Members, "/v1/works/"+url.PathEscape(c.Work)+"/want?who="+url.QueryEscape(c.To))
+	return quorum.Tell(time.Now().Add(2*time.Second), fleet.Name, fleet.Members, "/v1/works/"+url.PathEscape(c.Work)+"/want?who="+url.QueryEscape(c.To))
 }
 
 type ownerReceiveCmd struct {
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -16,6 +16,7 @@
 
 // Fleet is deploy/fleet.toml: who agrees on the fleet's work, and what work there is.
 type Fleet struct {
+	Name      string // told with every call: who is of another fleet is not heard
 	Settings  ownership.Settings
 	Members   map[uint64]string // addresses by number
 	Receivers map[string]string // by work, where its effects go
@@ -24,6 +25,7 @@
 }
 
 type fleetFile struct {
+	Name    string            `toml:"name"`
 	Lease   span.Span         `toml:"lease"`
 	Drift   float64           `toml:"drift"`
 	Damp    span.Span         `toml:"damp"`
@@ -55,6 +57,9 @@
 	}
 	out := &Fleet{Settings: ownership.Settings{Lease: ownership.Time(f.Lease), Drift: f.Drift, Damp: ownership.Time(f.Damp)}, Members: map[uint64]string{},
 		Receivers: map[string]string{}}
+	if out.Name = f.Name; f.Name == "" || len(f.Name) > 64 {
+		return nil, fault("name", "a fleet needs a name of 64 bytes at most")
+	}
 	if n := len(f.Members); n != 1 && n != 3 && n != 5 && n != 7 {
 		return nil, fault("members", fmt.Sprintf("there are %d, and an even number or more than 7 bears no more failures than one less", n))
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -31,6 +31,7 @@
 
 // Options are what an agent needs to know.
 type Options struct {
+	Fleet    string
 	Name     string
 	Life     uint64 // never used by another process of this name
 	Addr     string // where others reach this instance; empty: they need not
@@ -209,6 +210,7 @@
 		return answer, 0, fmt.Errorf("owner: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Fleet", a.opts.Fleet)
 	resp, err := a.client.Do(req)
 	if err != nil {
 		return answer, 0, fmt.Errorf("owner: %w", err)
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -69,8 +69,8 @@
 	return best
 }
 
-// Tell asks the leader to do something: POST to a path of its. It is over by a moment.
-func Tell(by time.Time, members map[uint64]string, path string) error {
+// Tell asks the leader of a fleet to do something: POST to a path of its. It is over by a moment.
+func Tell(by time.Time, fleet string, members map[uint64]string, path string) error {
 	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
 	s := Ask(by, members)
@@ -79,6 +79,7 @@
 		if err != nil {
 			return fmt.Errorf("quorum: %w", err)
 		}
+		req.Header.Set("X-Fleet", fleet)
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			return fmt.Errorf("quorum: %w", err)
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -11,7 +11,8 @@
 //	POST /v1/hello                  Hello as JSON, from a member that starts; 409 where its disk is older than what it once said
 //	POST /v1/raft                   one raftpb.Message; X-Start names the sender's start, and 409 says that a later one of its number is known
 //
-// A member that does not lead answers 503 with the leader's number in X-Leader, if it knows one.
+// Every POST names its fleet in X-Fleet, and who is of another is answered 403: at an address that was another fleet's a moment ago two fleets
+// would agree with each other. A member that does not lead answers 503 with the leader's number in X-Leader, if it knows one.
 package quorum
 
 import (
@@ -40,6 +41,7 @@
 
 // Options are what a member needs to know.
 type Options struct {
+	Fleet    string            // the fleet's name
 	ID       uint64            // its place among Members, from 1
 	Members  map[uint64]string // addresses, its own included
 	Dir      string            // for its file
@@ -470,6 +472,7 @@
 	if err != nil {
 		return 0, "", err
 	}
+	req.Header.Set("X-Fleet", m.opts.Fleet)
 	req.Header.Set("X-Start", fmt.Sprintf("%d %d", m.store.boot, m.nonce))
 	resp, err := m.client.Do(req)
 	if err != nil {
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -53,7 +53,7 @@
 
 func (f *few) startOn(id uint64, dir, listen string) (context.CancelFunc, chan error) {
 	f.t.Helper()
-	m, err := Open(Options{ID: id, Members: f.addrs, Dir: dir, CompactFrom: f.compact, Log: slog.New(slog.DiscardHandler),
+	m, err := Open(Options{Fleet: "f", ID: id, Members: f.addrs, Dir: dir, CompactFrom: f.compact, Log: slog.New(slog.DiscardHandler),
 		Settings: ownership.Settings{Works: []string{"w"}, Lease: 1e6, Drift: 0.2}})
 	if err != nil {
 		f.t.Fatal(err)
@@ -87,6 +87,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	req.Header.Set("X-Fleet", "f")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return false
@@ -274,3 +275,32 @@
 	f.wish("and-on")
 	f.agree("and-on")
 }
+
+// Members of two fleets that come to one another's addresses do not hear one another: neither agrees to what the other says, nor ends for it.
+func TestAnotherFleet(t *testing.T) {
+	f := newFew(t, 0)
+	for id := range uint64(3) {
+		f.start(id + 1)
+	}
+	f.own()
+	f.wish("ours")
+	stranger, err := Open(Options{Fleet: "g", ID: 3, Members: map[uint64]string{1: f.addrs[1], 2: f.addrs[2], 3: "127.0.6.8:1"}, Dir: t.TempDir(),
+		Log: slog.New(slog.DiscardHandler), Settings: ownership.Settings{Works: []string{"w"}, Lease: 1e6}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.6.8:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- stranger.Run(ctx, ln) }()
+	time.Sleep(300 * time.Millisecond) // it says who it is, again and again
+	stop()
+	if err := <-ended; err != nil {
+		t.Errorf("the stranger: %v", err)
+	}
+	f.wish("still-ours")
+	f.agree("still-ours")
+}
--- a/internal/quorum/serve.go
+++ b/internal/quorum/serve.go
@@ -36,7 +36,14 @@
 			return ownership.Command{Kind: ownership.Free, Work: work, Token: now.Token, Why: "taken away by an operator"}, nil
 		})
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if of := r.Header.Get("X-Fleet"); r.Method == http.MethodPost && of != m.opts.Fleet {
+			m.opts.Log.Warn("a call of another fleet is refused", "fleet", of, "path", r.URL.Path)
+			http.Error(w, fmt.Sprintf("this is a member of the fleet %q, not %q", m.opts.Fleet, of), http.StatusForbidden)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // do has f called by the loop and waits for that; false: the loop has not begun or is over.
--- a/internal/stage/guild/guild.go
+++ b/internal/stage/guild/guild.go
@@ -62,7 +62,7 @@
 	g.receiver, g.server = ln.Addr().String(), &http.Server{Handler: g.recorder, ReadHeaderTimeout: 10 * time.Second}
 	go g.server.Serve(ln) // its end is close's
 	for i := range members {
-		free, err := net.Listen("tcp", fmt.Sprintf("127.0.2.%d:0", i+1)) // an address of its own: no connection of others takes the port
+		free, err := net.Listen("tcp", own(2, i))
 		if err != nil {
 			return g, fmt.Errorf("stage: %w", err)
 		}
@@ -84,6 +84,12 @@
 	os.RemoveAll(g.dir)
 }
 
+// own is where a party of this process's play listens: an address that no connection of others and no other play takes a port of, until the
+// party does. part tells kinds of parties apart.
+func own(part, i int) string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 16+os.Getpid()%200, 4*(os.Getpid()/200%50)+part+i/250, i%250+1)
+}
+
 func member(i int) string   { return fmt.Sprint("member ", i+1) }
 func instance(i int) string { return fmt.Sprint("instance ", i+1) }
 
@@ -109,6 +115,7 @@
 // file writes the fleet's file as a party has it: with its own ways to the others. self is the member's number, 0 for none.
 func (g *guild) file(party string, self int) error {
 	var text strings.Builder
+	fmt.Fprintf(&text, "name = %q\n", filepath.Base(g.dir))
 	fmt.Fprintf(&text, "lease = %q\ndamp = %q\n[members]\n", g.lease, g.lease)
 	addr := func(to string, direct string) (string, error) {
 		if party == "operator" {
--- a/internal/stage/guild/roster.go
+++ b/internal/stage/guild/roster.go
@@ -170,6 +170,7 @@
 	defer server.Close()
 
 	var text strings.Builder
+	fmt.Fprintf(&text, "name = %q\n", filepath.Base(g.dir))
 	fmt.Fprintf(&text, "lease = %q\ndamp = %q\n[members]\n", c.Lease, c.Lease)
 	for i, addr := range g.real {
 		fmt.Fprintf(&text, "%d = %q\n", i+1, addr)
@@ -191,7 +192,7 @@
 	}
 	watchers := &copies{}
 	for i := range c.Instances {
-		free, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 3+i/250, i%250+1))
+		free, err := net.Listen("tcp", own(0, i))
 		if err != nil {
 			return v, fmt.Errorf("stage: %w", err)
 		}
@@ -311,7 +312,7 @@
 
 // startProxy starts a proxy that asks discovery at an address, and returns where it listens.
 func (g *guild) startProxy(i, of int, discovery string, sites []string) (front string, err error) {
-	free, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", 100+i)) // an address of its own: no connection of others takes the port
+	free, err := net.Listen("tcp", own(3, i))
 	if err != nil {
 		return "", fmt.Errorf("stage: %w", err)
 	}
--- a/internal/stage/process.go
+++ b/internal/stage/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -55,7 +56,12 @@
 	s.Say(name, "starts, process %d", cmd.Process.Pid)
 	go func() {
 		p.err = cmd.Wait()
-		s.Say(name, "has ended: %v", cmd.ProcessState)
+		why := ""
+		if cmd.ProcessState.ExitCode() > 0 { // by itself, and not in order: what it said last tells why
+			lines := strings.Split(strings.TrimSpace(p.Log()), "\n")
+			why = ": " + lines[len(lines)-1]
+		}
+		s.Say(name, "has ended: %v%s", cmd.ProcessState, why)
 		close(p.ended)
 	}()
 	if !s.owe(p.Kill) {
