--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -80,19 +80,18 @@
 	}
 }
 
-// The lent socket goes on listening when a process that took it up closes its listener.
-func TestLentSocket(t *testing.T) {
+// lending is a listening socket and a way to lend it to one process after another.
+func lending(t *testing.T) (file *os.File, lend func() net.Listener) {
 	own, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer own.Close()
-	file, err := own.(*net.TCPListener).File()
-	if err != nil {
+	defer own.Close() // the file has a descriptor of its own
+	if file, err = own.(*net.TCPListener).File(); err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
-	lend := func() net.Listener {
+	t.Cleanup(func() { file.Close() })
+	return file, func() net.Listener {
 		fd, err := syscall.Dup(int(file.Fd()))
 		if err != nil {
 			t.Fatal(err)
@@ -103,9 +102,14 @@
 		}
 		return ln
 	}
+}
+
+// The lent socket goes on listening when a process that took it up closes its listener.
+func TestLentSocket(t *testing.T) {
+	_, lend := lending(t)
 	first, second := lend(), lend()
 	first.Close()
-	c, err := net.DialTimeout("tcp", own.Addr().String(), 5*time.Second)
+	c, err := net.DialTimeout("tcp", second.Addr().String(), 5*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,24 +136,8 @@
 // A lent socket that somebody has made block, as Go does where it hands one to a further process, must not hold up a listener that is closed
 // while it sleeps in accept, nor lose a connection.
 func TestLentSocketThatBlocks(t *testing.T) {
-	lent, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	file, err := lent.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	lent.Close()
-	fd, err := syscall.Dup(int(file.Fd()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln, err := Listen(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
+	file, lend := lending(t)
+	ln := lend()
 	accepted, ended := make(chan net.Conn, 1), make(chan error, 1)
 	go func() {
 		c, err := ln.Accept()
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -51,6 +51,12 @@
 // start starts a member on its disk.
 func (f *few) start(id uint64) { f.stop[id], f.ended[id] = f.startOn(id, f.dirs[id], f.addrs[id]) }
 
+func (f *few) startAll() {
+	for id := range uint64(3) {
+		f.start(id + 1)
+	}
+}
+
 func (f *few) startOn(id uint64, dir, listen string) (context.CancelFunc, chan error) {
 	f.t.Helper()
 	m, err := Open(Options{Fleet: "f", ID: id, Members: f.addrs, Dir: dir, CompactFrom: f.compact, Log: slog.New(slog.DiscardHandler),
@@ -173,9 +179,7 @@
 // started anew, and after a member has come from a snapshot alone.
 func TestSnapshots(t *testing.T) {
 	f := newFew(t, 40)
-	for id := range uint64(3) {
-		f.start(id + 1)
-	}
+	f.startAll()
 	f.own()
 	if err := f.end(3); err != nil {
 		t.Error(err)
@@ -207,9 +211,7 @@
 		}
 		db.Close()
 	}
-	for id := range uint64(3) {
-		f.start(id + 1)
-	}
+	f.startAll()
 	if again := f.agree("last"); again.Token < work.Token {
 		t.Errorf("%+v after all have started anew, before %+v", again, work)
 	}
@@ -222,9 +224,7 @@
 // others go on.
 func TestDisks(t *testing.T) {
 	f := newFew(t, 0)
-	for id := range uint64(3) {
-		f.start(id + 1)
-	}
+	f.startAll()
 	f.own()
 	f.wish("before")
 	f.agree("before")
@@ -279,9 +279,7 @@
 // Members of two fleets that come to one another's addresses do not hear one another: neither agrees to what the other says, nor ends for it.
 func TestAnotherFleet(t *testing.T) {
 	f := newFew(t, 0)
-	for id := range uint64(3) {
-		f.start(id + 1)
-	}
+	f.startAll()
 	f.own()
 	f.wish("ours")
 	stranger, err := Open(Options{Fleet: "g", ID: 3, Members: map[uint64]string{1: f.addrs[1], 2: f.addrs[2], 3: "127.0.6.8:1"}, Dir: t.TempDir(),
