Watch: indented lists, unusable messages and silence no longer leave a drain unseen

A line was taken for a message. A list that comes indented is many lines, each of them unusable, so nothing of it was heard (Watcher.watch, the Scanner's loop). Messages are now told apart by their brackets; an empty line between two still says that the watch lives, and at the start that nothing changed. 2. A message that could not be used was logged and skipped, and the next moved seq on: what it told was missed for good. The watch now ends and the next one asks for the whole list. A host that is known and told with a field that can't be read gets no new work until it can be. 3. From the last byte of a watch that fell silent to the next call: 3 s of notice, then up to 5 s of the module's own wait in a group of 200 and more, where 6 s are all that there is; after a SIGHUP whose first call is turned away the same against 4 s. ListSilent tells the module, which then asks within 2 s; notice 2.6 s, dial 1.5 s. 4. Seen on the way: resp.Body.Close read on to the end of a watch that was to be given up, for up to 3 s.

Ruled out: a line byte by byte or half a line was bounded before by the same clock (tests added); Move, Ask and an ending watch are serialised by Run, and a message read after a cancel is dropped before it is applied.

TestWatch expected that garbage is skipped; TestAnUnusableMessageEndsTheWatch takes its place and is stricter. Without the bound in the module TestASilentWatchIsOpenedAnewInTime fails with 5.3 s and TestAMovedWatchAsksAgainSoon with 3.7 s.

--- a/decide/api.go
+++ b/decide/api.go
@@ -232,6 +232,7 @@
 	ListCached                      // Members: the complete list as once held, maybe outdated
 	ListDelta                       // Members: changed entries only
 	ListFailed                      // a call to discovery failed or the subscription broke
+	ListSilent                      // as ListFailed, and what was missed counts as told soon
 )
 
 // Event is something that happened. Report and Members need to stay valid only during the call of Handle.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -152,7 +152,7 @@
 		if s := b.servers[ev.Server]; s != nil {
 			b.report(s, ev.Report)
 		}
-	case ListFull, ListCached, ListDelta, ListFailed:
+	case ListFull, ListCached, ListDelta, ListFailed, ListSilent:
 		b.listed(ev)
 	}
 	out, b.out = b.out, nil
--- a/decide/health.go
+++ b/decide/health.go
@@ -12,6 +12,7 @@
 	asked      bool // a call is out
 	askAt      Time // when to call next; timers that fire before are left over from earlier plans
 	subscribed bool
+	silent     bool // what has been missed counts as told soon
 	failures   int
 }
 
@@ -22,10 +23,15 @@
 	if b.set.AskDiscovery { // after a failed call the rule allows four times as long, which leaves room
 		within := float64(b.set.Rules.AskWithin) / 8 * max(1, min(2, float64(b.set.GroupSize)/100))
 		within = min(within*math.Exp2(float64(max(1, b.disc.failures))), 2*float64(b.set.Rules.AskWithin))
+		if b.disc.silent {
+			within = min(within, silentWithin)
+		}
 		b.askAfter(Time(b.rng.Float64() * within))
 	}
 }
 
+const silentWithin = 2_000_000.0
+
 func (b *Balancer) askAfter(wait Time) {
 	b.disc.askAt = b.now + max(1, wait)
 	b.timer(tagAsk, wait)
@@ -42,11 +48,11 @@
 
 // listed takes news of the list.
 func (b *Balancer) listed(ev *Event) {
-	if ev.Kind == ListFailed {
+	if ev.Kind == ListFailed || ev.Kind == ListSilent {
 		if !b.disc.asked && !b.disc.subscribed {
 			return // news of an earlier call: the present plan stands, or failures could put it off for ever
 		}
-		b.disc.subscribed, b.disc.asked = false, false
+		b.disc.subscribed, b.disc.asked, b.disc.silent = false, false, ev.Kind == ListSilent
 		b.disc.failures++
 		b.askSoon()
 		return
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -53,15 +53,28 @@
 	return &Table{zones: zones, kinds: kinds, ids: map[string]uint32{}, taken: map[uint32]string{}}
 }
 
-// Read reads an update. The errors are those of single hosts, which are left out.
-func (t *Table) Read(text []byte) (u Update, hosts []Host, bad []error, err error) {
+// BadHost is a host of an update that can't be used, with its name as far as that can be read.
+type BadHost struct {
+	Name string
+	Err  error
+}
+
+func (b *BadHost) Error() string { return b.Err.Error() }
+
+// Unwrap returns what is wrong with it.
+func (b *BadHost) Unwrap() error { return b.Err }
+
+// Read reads an update. Of single hosts that can't be used, bad tells.
+func (t *Table) Read(text []byte) (u Update, hosts []Host, bad []*BadHost, err error) {
 	if err = json.Unmarshal(text, &u); err != nil {
 		return u, nil, nil, fmt.Errorf("pool config: %w", err)
 	}
 	for i, raw := range u.Hosts {
 		h, err := t.host(raw)
 		if err != nil {
-			bad = append(bad, fmt.Errorf("pool config: host %d: %w", i, err))
+			var named struct{ Host string }
+			_ = json.Unmarshal(raw, &named) // where the name is what can't be read, it names no host that is known
+			bad = append(bad, &BadHost{named.Host, fmt.Errorf("pool config: host %d: %w", i, err)})
 			continue
 		}
 		hosts = append(hosts, h)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -95,7 +97,7 @@
 
 func (h *heard) List(kind decide.EventKind, members []decide.Member) {
 	names := map[decide.EventKind]string{decide.ListFull: "full", decide.ListCached: "cached",
-		decide.ListDelta: "delta", decide.ListFailed: "failed"}
+		decide.ListDelta: "delta", decide.ListFailed: "failed", decide.ListSilent: "silent"}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.lines = append(h.lines, fmt.Sprintf("%s %d", names[kind], len(members)))
@@ -120,6 +122,11 @@
 
 // watching starts a watcher whose calls go to serve, which gets the call's target.
 func watching(t *testing.T, h *heard, known string, serve func(target string, c net.Conn)) *Watcher {
+	return watchingFor(t, h, func(*Watcher) Module { return h }, known, serve)
+}
+
+// watchingFor is watching with another module than what keeps what it is told.
+func watchingFor(t *testing.T, h *heard, module func(*Watcher) Module, known string, serve func(target string, c net.Conn)) *Watcher {
 	w := NewWatcher("127.0.0.1:1", table(), h, slog.New(slog.DiscardHandler))
 	w.dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
 		if serve == nil {
@@ -138,7 +145,7 @@
 		}()
 		return here, nil
 	}
-	w.Start(h, []byte(known))
+	w.Start(module(w), []byte(known))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -177,8 +184,6 @@
 		h.expect(t, "delta 0") // the call is answered, though nothing changed
 		lines <- update(42, false, host("s-1", "DRAINING"))
 		h.expect(t, here+"false", "delta 1")
-		lines <- "garbage"
-		h.expect(t)
 		lines <- update(43, true, host("s-3", "SERVING"))
 		h.expect(t, here+"true", `"" false`, `"" false`, "full 1") // s-1 and s-2 are dropped
 		lines <- update(44, false, host("s-3", "DELETED"), host("s-4", "SERVING"))
@@ -191,7 +196,7 @@
 		time.Sleep(silence - time.Second)
 		h.expect(t)
 		time.Sleep(2 * time.Second) // silent past its heartbeats
-		h.expect(t, "failed 0")
+		h.expect(t, "silent 0")
 		close(lines)
 	})
 }
@@ -225,17 +230,34 @@
 	})
 }
 
+// What it is that failed is told: after a silence what was missed counts as told soon, and the module must not take its time.
 func TestFailedCalls(t *testing.T) {
-	for name, serve := range map[string]func(string, net.Conn){
-		"refused": nil,
-		"reset":   func(string, net.Conn) {},
-		"busy":    func(_ string, c net.Conn) { io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") },
-		"silent":  func(_ string, c net.Conn) { io.Copy(io.Discard, c) },
-		"ended":   func(_ string, c net.Conn) { io.WriteString(c, begin+"0\r\n\r\n") },
+	for name, c := range map[string]struct {
+		serve func(string, net.Conn)
+		want  string
+	}{
+		"refused": {nil, "failed 0"},
+		"reset":   {func(string, net.Conn) {}, "failed 0"},
+		"busy":    {func(_ string, c net.Conn) { io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") }, "failed 0"},
+		"silent":  {func(_ string, c net.Conn) { io.Copy(io.Discard, c) }, "silent 0"},
+		"ended":   {func(_ string, c net.Conn) { io.WriteString(c, begin+"0\r\n\r\n") }, "failed 0"},
+		"half a line": {func(_ string, c net.Conn) {
+			fmt.Fprintf(c, begin+"9\r\n%s\r\n", `{"seq":42`)
+			io.Copy(io.Discard, c)
+		}, "silent 0"},
+		"byte by byte": {func(_ string, c net.Conn) {
+			io.WriteString(c, begin)
+			for _, b := range []byte(update(42, true, host("s-1", "DRAINING"))) {
+				if _, err := fmt.Fprintf(c, "1\r\n%c\r\n", b); err != nil {
+					return
+				}
+				time.Sleep(silence / 4)
+			}
+		}, "silent 0"},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			var h heard
-			w := watching(t, &h, "", serve)
+			w := watching(t, &h, "", c.serve)
 			h.expect(t, "cached 0")
 			if w.Held() {
 				t.Errorf("%s: an empty list counts as held", name)
@@ -243,7 +265,85 @@
 			w.Ask()
 			time.Sleep(2 * silence)
 			t.Log(name)
-			h.expect(t, "failed 0")
+			h.expect(t, c.want)
+		})
+	}
+}
+
+// Lists may come indented, over many lines, in pieces of any size, with empty lines between messages and within them.
+func TestIndentedMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h heard
+		indented := func(text string) string {
+			var out bytes.Buffer
+			if err := json.Indent(&out, []byte(text), "", "  "); err != nil {
+				t.Fatal(err)
+			}
+			return strings.Replace(out.String(), "[", "[\n\n", 1)
+		}
+		odd := strings.Replace(host("s-9", "SERVING"), `"class":"m2"`, `"class":"}\"{\\"`, 1) // brackets that are text
+		w := watching(t, &h, "", func(_ string, c net.Conn) {
+			io.WriteString(c, begin)
+			all := indented(update(1, true, host("s-1", "SERVING"), odd)) + "\n\n" + update(2, false, host("s-9", "DELETED")) + "\n\n\n" +
+				indented(update(3, false, host("s-1", "DRAINING"))) + "\n"
+			for len(all) > 0 {
+				n := min(len(all), 1+len(all)%7)
+				fmt.Fprintf(c, "%x\r\n%s\r\n", n, all[:n])
+				all = all[n:]
+			}
+			io.Copy(io.Discard, c)
+		})
+		w.Ask()
+		const here = `"127.1.0.1:7070" `
+		h.expect(t, "cached 0", here+"true", here+"true", "full 2", `"" false`, "delta 1", here+"false", "delta 1")
+	})
+}
+
+// A message that can't be used may have told of a drain, and the next one goes on from it: the watch ends, the list stays, and
+// the next call asks for all of it.
+func TestAnUnusableMessageEndsTheWatch(t *testing.T) {
+	for _, bad := range []string{"garbage", `{"seq":"x"}`, "[]", `{"seq":42,"whole":false,"hosts":7}`, "}", `"text"`} {
+		synctest.Test(t, func(t *testing.T) {
+			var h heard
+			targets := make(chan string, 2)
+			w := watching(t, &h, update(41, true, host("s-1", "SERVING")), func(target string, c net.Conn) {
+				targets <- target
+				io.WriteString(c, begin)
+				line(c, "")
+				line(c, bad)
+				line(c, update(43, false, host("s-2", "SERVING")))
+				io.Copy(io.Discard, c)
+			})
+			w.Ask()
+			h.expect(t, `"127.1.0.1:7070" true`, "cached 1", "delta 0", "failed 0")
+			w.Ask()
+			synctest.Wait()
+			if first, second := <-targets, <-targets; first != "/v1/endpoints?stream=1&index=41" || second != "/v1/endpoints?stream=1&index=0" {
+				t.Errorf("%s: asked for %s, then %s", bad, first, second)
+			}
+		})
+	}
+}
+
+// A host that is known and is told with a field that can't be read may be told as draining: it gets no new work until it can be
+// read. One that is not known is left out.
+func TestAKnownHostThatCantBeReadGetsNoNewWork(t *testing.T) {
+	for _, bad := range []string{
+		strings.Replace(host("s-1", "DRAINING"), `"site":"a"`, `"site":"elsewhere"`, 1),
+		strings.Replace(host("s-1", "DRAINING"), `"block":3`, `"block":"three"`, 1),
+		host("s-1", "LEAVING"),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var h heard
+			w := watching(t, &h, update(41, true, host("s-1", "SERVING"), host("s-2", "SERVING")), func(_ string, c net.Conn) {
+				io.WriteString(c, begin)
+				line(c, update(42, false, bad, strings.ReplaceAll(bad, "s-1", "s-3")))
+				line(c, update(43, false, host("s-1", "SERVING")))
+				io.Copy(io.Discard, c)
+			})
+			w.Ask()
+			const here = `"127.1.0.1:7070" `
+			h.expect(t, here+"true", here+"true", "cached 2", here+"false", "delta 1", here+"true", "delta 1")
 		})
 	}
 }
--- /dev/null
+++ b/internal/pool/silence_test.go
@@ -0,0 +1,98 @@
+package pool
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumiceline/decide"
+	"pumiceline/internal/planner"
+)
+
+// asking is a module that decides when discovery is asked, as one of a group, and that runs until the test's end.
+func asking(t *testing.T, w *Watcher, group int, seed uint64) Module {
+	set := decide.Settings{Classes: []decide.Class{{Deadline: 1e6, Aim: 1e6, Worth: 1}}, AskDiscovery: true, GroupSize: group}
+	set.Rules.AskWithin = 10e6
+	module, err := decide.New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := planner.New(module, planner.Hooks{Subscribe: w.Ask, CloseUnused: func(uint32) {}}, slog.New(slog.DiscardHandler))
+	go p.Run(t.Context())
+	return p
+}
+
+const silenceSeeds = 30
+
+// What a watch misses that fell silent counts as told 6 s after its last byte. By then the watcher and the module, which decides
+// when to ask, must have the next one, with a second to spare for its way: whatever the group's size, and also if the last line came
+// only by half.
+func TestASilentWatchIsOpenedAnewInTime(t *testing.T) {
+	for _, group := range []int{1, 100, 300} {
+		for seed := range uint64(silenceSeeds) {
+			synctest.Test(t, func(t *testing.T) {
+				var last, again time.Time
+				calls := 0
+				watchingFor(t, &heard{}, func(w *Watcher) Module { return asking(t, w, group, seed) }, "", func(_ string, c net.Conn) {
+					if calls++; calls == 2 {
+						again = time.Now()
+					}
+					if calls > 1 {
+						return
+					}
+					io.WriteString(c, begin)
+					line(c, update(1, true, host("s-1", "SERVING")))
+					last = time.Now()
+					if seed%2 == 1 {
+						io.WriteString(c, "9\r\n{\"seq\":2,\r\n")
+					}
+					io.Copy(io.Discard, c)
+				})
+				time.Sleep(30 * time.Second)
+				if took := again.Sub(last); calls < 2 || took > 5*time.Second {
+					t.Errorf("group of %d, seed %d: asked again %v after the last byte, %d calls", group, seed, took, calls)
+				}
+			})
+		}
+	}
+}
+
+// After a SIGHUP the new discovery's word counts 4 s later, also where its first call is turned away because others wait there.
+func TestAMovedWatchAsksAgainSoon(t *testing.T) {
+	for seed := range uint64(silenceSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			var moved, again time.Time
+			calls := 0
+			w := watchingFor(t, &heard{}, func(w *Watcher) Module { return asking(t, w, 300, seed) }, "", func(target string, c net.Conn) {
+				if !strings.HasPrefix(target, "127.0.0.2") {
+					io.WriteString(c, begin)
+					line(c, "")
+					io.Copy(io.Discard, c)
+					return
+				}
+				if calls++; calls == 1 {
+					time.Sleep(time.Second) // it waited in turn, and for too long
+					io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+					return
+				}
+				if calls == 2 {
+					again = time.Now()
+				}
+				io.WriteString(c, begin)
+				line(c, update(7, true, host("s-2", "SERVING")))
+				io.Copy(io.Discard, c)
+			})
+			time.Sleep(10 * time.Second)
+			moved = time.Now()
+			w.Move("127.0.0.2:1", w.table.zones, w.table.kinds)
+			time.Sleep(20 * time.Second)
+			if took := again.Sub(moved); calls < 2 || took > 3*time.Second+100*time.Millisecond {
+				t.Errorf("seed %d: asked again %v after the move, %d calls", seed, took, calls)
+			}
+		})
+	}
+}
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -2,13 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -21,12 +20,13 @@
 	"pumiceline/internal/suspension"
 )
 
-// silence is how long discovery may say nothing: a watch brings a line every 2 s at least. A machine that was
-// cut off leaves its connections open, so a longer silence is the only sign of it.
-const silence = 3 * time.Second
+// silence is how long discovery may say nothing whole: a watch brings a message or an empty line every 2 s at least. A machine
+// that was cut off leaves its connections open, so a longer silence is the only sign of it. What a silent watch misses counts as
+// told 6 s after its last byte: this, the module's wait and a further call have to fit in there, hence no longer.
+const silence = 2600 * time.Millisecond
 
-// mostLine is the longest line of a watch that is read.
-const mostLine = 8 << 20
+// dialWithin leaves of that time what one lost SYN takes to be sent again.
+const dialWithin = 1500 * time.Millisecond
 
 // Module is told what the list says.
 type Module interface {
@@ -164,8 +164,14 @@
 		go func(done chan struct{}) {
 			defer close(done)
 			err := w.watch(watch)
-			if watch.Err() == nil {
-				w.log.Warn("the watch of the pool config ended", "error", err)
+			if watch.Err() != nil {
+				return
+			}
+			w.log.Warn("the watch of the pool config ended", "error", err)
+			// Nobody knows what a watch missed that fell silent, and what a new discovery has to tell counts soon too.
+			if to != nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				w.module.List(decide.ListSilent, nil)
+			} else {
 				w.module.List(decide.ListFailed, nil)
 			}
 		}(done)
@@ -174,7 +180,7 @@
 
 // watch calls discovery and takes in what it says. It returns why the watch ended, which it always does.
 func (w *Watcher) watch(ctx context.Context) error {
-	nc, err := w.dial(ctx, w.addr, time.Now().Add(silence))
+	nc, err := w.dial(ctx, w.addr, time.Now().Add(dialWithin))
 	if err != nil {
 		return fmt.Errorf("connecting to discovery: %w", err)
 	}
@@ -196,36 +202,35 @@
 	if err != nil {
 		return fmt.Errorf("discovery's answer: %w", err)
 	}
-	defer resp.Body.Close()
+	// The body is never closed: Close would read on to its end, which is to come only when discovery goes.
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, mostLine)
+	messages := newMessages(resp.Body)
 	for first := true; ; first = false {
+		// Until a whole message or an empty line: one that comes byte by byte, or half of one, is no news.
 		if err := nc.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			return fmt.Errorf("watching: %w", err)
 		}
-		if !lines.Scan() {
-			if err := lines.Err(); err != nil {
-				return fmt.Errorf("watching: %w", err)
-			}
-			return fmt.Errorf("watching: %w", io.EOF)
+		text, err := messages.next()
+		if err != nil {
+			return fmt.Errorf("watching: %w", err)
 		}
 		if ctx.Err() != nil {
 			return errors.New("watching: given up")
 		}
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
+		if len(text) == 0 {
 			if first { // nothing has changed: the module still waits for an answer to its call
 				w.module.List(decide.ListDelta, nil)
 				w.heard.Store(true)
 			}
 			continue
 		}
-		if err := w.apply(line, false); err != nil {
-			w.log.Error("a line of the watch is not usable", "error", err)
-			continue
+		if err := w.apply(text, false); err != nil {
+			// What it told, a drain perhaps, would be missed for good, as the next message goes on from it: the watch ends, and
+			// the next one brings the whole list.
+			w.seq = 0
+			return fmt.Errorf("a message of the watch is not usable: %w", err)
 		}
 		w.heard.Store(true)
 	}
@@ -239,8 +244,16 @@
 	if err != nil {
 		return err
 	}
-	for _, err := range bad {
-		w.log.Warn("host left out", "error", err)
+	for _, b := range bad {
+		id, known := w.table.ids[b.Name]
+		was, listed := w.listed[id]
+		w.log.Warn("host not usable", "error", b, "known", known && listed)
+		if !known || !listed {
+			continue // left out: nothing is sent there
+		}
+		// What it is told to be now can't be read. It may be told as draining, so it gets nothing new until it can.
+		was.Host.Member.Mode = decide.ModeDraining
+		hosts = append(hosts, was.Host)
 	}
 	members := make([]decide.Member, len(hosts))
 	now := make(map[uint32]bool, len(hosts))
