Admission: windows under one attempt, and a start that small servers bear in a large group

There are 400 proxies before 90 servers of one core with a few places each; windowLeast = 3 (health.go) let each proxy have 3 attempts out, 13 a server; admit() left each 10 more at the start whatever the group's size; and a window of 3 grew so fast that it bore 42% of answers with a queue.

Change: internal/admission, pure: a window may be a tenth of an attempt, with pauses between attempts; steps are at most a part of it; what a proxy may have out beyond use at the start is 4 a server shared by the group, 10 at most as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,6 +43,7 @@
 	inflight int       // attempts out
 	window   float64   // the most that may be
 	signs    float64   // share of recent answers that spoke of a queue
+	lastEnd  Time      // of an attempt
 	warmTill Time      // until then the window is not narrowed to what is in use
 	remote   float64   // the part of their weight that servers of other zones keep
 	kinds    []kindMean
@@ -218,7 +219,7 @@
 		}
 	}
 	b.open[r.id] = r
-	if len(b.held) > 0 || float64(b.inflight) >= b.window {
+	if len(b.held) > 0 || !b.room() {
 		b.hold(r)
 		b.releaseHeld()
 		return
@@ -387,7 +388,7 @@
 // releaseHeld sends held requests as far as the window allows: the most valuable for its work first, and of
 // equals the newest, which is the likeliest to be answered in time.
 func (b *Balancer) releaseHeld() {
-	for len(b.held) > 0 && float64(b.inflight) < b.window {
+	for len(b.held) > 0 && b.room() {
 		best := -1
 		for i, r := range b.held {
 			if !r.over && (best < 0 || r.value >= b.held[best].value) {
@@ -464,6 +465,7 @@
 		b.handed(t)
 	}
 	r.out--
+	b.lastEnd = b.now
 	t.mayHaveRun = t.mayHaveRun && !ev.Outcome.neverRan()
 	b.observe(t.server, t, ev)
 	b.pace(r, t, ev)
--- a/decide/health.go
+++ b/decide/health.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"pumiceline/internal/admission"
 	"pumiceline/internal/affinity"
 	"pumiceline/internal/calm"
 )
@@ -298,7 +299,6 @@
 	crowdedCalm = 2    // times what answers take where nothing queues: nor does one within this
 	signsFew    = 0.1  // share of attempts beyond both that comes without a queue
 	signGain    = 0.05 // how much the latest counts in it
-	crowdedMost = 0.25 // share of such attempts that is borne; a few slow servers alone do not reach it
 )
 
 // crowded says whether an answer to r that took this long speaks of a queue. Where work, or waits on others,
@@ -332,27 +332,15 @@
 	default:
 		return
 	}
-	// One step for each outcome, so that a narrow window does not fall on old news. Narrow ones grow
-	// faster, so that balancers with the same servers come to share them evenly; all do while hardly an
-	// answer speaks of a queue: after a start, or when the clients of another balancer come to this one.
 	b.signs += (sign - b.signs) * signGain
 	if sign > 0 {
-		b.window = max(windowLeast, b.window-(1-crowdedMost))
+		b.window = admission.Narrow(b.window)
 	} else if float64(b.inflight)+1 > 0.8*b.window {
-		step := crowdedMost * (0.5 + 5/b.window)
-		if b.signs < signsFew {
-			step = max(step, 0.5)
-		}
-		b.window += step
+		b.window = admission.Widen(b.window, b.signs < signsFew)
 	}
 }
 
-// admit keeps the window near what is in use, so that it bites soon once there is a queue.
-func (b *Balancer) admit() {
-	if b.now >= b.warmTill {
-		b.window = min(b.window, 1.5*float64(b.inflight)+10)
-	}
+// room says whether the window has room for another attempt.
+func (b *Balancer) room() bool {
+	return admission.Open(b.window, b.inflight, float64(b.now-b.lastEnd), b.usual)
 }
-
-// windowLeast keeps some attempts out, so that an end of the crowding is seen.
-const windowLeast = 3.0
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"pumiceline/internal/admission"
 	"pumiceline/internal/calm"
 )
 
@@ -106,7 +107,7 @@
 		return false
 	}
 	b.arrivalRate, b.meanWork, b.usual, b.remote = l.ArrivalRate, l.MeanWork, l.Usual, l.Remote
-	b.window, b.warmTill = max(windowLeast, l.Window), b.now+warmFor
+	b.window, b.warmTill = max(admission.Least, l.Window), b.now+warmFor
 	b.mean = kindMean{size: l.Mean.Size, mean: l.Mean.Mean}
 	for _, k := range l.Kinds {
 		b.kinds[b.kindOf(k.Kind)] = kindMean{kind: k.Kind, qps: k.QPS, util: k.Util, size: k.Size, mean: k.Mean}
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"pumiceline/internal/admission"
 	"pumiceline/internal/probing"
 	"pumiceline/internal/turns"
 )
@@ -215,7 +216,9 @@
 	b.tidy()
 	b.means()
 	b.roam(dt)
-	b.admit()
+	if b.now >= b.warmTill {
+		b.window = admission.Keep(b.window, b.inflight, len(b.order), b.set.GroupSize)
+	}
 	every := probing.Every(len(b.order), b.set.GroupSize, b.arrivalRate)
 	for _, s := range b.order {
 		if b.set.probes() && s.Waits() && s.probe.Due(b.now, every, b.rng.Float64()) {
