Requests whose client has left, or whose repeat window is over, are not written

Causes, by reading, each shown by a test on real sockets that holds the proxy at the point: 1. Attempts ran on a context without the client's (route.RoundTrip, WithoutCancel): where nothing may be cancelled, one that still dialled wrote its request however long the client was gone (Fleet.Exchange asked ctx and takes alone). 2. RoundTrip's select took a Send although the client's context had ended. 3. net/http hears of a leave by a read of one byte that runs beside the handler: behind bytes that follow the request it never does, and for a client that sent and went while the proxy was not looking (accept queue, door) it is late. 4. another() judged the window when it decided; a connection that took 1.5 s, or a slow write, came after that. 5. A request half written to a backend that did not read went on after the leave.

Change: Attempt carries what has to hold in the moment of the write: the client's context, a look at its socket (poll for POLLRDHUP, one call an attempt, no byte read), and WriteBy, an absolute time from the module (Action.By). What waits for a connection or in a write ends with the leave; the outcome is Moot and blames no backend. What was written whole goes on.

Ruled out: a read ahead in place of the poll (unbounded bytes may lie before the end); a full socket budget, which never waits.

--- a/decide/api.go
+++ b/decide/api.go
@@ -259,7 +259,7 @@
 type ActionKind uint8
 
 const (
-	Send        ActionKind = iota + 1 // ID, Server, After: the attempt's time limit (0: the client's patience)
+	Send        ActionKind = iota + 1 // ID, Server, After: the attempt's time limit (0: the client's patience), By
 	Refuse                            // ID, After: when the client may return (0: not told)
 	Fail                              // ID
 	Cancel                            // ID, Attempt
@@ -277,6 +277,7 @@
 	Server  uint32
 	ID      uint64
 	After   Time
+	By      Time // of a Send: nothing may be written from then on, as a repeat could run twice (0: no such limit)
 	Text    string
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -253,19 +253,22 @@
 	if r.out > 0 && !b.set.Limits.SecondCopies {
 		return false
 	}
+	return b.now < r.repeatBy()
+}
+
+// repeatBy is when a further attempt may be written no more; never for what may run any number of times. The group forgets a key
+// a window after the attempt was issued; a server may take up the new one some time after it is sent, so the last eighth of the
+// window is left unused.
+func (r *request) repeatBy() Time {
+	by := Time(math.MaxInt64)
 	for i := range r.tries {
-		t := &r.tries[i]
-		if !t.mayHaveRun {
-			continue
-		}
-		// The group forgets a key a window after the attempt was issued; a server may take up the new one
-		// some time after it is sent, so the last eighth of the window is left unused.
-		if r.class.Semantics == Unsafe ||
-			r.class.Semantics == Keyed && b.now-t.sent >= r.class.Window-r.class.Window/8 {
-			return false
+		if t := &r.tries[i]; t.mayHaveRun && r.class.Semantics == Unsafe {
+			return 0
+		} else if t.mayHaveRun && r.class.Semantics == Keyed {
+			by = min(by, t.sent+r.class.Window-r.class.Window/8)
 		}
 	}
-	return true
+	return by
 }
 
 // mayRefuse says whether the client may be told that trying again is harmless.
@@ -303,6 +306,10 @@
 const doomedPart = 0.8
 
 func (b *Balancer) send(r *request, s *server) {
+	by := r.repeatBy()
+	if by == math.MaxInt64 {
+		by = 0
+	}
 	r.tries = append(r.tries, attempt{server: s, id: s.id, zone: s.zone, cell: s.cell, out: true,
 		mayHaveRun: true, slow: true, sent: b.now, cost: r.cost})
 	r.out++
@@ -316,7 +323,7 @@
 		b.handed(&r.tries[len(r.tries)-1])
 	}
 	b.place(s)
-	b.do(Action{Kind: Send, ID: r.id, Server: s.id})
+	b.do(Action{Kind: Send, ID: r.id, Server: s.id, By: by})
 }
 
 // handed counts an attempt as one that its server has.
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -167,6 +167,8 @@
 					c.bad("unsafe request %d sent again", a.ID)
 				case c.now-t.at >= q.class.Window:
 					c.bad("keyed request %d sent again past its window", a.ID)
+				case a.By <= c.now || a.By >= t.at+q.class.Window: // what makes connections is late without knowing it
+					c.bad("keyed request %d sent at %d may be sent again until %d", a.ID, t.at, a.By)
 				case q.class.Group == GroupZone && t.zone != int(s.m.Zone):
 					c.bad("keyed request %d left its zone", a.ID)
 				case q.class.Group == GroupCell && t.cell != int(s.m.Cell):
--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -70,7 +70,7 @@
 func exchange(t *testing.T, f *Fleet) Result {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	return f.Exchange(ctx, 1, post(), Body{Text: []byte("body")})
+	return f.Exchange(ctx, 1, Attempt{Request: post(), Body: Body{Text: []byte("body")}})
 }
 
 const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n42"
@@ -157,7 +157,7 @@
 		io.ReadFull(there, make([]byte, 10))
 		there.Close()
 	}()
-	res, reusable := f.exchange(t.Context(), &conn{nc: here, dest: f.byID[1]}, post(), Body{Text: []byte("body")})
+	res, reusable := f.exchange(t.Context(), &conn{nc: here, dest: f.byID[1]}, &Attempt{Request: post(), Body: Body{Text: []byte("body")}})
 	if res.Outcome != decide.ConnectFailed || reusable {
 		t.Errorf("outcome %d, %v, reusable %v", res.Outcome, res.Err, reusable)
 	}
@@ -263,13 +263,13 @@
 		<-asked
 		cancel()
 	}()
-	if res := f.Exchange(ctx, 1, post(), Body{}); res.Outcome != decide.Cancelled {
+	if res := f.Exchange(ctx, 1, Attempt{Request: post()}); res.Outcome != decide.Cancelled {
 		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
 	}
 	<-gone
 	ctx, cancel = context.WithDeadline(t.Context(), time.Now())
 	defer cancel()
-	if res := f.Exchange(ctx, 1, post(), Body{}); res.Outcome != decide.Moot {
+	if res := f.Exchange(ctx, 1, Attempt{Request: post()}); res.Outcome != decide.Moot {
 		t.Errorf("out of time before anything was sent: outcome %d, %v", res.Outcome, res.Err)
 	}
 	if f.open != 0 {
@@ -283,7 +283,7 @@
 	f := fleet(addr, 9)
 	c, _, _ := f.acquire(t.Context(), 1)
 	f.Set(1, addr, false)
-	if res, _ := f.exchange(t.Context(), c, post(), Body{}); res.Outcome != decide.Moot {
+	if res, _ := f.exchange(t.Context(), c, &Attempt{Request: post()}); res.Outcome != decide.Moot {
 		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
 	}
 	f.release(c, true)
@@ -437,3 +437,45 @@
 		}
 	})
 }
+
+// A repeat's window is judged in the moment of the write, whatever was decided before: it may run out while the connection is made
+// or while a destination takes the request slowly. The destination is not blamed for it.
+func TestNothingIsWrittenPastItsWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		connecting time.Duration // how long the connection takes to come up
+		reads      int           // how many bytes the destination takes
+		want       decide.Outcome
+	}{
+		"in time":                  {250 * time.Millisecond, 1 << 20, decide.OK},
+		"over with the connection": {300 * time.Millisecond, 1 << 20, decide.Moot},
+		"over in the writing":      {0, 20, decide.Moot},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			here, there := net.Pipe()
+			f := NewFleet(Options{DialWithin: 5 * time.Second, IdleClose: time.Minute, MostSockets: 9,
+				Dial: func(context.Context, string, time.Time) (net.Conn, error) { time.Sleep(c.connecting); return here, nil }},
+				slog.New(slog.DiscardHandler))
+			f.Set(1, "a", true)
+			got := 0
+			go func() {
+				for b := make([]byte, 1); got < c.reads; got++ {
+					if _, err := there.Read(b); err != nil {
+						return
+					} else if b[0] == '!' { // the body's last byte
+						_, _ = io.WriteString(there, ok)
+						return
+					}
+				}
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			start := time.Now()
+			res := f.Exchange(ctx, 1, Attempt{Request: post(), Body: Body{Text: []byte("body!")}, WriteBy: start.Add(300 * time.Millisecond)})
+			if res.Outcome != c.want || c.connecting == 300*time.Millisecond && got > 0 || time.Since(start) > 300*time.Millisecond {
+				t.Errorf("%s: outcome %d (%v) after %v, %d bytes arrived", name, res.Outcome, res.Err, time.Since(start), got)
+			}
+			here.Close()
+			time.Sleep(2 * time.Minute) // until the fleet has forgotten the connection
+		})
+	}
+}
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -53,20 +53,31 @@
 	Err     error // what went wrong, for the log
 }
 
-// Exchange sends req, whose body is given apart, to a destination and waits for its answer until ctx ends: all of a short one,
-// and of a long one as far as shows that it is. The request is written once and never again: http.Transport would resend it by itself on a reused
+// Attempt is a request that is to be sent, and what has to hold in the moment in which it is.
+type Attempt struct {
+	Request *http.Request // its body is given apart; its context is the client's
+	Body    Body
+	WriteBy time.Time   // nothing is written from then on, as what an earlier attempt's group forgets could run twice; zero: no such limit
+	Left    func() bool // whether the client has gone, where its context may not have heard of it yet; nil: its context knows
+}
+
+// Exchange sends a request to a destination and waits for its answer until ctx ends: all of a short one, and of a long one as far
+// as shows that it is. The request is written once and never again: http.Transport would resend it by itself on a reused
 // connection that breaks, which is an attempt that the module knows nothing of.
-func (f *Fleet) Exchange(ctx context.Context, id uint32, req *http.Request, body Body) Result {
-	if body.Rest != nil && body.Rest.Spent() {
+//
+// Once the client has gone nobody waits for the answer. While the request's last byte has not gone out the exchange is then given
+// up, also where the deployment lets nothing be cancelled that a destination may have begun.
+func (f *Fleet) Exchange(ctx context.Context, id uint32, a Attempt) Result {
+	if a.Body.Rest != nil && a.Body.Rest.Spent() {
 		return Result{Outcome: decide.Moot, Err: errSpent}
 	}
-	c, outcome, err := f.acquire(ctx, id)
+	c, outcome, err := f.connect(ctx, id, &a)
 	if err != nil {
 		return Result{Outcome: outcome, Err: err}
 	}
 	// Ending ctx closes the connection: that is how a route step is given up.
 	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
-	res, reusable := f.exchange(ctx, c, req, body)
+	res, reusable := f.exchange(ctx, c, &a)
 	if res.Answer != nil && res.Answer.Rest != nil {
 		s := res.Answer.Rest.(*stream)
 		if !stop() { // given up in the same moment
@@ -81,24 +92,54 @@
 	return res
 }
 
-func (f *Fleet) exchange(ctx context.Context, c *conn, req *http.Request, body Body) (res Result, reusable bool) {
+var (
+	errOver   = errors.New("not sent: over or draining")
+	errLeft   = errors.New("not sent: its client has left")
+	errWindow = errors.New("not sent: the window for a repeat is over")
+)
+
+// connect is acquire for as long as somebody waits for what is to be sent. That nobody does any more says nothing of the
+// destination.
+func (f *Fleet) connect(ctx context.Context, id uint32, a *Attempt) (*conn, decide.Outcome, error) {
+	wanted, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(a.Request.Context(), cancel)()
+	if !a.WriteBy.IsZero() {
+		defer time.AfterFunc(time.Until(a.WriteBy), cancel).Stop()
+	}
+	c, outcome, err := f.acquire(wanted, id)
+	if err != nil && wanted.Err() != nil && ctx.Err() == nil {
+		return nil, decide.Moot, fmt.Errorf("no longer wanted: %w", err)
+	}
+	return c, outcome, err
+}
+
+// forbidden says why nothing of a may go out now, whatever held when it was decided on: since then the connection was made.
+func (f *Fleet) forbidden(ctx context.Context, c *conn, a *Attempt) error {
+	switch {
+	case ctx.Err() != nil || !f.takes(c.dest):
+		return errOver
+	case !a.WriteBy.IsZero() && !time.Now().Before(a.WriteBy):
+		return errWindow
+	case a.Request.Context().Err() != nil || a.Left != nil && a.Left():
+		return errLeft
+	}
+	return nil
+}
+
+func (f *Fleet) exchange(ctx context.Context, c *conn, a *Attempt) (res Result, reusable bool) {
+	req, body := a.Request, a.Body
 	text, err := encode(ctx, req, body)
 	if err != nil {
 		return Result{Outcome: decide.Moot, Err: err}, false
 	}
-	// Nothing may go out if the client's time is up or the destination began to drain while the connection
-	// was made.
-	if ctx.Err() != nil || !f.takes(c.dest) {
-		return Result{Outcome: ended(ctx, decide.Moot), Err: errors.New("not sent: over or draining")}, true
+	if err := f.forbidden(ctx, c, a); err != nil {
+		return Result{Outcome: ended(ctx, decide.Moot), Err: err}, true
 	}
-	if n, err := c.nc.Write(text); n < len(text) {
-		// Its last byte never went out, so the destination cannot have begun it.
-		return Result{Outcome: neverSent(ctx), Err: fmt.Errorf("writing the request: %w", err)}, false
+	if outcome, err := c.send(ctx, a, text); err != nil {
+		return Result{Outcome: outcome, Err: err}, false
 	}
 	if body.Rest != nil {
-		if outcome, err := c.pour(ctx, body); err != nil {
-			return Result{Outcome: outcome, Err: err}, false
-		}
 		res.Sent = time.Now()
 	}
 	if f.opts.Sent != nil {
@@ -201,13 +242,50 @@
 	}
 }
 
-var errSpent = errors.New("the request's body was read for another step and is gone")
+// send writes text, and what of a body is still coming. It stops where it is once the client has gone, or the time to write in is
+// over. An error means that the last byte did not go out, so that the request has never run, and comes with the attempt's outcome.
+func (c *conn) send(ctx context.Context, a *Attempt, text []byte) (decide.Outcome, error) {
+	client := a.Request.Context()
+	if !a.WriteBy.IsZero() {
+		if err := c.nc.SetWriteDeadline(a.WriteBy); err != nil {
+			return neverSent(ctx), fmt.Errorf("writing the request: %w", err)
+		}
+	}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(client, func() {
+		defer close(stopped)
+		_ = c.nc.SetWriteDeadline(longPast) // it fails only where writing does
+	})
+	_, err := c.nc.Write(text)
+	if err == nil && a.Body.Rest != nil {
+		err = c.pour(client, a.Body)
+	}
+	if !stop() {
+		<-stopped // or it would end the writing of the connection's next request
+	}
+	if err == nil {
+		_ = c.nc.SetWriteDeadline(time.Time{}) // the last byte is out: reading shows it where the connection is over
+		return decide.OK, nil
+	}
+	err = fmt.Errorf("writing the request: %w", err)
+	if client.Err() != nil || !a.WriteBy.IsZero() && !time.Now().Before(a.WriteBy) || errors.Is(err, errBody) || errors.Is(err, errSpent) {
+		return ended(ctx, decide.Moot), err // which says nothing of the destination
+	}
+	return neverSent(ctx), err
+}
+
+// longPast is a write deadline that stops a write at once.
+var longPast = time.Unix(1, 0)
+
+var (
+	errSpent = errors.New("the request's body was read for another step and is gone")
+	errBody  = errors.New("the request's body")
+)
 
-// pour sends what of a body is still coming, while it comes. An error before the last byte means that the request has never run,
-// and comes with the step's outcome.
-func (c *conn) pour(ctx context.Context, body Body) (decide.Outcome, error) {
+// pour sends what of a body is still coming, while it comes.
+func (c *conn) pour(client context.Context, body Body) error {
 	if !body.Rest.Take() {
-		return decide.Moot, errSpent
+		return errSpent
 	}
 	piece := pieces.Get().(*[pieceSize]byte)
 	defer pieces.Put(piece)
@@ -223,22 +301,22 @@
 			}
 			out = framed.Bytes()
 		}
-		if err != nil && err != io.EOF { // the client's fault, which says nothing of the destination
-			return ended(ctx, decide.Moot), fmt.Errorf("the request's body: %w", err)
+		if err != nil && err != io.EOF {
+			return fmt.Errorf("%w: %w", errBody, err)
 		}
 		if len(out) > 0 {
 			if err := c.nc.SetWriteDeadline(time.Now().Add(longStall)); err != nil {
-				return neverSent(ctx), fmt.Errorf("writing the request: %w", err)
+				return err
+			}
+			if client.Err() != nil { // its leave may have set the write deadline just before
+				return errLeft
 			}
 			if _, err := c.nc.Write(out); err != nil {
-				return neverSent(ctx), fmt.Errorf("writing the request: %w", err)
+				return err
 			}
 		}
 		if err == io.EOF {
-			if err := c.nc.SetWriteDeadline(time.Time{}); err != nil {
-				return neverSent(ctx), fmt.Errorf("writing the request: %w", err)
-			}
-			return decide.OK, nil
+			return nil
 		}
 	}
 }
--- a/internal/destination/long_test.go
+++ b/internal/destination/long_test.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return f.Exchange(ctx, 1, req, Body{})
+	return f.Exchange(ctx, 1, Attempt{Request: req})
 }
 
 var errEnd = errors.New("the destination ends the connection")
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -8,8 +8,11 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pumiceline/internal/destination"
 	"pumiceline/internal/framing"
 )
@@ -49,6 +52,32 @@
 	return n, err
 }
 
+// gone says whether a request's client has closed its connection, or its half of it. net/http watches for that by a read of one
+// byte, which tells it too late for a request that comes together with the end, and never behind bytes that came after the request.
+func gone(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*clientConn)
+	return ok && peerClosed(c.Conn)
+}
+
+// peerClosed says whether the other side of a connection has ended it. No byte has to be read for that to be seen.
+func peerClosed(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		ended = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || ended
+}
+
 // graceForRead is more than enough for a read of what is there already.
 const graceForRead = 50 * time.Millisecond
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -217,16 +217,24 @@
 		return
 	}
 	deadline = f.cutToLast(deadline)
+	client, leave := context.WithCancel(r.Context())
+	defer leave()
+	in.Left = func() bool {
+		if client.Err() == nil && gone(r) {
+			leave()
+		}
+		return client.Err() != nil
+	}
 	f.current.Add(1)
 	ended := metrics.Errored // unless it is known better: a handler that panics has failed its request
 	defer func() {
 		f.current.Add(-1)
-		if r.Context().Err() != nil { // net/http has seen the client leave
+		if client.Err() != nil { // it was seen to leave
 			ended = metrics.Left
 		}
 		f.opts.Metrics.End(one(r.Header, classHeader), ended)
 	}()
-	ctx, cancel := f.within(r, in, deadline)
+	ctx, cancel := f.within(client, in, deadline)
 	defer cancel()
 	if in.Rest != nil {
 		defer f.cut(w, in, &ended)
@@ -253,8 +261,8 @@
 }
 
 // within is a request's context, which ends with the client's time. That of one whose body is still coming begins with its last byte.
-func (f *Front) within(r *http.Request, in *route.Inbound, deadline time.Time) (context.Context, context.CancelFunc) {
-	ctx := route.WithInbound(r.Context(), in)
+func (f *Front) within(client context.Context, in *route.Inbound, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx := route.WithInbound(client, in)
 	if in.Rest == nil {
 		return context.WithDeadline(ctx, deadline)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -59,6 +59,11 @@
 // clock must not let ramps and windows jump.
 func (p *Planner) now() decide.Time { return p.base + time.Since(p.origin).Microseconds() }
 
+// At is when the module's clock shows t.
+func (p *Planner) At(t decide.Time) time.Time {
+	return p.origin.Add(time.Duration(t-p.base) * time.Microsecond)
+}
+
 // Arrival is what the module is told about a new request.
 type Arrival struct {
 	Class    uint8
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -29,6 +29,7 @@
 	Key     uint64         // what the request is about; 0: not told
 	Body    []byte         // as far as it is at hand
 	Rest    *upload.Upload // what is still to come; nil: nothing. Its context has no deadline until that has come.
+	Left    func() bool    // whether the client has gone; it ends the context then. nil: the context knows by itself
 	Served  bool           // set by RoundTrip when a destination has answered
 	Refused bool           // set by RoundTrip when the answer is a busy reply
 }
@@ -48,7 +49,7 @@
 
 // Exchanger makes one exchange with a destination.
 type Exchanger interface {
-	Exchange(ctx context.Context, id uint32, req *http.Request, body destination.Body) destination.Result
+	Exchange(ctx context.Context, id uint32, a destination.Attempt) destination.Result
 }
 
 // answerMargin is how long before the client's deadline route steps end, so that the module's last word still
@@ -73,6 +74,9 @@
 	if in == nil || !hasDeadline && in.Rest == nil {
 		return nil, errNoInbound
 	}
+	if errors.Is(context.Cause(ctx), context.Canceled) { // it left while it waited to come in
+		return nil, ctx.Err()
+	}
 
 	// Arrival: the body is in. Steps have a context of their own: the module alone calls them off.
 	deadline := clientDeadline.Add(-answerMargin)
@@ -87,7 +91,8 @@
 		go in.Rest.Watch(long.Done(), answerMargin, func() { cancel(context.DeadlineExceeded) }, func(error) { cancel(nil) })
 	}
 	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Key: in.Key, Deadline: deadline, Slow: in.Rest != nil})
-	life := &life{t: t, call: call, req: req, body: destination.Body{Text: in.Body, Rest: in.Rest}, answers: make(chan *destination.Answer, 1)}
+	life := &life{t: t, call: call, sent: destination.Attempt{Request: req, Left: in.Left,
+		Body: destination.Body{Text: in.Body, Rest: in.Rest}}, answers: make(chan *destination.Answer, 1)}
 	defer life.releaseAfter(release)
 	defer life.cancelRest() // after Depart, which says what is to be called off
 	defer call.Depart()     // nothing once the call is over; otherwise the client left, or this function panicked
@@ -97,6 +102,11 @@
 		case action := <-call.Actions():
 			switch action.Kind {
 			case decide.Send: // a route step
+				if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+					call.Depart() // it left in the same moment: the step is not made, and no other comes in its place
+					call.Finish(action.Attempt, decide.Moot, nil, time.Time{})
+					continue
+				}
 				life.step(steps, action)
 			case decide.Cancel:
 				life.cancel(action.Attempt)
@@ -137,8 +147,7 @@
 type life struct {
 	t       *Transport
 	call    *planner.Call
-	req     *http.Request
-	body    destination.Body
+	sent    destination.Attempt  // what each step sends
 	cancels []context.CancelFunc // by attempt
 	running sync.WaitGroup       // steps without an outcome
 	answers chan *destination.Answer
@@ -154,12 +163,16 @@
 	if action.After > 0 {
 		ctx, cancel = context.WithDeadline(ctx, time.Now().Add(time.Duration(action.After)*time.Microsecond))
 	}
+	sent := l.sent
+	if action.By > 0 {
+		sent.WriteBy = l.t.Planner.At(action.By)
+	}
 	done := make(chan struct{})
-	if l.body.Rest != nil {
+	if sent.Body.Rest != nil {
 		go func() { // until then no destination is at work on it
 			select {
-			case <-l.body.Rest.Ended():
-				if _, err := l.body.Rest.End(); err == nil {
+			case <-sent.Body.Rest.Ended():
+				if _, err := sent.Body.Rest.End(); err == nil {
 					l.call.Handed(action.Attempt)
 				}
 			case <-done:
@@ -169,7 +182,7 @@
 	l.running.Go(func() {
 		defer close(done)
 		defer cancel()
-		result := l.exchange(ctx, action.Server)
+		result := l.exchange(ctx, action.Server, sent)
 		if result.Err != nil {
 			l.t.Log.Debug("route step", "attempt", action.Attempt, "destination", action.Server,
 				"outcome", result.Outcome, "error", result.Err)
@@ -183,14 +196,14 @@
 }
 
 // exchange is one exchange that survives a panic: a step without an outcome would leave its request open.
-func (l *life) exchange(ctx context.Context, id uint32) (result destination.Result) {
+func (l *life) exchange(ctx context.Context, id uint32, sent destination.Attempt) (result destination.Result) {
 	defer func() {
 		if r := recover(); r != nil {
 			l.t.Log.Error("a route step panicked", "panic", r, "stack", string(debug.Stack()))
 			result = destination.Result{Outcome: decide.Reset} // it may have run
 		}
 	}()
-	return l.t.Fleet.Exchange(ctx, id, l.req, l.body)
+	return l.t.Fleet.Exchange(ctx, id, sent)
 }
 
 func (l *life) cancel(attempt uint8) {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -25,7 +25,7 @@
 
 type exchange func(ctx context.Context, server uint32) destination.Result
 
-func (e exchange) Exchange(ctx context.Context, id uint32, _ *http.Request, _ destination.Body) destination.Result {
+func (e exchange) Exchange(ctx context.Context, id uint32, _ destination.Attempt) destination.Result {
 	return e(ctx, id)
 }
 
@@ -174,8 +174,8 @@
 
 type bodied func(body destination.Body) destination.Result
 
-func (e bodied) Exchange(_ context.Context, _ uint32, _ *http.Request, body destination.Body) destination.Result {
-	return e(body)
+func (e bodied) Exchange(_ context.Context, _ uint32, a destination.Attempt) destination.Result {
+	return e(a.Body)
 }
 
 // The module hears when the last byte of a body has come, and until then that it has not: a step whose body never ends is not handed.
