Closing a client's connection reads no request that crosses it and takes no answer back

Over bytes that lie unread the kernel resets the connection and drops what it still holds: 16,384 of 60,000 bytes arrived. 3. A connection that rested at a stop was closed the same way, so that what crossed met a reset. 4. A head that had begun when the stop came was cut off, as net/http calls its connection new or idle until it is whole; one that never becomes whole kept the process until SIGKILL. 5. A request of a class called "ready" was answered as the readiness check, which is what no backend made. A check was not counted among its connection's messages either, so that a chunked request after it was misread.

Change: clientConn decides under one lock (part) whether it is between two requests, by the framing scanner; what a read brings after that was never read. A close ends the sending side first and reads on to nowhere, 500 ms or 256 KiB at most; whoever needs the descriptor takes such a connection first. After the last answer of a stop, heads that have begun are ended too.

Ruled out: Go sets TCP_NODELAY, so no small write is held back; a deadline that passes while bytes come is looked at again by Read (before this change too).

TestManyIdleSocketsClose read two figures without their lock; it takes it now.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -14,6 +14,7 @@
 	Both  bool  // which has a Content-Length too
 	Odd   int32 // the number of the first head whose message's end can be read in two ways; 0: none yet
 
+	within  bool // bytes of a head have come, and not its end
 	name    []byte
 	named   bool // the line's name is complete
 	field   byte // which one it is: 'l' a length, 'c' a coding
@@ -23,6 +24,9 @@
 	skip    int64 // bytes of the body to come
 }
 
+// Between says whether the bytes so far end with the end of a message.
+func (f *Scanner) Between() bool { return !f.within && f.skip == 0 && f.Coded == 0 }
+
 const longestName = len("transfer-encoding")
 
 // Scan takes in the next bytes.
@@ -43,6 +47,7 @@
 		}
 		x := b[0]
 		b = b[1:]
+		f.within = true
 		switch {
 		case x == '\n':
 			f.line()
@@ -73,6 +78,7 @@
 	if !empty {
 		return
 	}
+	f.within = false
 	f.Heads++
 	if f.coding {
 		f.Coded, f.Both = f.Heads, f.lengths > 0
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,18 +18,20 @@
 	"pumiceline/internal/framing"
 )
 
-// clientConn is a front socket that watches how the requests coming in on it are delimited.
+// clientConn is a front socket that watches how the requests coming in on it are delimited, and is closed so that nothing is lost:
+// what the proxy ends between two requests it ends without reading one, and an answer is not taken back by the close behind it.
 type clientConn struct {
 	net.Conn
-	scanner framing.Scanner
 
-	waiting atomic.Bool // a Read is under way
-	aborted atomic.Bool // net/http has stopped its own read
+	mu      sync.Mutex // guards what follows
+	scanner framing.Scanner
+	reading bool  // a Read is under way
+	ended   bool  // by the proxy: what a read brings from then on was never read
+	handled int32 // requests that came to the handler
 
-	stage   atomic.Int32 // of a kept connection, between its requests
-	handled atomic.Int32 // requests that came to the handler
-	coded   atomic.Int32 // the number of the request with a Transfer-Encoding, from 1; 0: none yet
-	both    atomic.Bool  // which has a Content-Length too
+	aborted   atomic.Bool  // net/http has stopped its own read
+	stage     atomic.Int32 // of a kept connection, between its requests
+	lingering atomic.Bool  // it is closed, and waits for its client to have heard of that
 }
 
 // Read notes the heads that pass. net/http reads on one goroutine at a time, which need not be the handler's.
@@ -36,20 +39,88 @@
 // A read whose time is up has first to take what has come: a proxy that is short of CPU gets to a request late, and one
 // whose last byte the kernel holds is taken. Closed for being slow, it would be lost.
 func (c *clientConn) Read(b []byte) (int, error) {
-	c.waiting.Store(true)
-	n, err := c.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load() && !destination.Quiet(c.Conn) {
-		if err = c.Conn.SetReadDeadline(time.Now().Add(graceForRead)); err == nil {
-			n, err = c.Conn.Read(b)
+	c.mu.Lock()
+	c.reading = true
+	c.mu.Unlock()
+	for {
+		n, err := c.Conn.Read(b)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load() && !destination.Quiet(c.Conn) {
+			if err = c.Conn.SetReadDeadline(time.Now().Add(graceForRead)); err == nil {
+				n, err = c.Conn.Read(b)
+			}
+		}
+		if over := c.took(b[:n], err); !over {
+			return n, err
+		} else if err != nil {
+			return 0, err
 		}
 	}
-	c.waiting.Store(false)
-	if c.coded.Load() == 0 {
-		c.scanner.Scan(b[:n])
-		c.both.Store(c.scanner.Both)
-		c.coded.Store(c.scanner.Coded)
+}
+
+// took notes what a read has brought, and says whether the connection had been ended before: a request that came meanwhile is
+// not read, so that its client may send it again elsewhere.
+func (c *clientConn) took(b []byte, err error) (over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = c.ended && err == nil
+	if !c.ended && c.scanner.Coded == 0 {
+		c.scanner.Scan(b)
+	}
+	return c.ended
+}
+
+// part ends a connection that is between two requests and says whether it has: not where something of a request has come, read or
+// not, unless always. It looks and decides in one, as a request may come between the two.
+func (c *clientConn) part(always bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := !c.scanner.Between() || c.scanner.Heads != c.handled
+	if c.ended || !c.reading || !always && (begun || !destination.Quiet(c.Conn)) {
+		return false
+	}
+	c.ended = true
+	return true
+}
+
+// retire ends a connection between two requests in order: its client hears of the end first, and what crosses that is read, to
+// nowhere, until by at the latest. A close over bytes that nobody has read would reset the connection.
+func (c *clientConn) retire(by time.Time, always bool) {
+	if !c.part(always) {
+		return
+	}
+	c.lingering.Store(true)
+	if !c.closeWrite() || c.Conn.SetReadDeadline(by) != nil { // the read that is under way goes on to the client's end
+		c.Conn.Close()
+	}
+}
+
+func (c *clientConn) closeWrite() bool {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	return ok && half.CloseWrite() == nil
+}
+
+// lingerFor is how long a closed connection may wait for its client to close its side, and mostLingering how many bytes are read
+// meanwhile.
+const (
+	lingerFor     = 500 * time.Millisecond
+	mostLingering = 256 << 10
+)
+
+// Close is net/http's, after a last answer or for want of a request. Bytes that lie unread, or come before the client has heard
+// of the end, would have the kernel reset the connection, and drop what it still holds of the answer.
+func (c *clientConn) Close() error {
+	c.mu.Lock()
+	ended := c.ended
+	c.ended = true
+	c.mu.Unlock()
+	if ended || peerClosed(c.Conn) || !c.closeWrite() {
+		return c.Conn.Close()
+	}
+	c.lingering.Store(true)
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerFor)); err == nil {
+		_, _ = io.CopyBuffer(io.Discard, struct{ io.Reader }{io.LimitReader(c.Conn, mostLingering)}, make([]byte, 4<<10))
 	}
-	return n, err
+	return c.Conn.Close()
 }
 
 // gone says whether a request's client has closed its connection, or its half of it. net/http watches for that by a read of one
@@ -134,6 +205,9 @@
 		return false, false
 	}
 	c.stage.Store(busyStage)
-	coded = c.coded.Load() == c.handled.Add(1)
-	return coded, coded && c.both.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled++
+	coded = c.scanner.Coded == c.handled
+	return coded, coded && c.scanner.Both
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -116,7 +116,7 @@
 		<-kept.C
 	}
 	f.closing.Store(true) // from here each answer closes its connection
-	f.sockets.drain()
+	f.sockets.drain(last)
 	return nil
 }
 
@@ -182,12 +182,12 @@
 	if f.closing.Load() || f.sockets.manyIdle() {
 		w.Header().Set("Connection", "close")
 	}
-	if r.URL.Path == "/ready" {
+	taken := time.Now()
+	coded, both := delimited(r)
+	if r.URL.Path == "/ready" && len(r.Header[classHeader]) == 0 { // else it is a request of a class that has this name
 		f.ready(w)
 		return
 	}
-	taken := time.Now()
-	coded, both := delimited(r)
 	if coded { // where the next request would begin is not known any more
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -409,13 +409,13 @@
 			conns = append(conns, c)
 			synctest.Wait()
 		}
-		if n := f.sockets.count(); closed != 3 || n != 14 || f.sockets.idle != 9 || f.sockets.mute != 5 {
-			t.Errorf("%d closed, %d open, %d idle, %d mute", closed, n, f.sockets.idle, f.sockets.mute)
+		if n := f.sockets.count(); closed != 3 || n != 14 || f.sockets.idleNow() != 9 || f.sockets.mute != 5 {
+			t.Errorf("%d closed, %d open, %d idle, %d mute", closed, n, f.sockets.idleNow(), f.sockets.mute)
 		}
 		time.Sleep(idleFor + time.Second)
 		synctest.Wait()
-		if f.sockets.idle != 0 {
-			t.Errorf("%d idle with no socket open", f.sockets.idle)
+		if f.sockets.idleNow() != 0 {
+			t.Errorf("%d idle with no socket open", f.sockets.idleNow())
 		}
 		for _, c := range conns {
 			c.Close()
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -4,11 +4,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
-
-	"pumiceline/internal/destination"
 )
 
 // sockets keeps count of the front sockets and which of them are idle.
@@ -121,66 +120,76 @@
 	idleLeast = 4
 )
 
-// makeRoom closes a socket without a request, and says whether there was one: the one that has said nothing for longest,
-// else the one that has been idle for longest. Silent ones come by the hundred, and must not push out those of usual
-// clients. One that has begun a request stays: cut off, a request that is whole by then would be lost. Close returns once
-// the descriptor is free.
+// makeRoom closes a socket without a request, and says whether there was one: one that only waits for its client to hear of its
+// end, else the one that has said nothing for longest, else the one that has been idle for longest. Silent ones come by the
+// hundred, and must not push out those of usual clients. One that has begun a request stays: cut off, a request that is whole by
+// then would be lost. Close returns once the descriptor is free.
 func (s *sockets) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var silent, idle net.Conn
-	for c, k := range s.open {
+	var silent, idle []*clientConn // by how long, the longest first
+	for nc, k := range s.open {
+		c := nc.(*clientConn)
 		switch {
-		case k.state == http.StateIdle && (idle == nil || k.since.Before(s.open[idle].since)) && nothingCame(c):
-			idle = c
-		case k.state == http.StateNew && time.Since(k.since) >= silentFor &&
-			(silent == nil || k.since.Before(s.open[silent].since)) && nothingCame(c):
-			silent = c
+		case c.lingering.Load():
+			s.cut(c)
+			return true
+		case k.state == http.StateIdle:
+			idle = append(idle, c)
+		case k.state == http.StateNew && time.Since(k.since) >= silentFor:
+			silent = append(silent, c)
 		}
 	}
-	if silent == nil {
-		silent = idle
-	}
-	if silent == nil {
-		return false
+	for _, conns := range [][]*clientConn{silent, idle} {
+		slices.SortFunc(conns, func(a, b *clientConn) int { return s.open[a].since.Compare(s.open[b].since) })
+		for _, c := range conns {
+			if c.part(false) {
+				s.cut(c)
+				return true
+			}
+		}
 	}
-	silent.Close()
-	s.drop(silent)
-	return true
+	return false
+}
+
+// cut closes a socket at once.
+func (s *sockets) cut(c *clientConn) {
+	c.Conn.Close()
+	s.drop(c)
 }
 
 // silentFor is how long a new connection may take for its first byte before it can have to make way.
 const silentFor = 20 * time.Millisecond
 
-// nothingCame says whether a connection has brought nothing that is still to be read: the proxy may be behind.
-func nothingCame(c net.Conn) bool {
-	cc, ok := c.(*clientConn)
-	return !ok || cc.waiting.Load() && destination.Quiet(cc.Conn)
-}
-
 // newFor is how long a new connection may take to bring its first request before it counts as unused by a stop.
 const newFor = acceptOn / 2
 
-// unused says whether a socket is between requests.
-func (k *socket) unused() bool {
-	return k.state == http.StateIdle || k.state == http.StateNew && time.Since(k.since) >= newFor
-}
-
 // drain waits for the front sockets to be closed, each by its last answer, and closes those that have no request. One on which
-// something has come that is not read yet has one: cut off, its client would have to ask again.
-func (s *sockets) drain() {
+// something has come has one: cut off, its client would have to ask again. From last on nobody waits for the rest of it.
+func (s *sockets) drain(last time.Time) {
 	again := time.NewTicker(drainEvery)
 	defer again.Stop()
 	for ; s.count() > 0; <-again.C {
+		now, latest := time.Now(), last.Add(lingerAfterLast)
+		over, by := !now.Before(last), now.Add(lingerFor)
+		if by.After(latest) {
+			by = latest
+		}
 		s.mu.Lock()
-		for c, k := range s.open {
-			if k.unused() && nothingCame(c) {
-				c.Close()
+		for nc, k := range s.open {
+			switch c := nc.(*clientConn); {
+			case c.lingering.Load() && !now.Before(latest):
+				c.Conn.Close()
+			case k.state == http.StateIdle || k.state == http.StateNew && (over || now.Sub(k.since) >= newFor):
+				c.retire(by, over)
 			}
 		}
 		s.mu.Unlock()
 	}
 }
 
+// lingerAfterLast leaves the last connections some of the time before SIGKILL to end in order.
+const lingerAfterLast = beforeKill / 2
+
 // drainEvery is how often a stopping front looks at its sockets.
 const drainEvery = 20 * time.Millisecond
