A stopping proxy takes what waits in the accept queue; signals while it starts; files that never come

At the end of its 0.6 s Front.Serve closed the listener. The kernel resets what waits there to be accepted, with the requests on it: all five clients of a listener that was late got "connection reset by peer". It now accepts until poll finds nothing. 2. SIGTERM was asked for after the configuration had been read; one that came before ended the process by the signal (serveCmd.Run). Now with SIGHUP, first of all. 3. A SIGHUP whose file never comes (a pipe, a file system that hangs) was read under the changer's lock, for which others wait, and serve waited for it at its end: the process never ended. Seen as a test that hung; the dump of goroutines shows changer.share behind changer.hangup. The file is read without the lock, and the end does not wait for it.

Ruled out: a second SIGTERM and SIGHUPs during the stop (the test's second half passed before too).

--- a/cmd/pumiceline/change.go
+++ b/cmd/pumiceline/change.go
@@ -39,9 +39,10 @@
 // hangup takes over what the configuration says now, as one whole or not at all. The door's file is read with it, and by itself
 // where the configuration is of no use.
 func (c *changer) hangup(read reload) {
+	// A file that never comes must hold up nobody else, so it is read without the lock: cfg is changed here alone.
+	next, err := read(c.cfg)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	next, err := read(c.cfg)
 	if err == nil {
 		err = c.take(next)
 	}
--- a/cmd/pumiceline/main.go
+++ b/cmd/pumiceline/main.go
@@ -115,6 +115,8 @@
 	hangups := make(chan os.Signal, 1) // first of all: until it is asked for, a SIGHUP ends the program
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT) // likewise
+	defer cancel()
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.Level}))
 	cfg, err := config.Load(s.Config, os.Getenv)
 	if err != nil {
@@ -123,8 +125,6 @@
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	reload := func(now *config.Config) (*config.Config, error) { return config.Reload(s.Config, os.Getenv, now) }
 	return serve(stop, cfg, parts{hangups: hangups, reload: reload, door: s.Door}, log.With("proxy", cfg.Name))
 }
@@ -259,7 +259,7 @@
 	}
 	change := &changer{cfg: cfg, door: with.door, gate: gate, plan: plan, fleet: fleet, transport: transport, clients: clients,
 		watcher: watcher, figures: figures, log: log}
-	background.Go(func() {
+	go func() { // nobody waits for it: a file that never comes must not hold up the end
 		for {
 			select {
 			case <-running.Done():
@@ -268,7 +268,7 @@
 				change.hangup(with.reload)
 			}
 		}
-	})
+	}()
 	share.counts = func() (int, int) { return clients.Sockets(), fleet.Open() }
 	share.budgets = func(processes int) error {
 		_, connections := share.others()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -82,8 +82,8 @@
 // Serve takes clients from ln until ctx ends, then finishes what it has taken.
 func (f *Front) Serve(ctx context.Context, ln net.Listener) error {
 	ended := make(chan error, 1)
-	ln = &listener{Listener: ln, sockets: f.sockets}
-	go func() { ended <- f.server.Serve(ln) }()
+	door := &listener{Listener: ln, sockets: f.sockets}
+	go func() { ended <- f.server.Serve(door) }()
 	select {
 	case err := <-ended:
 		return fmt.Errorf("front sockets: %w", err)
@@ -99,14 +99,14 @@
 	// First: a lent socket may be blocking, and its Close waits for an Accept that only a client sent away brings.
 	f.closing.Store(!closeFrom.After(stop))
 	if handed {
-		ln.Close()
+		door.Close()
 	}
 	f.opts.Log.Info("stopping", "front_sockets", f.sockets.count(), "successor", handed,
 		"closing_in", closeFrom.Sub(stop), "last_answer_in", last.Sub(stop))
 	grace := time.NewTimer(acceptOn)
 	defer grace.Stop()
 	<-grace.C
-	ln.Close()
+	door.finish()
 	if err := <-ended; !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("front sockets: %w", err)
 	}
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -4,10 +4,14 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // sockets keeps count of the front sockets and which of them are idle.
@@ -44,8 +48,9 @@
 // descriptors: net/http would then stop accepting for up to a second, with usual clients in the queue.
 type listener struct {
 	net.Listener
-	sockets *sockets
-	once    sync.Once
+	sockets   *sockets
+	once      sync.Once
+	finishing atomic.Bool
 }
 
 // Close ends Accept. The server closes its listener too.
@@ -54,11 +59,48 @@
 	return err
 }
 
+// finish ends Accept as well, but not before all connections that have come are taken: the kernel resets those that still wait to be,
+// with the requests on them.
+func (l *listener) finish() {
+	l.finishing.Store(true)
+	if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); !ok || d.SetDeadline(time.Now().Add(acceptRound)) != nil {
+		l.Close()
+	}
+}
+
+// again says whether Accept, at the end of its time, has something left to take, and gives it more time then.
+func (l *listener) again() bool {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		waits = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+	})
+	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	return err == nil && waits && ok && d.SetDeadline(time.Now().Add(acceptRound)) == nil
+}
+
+// acceptRound is how long Accept goes on before it is looked whether more waits.
+const acceptRound = 10 * time.Millisecond
+
 // Accept returns the next front socket.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		switch {
+		case l.finishing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			if !l.again() {
+				l.Close()
+				return nil, net.ErrClosed
+			}
 		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
 			if !l.sockets.makeRoom() {
 				time.Sleep(shortage)
