What a stopping proxy has not answered by its last answer is answered then

One that was taken before keeps its own, up to its class's hard limit (6 s for full quotes, 12 s at arica), while SIGKILL may come 3.7 s after SIGTERM: what waits on a hung backend then is lost. A body still coming had no limit at all, as its time begins with its last byte.

Ruled out: the module's window for such requests (it settles at the client's deadline, which is behind SIGKILL too).

Change: every request's context also ends with the front's own, at the time of the last answer, for the same cause as a deadline; route answers then as it does for one.

Measured: TestLongDeadlinesEndWithTheProxy fails without it (504 11.9 s after the stop for a whole body; no end at all for one still coming) and passes with it, in 3.45 s on the fake clock.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,9 +53,11 @@
 	server  *http.Server
 	sockets *sockets
 	ids     *openIDs
-	closing atomic.Bool  // each answer closes its connection
-	longest atomic.Int64 // the longest deadline of the settings in force, in nanoseconds
-	last    atomic.Int64 // when a stopping front gives its last answer, in Unix nanoseconds; 0: it does not stop
+	closing atomic.Bool     // each answer closes its connection
+	longest atomic.Int64    // the longest deadline of the settings in force, in nanoseconds
+	last    atomic.Int64    // when a stopping front gives its last answer, in Unix nanoseconds; 0: it does not stop
+	over    context.Context // ends then
+	end     context.CancelFunc
 	current atomic.Int64 // requests taken and not ended
 }
 
@@ -66,6 +68,7 @@
 	}
 	f := &Front{opts: opts, reader: &reader{}, sockets: newSockets(opts.MostSockets, opts.Sockets),
 		ids: newOpenIDs()}
+	f.over, f.end = context.WithCancel(context.Background())
 	f.longest.Store(int64(longestDeadline(opts.Settings)))
 	if err := f.Change(opts.Settings, func(*settings.Settings) error { return nil }); err != nil {
 		opts.Log.Error("settings with too many classes: no request is understood", "error", err)
@@ -96,6 +99,7 @@
 		closeFrom = stop
 	}
 	f.last.Store(last.UnixNano())
+	defer time.AfterFunc(time.Until(last), f.end).Stop()
 	// First: a lent socket may be blocking, and its Close waits for an Accept that only a client sent away brings.
 	f.closing.Store(!closeFrom.After(stop))
 	if handed {
@@ -260,15 +264,21 @@
 	}
 }
 
+// errEnds ends what a stopping proxy has not answered by its last answer: as their deadline would, which may be far behind SIGKILL.
+var errEnds = fmt.Errorf("the proxy ends: %w", context.DeadlineExceeded)
+
 // within is a request's context, which ends with the client's time. That of one whose body is still coming begins with its last byte.
 func (f *Front) within(client context.Context, in *route.Inbound, deadline time.Time) (context.Context, context.CancelFunc) {
-	ctx := route.WithInbound(client, in)
+	ctx, done := route.WithInbound(client, in), func() {}
 	if in.Rest == nil {
-		return context.WithDeadline(ctx, deadline)
+		ctx, done = context.WithDeadline(ctx, deadline)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	go in.Rest.Watch(ctx.Done(), 0, func() { cancel(context.DeadlineExceeded) }, func(err error) { cancel(err) })
-	return ctx, func() { cancel(nil) }
+	if in.Rest != nil {
+		go in.Rest.Watch(ctx.Done(), 0, func() { cancel(context.DeadlineExceeded) }, func(err error) { cancel(err) })
+	}
+	stop := context.AfterFunc(f.over, func() { cancel(errEnds) })
+	return ctx, func() { stop(); cancel(nil); done() }
 }
 
 // cut ends a request whose body may not have come whole: whoever still reads it has to stop, and the connection is of no
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -66,3 +68,33 @@
 		})
 	}
 }
+
+// What a proxy has taken and not answered when SIGKILL comes is lost, and that does not wait for deadlines over 3 s: it is answered by
+// the last answer, whenever it was taken. So is a request whose body is still coming then.
+func TestLongDeadlinesEndWithTheProxy(t *testing.T) {
+	for name, body := range map[string]string{"whole": "Content-Length: 2\r\n\r\n{}", "still coming": "Content-Length: 99999\r\n\r\n" + strings.Repeat("x", 70_000)} {
+		synctest.Test(t, func(t *testing.T) {
+			set := site()
+			set.Classes[1].HardLimit = 12e6
+			f := New(Options{Settings: set, Ready: func() bool { return true }, MostSockets: 9, Log: slog.New(slog.DiscardHandler),
+				Transport: transport(func(r *http.Request) (*http.Response, error) {
+					<-r.Context().Done() // as a route whose module has not settled it
+					if !errors.Is(context.Cause(r.Context()), context.DeadlineExceeded) {
+						t.Errorf("%s: it ends with %v", name, context.Cause(r.Context()))
+					}
+					return &http.Response{StatusCode: http.StatusGatewayTimeout, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
+				})})
+			ln, stop := start(t, f)
+			c, r := ln.dial()
+			defer c.Close()
+			time.AfterFunc(100*time.Millisecond, func() { stop() })
+			begin := time.Now()
+			resp, _, err := request(c, r, "POST /issue HTTP/1.1\r\n"+strings.Replace(headers, "Left-Ms: 480", "Left-Ms: 12000", 1)+body)
+			if took := time.Since(begin) - 100*time.Millisecond; err != nil || resp.StatusCode != 504 || took > countedAtMost+killAfter-beforeKill {
+				t.Errorf("%s: %v, %v, %v after the stop", name, resp, err, took)
+			}
+			c.Close()
+			<-stop()
+		})
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -135,7 +135,7 @@
 				return plain(req, http.StatusBadRequest, "the body did not come whole\n"), nil
 			case errors.Is(cause, context.DeadlineExceeded):
 				// The module should have settled it by now. The client must get an answer all the same.
-				t.Log.Error("a request was still open at its deadline")
+				t.Log.Error("a request was still open at its deadline", "error", cause)
 				return plain(req, http.StatusGatewayTimeout, "out of time\n"), nil
 			}
 			return nil, ctx.Err() // the client left
