--- a/decide/decide.go
+++ b/decide/decide.go
@@ -256,9 +256,9 @@
 	return b.now < r.repeatBy()
 }
 
-// repeatBy is when a further attempt may be written no more; never for what may run any number of times. The group forgets a key
-// a window after the attempt was issued; a server may take up the new one some time after it is sent, so the last eighth of the
-// window is left unused.
+// repeatBy is when a further attempt may be written no more; never for what may run any number of times. The
+// group forgets a key a window after the attempt was issued; a server may take up the new one some time after
+// it is sent, so the last eighth of the window is left unused.
 func (r *request) repeatBy() Time {
 	by := Time(math.MaxInt64)
 	for i := range r.tries {
