--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -541,3 +541,28 @@
 		})
 	}
 }
+
+// A destination that turns a request away before it has read it whole, and closes over what it has not read, has its connection
+// reset. Its answer, which lies there already, is heard, or the request's last byte never went out: both prove that it never ran.
+func TestAnEarlyRefusalIsHeard(t *testing.T) {
+	for name, size := range map[string]int{"short": 100, "as long as is kept": MostBody, "longer than all buffers": 20 << 20} {
+		goOn := make(chan struct{})
+		f, _ := once(t, func(c net.Conn) error {
+			defer close(goOn)
+			if _, err := io.WriteString(c, "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 5\r\n\r\nbusy\n"); err != nil {
+				return err
+			}
+			return c.Close()
+		})
+		f.opts.Dial = func(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
+			nc, err := OverTCP(ctx, addr, by)
+			return &heldReads{nc, goOn}, err
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		res := f.Exchange(ctx, 1, Attempt{Request: post(), Body: Body{Text: []byte(strings.Repeat("x", size))}})
+		cancel()
+		if res.Outcome != decide.Full && res.Outcome != decide.ConnectFailed {
+			t.Errorf("%s: outcome %d, %v", name, res.Outcome, res.Err)
+		}
+	}
+}
