Rename: an attempt that was never written is NotSent, in place of Moot

The outcome is renamed throughout the tree and nothing else is changed; its number on the wire and the words of logs stay. Measured: vet and the tests of decide, route, destination, the laboratory and the adapter pass.

--- a/decide/api.go
+++ b/decide/api.go
@@ -211,11 +211,11 @@
 	ConnectFailed                // no connection within the limit
 	Reset                        // the connection broke
 	Cancelled                    // called off
-	Moot                         // never sent
+	NotSent                         // never sent
 )
 
 // neverRan says whether o proves that the server did not carry the request out.
-func (o Outcome) neverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
+func (o Outcome) neverRan() bool { return o == Full || o == ConnectFailed || o == NotSent }
 
 // EventKind tells which fields of an Event count.
 type EventKind uint8
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -15,7 +15,7 @@
 }{
 	{"served", OK, false, false}, {"error", Failed, false, false}, {"full", Full, false, true},
 	{"timeout", TimedOut, false, false}, {"no connection", ConnectFailed, false, true},
-	{"reset", Reset, false, false}, {"cancelled", Cancelled, false, false}, {"moot", Moot, false, true},
+	{"reset", Reset, false, false}, {"cancelled", Cancelled, false, false}, {"not sent", NotSent, false, true},
 	{"outstanding", 0, true, false},
 }
 
@@ -369,13 +369,13 @@
 func (c *checker) finish(handle func(Event), rng *rand.Rand, id uint64, i int) {
 	q := c.open[id]
 	t := &q.tries[i]
-	out := []Outcome{OK, OK, OK, Failed, Full, ConnectFailed, Reset, Moot}[rng.IntN(8)]
+	out := []Outcome{OK, OK, OK, Failed, Full, ConnectFailed, Reset, NotSent}[rng.IntN(8)]
 	if c.now >= t.limit {
 		out = TimedOut
 	}
 	t.open = false
 	q.out--
-	if out == Full || out == ConnectFailed || out == Moot {
+	if out == Full || out == ConnectFailed || out == NotSent {
 		t.mayHaveRun = false
 	}
 	if out == OK {
--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -331,7 +331,7 @@
 	<-gone
 	ctx, cancel = context.WithDeadline(t.Context(), time.Now())
 	defer cancel()
-	if res := f.Exchange(ctx, 1, Attempt{Request: post()}); res.Outcome != decide.Moot {
+	if res := f.Exchange(ctx, 1, Attempt{Request: post()}); res.Outcome != decide.NotSent {
 		t.Errorf("out of time before anything was sent: outcome %d, %v", res.Outcome, res.Err)
 	}
 	if f.open != 0 {
@@ -345,11 +345,11 @@
 	f := fleet(addr, 9)
 	c, _, _ := f.acquire(t.Context(), 1)
 	f.Set(1, addr, false)
-	if res, _ := f.exchange(t.Context(), c, &Attempt{Request: post()}); res.Outcome != decide.Moot {
+	if res, _ := f.exchange(t.Context(), c, &Attempt{Request: post()}); res.Outcome != decide.NotSent {
 		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
 	}
 	f.release(c, true)
-	if res := exchange(t, f); res.Outcome != decide.Moot {
+	if res := exchange(t, f); res.Outcome != decide.NotSent {
 		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
 	}
 	f.Set(1, "", false)
@@ -368,7 +368,7 @@
 	if err != nil || f.open != 1 {
 		t.Fatalf("no connection (%v), or %d open", err, f.open)
 	}
-	if res := exchange(t, f); res.Outcome != decide.Moot {
+	if res := exchange(t, f); res.Outcome != decide.NotSent {
 		t.Errorf("over the budget: outcome %d", res.Outcome)
 	}
 	f.release(c, true)
@@ -509,8 +509,8 @@
 		want       decide.Outcome
 	}{
 		"in time":                  {250 * time.Millisecond, 1 << 20, decide.OK},
-		"over with the connection": {300 * time.Millisecond, 1 << 20, decide.Moot},
-		"over in the writing":      {0, 20, decide.Moot},
+		"over with the connection": {300 * time.Millisecond, 1 << 20, decide.NotSent},
+		"over in the writing":      {0, 20, decide.NotSent},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			here, there := net.Pipe()
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -69,7 +69,7 @@
 // up, also where the deployment lets nothing be cancelled that a destination may have begun.
 func (f *Fleet) Exchange(ctx context.Context, id uint32, a Attempt) Result {
 	if a.Body.Rest != nil && a.Body.Rest.Spent() {
-		return Result{Outcome: decide.Moot, Err: errSpent}
+		return Result{Outcome: decide.NotSent, Err: errSpent}
 	}
 	c, outcome, err := f.connect(ctx, id, &a)
 	if err != nil {
@@ -109,7 +109,7 @@
 	}
 	c, outcome, err := f.acquire(wanted, id)
 	if err != nil && wanted.Err() != nil && ctx.Err() == nil {
-		return nil, decide.Moot, fmt.Errorf("no longer wanted: %w", err)
+		return nil, decide.NotSent, fmt.Errorf("no longer wanted: %w", err)
 	}
 	return c, outcome, err
 }
@@ -131,10 +131,10 @@
 	req, body := a.Request, a.Body
 	text, err := encode(ctx, req, body)
 	if err != nil {
-		return Result{Outcome: decide.Moot, Err: err}, false
+		return Result{Outcome: decide.NotSent, Err: err}, false
 	}
 	if err := f.forbidden(ctx, c, a); err != nil {
-		return Result{Outcome: ended(ctx, decide.Moot), Err: err}, true
+		return Result{Outcome: ended(ctx, decide.NotSent), Err: err}, true
 	}
 	if outcome, err := c.send(ctx, a, text); err != nil {
 		return Result{Outcome: outcome, Err: err}, false
@@ -269,7 +269,7 @@
 	}
 	err = fmt.Errorf("writing the request: %w", err)
 	if client.Err() != nil || !a.WriteBy.IsZero() && !time.Now().Before(a.WriteBy) || errors.Is(err, errBody) || errors.Is(err, errSpent) {
-		return ended(ctx, decide.Moot), err // which says nothing of the destination
+		return ended(ctx, decide.NotSent), err // which says nothing of the destination
 	}
 	return neverSent(ctx), err
 }
@@ -333,8 +333,8 @@
 	case cause == nil:
 		return otherwise
 	case errors.Is(cause, context.DeadlineExceeded):
-		if otherwise == decide.Moot {
-			return decide.Moot // its time was up before anything was sent
+		if otherwise == decide.NotSent {
+			return decide.NotSent // its time was up before anything was sent
 		}
 		return decide.TimedOut
 	default:
--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -202,7 +202,7 @@
 func (f *Fleet) acquire(ctx context.Context, id uint32) (*conn, decide.Outcome, error) {
 	c, err := f.take(id)
 	if err != nil {
-		return nil, decide.Moot, err
+		return nil, decide.NotSent, err
 	}
 	if c.nc != nil {
 		return c, 0, nil
@@ -214,10 +214,10 @@
 		f.mu.Unlock()
 		outcome := decide.ConnectFailed
 		if ctx.Err() != nil {
-			outcome = ended(ctx, decide.Moot)
+			outcome = ended(ctx, decide.NotSent)
 		} else if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
 			errors.Is(err, syscall.EADDRNOTAVAIL) {
-			outcome = decide.Moot // our own shortage says nothing of the destination
+			outcome = decide.NotSent // our own shortage says nothing of the destination
 		}
 		return nil, outcome, fmt.Errorf("connecting: %w", err)
 	}
--- a/internal/destination/probe.go
+++ b/internal/destination/probe.go
@@ -28,10 +28,10 @@
 func (f *Fleet) probe(ctx context.Context, c *conn) (outcome decide.Outcome, report []float32, reusable bool, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+loadTarget, nil)
 	if err != nil {
-		return decide.Moot, nil, true, fmt.Errorf("a probe: %w", err)
+		return decide.NotSent, nil, true, fmt.Errorf("a probe: %w", err)
 	}
 	if text := "GET " + loadTarget + " HTTP/1.1\r\nHost: " + c.addr + "\r\n\r\n"; !f.takes(c.dest) {
-		return decide.Moot, nil, true, errUnknown
+		return decide.NotSent, nil, true, errUnknown
 	} else if _, err := c.nc.Write([]byte(text)); err != nil {
 		return neverSent(ctx), nil, false, fmt.Errorf("writing a probe: %w", err)
 	}
--- a/internal/destination/probe_test.go
+++ b/internal/destination/probe_test.go
@@ -32,7 +32,7 @@
 		"longer than any":   {"HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n" + strings.Repeat("x", 2*MostBody), decide.Failed, nil, false},
 		"more than belongs": {say(200, report) + "HTTP", decide.OK, []float32{0.5, 12}, false},
 		"silence":           {"", decide.TimedOut, nil, false},
-		"draining":          {"", decide.Moot, nil, false},
+		"draining":          {"", decide.NotSent, nil, false},
 	} {
 		addr, conns, requests := serve(t, func(n int, conn net.Conn) bool {
 			if n > 0 {
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -328,7 +328,7 @@
 	c.seen()
 	c.settled()
 	// Without the leave it would be the attempt's own time that ends it.
-	if n, outcome := c.written.Load(), decide.Outcome(c.outcome.Load()); n != 100 || outcome != decide.Moot {
+	if n, outcome := c.written.Load(), decide.Outcome(c.outcome.Load()); n != 100 || outcome != decide.NotSent {
 		t.Errorf("%d bytes written, of which 100 before the client left; outcome %d", n, outcome)
 	}
 }
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -276,7 +276,7 @@
 	r.out--
 	n.count(a.place, -1)
 	switch ev.Outcome {
-	case decide.Full, decide.ConnectFailed, decide.Moot:
+	case decide.Full, decide.ConnectFailed, decide.NotSent:
 		a.mayRun = false
 	}
 	if ev.Final {
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -369,7 +369,7 @@
 	a.out = false
 	t.out--
 	switch rec.Outcome {
-	case decide.Full, decide.ConnectFailed, decide.Moot:
+	case decide.Full, decide.ConnectFailed, decide.NotSent:
 		a.mayRun = false
 	}
 	r.drop(rec.ID, t)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -104,7 +104,7 @@
 			case decide.Send: // a route step
 				if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 					call.Depart() // it left in the same moment: the step is not made, and no other comes in its place
-					call.Finish(action.Attempt, decide.Moot, nil, time.Time{})
+					call.Finish(action.Attempt, decide.NotSent, nil, time.Time{})
 					continue
 				}
 				life.step(steps, action)
@@ -221,7 +221,7 @@
 			case decide.Cancel:
 				l.cancel(action.Attempt)
 			case decide.Send: // decided just before the client left: it is not made
-				l.call.Finish(action.Attempt, decide.Moot, nil, time.Time{})
+				l.call.Finish(action.Attempt, decide.NotSent, nil, time.Time{})
 			}
 		default:
 			return
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -154,7 +154,7 @@
 
 func (d *Decoder) outcome() decide.Outcome {
 	rc := d.u16()
-	if rc > uint16(decide.Moot) {
+	if rc > uint16(decide.NotSent) {
 		d.bad = true
 		return 0
 	}
