Rename: what RoundTrip makes are attempts, and what keeps them is a retrier

Route step and step become attempt, life becomes retrier, throughout route, planner, destination, docs and log lines; decide/api.go is as gofmt wants it. Nothing else is changed. Measured: vet and the tests of the four packages pass.

--- a/decide/api.go
+++ b/decide/api.go
@@ -211,7 +211,7 @@
 	ConnectFailed                // no connection within the limit
 	Reset                        // the connection broke
 	Cancelled                    // called off
-	NotSent                         // never sent
+	NotSent                      // never sent
 )
 
 // neverRan says whether o proves that the server did not carry the request out.
--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -339,7 +339,7 @@
 	}
 }
 
-// A drain holds at once: also for a step whose connection was already there when it came.
+// A drain holds at once: also for an attempt whose connection was already there when it came.
 func TestDrainStopsNewWork(t *testing.T) {
 	addr, _, requests := serve(t, func(_ int, c net.Conn) bool { io.WriteString(c, ok); return true })
 	f := fleet(addr, 9)
--- a/internal/destination/exchange.go
+++ b/internal/destination/exchange.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return Result{Outcome: outcome, Err: err}
 	}
-	// Ending ctx closes the connection: that is how a route step is given up.
+	// Ending ctx closes the connection: that is how an attempt is given up.
 	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
 	res, reusable := f.exchange(ctx, c, &a)
 	if res.Answer != nil && res.Answer.Rest != nil {
@@ -88,7 +88,7 @@
 		s.pass() // the connection is given back at its end
 		return res
 	}
-	f.release(c, stop() && reusable) // before the outcome is told, so that no step is out on an open connection
+	f.release(c, stop() && reusable) // before the outcome is told, so that no attempt is out on an open connection
 	return res
 }
 
@@ -278,7 +278,7 @@
 var longPast = time.Unix(1, 0)
 
 var (
-	errSpent = errors.New("the request's body was read for another step and is gone")
+	errSpent = errors.New("the request's body was read for another attempt and is gone")
 	errBody  = errors.New("the request's body")
 )
 
@@ -327,7 +327,7 @@
 // writtenHere are the headers that encode writes itself, or that say how a body was delimited on its way here.
 var writtenHere = map[string]bool{"Host": true, "User-Agent": true, timeLeftName: true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
 
-// ended is the outcome of a step that did not come to an answer: that of ctx if it is over, else otherwise.
+// ended is the outcome of an attempt that did not come to an answer: that of ctx if it is over, else otherwise.
 func ended(ctx context.Context, otherwise decide.Outcome) decide.Outcome {
 	switch cause := context.Cause(ctx); {
 	case cause == nil:
@@ -342,7 +342,7 @@
 	}
 }
 
-// neverSent is the outcome of a step whose request did not go out whole: it certainly never ran.
+// neverSent is the outcome of an attempt whose request did not go out whole: it certainly never ran.
 func neverSent(ctx context.Context) decide.Outcome {
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return decide.Cancelled
@@ -353,7 +353,7 @@
 // pauseFor is how long a long answer that has begun may pause before what there is of it is passed on.
 const pauseFor = 150 * time.Millisecond
 
-// passBefore is how long before a step's end an answer of unknown length is passed on as far as it has come.
+// passBefore is how long before an attempt's end an answer of unknown length is passed on as far as it has come.
 const passBefore = 10 * time.Millisecond
 
 // trustedLength is how much memory an answer gets for what it says of its length alone.
@@ -365,7 +365,7 @@
 )
 
 // read takes one answer: whole, or as far as shows that it is long. What lies beyond the limits is an error, and a part of an
-// answer must never pass for one. by is when the step ends.
+// answer must never pass for one. by is when the attempt ends.
 func (c *conn) read(by time.Time, f *Fleet, req *http.Request) (status int, answer *Answer, reusable bool, err error) {
 	c.limit.N = mostHead + MostBody
 	c.from.scanner = framing.Scanner{}
--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -134,7 +134,7 @@
 	if !ready {
 		f.closeIdle(d)
 	}
-	if addr == "" { // steps under way keep their pointer, which says that it takes nothing
+	if addr == "" { // attempts under way keep their pointer, which says that it takes nothing
 		delete(f.byID, id)
 	}
 }
--- a/internal/destination/long_test.go
+++ b/internal/destination/long_test.go
@@ -64,7 +64,7 @@
 }
 
 // A long answer is passed on while it comes, in whatever form; one that breaks off ends with an error that no reader can take
-// for its end; a step that got one is over, and its connection is given back where it can be used again.
+// for its end; an attempt that got one is over, and its connection is given back where it can be used again.
 func TestLongAnswers(t *testing.T) {
 	const long = 300_000
 	coded := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -166,7 +166,7 @@
 		t.Fatalf("outcome %d, %v", res.Outcome, res.Err)
 	}
 	s := res.Answer.Rest.(*stream)
-	time.Sleep(500 * time.Millisecond) // past the step's end, which must not end the answer
+	time.Sleep(500 * time.Millisecond) // past the attempt's end, which must not end the answer
 	s.mu.Lock()
 	held, err := len(s.held), s.err
 	s.mu.Unlock()
--- a/internal/destination/stream.go
+++ b/internal/destination/stream.go
@@ -63,7 +63,7 @@
 			s.end(errClosed)
 			return
 		}
-		if passed { // before that, the step's own end bounds the wait
+		if passed { // before that, the attempt's own end bounds the wait
 			if err := s.conn.nc.SetReadDeadline(time.Now().Add(longStall)); err != nil {
 				s.end(err)
 				return
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -606,7 +606,7 @@
 	})
 }
 
-// takesRest is a transport that reads what of a body is still coming, as a route step would, and counts it.
+// takesRest is a transport that reads what of a body is still coming, as an attempt would, and counts it.
 func takesRest(got *int, ended *error) transport {
 	return func(r *http.Request) (*http.Response, error) {
 		in := route.InboundOf(r.Context())
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// Sent counts a route step whose last byte is written.
+// Sent counts an attempt whose last byte is written.
 func (m *Metrics) Sent() { m.sends.Inc() }
 
 // Loaded counts a configuration that was taken over at a SIGHUP, or turned down.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -70,7 +70,7 @@
 	Tenant   uint32
 	Key      uint64
 	Work     decide.Time
-	Deadline time.Time // when the last route step has to have ended
+	Deadline time.Time // when the last attempt has to have ended
 	Slow     bool      // the body is still coming; Handed tells when a destination has it
 }
 
@@ -79,15 +79,15 @@
 
 // Call is one request on its way through the module.
 type Call struct {
-	planner *Planner
-	id      uint64
-	actions chan decide.Action
-	over    bool
-	steps   []step
-	out     int
+	planner  *Planner
+	id       uint64
+	actions  chan decide.Action
+	over     bool
+	attempts []attempt
+	out      int
 }
 
-type step struct {
+type attempt struct {
 	server  uint32
 	started time.Time
 	out     bool
@@ -108,27 +108,27 @@
 	return c
 }
 
-// Handed tells the module that a slow request's last byte has come, and so is with the destination of a route step.
+// Handed tells the module that a slow request's last byte has come, and so is with the destination of an attempt.
 func (c *Call) Handed(attempt uint8) {
 	p := c.planner
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if int(attempt) < len(c.steps) && c.steps[attempt].out {
+	if int(attempt) < len(c.attempts) && c.attempts[attempt].out {
 		p.handle(&decide.Event{Kind: decide.Handed, ID: c.id, Attempt: attempt})
 	}
 }
 
-// Finish reports how a route step ended. It is true if the step's answer is the call's final one: the outcome
-// is OK and nothing had ended the call before. What a second report of the same step says is ignored. sent is when the last byte
+// Finish reports how an attempt ended. It is true if the attempt's answer is the call's final one: the outcome
+// is OK and nothing had ended the call before. What a second report of the same attempt says is ignored. sent is when the last byte
 // of a request that took its time to send went out: a slow client is no slow server. It may be zero.
 func (c *Call) Finish(attempt uint8, outcome decide.Outcome, report []float32, sent time.Time) bool {
 	p := c.planner
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if int(attempt) >= len(c.steps) || !c.steps[attempt].out {
+	if int(attempt) >= len(c.attempts) || !c.attempts[attempt].out {
 		return false
 	}
-	s := &c.steps[attempt]
+	s := &c.attempts[attempt]
 	s.out = false
 	c.out--
 	answers := outcome == decide.OK && !c.over
@@ -287,9 +287,9 @@
 		}
 		switch a.Kind {
 		case decide.Send:
-			c.steps = append(c.steps, step{server: a.Server, started: time.Now(), out: true})
+			c.attempts = append(c.attempts, attempt{server: a.Server, started: time.Now(), out: true})
 			c.out++
-			a.Attempt = uint8(len(c.steps) - 1)
+			a.Attempt = uint8(len(c.attempts) - 1)
 		case decide.Refuse, decide.Fail:
 			c.over = true
 			c.forget()
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -34,7 +34,7 @@
 	return nil
 }
 
-// Each step's outcome reaches the module once, and only the first OK is the answer.
+// Each attempt's outcome reaches the module once, and only the first OK is the answer.
 func TestOutcomesAreToldOnce(t *testing.T) {
 	s := &script{act: sendTwice}
 	c := start(s).Arrive(Arrival{Deadline: time.Now().Add(time.Second)})
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,4 +1,4 @@
-// Package route carries one request through its life: it tells the planner of it, makes the route steps that the
+// Package route carries one request through its life: it tells the planner of it, makes the attempts that the
 // module asks for, and returns the one answer.
 package route
 
@@ -52,11 +52,11 @@
 	Exchange(ctx context.Context, id uint32, a destination.Attempt) destination.Result
 }
 
-// answerMargin is how long before the client's deadline route steps end, so that the module's last word still
+// answerMargin is how long before the client's deadline attempts end, so that the module's last word still
 // reaches a client that is about to leave.
 const answerMargin = 15 * time.Millisecond
 
-// Transport is an http.RoundTripper whose every step is the module's decision.
+// Transport is an http.RoundTripper whose every attempt is the module's decision.
 type Transport struct {
 	Planner       *planner.Planner
 	Fleet         Exchanger
@@ -80,43 +80,43 @@
 
 	// Arrival: the body is in. Steps have a context of their own: the module alone calls them off.
 	deadline := clientDeadline.Add(-answerMargin)
-	var steps context.Context
+	var attempts context.Context
 	var release context.CancelFunc
 	if in.Rest == nil {
-		steps, release = context.WithDeadline(context.WithoutCancel(ctx), deadline)
-	} else { // the module reckons as if it were here: what it may still do afterwards, no step can
+		attempts, release = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	} else { // the module reckons as if it were here: what it may still do afterwards, no attempt can
 		deadline = time.Now().Add(in.Rest.Left - answerMargin)
 		long, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-		steps, release = long, func() { cancel(nil) }
+		attempts, release = long, func() { cancel(nil) }
 		go in.Rest.Watch(long.Done(), answerMargin, func() { cancel(context.DeadlineExceeded) }, func(error) { cancel(nil) })
 	}
 	call := t.Planner.Arrive(planner.Arrival{Class: in.Class, Tenant: in.Tenant, Work: in.Work, Key: in.Key, Deadline: deadline, Slow: in.Rest != nil})
-	life := &life{t: t, call: call, sent: destination.Attempt{Request: req, Left: in.Left,
+	r := &retrier{t: t, call: call, sent: destination.Attempt{Request: req, Left: in.Left,
 		Body: destination.Body{Text: in.Body, Rest: in.Rest}}, answers: make(chan *destination.Answer, 1)}
-	defer life.releaseAfter(release)
-	defer life.cancelRest() // after Depart, which says what is to be called off
-	defer call.Depart()     // nothing once the call is over; otherwise the client left, or this function panicked
+	defer r.releaseAfter(release)
+	defer r.cancelRest() // after Depart, which says what is to be called off
+	defer call.Depart()  // nothing once the call is over; otherwise the client left, or this function panicked
 
 	for {
 		select {
 		case action := <-call.Actions():
 			switch action.Kind {
-			case decide.Send: // a route step
+			case decide.Send: // an attempt
 				if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-					call.Depart() // it left in the same moment: the step is not made, and no other comes in its place
+					call.Depart() // it left in the same moment: the attempt is not made, and no other comes in its place
 					call.Finish(action.Attempt, decide.NotSent, nil, time.Time{})
 					continue
 				}
-				life.step(steps, action)
+				r.attempt(attempts, action)
 			case decide.Cancel:
-				life.cancel(action.Attempt)
+				r.cancel(action.Attempt)
 			case decide.Refuse: // a busy reply
 				in.Refused = true
 				return busyReply(req, min(action.After, t.MaxRetryAfter.Load())), nil
 			case decide.Fail: // a failure
 				return plain(req, http.StatusBadGateway, "no destination could answer\n"), nil
 			}
-		case answer := <-life.answers: // an answer
+		case answer := <-r.answers: // an answer
 			in.Served = true
 			if answer.Rest != nil {
 				return passed(req, answer), nil
@@ -124,7 +124,7 @@
 			return response(req, http.StatusOK, answer.Header, answer.Body), nil
 		case <-ctx.Done():
 			cause := context.Cause(ctx)
-			if errors.Is(cause, context.DeadlineExceeded) && len(call.Actions())+len(life.answers) > 0 {
+			if errors.Is(cause, context.DeadlineExceeded) && len(call.Actions())+len(r.answers) > 0 {
 				continue // the last word is there, as for a request that came with no time left: it goes first
 			}
 			var long *http.MaxBytesError
@@ -143,29 +143,29 @@
 	}
 }
 
-// life is what RoundTrip keeps of a request's steps.
-type life struct {
+// retrier is what RoundTrip keeps of a request's attempts.
+type retrier struct {
 	t       *Transport
 	call    *planner.Call
-	sent    destination.Attempt  // what each step sends
+	sent    destination.Attempt  // what each attempt sends
 	cancels []context.CancelFunc // by attempt
-	running sync.WaitGroup       // steps without an outcome
+	running sync.WaitGroup       // attempts without an outcome
 	answers chan *destination.Answer
 }
 
-// step begins a route step. Its outcome is told to the planner exactly once, whatever happens.
-func (l *life) step(ctx context.Context, action decide.Action) {
+// attempt begins an attempt. Its outcome is told to the planner exactly once, whatever happens.
+func (r *retrier) attempt(ctx context.Context, action decide.Action) {
 	ctx, cancel := context.WithCancel(ctx)
-	l.cancels = append(l.cancels, cancel)
-	if int(action.Attempt) != len(l.cancels)-1 {
-		l.t.Log.Error("a route step is out of order", "attempt", action.Attempt)
+	r.cancels = append(r.cancels, cancel)
+	if int(action.Attempt) != len(r.cancels)-1 {
+		r.t.Log.Error("an attempt is out of order", "attempt", action.Attempt)
 	}
 	if action.After > 0 {
 		ctx, cancel = context.WithDeadline(ctx, time.Now().Add(time.Duration(action.After)*time.Microsecond))
 	}
-	sent := l.sent
+	sent := r.sent
 	if action.By > 0 {
-		sent.WriteBy = l.t.Planner.At(action.By)
+		sent.WriteBy = r.t.Planner.At(action.By)
 	}
 	done := make(chan struct{})
 	if sent.Body.Rest != nil {
@@ -173,55 +173,55 @@
 			select {
 			case <-sent.Body.Rest.Ended():
 				if _, err := sent.Body.Rest.End(); err == nil {
-					l.call.Handed(action.Attempt)
+					r.call.Handed(action.Attempt)
 				}
 			case <-done:
 			}
 		}()
 	}
-	l.running.Go(func() {
+	r.running.Go(func() {
 		defer close(done)
 		defer cancel()
-		result := l.exchange(ctx, action.Server, sent)
+		result := r.exchange(ctx, action.Server, sent)
 		if result.Err != nil {
-			l.t.Log.Debug("route step", "attempt", action.Attempt, "destination", action.Server,
+			r.t.Log.Debug("attempt", "attempt", action.Attempt, "destination", action.Server,
 				"outcome", result.Outcome, "error", result.Err)
 		}
-		if l.call.Finish(action.Attempt, result.Outcome, result.Report, result.Sent) {
-			l.answers <- result.Answer
+		if r.call.Finish(action.Attempt, result.Outcome, result.Report, result.Sent) {
+			r.answers <- result.Answer
 		} else if result.Answer != nil && result.Answer.Rest != nil {
 			result.Answer.Rest.Close() // too late
 		}
 	})
 }
 
-// exchange is one exchange that survives a panic: a step without an outcome would leave its request open.
-func (l *life) exchange(ctx context.Context, id uint32, sent destination.Attempt) (result destination.Result) {
+// exchange is one exchange that survives a panic: an attempt without an outcome would leave its request open.
+func (r *retrier) exchange(ctx context.Context, id uint32, sent destination.Attempt) (result destination.Result) {
 	defer func() {
-		if r := recover(); r != nil {
-			l.t.Log.Error("a route step panicked", "panic", r, "stack", string(debug.Stack()))
+		if p := recover(); p != nil {
+			r.t.Log.Error("an attempt panicked", "panic", p, "stack", string(debug.Stack()))
 			result = destination.Result{Outcome: decide.Reset} // it may have run
 		}
 	}()
-	return l.t.Fleet.Exchange(ctx, id, sent)
+	return r.t.Fleet.Exchange(ctx, id, sent)
 }
 
-func (l *life) cancel(attempt uint8) {
-	if int(attempt) < len(l.cancels) {
-		l.cancels[attempt]()
+func (r *retrier) cancel(attempt uint8) {
+	if int(attempt) < len(r.cancels) {
+		r.cancels[attempt]()
 	}
 }
 
 // cancelRest carries out what the module called off when it learnt that the request is over.
-func (l *life) cancelRest() {
+func (r *retrier) cancelRest() {
 	for {
 		select {
-		case action := <-l.call.Actions():
+		case action := <-r.call.Actions():
 			switch action.Kind {
 			case decide.Cancel:
-				l.cancel(action.Attempt)
+				r.cancel(action.Attempt)
 			case decide.Send: // decided just before the client left: it is not made
-				l.call.Finish(action.Attempt, decide.NotSent, nil, time.Time{})
+				r.call.Finish(action.Attempt, decide.NotSent, nil, time.Time{})
 			}
 		default:
 			return
@@ -229,14 +229,14 @@
 	}
 }
 
-// releaseAfter frees the steps' context once none needs it: where the deployment allows no cancelling, steps go
+// releaseAfter frees the attempts' context once none needs it: where the deployment allows no cancelling, attempts go
 // on after the answer.
-func (l *life) releaseAfter(release context.CancelFunc) {
+func (r *retrier) releaseAfter(release context.CancelFunc) {
 	go func() {
-		l.running.Wait()
+		r.running.Wait()
 		release()
 		select {
-		case a := <-l.answers: // it came just after the client had left
+		case a := <-r.answers: // it came just after the client had left
 			if a.Rest != nil {
 				a.Rest.Close()
 			}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -122,7 +122,7 @@
 	}{
 		"failed by the module": {sendThen(decide.Action{Kind: decide.Fail}), 502, time.Second - answerMargin},
 		"silent module":        {sendThen(decide.Action{}), 504, time.Second},
-		"no step at all":       {func(*decide.Event) []decide.Action { return nil }, 504, time.Second},
+		"no attempt at all":    {func(*decide.Event) []decide.Action { return nil }, 504, time.Second},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			start := time.Now()
@@ -134,7 +134,7 @@
 	}
 }
 
-// A client that leaves ends its steps, as the module says, and each of them still has an outcome.
+// A client that leaves ends its attempts, as the module says, and each of them still has an outcome.
 func TestClientLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		outcomes := 0
@@ -163,7 +163,7 @@
 	})
 }
 
-// A step that panics has an outcome; without one its request would stay open until the deadline.
+// An attempt that panics has an outcome; without one its request would stay open until the deadline.
 func TestPanickingStepIsAReset(t *testing.T) {
 	resp, err := run(t.Context(), sendThen(decide.Action{Kind: decide.Fail}),
 		func(context.Context, uint32) destination.Result { panic("a fault") })
@@ -178,7 +178,7 @@
 	return e(a.Body)
 }
 
-// The module hears when the last byte of a body has come, and until then that it has not: a step whose body never ends is not handed.
+// The module hears when the last byte of a body has come, and until then that it has not: an attempt whose body never ends is not handed.
 func TestSlowBodiesAreHandedAtTheirEnd(t *testing.T) {
 	for name, whole := range map[string]bool{"whole": true, "broken off": false} {
 		synctest.Test(t, func(t *testing.T) {
