Looks at sockets have a package of their own

Three places asked the system about a socket in the same lines (destination.Quiet, the front's look for a client that left, the listener's for what waits); front used destination's for its own sockets. internal/socket has Quiet, Left and Waits; the front's type socket is connState, as the name went to the package. Nothing else is changed.

--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"pumiceline/decide"
+	"pumiceline/internal/socket"
 )
 
 // serve starts a destination that gives each request of a connection to answer, with the number of the request
@@ -196,7 +197,7 @@
 			t.Fatalf("outcome %d, %v", res.Outcome, res.Err)
 		}
 		<-closed
-		for len(f.byID[1].idle) > 0 && Quiet(f.byID[1].idle[0].nc) {
+		for len(f.byID[1].idle) > 0 && socket.Quiet(f.byID[1].idle[0].nc) {
 			time.Sleep(time.Millisecond) // until the end has come over
 		}
 	}
@@ -304,7 +305,7 @@
 		read <- err
 	}()
 	time.Sleep(10 * time.Millisecond) // the reader is most likely at work by then; without one the test passes anyway
-	if !Quiet(c) {
+	if !socket.Quiet(c) {
 		t.Error("a connection with nothing to read is not quiet")
 	}
 	c.Close()
--- a/internal/destination/fleet.go
+++ b/internal/destination/fleet.go
@@ -17,6 +17,7 @@
 
 	"pumiceline/decide"
 	"pumiceline/internal/framing"
+	"pumiceline/internal/socket"
 )
 
 // Options are what a Fleet needs to know of the deployment.
@@ -250,7 +251,8 @@
 		d.idle = slices.Delete(d.idle, i, i+1)
 		// The destination closes a connection at the latest after IdleClose; a request that crosses the close
 		// is a reset, which may spend the only attempt that a keyed class has.
-		if now.Sub(c.used) < f.keep() && Quiet(c.nc) {
+		// One that died or closed it has sent an end or a reset by now; a request written there would be lost for nothing.
+		if now.Sub(c.used) < f.keep() && socket.Quiet(c.nc) {
 			return c, nil
 		}
 		f.closeConn(c)
@@ -264,7 +266,7 @@
 
 // rest is how long a connection is not used after an answer. A destination may send more than belongs to it, a whole second
 // answer even, some milliseconds late; nothing would tell that from the answer to the next request, which another client would
-// get. By the end of the rest it has come, and Quiet finds it. A new connection costs less than a wrong answer. Of 48 second
+// get. By the end of the rest it has come, and a look at it finds it. A new connection costs less than a wrong answer. Of 48 second
 // answers on the bench the latest came after 5 ms; a rest of 10 ms costs 0.03 of the standing test's score, this one nothing seen.
 const rest = 6 * time.Millisecond
 
@@ -339,24 +341,3 @@
 		time.AfterFunc(f.keep()-next, f.reap)
 	}
 }
-
-// Quiet says whether a connection without a request is still open with nothing to read. A destination that died or closed
-// it has sent an end or a reset by now; a request written there would be lost for nothing.
-func Quiet(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	// Control and not Read: Read would wait for a reader that is at work on the connection.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && open
-}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -9,13 +9,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
-	"pumiceline/internal/destination"
 	"pumiceline/internal/framing"
+	"pumiceline/internal/socket"
 )
 
 // clientConn is a front socket that watches how the requests coming in on it are delimited, and is closed so that nothing is lost:
@@ -44,7 +41,7 @@
 	c.mu.Unlock()
 	for {
 		n, err := c.Conn.Read(b)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load() && !destination.Quiet(c.Conn) {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load() && !socket.Quiet(c.Conn) {
 			if err = c.Conn.SetReadDeadline(time.Now().Add(graceForRead)); err == nil {
 				n, err = c.Conn.Read(b)
 			}
@@ -75,7 +72,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	begun := !c.scanner.Between() || c.scanner.Heads != c.handled
-	if c.ended || !c.reading || !always && (begun || !destination.Quiet(c.Conn)) {
+	if c.ended || !c.reading || !always && (begun || !socket.Quiet(c.Conn)) {
 		return false
 	}
 	c.ended = true
@@ -113,7 +110,7 @@
 	ended := c.ended
 	c.ended = true
 	c.mu.Unlock()
-	if ended || peerClosed(c.Conn) || !c.closeWrite() {
+	if ended || socket.Left(c.Conn) || !c.closeWrite() {
 		return c.Conn.Close()
 	}
 	c.lingering.Store(true)
@@ -127,26 +124,7 @@
 // byte, which tells it too late for a request that comes together with the end, and never behind bytes that came after the request.
 func gone(r *http.Request) bool {
 	c, ok := r.Context().Value(connKey{}).(*clientConn)
-	return ok && peerClosed(c.Conn)
-}
-
-// peerClosed says whether the other side of a connection has ended it. No byte has to be read for that to be seen.
-func peerClosed(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	ended := false
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		ended = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return err != nil || ended
+	return ok && socket.Left(c.Conn)
 }
 
 // graceForRead is more than enough for a read of what is there already.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -19,6 +19,7 @@
 
 	"pumiceline/internal/destination"
 	"pumiceline/internal/route"
+	"pumiceline/internal/socket"
 	"pumiceline/settings"
 )
 
@@ -491,7 +492,7 @@
 	if _, err := io.WriteString(client, "GET"); err != nil {
 		t.Fatal(err)
 	}
-	for destination.Quiet(nc) { // until it has come
+	for socket.Quiet(nc) { // until it has come
 		time.Sleep(time.Millisecond)
 	}
 	var b [8]byte
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -18,6 +18,7 @@
 	"pumiceline/internal/door"
 	"pumiceline/internal/planner"
 	"pumiceline/internal/route"
+	"pumiceline/internal/socket"
 )
 
 // crossing is a proxy between real sockets whose module, listener and connections to the backend wait where a test says so.
@@ -184,7 +185,7 @@
 
 // seen waits until the proxy's socket knows of the leave.
 func (c *crossing) seen() {
-	c.until("the proxy's socket hears of the leave", func() bool { side := c.taken.Load(); return side != nil && peerClosed(side.TCPConn) })
+	c.until("the proxy's socket hears of the leave", func() bool { side := c.taken.Load(); return side != nil && socket.Left(side.TCPConn) })
 }
 
 // settled waits until nothing is left of the requests that the module was told of.
--- a/internal/front/sockets.go
+++ b/internal/front/sockets.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"pumiceline/internal/socket"
 )
 
 // sockets keeps count of the front sockets and which of them are idle.
@@ -20,12 +20,12 @@
 	most  func() int // what they may take now
 
 	mu   sync.Mutex
-	open map[net.Conn]*socket
+	open map[net.Conn]*connState
 	idle int
 	mute int // that have brought nothing yet
 }
 
-type socket struct {
+type connState struct {
 	state http.ConnState
 	since time.Time
 }
@@ -34,7 +34,7 @@
 	if most == nil {
 		most = func() int { return usual }
 	}
-	return &sockets{usual: usual, most: most, open: map[net.Conn]*socket{}}
+	return &sockets{usual: usual, most: most, open: map[net.Conn]*connState{}}
 }
 
 func (s *sockets) count() int {
@@ -70,22 +70,8 @@
 
 // again says whether Accept, at the end of its time, has something left to take, and gives it more time then.
 func (l *listener) again() bool {
-	sc, ok := l.Listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds, 0)
-		waits = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
-	})
 	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
-	return err == nil && waits && ok && d.SetDeadline(time.Now().Add(acceptRound)) == nil
+	return ok && socket.Waits(l.Listener) && d.SetDeadline(time.Now().Add(acceptRound)) == nil
 }
 
 // acceptRound is how long Accept goes on before it is looked whether more waits.
@@ -135,7 +121,7 @@
 	case http.StateNew:
 		s.mute++
 	}
-	s.open[c] = &socket{state: state, since: time.Now()}
+	s.open[c] = &connState{state: state, since: time.Now()}
 }
 
 func (s *sockets) drop(c net.Conn) {
