A test of idle sockets reads its figures under their lock

Seen: of nine runs of front's tests under the race detector two reported a race. No code outside the test is changed.

--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -133,13 +133,19 @@
 	}
 }
 
-// idleNow is how many sockets are idle.
+// idleNow is how many sockets are idle, and muteNow how many have brought nothing yet.
 func (s *sockets) idleNow() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.idle
 }
 
+func (s *sockets) muteNow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mute
+}
+
 // An answer that its client has not taken yet when the proxy closes the connection is not lost to bytes that lie there unread. What
 // the client sent behind its request has the kernel reset the connection otherwise, and drop what it still holds.
 func TestACloseTakesNoAnswerBack(t *testing.T) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -410,8 +410,8 @@
 			conns = append(conns, c)
 			synctest.Wait()
 		}
-		if n := f.sockets.count(); closed != 3 || n != 14 || f.sockets.idleNow() != 9 || f.sockets.mute != 5 {
-			t.Errorf("%d closed, %d open, %d idle, %d mute", closed, n, f.sockets.idleNow(), f.sockets.mute)
+		if n := f.sockets.count(); closed != 3 || n != 14 || f.sockets.idleNow() != 9 || f.sockets.muteNow() != 5 {
+			t.Errorf("%d closed, %d open, %d idle, %d mute", closed, n, f.sockets.idleNow(), f.sockets.muteNow())
 		}
 		time.Sleep(idleFor + time.Second)
 		synctest.Wait()
