--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"pumiceline/internal/admission"
 	"pumiceline/internal/affinity"
 	"pumiceline/internal/calm"
 	"pumiceline/internal/turns"
@@ -42,12 +41,11 @@
 	lost     [256]int  // failures to connect in each zone since the last success
 	benched  int       // servers suspended
 	inflight int       // attempts out
-	start    admission.Start
-	window   float64 // the most that may be
-	signs    admission.Signs
-	lastEnd  Time    // of an attempt
-	warmTill Time    // until then the window is not narrowed to what is in use
-	remote   float64 // the part of their weight that servers of other zones keep
+	window   float64   // the most that may be
+	signs    float64   // share of recent answers that spoke of a queue
+	lastEnd  Time      // of an attempt
+	warmTill Time      // until then the window is not narrowed to what is in use
+	remote   float64   // the part of their weight that servers of other zones keep
 	kinds    []kindMean
 	mean     kindMean
 
@@ -76,10 +74,8 @@
 	cell       uint16
 	out        bool
 	mayHaveRun bool
-	late       bool // out for so long that it has spoken of a queue
 	slow       bool // its client still sends: no server holds it, and it counts nowhere
 	sent       Time
-	given      Time // to its server, whole
 	cost       float64
 }
 
@@ -192,7 +188,6 @@
 		return // a repeated id, or a class that the settings do not know: nothing sensible can be owed
 	}
 	b.arrivals++
-	b.start.Arrived(int64(b.now))
 	b.retries = min(retryBurst, b.retries+retryShare)
 	if len(b.spare) == 0 {
 		b.spare = append(b.spare, &request{})
@@ -334,7 +329,7 @@
 // handed counts an attempt as one that its server has.
 func (b *Balancer) handed(t *attempt) {
 	s := t.server
-	t.slow, t.given = false, b.now
+	t.slow = false
 	s.slow--
 	if s.inflight == 0 {
 		s.waiting = b.now
--- a/decide/health.go
+++ b/decide/health.go
@@ -76,9 +76,6 @@
 		b.disc.asked, b.disc.subscribed, b.disc.failures = false, true, 0
 	}
 	b.means()
-	if math.IsInf(b.window, 1) && len(b.order) > 0 {
-		b.window = b.start.Begin(int64(b.now), len(b.order), b.set.GroupSize)
-	}
 }
 
 // member takes one entry of the list. A drain or a removal takes the server out of the schedule at once.
@@ -191,7 +188,6 @@
 	case OK:
 		b.lost[s.zone] = 0
 		b.compare(s, t.cost, float64(ev.Elapsed), false)
-		b.start.Answered(float64(ev.Elapsed))
 		b.revive(s)
 		s.backoff = 0
 		s.faults -= s.faults * faultGain
@@ -225,15 +221,6 @@
 	s.silent, s.missed, s.answered = 0, 0, b.now
 }
 
-const (
-	startLeast = 1_000_000 // without an answer, to be taken for started anew: a process is no sooner back
-	missedMost = 2         // attempts in a row that fail to connect before a server is taken to be gone
-	silentMost = 4         // that are given up in a row before it gets turns for trial only
-	slowFrom   = 4         // usual times from which its recent answers are slow: kinds differ by less
-	faultGain  = 0.15      // how much the latest outcome counts among its faults
-	idleMost   = 2_000_000 // unused, until a connection is closed: a server takes only so many
-)
-
 // compare takes a server's time for an attempt against the usual one: the median of all, which servers that
 // are slow by themselves do not move, and which grows when all are slow. Of an attempt that was given up only
 // the least time that it would have taken is known: from an impatient client's nothing follows.
@@ -253,6 +240,20 @@
 	return ratio
 }
 
+// startLeast is how long a server must have answered nothing to be taken for one that has started anew. No
+// process is back sooner, and a network that resets connections would make a whole fleet cold.
+const startLeast = 1_000_000
+
+// missedMost is how many attempts in a row must fail to connect before a server is taken to be gone.
+const missedMost = 2
+
+// silentMost is how many attempts at a server may be given up in a row before it gets turns for trial only.
+const silentMost = 4
+
+// slowFrom is how many times the usual a server's recent answers must have taken to count as slow. Kinds of
+// servers differ by less, and single requests by more only now and then.
+const slowFrom = 4
+
 // evidence scales the weight of a server that this balancer finds slow or faulty: its reports come late,
 // and only with sound answers. Each fault costs its caller all its work, as in the weight.
 func (s *server) evidence() float64 {
@@ -263,6 +264,13 @@
 	return scale / s.pace
 }
 
+// faultGain is how much the latest outcome counts among a server's faults.
+const faultGain = 0.15
+
+// idleMost is how long an unused connection is kept. Servers take only so many, and those of a balancer that
+// has no use for them keep others out.
+const idleMost = 2_000_000
+
 // examine looks at a server on the period. A trial may be due. And a server that has been silent for much
 // longer than answers usually take gets no further turn until an attempt ends: hung servers keep their
 // connections, so nothing else gives them away.
@@ -286,60 +294,49 @@
 // Admission. When more work comes in than can be done in time, queues at the servers grow until hardly an
 // answer is in time, whoever is picked. The window bounds this balancer's attempts out; the rest waits here,
 // where the most valuable goes first and a refusal is still harmless.
+const (
+	crowdedFrom = 0.5  // of the aim: no answer within this speaks of a queue
+	crowdedCalm = 2    // times what answers take where nothing queues: nor does one within this
+	signsFew    = 0.1  // share of attempts beyond both that comes without a queue
+	signGain    = 0.05 // how much the latest counts in it
+)
 
-// crowded says whether an attempt of r that has taken this long speaks of a queue.
+// crowded says whether an answer to r that took this long speaks of a queue. Where work, or waits on others,
+// fill the aim, half of it is passed with nothing queued. What comes after the aim speaks of one in any case.
 func (b *Balancer) crowded(r *request, elapsed Time) bool {
-	aim := float64(r.class.Aim)
-	return float64(elapsed) > b.calm[r.number].Line(aim)*aim
-}
-
-// overdue takes attempts that are out for so long that their answers will speak of a queue as such now. Where
-// answers come late, the window would be as wide as before for as long, and the queues would grow meanwhile.
-func (b *Balancer) overdue() {
-	for _, r := range b.open { // in any order: each does the same to the window
-		for i := range r.tries {
-			t := &r.tries[i]
-			waits := t.out && !t.slow && !r.streams && !t.server.stalled && !t.server.odd()
-			if waits && !t.late && b.crowded(r, b.now-t.given) {
-				t.late = true
-				b.spoke(true)
-			}
-		}
+	aim, line := float64(r.class.Aim), 0.75 // between the two, until enough is known
+	if took, known := b.calm[r.number].Least(); known {
+		line = max(crowdedFrom, min(crowdedCalm*took/aim, 1))
 	}
-}
-
-// odd says whether s is slower than the rest, or not warm yet: how long it takes is its own trouble.
-func (s *server) odd() bool { return s.pace >= slowFrom || s.cold }
-
-// spoke moves the window after an attempt that spoke of a queue, or of none.
-func (b *Balancer) spoke(queue bool) {
-	b.window = b.signs.Move(b.window, queue, b.inflight, b.start.Over(int64(b.now)))
+	return float64(elapsed) > line*aim
 }
 
 // pace takes an outcome as a sign of how long the servers' queues are.
 func (b *Balancer) pace(r *request, t *attempt, ev *Event) {
-	if t.server.odd() {
-		return
+	if t.server.pace >= slowFrom || t.server.cold {
+		return // slower than the rest, or not warm yet: its own trouble
 	}
-	queue := ev.Outcome == Full
+	sign := 0.0
 	switch ev.Outcome {
 	case Full:
+		sign = 1
 	case OK, TimedOut:
 		if ev.Outcome == OK {
 			b.calm[r.number].Observe(b.now, 2*float64(ev.Elapsed)/(1+t.cost))
-			if _, known := b.calm[r.number].Least(); known {
-				b.window = max(b.window, b.start.Learnt(int64(b.now)))
-			}
 		}
-		queue = b.crowded(r, ev.Elapsed)
-		if !queue && ev.Outcome == TimedOut {
+		if b.crowded(r, ev.Elapsed) {
+			sign = 1
+		} else if ev.Outcome == TimedOut {
 			return // the client had little time; that says nothing of a queue
 		}
 	default:
 		return
 	}
-	if !t.late { // else it has spoken
-		b.spoke(queue)
+	b.signs += (sign - b.signs) * signGain
+	if sign > 0 {
+		b.window = admission.Narrow(b.window)
+	} else if float64(b.inflight)+1 > 0.8*b.window {
+		b.window = admission.Widen(b.window, b.signs < signsFew)
 	}
 }
 
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -117,9 +117,7 @@
 	}
 	if len(l.Calm) == len(b.calm) {
 		for i, least := range l.Calm {
-			if b.calm[i] = calm.Known(least); least > 0 {
-				b.start.Learnt(int64(b.now)) // the window is the one that was taken over
-			}
+			b.calm[i] = calm.Known(least)
 		}
 	}
 	for _, t := range l.Servers {
--- a/decide/learnt_test.go
+++ b/decide/learnt_test.go
@@ -52,9 +52,6 @@
 		b.mean.mean == 0 || b.servers[3].readySince != old.servers[3].readySince {
 		t.Errorf("%+v became %+v", l, b.Learnt())
 	}
-	if !b.start.Over(int64(b.now)) {
-		t.Error("it knows what answers take, and its window is bounded as after a start")
-	}
 	again := begin(start + 1) // server 3 has been started since
 	again.Adopt(now+5000, &l)
 	if again.servers[3].readySince != start+1 || again.servers[3].mass != 0 {
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -392,7 +392,6 @@
 // Servers in a drain or gone get nothing from the moment the news arrives, whatever was planned for them.
 func TestDrainStopsAtOnce(t *testing.T) {
 	b := newBalancer(t, settings(), fleet(3))
-	b.window = 100 // room for all of them
 	b.Handle(b.now, &Event{Kind: ListDelta, Members: []Member{{Server: 100, Mode: ModeDraining},
 		{Server: 101, Mode: ModeGone}}}, nil)
 	for id := range uint64(20) {
--- a/decide/weights.go
+++ b/decide/weights.go
@@ -159,11 +159,22 @@
 	return min(1, b.set.Rules.ColdShare+(1-b.set.Rules.ColdShare)*max(0, age))
 }
 
+// Chance decides how the balancers' sends fall together, and their work varies: what tips a cold server may
+// be only a few requests. chance is how many times the square root of their number is left free for that.
+// And beyond coldLoad times the guaranteed capacity a server gets no more than it can do in time, as most
+// are warm before they must be.
+const (
+	chance   = 3
+	coldLoad = 2.4
+)
+
 // coldRate is this balancer's part of a cold server's budget, in mean requests a second.
 func (b *Balancer) coldRate(s *server) float64 {
-	tip := &b.set.Rules
-	all := admission.ColdRate(b.like(s)*b.guaranteed(s), tip.TipMultiple, float64(tip.TipAfter)/1e6)
-	return all / float64(b.set.GroupSize)
+	able := b.like(s) * b.guaranteed(s)
+	span := max(1e-3, float64(b.set.Rules.TipAfter)/1e6)
+	tips := b.set.Rules.TipMultiple * able * span
+	root := (math.Sqrt(chance*chance+4*tips) - chance) / 2 // root^2 + chance*root = tips
+	return min(root*root/span, coldLoad*able) / float64(b.set.GroupSize)
 }
 
 // chill starts the ramp and the cold budget of s. The ramp alone is relative: when most servers are cold it
@@ -203,7 +214,6 @@
 		b.shares[i] = min(max(1, rate), b.shares[i]+rate*dt)
 	}
 	b.tidy()
-	b.overdue()
 	b.means()
 	b.roam(dt)
 	if b.now >= b.warmTill {
