--- a/internal/calm/calm.go
+++ b/internal/calm/calm.go
@@ -64,21 +64,3 @@
 
 // Least is what most answers take where nothing queues, in the unit of Observe, once enough have come.
 func (t *Time) Least() (took float64, known bool) { return t.least, t.seen >= warmup }
-
-// What an answer speaks of, by the time that it took.
-const (
-	from    = 0.5  // of the aim: no answer within this speaks of a queue,
-	most    = 2.75 // unless it took this many times what answers take where nothing queues: some servers slow down where they are crowded
-	twice   = 2    // times that: no answer within this speaks of a queue in any case, up to the aim
-	unknown = 0.75 // of the aim, the line until enough is known
-)
-
-// Line is the part of an aim, in the unit of Observe, beyond which an answer speaks of a queue. Where work, or waits on others, fill the aim,
-// half of it is passed with nothing queued. What comes after the aim speaks of a queue in any case.
-func (t *Time) Line(aim float64) float64 {
-	least, known := t.Least()
-	if !known {
-		return unknown
-	}
-	return min(max(from, min(twice*least/aim, 1)), most*least/aim)
-}
--- a/internal/calm/calm_test.go
+++ b/internal/calm/calm_test.go
@@ -59,16 +59,3 @@
 		t.Errorf("%.2f of the truth on the mean, %d of %d off by half", mean, off, draws)
 	}
 }
-
-// A line lies between half of the aim and the aim, but never over 2.75 times what answers take where nothing queues.
-func TestLine(t *testing.T) {
-	var unsure Time
-	if line := unsure.Line(1000); line != unknown {
-		t.Errorf("line at %v of the aim, with nothing known", line)
-	}
-	for _, c := range []struct{ least, line float64 }{{50, 0.1375}, {150, 0.4125}, {200, 0.5}, {300, 0.6}, {450, 0.9}, {700, 1}} {
-		if k := Known(c.least); math.Abs(k.Line(1000)-c.line) > 1e-9 {
-			t.Errorf("answers take %v of 1000: line at %v of it, not at %v", c.least, k.Line(1000), c.line)
-		}
-	}
-}
