--- /dev/null
+++ b/decide/crowd_test.go
@@ -0,0 +1,45 @@
+package decide
+
+import "testing"
+
+// An attempt that is out for longer than any answer without a queue takes speaks of one then, not when its answer comes. Heard only by its
+// answers, a queue that grows to seconds is heard seconds late, and the window is as wide as before for as long.
+func TestOverdueAttemptsNarrowTheWindow(t *testing.T) {
+	b := newBalancer(t, settings(), fleet(4))
+	b.usual, b.warmTill = 1e6, b.now+60e6 // nothing is taken for hung, and the window is not narrowed to what is in use
+	b.window = 40
+	for id := range uint64(40) {
+		b.Handle(b.now, &Event{Kind: Arrival, ID: id + 1, Patience: 60e6}, nil)
+		b.Handle(b.now, &Event{Kind: Handed, ID: id + 1}, nil)
+	}
+	b.Handle(b.now+3*b.set.Classes[0].Aim, &Event{Kind: TimerFired, ID: tagRefresh}, nil)
+	if b.window >= 40 {
+		t.Errorf("40 attempts are out for three times the aim, and the window is %v", b.window)
+	}
+}
+
+// Balancers that start together, before any of them knows what answers take, send no server more than it can hold in time. A flood drives
+// servers that slow down when they are crowded to where they stay slow, and is taken for what answers take without a queue.
+func TestManyThatStartTogetherFloodNobody(t *testing.T) {
+	const balancers, servers, each = 60, 20, 10
+	sent := 0
+	for seed := range uint64(balancers) {
+		set := settings()
+		set.GroupSize = balancers
+		b, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(1e9, &Event{Kind: ListFull, Members: fleet(servers)}, nil)
+		for id := range uint64(20) {
+			for _, a := range b.Handle(1e9, &Event{Kind: Arrival, ID: id, Patience: 1e6}, nil) {
+				if a.Kind == Send {
+					sent++
+				}
+			}
+		}
+	}
+	if sent > each*servers {
+		t.Errorf("%d attempts are out at %d servers before the first answer", sent, servers)
+	}
+}
