--- a/internal/calm/calm.go
+++ b/internal/calm/calm.go
@@ -2,15 +2,12 @@
 // the only one that it knows.
 package calm
 
-import "slices"
-
 // What stands for "what answers take" is the time that share of them keep within. A running quantile follows it, and the least
 // that this was of late is the time without a queue: queues come and go, and while they last they only add.
 const (
 	share   = 0.8
 	step    = 0.03      // of its value, by which the running quantile follows one answer
-	warmup  = 10        // answers before anything is told
-	settled = 20        // answers whose own quantile it begins with: step by step it would take long to leave the first of them
+	warmup  = 20        // answers before anything is told; the first few move the quantile further
 	period  = 1_000_000 // microseconds between two looks at the running quantile
 	forgets = 0.01      // a second, of the least: what takes longer for good comes to be known as calm
 )
@@ -27,7 +24,6 @@
 // Time is the estimate for one kind of answers. The zero Time knows nothing.
 type Time struct {
 	seen    int
-	first   [settled]float64
 	running float64
 	least   float64
 	looked  int64
@@ -38,18 +34,14 @@
 	if !(took > 0) {
 		return
 	}
-	if t.seen < settled {
-		t.first[t.seen], t.running = took, took
-		if t.seen++; t.seen == warmup || t.seen == settled {
-			sorted := t.first
-			slices.Sort(sorted[:t.seen])
-			t.running = sorted[int(share*float64(t.seen))]
-			t.least, t.looked = t.running, now
-		}
-		return
+	if t.seen++; t.seen == 1 {
+		t.running = took
 	}
-	t.running = Follow(t.running, took, share, step)
-	if passed := now - t.looked; passed >= period {
+	t.running = Follow(t.running, took, share, step*float64(max(1, warmup/2/t.seen)))
+	switch passed := now - t.looked; {
+	case t.seen == warmup:
+		t.least, t.looked = t.running, now
+	case t.seen > warmup && passed >= period:
 		t.least, t.looked = min(t.least*(1+forgets*float64(passed)/1e6), t.running), now
 	}
 }
@@ -57,7 +49,7 @@
 // Known is an estimate that another has come to; nothing is known if it is not over 0.
 func Known(least float64) (t Time) {
 	if least > 0 {
-		t = Time{seen: settled, running: least, least: least}
+		t = Time{seen: warmup, running: least, least: least}
 	}
 	return t
 }
