A test of second answers can't wait for itself

The second request's handler could refill the channel that the test had emptied and was about to fill.

--- a/internal/destination/destination_test.go
+++ b/internal/destination/destination_test.go
@@ -259,13 +259,14 @@
 // written, which is too late for any look at the connection, and before that request's own answer.
 func TestASecondAnswerReachesNobody(t *testing.T) {
 	first, second := make(chan net.Conn, 1), make(chan struct{})
+	var begun atomic.Bool
 	addr, conns, _ := serve(t, func(n int, c net.Conn) bool {
-		select {
-		case <-second:
-		case first <- c:
+		if begun.CompareAndSwap(false, true) {
+			first <- c
 			io.WriteString(c, ok)
 			return true
 		}
+		<-second
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
 		return true
 	})
@@ -274,7 +275,6 @@
 	f.opts.Sent = func() {
 		if sent++; sent == 2 {
 			io.WriteString(<-first, ok)
-			first <- nil
 			close(second)
 		}
 	}
