--- /dev/null
+++ b/internal/bootstrap/bootstrap.go
@@ -0,0 +1,190 @@
+// Package bootstrap reads and checks the settings file of a process of the system. The path of the file stands in
+// the environment variable PUMICELINE_BOOT.
+package bootstrap
+
+import (
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"pumiceline/internal/pathreader"
+)
+
+// Variable names the environment variable that holds the path of the settings file.
+const Variable = "PUMICELINE_BOOT"
+
+// Settings are what a process is told when it starts.
+type Settings struct {
+	Node, Role, Zone, Region string
+	Zones                    map[string]string // region by zone
+	IP                       string
+	FrontAddress             string // listen address for clients; empty where not served
+	ReadyAddress             string // listen address for readiness checks
+	ControlAddress           string // listen address for the operator
+	FirstPort, LastPort      int    // ports for traffic inside the system
+	Seeds                    []string
+	FirstStart               bool
+	CountsForQuorum          bool
+	Limits                   Limits
+	StateDir                 string
+	Tolerance                int // machines that may be lost at one time
+	Bounds                   Bounds
+	Platform                 Platform
+}
+
+// Limits are the machine's limits for this process.
+type Limits struct {
+	CPUShare  float64
+	MemoryMB  int
+	FileLimit int
+	DiskMB    int
+}
+
+// Bounds are the figures of the rules in force.
+type Bounds struct {
+	Ack, Apply, Drain, Grace time.Duration
+	Lease, Thaw              time.Duration
+	RetryWindow              time.Duration
+	RetryRatio               float64
+	RetryExtra               float64
+	CapWindow                time.Duration // window of the rule on loads
+	CapExcess                float64
+	Quiet                    time.Duration
+	ReuseAfter               time.Duration
+}
+
+// Platform tells where the list of backends is kept.
+type Platform struct {
+	Address   string
+	RatePerS  float64 // calls a second that all processes may make together
+	MaxLag    time.Duration
+	IsPresent bool
+}
+
+// Load reads the file that the environment names.
+func Load() (*Settings, error) {
+	path := os.Getenv(Variable)
+	if path == "" {
+		return nil, errors.Errorf("%s names no settings file", Variable)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the settings file")
+	}
+	settings, err := Parse(text)
+	return settings, errors.Wrap(err, path)
+}
+
+// Parse reads settings from YAML. The error names every faulty key.
+func Parse(text []byte) (*Settings, error) {
+	var document map[string]any
+	if err := yaml.Unmarshal(text, &document); err != nil {
+		return nil, errors.Wrap(err, "not YAML")
+	}
+	findings := &pathreader.Findings{}
+	settings := read(pathreader.Root(document, findings))
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+func read(root pathreader.Node) *Settings {
+	s := &Settings{
+		Node:            root.Get("node").RequiredText(),
+		Role:            root.Get("role").Text(""),
+		Zone:            root.Get("zone").RequiredText(),
+		Region:          root.Get("region").Text(""),
+		Zones:           map[string]string{},
+		IP:              root.Get("ip").RequiredText(),
+		FrontAddress:    root.Get("listen").Get("front").Text(""),
+		ReadyAddress:    root.Get("listen").Get("ready").Text(""),
+		ControlAddress:  root.Get("listen").Get("control").Text(""),
+		FirstStart:      root.Get("firstStart").Bool(false),
+		CountsForQuorum: root.Get("countsForQuorum").Bool(false),
+		StateDir:        root.Get("stateDir").Text(""),
+		Tolerance:       int(root.Get("tolerance").Get("machines").Number(0)),
+	}
+	for _, zone := range root.Get("zones").Keys() {
+		s.Zones[zone] = root.Get("zones").Get(zone).Text("")
+	}
+	for _, seed := range root.Get("seedNodes").List() {
+		s.Seeds = append(s.Seeds, seed.RequiredText())
+	}
+	readPorts(root.Get("portRange"), s)
+	readLimits(root.Get("limits"), s)
+	readBounds(root.Get("bounds"), s)
+	readPlatform(root.Get("cloud"), s)
+	return s
+}
+
+func readPorts(node pathreader.Node, s *Settings) {
+	ports := node.List()
+	if len(ports) != 2 {
+		node.Fault("the first and the last port are wanted")
+		return
+	}
+	s.FirstPort, s.LastPort = int(ports[0].Number(0)), int(ports[1].Number(0))
+	if s.FirstPort <= 0 || s.LastPort <= s.FirstPort {
+		node.Fault("two ports in rising order are wanted")
+	}
+}
+
+func readLimits(node pathreader.Node, s *Settings) {
+	s.Limits = Limits{
+		CPUShare:  node.Get("cpuShare").Number(1),
+		MemoryMB:  int(node.Get("memoryMb").Number(256)),
+		FileLimit: int(node.Get("fileLimit").Number(1024)),
+		DiskMB:    int(node.Get("diskMb").Number(0)),
+	}
+}
+
+// Defaults for bounds that the file does not give: those of the smallest deployments known.
+const (
+	defaultAck         = 4 * time.Second
+	defaultApply       = 2 * time.Second
+	defaultDrain       = 3 * time.Second
+	defaultGrace       = 8 * time.Second
+	defaultLease       = 3 * time.Second
+	defaultThaw        = 300 * time.Millisecond
+	defaultRetryWindow = 10 * time.Second
+	defaultCapWindow   = 5 * time.Second
+	defaultMaxLag      = 800 * time.Millisecond
+)
+
+func readBounds(node pathreader.Node, s *Settings) {
+	s.Bounds = Bounds{
+		Ack:         milliseconds(node.Get("ackMs"), defaultAck),
+		Apply:       milliseconds(node.Get("applyMs"), defaultApply),
+		Drain:       milliseconds(node.Get("drainMs"), defaultDrain),
+		Grace:       seconds(node.Get("graceS"), defaultGrace),
+		Lease:       milliseconds(node.Get("leaseMs"), defaultLease),
+		Thaw:        milliseconds(node.Get("thawMs"), defaultThaw),
+		RetryWindow: seconds(node.Get("retryWindowS"), defaultRetryWindow),
+		RetryRatio:  node.Get("retryRatio").Number(0),
+		RetryExtra:  node.Get("retryExtra").Number(0),
+		CapWindow:   seconds(node.Get("capWindowS"), defaultCapWindow),
+		CapExcess:   node.Get("capExcess").Number(1),
+		Quiet:       milliseconds(node.Get("quietMs"), defaultDrain),
+		ReuseAfter:  seconds(node.Get("reuseAfterS"), 2*time.Second),
+	}
+}
+
+func readPlatform(node pathreader.Node, s *Settings) {
+	s.Platform = Platform{
+		Address:   node.Get("address").Text(""),
+		RatePerS:  node.Get("ratePerS").Number(10),
+		MaxLag:    milliseconds(node.Get("maxLagMs"), defaultMaxLag),
+		IsPresent: node.Get("address").Present(),
+	}
+}
+
+func milliseconds(node pathreader.Node, fallback time.Duration) time.Duration {
+	return time.Duration(node.Number(float64(fallback)/float64(time.Millisecond)) * float64(time.Millisecond))
+}
+
+func seconds(node pathreader.Node, fallback time.Duration) time.Duration {
+	return time.Duration(node.Number(fallback.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,277 @@
+// Package message holds the messages that the processes of the system exchange, and the records that they keep on
+// disk. The codecs are generated: go generate needs tinylib/msgp's generator, the build does not.
+package message
+
+//go:generate msgp -tests=false -o message_gen.go
+
+// Member is a coordinator: an identity that lives on its disk, and the address at which it is reached now.
+type Member struct {
+	Identity string `msg:"i"`
+	Address  string `msg:"a"`
+	Since    uint64 `msg:"s"` // number of the view from which it has been a member without a gap
+}
+
+// View is an agreed membership. Members stand in the order of the chain, the head first.
+type View struct {
+	Number  uint64   `msg:"n"`
+	Members []Member `msg:"m"`
+	Size    int      `msg:"z"` // the largest membership seen: how many members the system is meant to have
+}
+
+// Ballot orders the proposals for one view.
+type Ballot struct {
+	Round    uint64 `msg:"r"`
+	Proposer string `msg:"p"`
+}
+
+// ControlState is what a coordinator keeps on disk besides the configuration.
+type ControlState struct {
+	Identity       string `msg:"i"`
+	View           View   `msg:"v"`
+	Complete       bool   `msg:"c"` // it holds all that was acknowledged in earlier views
+	Promised       Ballot `msg:"p"`
+	AcceptedBallot Ballot `msg:"b"`
+	Accepted       View   `msg:"a"` // the accepted next view; its number is 0 where there is none
+	LeaseToken     uint64 `msg:"t"` // the highest token ever granted
+}
+
+// Change is an operator's change as it was taken.
+type Change struct {
+	Version uint64 `msg:"v"`
+	Base    uint64 `msg:"b"` // the version that it was built on
+	Digest  []byte `msg:"d"` // of method, base and body
+}
+
+// ChainState is the replicated state: the configuration and every change that was taken.
+type ChainState struct {
+	Sequence uint64   `msg:"s"` // number of changes taken
+	Digest   []byte   `msg:"d"` // chained over all changes
+	Version  uint64   `msg:"v"` // the operator's version, 0 before the first
+	Document []byte   `msg:"c"` // the whole configuration as JSON
+	History  []Change `msg:"h"`
+}
+
+// Message is one message between processes. Exactly one of the pointers is set.
+type Message struct {
+	From        string `msg:"f"` // sender's identity
+	FromAddress string `msg:"fa"`
+	To          string `msg:"t"` // receiver's identity; empty: whoever has the address
+	ToAddress   string `msg:"-"`
+	View        uint64 `msg:"v"` // sender's view
+
+	Heartbeat       *Heartbeat       `msg:"hb,omitempty"`
+	Suspicion       *Suspicion       `msg:"su,omitempty"`
+	Join            *Join            `msg:"jo,omitempty"`
+	Announcement    *Announcement    `msg:"an,omitempty"`
+	Prepare         *Prepare         `msg:"pr,omitempty"`
+	Promise         *Promise         `msg:"pm,omitempty"`
+	Accept          *Accept          `msg:"ac,omitempty"`
+	Accepted        *Accepted        `msg:"ad,omitempty"`
+	Replicate       *Replicate       `msg:"re,omitempty"`
+	Committed       *Committed       `msg:"co,omitempty"`
+	SnapshotRequest *SnapshotRequest `msg:"sr,omitempty"`
+	Confirm         *Confirm         `msg:"cf,omitempty"`
+	Confirmed       *Confirmed       `msg:"cd,omitempty"`
+	LeaseRequest    *LeaseRequest    `msg:"lr,omitempty"`
+	LeaseGrant      *LeaseGrant      `msg:"lg,omitempty"`
+	LeaseRelease    *LeaseRelease    `msg:"ll,omitempty"`
+	ConfigCall      *ConfigCall      `msg:"cc,omitempty"`
+	ConfigResult    *ConfigResult    `msg:"cr,omitempty"`
+	Pull            *Pull            `msg:"pu,omitempty"`
+	PullReply       *PullReply       `msg:"pl,omitempty"`
+}
+
+// Heartbeat tells a monitor that the sender is alive.
+type Heartbeat struct {
+	Complete    bool `msg:"c"`
+	DiskStalled bool `msg:"d"` // a write to its disk has been under way for too long
+	Leaving     bool `msg:"l"` // it was asked to stop
+}
+
+// Suspicion tells the members that the sender has not heard from a member that it monitors.
+type Suspicion struct {
+	Members []string `msg:"m"`
+}
+
+// Join asks for membership.
+type Join struct {
+	DiskStalled bool `msg:"d"`
+}
+
+// Announcement carries a decided view.
+type Announcement struct {
+	View View `msg:"v"`
+}
+
+// Prepare opens a ballot for the view after View.
+type Prepare struct {
+	Ballot Ballot `msg:"b"`
+}
+
+// Promise answers Prepare; when Refused, Ballot is the one that stands in the way.
+type Promise struct {
+	Ballot         Ballot `msg:"b"`
+	Refused        bool   `msg:"r"`
+	Promised       Ballot `msg:"p"`
+	AcceptedBallot Ballot `msg:"ab"`
+	Accepted       View   `msg:"a"`
+}
+
+// Accept asks to accept a value for the next view.
+type Accept struct {
+	Ballot Ballot `msg:"b"`
+	Value  View   `msg:"v"`
+}
+
+// Accepted answers Accept.
+type Accepted struct {
+	Ballot   Ballot `msg:"b"`
+	Refused  bool   `msg:"r"`
+	Promised Ballot `msg:"p"`
+}
+
+// Replicate passes the replicated state down the chain: a change on top of a known state, a whole state, or only
+// the digest, which the receiver compares with its own.
+type Replicate struct {
+	Sequence       uint64      `msg:"s"`
+	Digest         []byte      `msg:"d"`
+	PreviousDigest []byte      `msg:"p"`
+	Change         *Change     `msg:"c,omitempty"`
+	Document       []byte      `msg:"o,omitempty"` // the configuration after Change
+	Snapshot       *ChainState `msg:"n,omitempty"`
+}
+
+// Committed travels from the tail to the head: every member has synced the state.
+type Committed struct {
+	Sequence uint64 `msg:"s"`
+	Digest   []byte `msg:"d"`
+}
+
+// SnapshotRequest asks the predecessor for its state: whole, or only to be compared by its digest.
+type SnapshotRequest struct {
+	Whole bool `msg:"w"`
+}
+
+// Confirm asks whether the receiver still is in the sender's view.
+type Confirm struct {
+	Round uint64 `msg:"r"`
+}
+
+// Confirmed says that the sender is in that view and has accepted no later one.
+type Confirmed struct {
+	Round uint64 `msg:"r"`
+}
+
+// LeaseRequest asks for the lease on the controller role, or renews it.
+type LeaseRequest struct {
+	Token uint64 `msg:"t"`
+	Round uint64 `msg:"r"`
+}
+
+// LeaseGrant answers LeaseRequest.
+type LeaseGrant struct {
+	Round   uint64 `msg:"r"`
+	Granted bool   `msg:"g"`
+	Token   uint64 `msg:"t"` // the highest token that the grantor knows of
+}
+
+// LeaseRelease gives the lease back before it expires.
+type LeaseRelease struct {
+	Token uint64 `msg:"t"`
+}
+
+// ConfigCall is an operator's call on its way to the member that decides it.
+type ConfigCall struct {
+	ID      uint64 `msg:"i"` // the relaying member's number of the call
+	Method  string `msg:"m"`
+	IfMatch string `msg:"f"`
+	Body    []byte `msg:"b"`
+}
+
+// ConfigResult answers ConfigCall.
+type ConfigResult struct {
+	ID     uint64 `msg:"i"`
+	Status int    `msg:"s"`
+	Body   []byte `msg:"b"`
+}
+
+// ModelDemand is what was asked for one model since the last report.
+type ModelDemand struct {
+	Service  string  `msg:"s"`
+	Model    string  `msg:"m"` // with its adapter after a slash
+	Arrivals float64 `msg:"a"`
+	Waiting  int     `msg:"w"` // requests that wait for it right now
+	Missed   float64 `msg:"x"` // requests that were refused as it was nowhere
+	Running  int     `msg:"r"` // requests of it that run right now
+}
+
+// BackendLoad is what the proxies carry at one backend.
+type BackendLoad struct {
+	Backend string `msg:"b"`
+	Running int    `msg:"r"`
+}
+
+// Pull asks for what the sender lacks: it tells the versions that it has.
+type Pull struct {
+	ID             uint64        `msg:"i"`
+	ConfigSequence uint64        `msg:"c"`
+	BackendDigest  uint64        `msg:"b"`
+	HoldMS         int           `msg:"h"` // how long the answer may be held while there is nothing new
+	Demand         []ModelDemand `msg:"d"`
+	Loads          []BackendLoad `msg:"l"`
+	Proxies        int           `msg:"p"` // how many proxies the sender speaks for
+}
+
+// PullReply carries what is newer than the versions told.
+type PullReply struct {
+	ID            uint64         `msg:"i"`
+	Unavailable   bool           `msg:"u"` // the member has no majority behind it: ask another
+	Members       []string       `msg:"m"` // addresses of the coordinators
+	Config        *ConfigUpdate  `msg:"c,omitempty"`
+	Backends      *BackendUpdate `msg:"b,omitempty"`
+	BackendsKnown bool           `msg:"k"`
+	BackendsAgeMS int64          `msg:"a"` // how old the list of backends is
+	HeldMS        int64          `msg:"h"`
+	Proxies       int            `msg:"p"` // how many proxies there are
+	TotalLoads    []BackendLoad  `msg:"l"` // what all proxies together carry
+	Orders        []LoadOrder    `msg:"o"` // loads that are under way
+}
+
+// ConfigUpdate is a configuration that was acknowledged.
+type ConfigUpdate struct {
+	Sequence uint64 `msg:"s"`
+	Document []byte `msg:"d"`
+}
+
+// BackendUpdate is the list of backends.
+type BackendUpdate struct {
+	Digest   uint64    `msg:"d"`
+	Backends []Backend `msg:"b"`
+}
+
+// Backend is an entry of the platform's list.
+type Backend struct {
+	ID         string        `msg:"i"`
+	Service    string        `msg:"s"`
+	Address    string        `msg:"a"`
+	Zone       string        `msg:"z"`
+	Capacity   int           `msg:"c"`
+	Draining   bool          `msg:"d"`
+	ColdLeftMS int           `msg:"-"`
+	TimeLeftMS int           `msg:"t"` // time until it is taken away; 0: not announced
+	Models     []LoadedModel `msg:"m"`
+}
+
+// LoadedModel is a model that a backend holds.
+type LoadedModel struct {
+	Name     string   `msg:"n"`
+	Adapters []string `msg:"a"`
+}
+
+// LoadOrder is a load of a model, or of an adapter after a slash, that is under way.
+type LoadOrder struct {
+	Service  string `msg:"s"`
+	Model    string `msg:"m"`
+	Backend  string `msg:"b"`
+	DoneInMS int64  `msg:"d"` // when it should be there
+}
