Add the control plane: views, chain replication, lease, distribution

Cause: nobody keeps the configuration and the list of backends any more. Ruled out: a replicated log with a leader (house style); nested calls down the chain (not testable without a network).

--- /dev/null
+++ b/internal/controlplane/configuration/routing.go
@@ -0,0 +1,30 @@
+package configuration
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+func (c *Config) index() {
+	c.byHost = map[string][]*Route{}
+	for _, route := range c.Routes {
+		c.byHost[route.Host] = append(c.byHost[route.Host], route)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// Match returns the route with the longest prefix for a request's host and path, nil where there is none.
+func (c *Config) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlplane/coordinator/owner.go
@@ -0,0 +1,142 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"pumiceline/internal/controlplane/distribution"
+	"pumiceline/internal/controlplane/replica"
+	"pumiceline/internal/message"
+	"pumiceline/internal/transport"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	queueLength  = 1024
+)
+
+// standing is what the rest of the process may know of the replica.
+type standing struct {
+	view        message.View
+	member      bool
+	holder      string // internal address of the lease holder; empty: not known
+	token       uint64 // of the lease where this member holds it
+	leaseSince  time.Time
+	leaseUntil  time.Time
+	served      uint64
+	hasMajority bool
+}
+
+// owner runs the replica: one goroutine that takes messages and ticks from a queue.
+type owner struct {
+	replica  *replica.Replica
+	started  time.Time
+	queue    chan *message.Message
+	leaving  chan struct{}
+	sender   *transport.Sender
+	writer   *writer
+	hub      *distribution.Hub
+	results  *resultBoard
+	self     message.Member
+	standing atomic.Pointer[standing]
+	served   uint64
+	logged   uint64 // number of the view that was logged last
+}
+
+func (o *owner) now() time.Duration { return time.Since(o.started) }
+
+// deliver takes a message that came in, or one of its own.
+func (o *owner) deliver(m *message.Message) {
+	if m.ConfigResult != nil {
+		o.results.post(m.ConfigResult)
+		return
+	}
+	select {
+	case o.queue <- m:
+	default: // lost, as on a busy network
+	}
+}
+
+func (o *owner) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	o.act(o.replica.Tick(o.now()))
+	leaving := o.leaving
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-o.queue:
+			o.act(o.replica.Step(o.now(), m))
+		case <-leaving:
+			o.replica.SetLeaving()
+			leaving = nil
+		case <-ticker.C:
+			o.replica.SetDiskStalled(o.writer.isStalled())
+			o.act(o.replica.Tick(o.now()))
+		}
+		o.publish()
+	}
+}
+
+// act carries an output out.
+func (o *owner) act(out replica.Output) {
+	local := o.send(out.Immediate)
+	if out.Control != nil || out.Chain != nil || len(out.AfterSync) > 0 {
+		o.writer.enqueue(out)
+	}
+	for _, m := range local {
+		o.act(o.replica.Step(o.now(), m))
+	}
+}
+
+// send lets messages out and returns those that are for this process.
+func (o *owner) send(messages []message.Message) []*message.Message {
+	var local []*message.Message
+	for i := range messages {
+		m := &messages[i]
+		switch {
+		case m.ToAddress != o.self.Address || m.To != o.self.Identity:
+			o.sender.Send(m.ToAddress, m)
+		case m.ConfigResult != nil:
+			o.results.post(m.ConfigResult)
+		default:
+			local = append(local, m)
+		}
+	}
+	return local
+}
+
+// released takes messages whose records are synced; the writer calls it.
+func (o *owner) released(messages []message.Message) {
+	for _, m := range o.send(messages) {
+		o.queue <- m
+	}
+}
+
+// publish tells the rest of the process how the replica stands.
+func (o *owner) publish() {
+	now := o.now()
+	s := &standing{view: o.replica.View(), member: o.replica.IsMember(), hasMajority: o.replica.HasMajority()}
+	if address, ok := o.replica.LeaseHolder(); ok {
+		s.holder = address
+	}
+	if token, since, until, ok := o.replica.Lease(now); ok {
+		s.token, s.leaseSince, s.leaseUntil = token, o.started.Add(since), o.started.Add(until)
+	}
+	if served := o.replica.Served(); served.Sequence > o.served {
+		o.served = served.Sequence
+		o.hub.SetConfig(message.ConfigUpdate{Sequence: served.Sequence, Document: served.Document})
+	}
+	o.standing.Store(s)
+	addresses := lo.Map(s.view.Members, func(m message.Member, _ int) string { return m.Address })
+	o.hub.SetStatus(distribution.Status{Available: s.hasMajority && o.replica.IsSynced(), Members: addresses})
+	if s.view.Number != o.logged {
+		o.logged = s.view.Number
+		logrus.WithFields(logrus.Fields{"view": s.view.Number, "members": addresses, "member": s.member}).Info("view entered")
+	}
+}
--- /dev/null
+++ b/internal/controlplane/distribution/hub.go
@@ -0,0 +1,292 @@
+// Package distribution brings configuration, backends and loads to all proxies. A proxy pulls: it tells the versions
+// that it has, and gets what is newer, or nothing after a while. The hub is the coordinators' side.
+package distribution
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/message"
+)
+
+// Times of the hub.
+const (
+	sourceLifetime = 5 * time.Second // a proxy that pulled so long ago still counts
+	loadLifetime   = 2 * time.Second // so long its loads and waiting requests count
+	hubTick        = 50 * time.Millisecond
+)
+
+// Status is what the hub is told of the member's standing.
+type Status struct {
+	Available bool     // a majority of the view was heard a moment ago and the state is synced
+	Members   []string // internal addresses of the coordinators
+}
+
+// Hub answers pulls. One goroutine owns its tables and works through a queue of commands.
+type Hub struct {
+	commands chan func(*state)
+	status   atomic.Pointer[Status]
+}
+
+type state struct {
+	config   *message.ConfigUpdate
+	table    *discovery.Table
+	sources  map[string]*source
+	held     []heldPull
+	demand   map[demandKey]*message.ModelDemand
+	upstream []message.BackendLoad // what all proxies together carry, from the lease holder
+	proxies  int                   // how many proxies there are, from the lease holder; 0: not known
+	orders   []message.LoadOrder
+	ordersAt time.Time
+}
+
+type source struct {
+	proxies int
+	at      time.Time
+	loads   []message.BackendLoad
+	demand  []message.ModelDemand // its waiting and running requests
+}
+
+type demandKey struct{ service, model string }
+
+type heldPull struct {
+	pull    message.Pull
+	from    string
+	arrived time.Time
+	reply   func(*message.Message)
+}
+
+// NewHub makes a hub; Run must be called once.
+func NewHub() *Hub {
+	h := &Hub{commands: make(chan func(*state), 256)}
+	h.status.Store(&Status{})
+	return h
+}
+
+// Run works through the commands until ctx ends.
+func (h *Hub) Run(ctx context.Context) {
+	s := &state{sources: map[string]*source{}, demand: map[demandKey]*message.ModelDemand{}}
+	ticker := time.NewTicker(hubTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-h.commands:
+			command(s)
+		case now := <-ticker.C:
+			h.answerDue(s, now)
+		}
+	}
+}
+
+// SetStatus tells the member's standing.
+func (h *Hub) SetStatus(status Status) { h.status.Store(&status) }
+
+// SetConfig tells the newest acknowledged configuration.
+func (h *Hub) SetConfig(update message.ConfigUpdate) {
+	h.commands <- func(s *state) {
+		if s.config == nil || update.Sequence > s.config.Sequence {
+			s.config = &update
+			h.answerDue(s, time.Now())
+		}
+	}
+}
+
+// SetTable tells a list of backends; an older one than the present is passed over.
+func (h *Hub) SetTable(table *discovery.Table) {
+	h.commands <- func(s *state) {
+		if s.table.IsKnown() && !table.Observed.After(s.table.Observed) {
+			return
+		}
+		changed := !s.table.IsKnown() || s.table.Digest != table.Digest
+		s.table = table
+		if changed {
+			h.answerDue(s, time.Now())
+		}
+	}
+}
+
+// SetTotals tells what the lease holder knows of all proxies.
+func (h *Hub) SetTotals(loads []message.BackendLoad, proxies int, orders []message.LoadOrder) {
+	h.commands <- func(s *state) {
+		s.upstream, s.proxies = loads, proxies
+		s.setOrders(orders)
+	}
+}
+
+// SetHolder says that this member is the lease holder itself, and which loads it has under way.
+func (h *Hub) SetHolder(orders []message.LoadOrder) {
+	h.commands <- func(s *state) {
+		s.upstream, s.proxies = nil, 0
+		s.setOrders(orders)
+	}
+}
+
+// Table returns the newest list of backends.
+func (h *Hub) Table() *discovery.Table {
+	answer := make(chan *discovery.Table, 1)
+	h.commands <- func(s *state) { answer <- s.table }
+	return <-answer
+}
+
+// TakeDemand returns what was asked since the last call, the loads of all sources and how many proxies they are.
+func (h *Hub) TakeDemand() ([]message.ModelDemand, []message.BackendLoad, int) {
+	type taken struct {
+		demand  []message.ModelDemand
+		loads   []message.BackendLoad
+		proxies int
+	}
+	answer := make(chan taken, 1)
+	h.commands <- func(s *state) {
+		now := time.Now()
+		answer <- taken{s.takeDemand(now), s.sumLoads(now), s.countProxies(now)}
+	}
+	t := <-answer
+	return t.demand, t.loads, t.proxies
+}
+
+// HandlePull takes a pull; reply is called once.
+func (h *Hub) HandlePull(from string, pull message.Pull, reply func(*message.Message)) {
+	arrived := time.Now()
+	h.commands <- func(s *state) {
+		s.note(from, &pull, arrived)
+		held := heldPull{pull: pull, from: from, arrived: arrived, reply: reply}
+		if !h.tryAnswer(s, &held, time.Now()) {
+			s.held = append(s.held, held)
+		}
+	}
+}
+
+func (h *Hub) answerDue(s *state, now time.Time) {
+	kept := s.held[:0]
+	for i := range s.held {
+		if !h.tryAnswer(s, &s.held[i], now) {
+			kept = append(kept, s.held[i])
+		}
+	}
+	clear(s.held[len(kept):])
+	s.held = kept
+}
+
+// tryAnswer answers a pull when there is something newer, or when it was held for long enough.
+func (h *Hub) tryAnswer(s *state, held *heldPull, now time.Time) bool {
+	status := h.status.Load()
+	waited := now.Sub(held.arrived)
+	if !status.Available {
+		go held.reply(&message.Message{PullReply: &message.PullReply{ID: held.pull.ID, Unavailable: true, Members: status.Members}})
+		return true
+	}
+	newConfig := s.config != nil && s.config.Sequence > held.pull.ConfigSequence
+	newBackends := s.table.IsKnown() && s.table.Digest != held.pull.BackendDigest
+	if !newConfig && !newBackends && waited < time.Duration(held.pull.HoldMS)*time.Millisecond {
+		return false
+	}
+	reply := &message.PullReply{ID: held.pull.ID, Members: status.Members, HeldMS: waited.Milliseconds()}
+	if newConfig {
+		reply.Config = s.config
+	}
+	if s.table.IsKnown() {
+		reply.BackendsKnown = true
+		reply.BackendsAgeMS = now.Sub(s.table.Observed).Milliseconds()
+		if newBackends {
+			reply.Backends = &message.BackendUpdate{Digest: s.table.Digest, Backends: s.table.Backends}
+		}
+	}
+	reply.Proxies = max(s.proxies, s.countProxies(now))
+	reply.TotalLoads = s.upstream
+	if s.upstream == nil {
+		reply.TotalLoads = s.sumLoads(now)
+	}
+	reply.Orders = s.remainingOrders(now)
+	go held.reply(&message.Message{PullReply: reply})
+	return true
+}
+
+func (s *state) setOrders(orders []message.LoadOrder) { s.orders, s.ordersAt = orders, time.Now() }
+
+// remainingOrders tells the loads under way with the time that is left from now.
+func (s *state) remainingOrders(now time.Time) []message.LoadOrder {
+	orders := make([]message.LoadOrder, 0, len(s.orders))
+	for _, order := range s.orders {
+		order.DoneInMS -= now.Sub(s.ordersAt).Milliseconds()
+		orders = append(orders, order)
+	}
+	return orders
+}
+
+// note keeps what a source tells of itself.
+func (s *state) note(from string, pull *message.Pull, now time.Time) {
+	known := s.sources[from]
+	if known == nil {
+		known = &source{}
+		s.sources[from] = known
+	}
+	known.proxies, known.at = pull.Proxies, now
+	known.loads, known.demand = pull.Loads, pull.Demand
+	for _, d := range pull.Demand {
+		key := demandKey{d.Service, d.Model}
+		sum := s.demand[key]
+		if sum == nil {
+			sum = &message.ModelDemand{Service: d.Service, Model: d.Model}
+			s.demand[key] = sum
+		}
+		sum.Arrivals += d.Arrivals
+		sum.Missed += d.Missed
+	}
+}
+
+func (s *state) countProxies(now time.Time) int {
+	count := 0
+	for from, known := range s.sources {
+		if now.Sub(known.at) > sourceLifetime {
+			delete(s.sources, from)
+			continue
+		}
+		count += known.proxies
+	}
+	return count
+}
+
+func (s *state) sumLoads(now time.Time) []message.BackendLoad {
+	running := map[string]int{}
+	for _, known := range s.sources {
+		if now.Sub(known.at) > loadLifetime {
+			continue
+		}
+		for _, load := range known.loads {
+			running[load.Backend] += load.Running
+		}
+	}
+	loads := make([]message.BackendLoad, 0, len(running))
+	for backend, count := range running {
+		loads = append(loads, message.BackendLoad{Backend: backend, Running: count})
+	}
+	return loads
+}
+
+func (s *state) takeDemand(now time.Time) []message.ModelDemand {
+	for _, known := range s.sources {
+		if now.Sub(known.at) > loadLifetime {
+			continue
+		}
+		for _, d := range known.demand {
+			key := demandKey{d.Service, d.Model}
+			sum := s.demand[key]
+			if sum == nil {
+				sum = &message.ModelDemand{Service: d.Service, Model: d.Model}
+				s.demand[key] = sum
+			}
+			sum.Waiting += d.Waiting
+			sum.Running += d.Running
+		}
+	}
+	taken := make([]message.ModelDemand, 0, len(s.demand))
+	for _, d := range s.demand {
+		taken = append(taken, *d)
+	}
+	s.demand = map[demandKey]*message.ModelDemand{}
+	return taken
+}
--- /dev/null
+++ b/internal/controlplane/replica/agreement.go
@@ -0,0 +1,182 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"pumiceline/internal/message"
+)
+
+// proposal is a round of the agreement on the next view that this member has begun.
+type proposal struct {
+	open      bool
+	ballot    message.Ballot
+	value     message.View
+	accepting bool
+	promises  map[string]bool
+	accepts   map[string]bool
+	best      message.Ballot // ballot of the accepted value that value was taken from
+	began     time.Duration
+	highest   uint64 // highest round seen
+}
+
+// proposalDelay is how long a member waits for each one before it in the chain to propose first.
+const proposalDelay = 350 * time.Millisecond
+
+// settleTime is how long after its start a view is not changed again.
+const settleTime = 2 * heartbeatInterval
+
+// undecidedAfter is how long an accepted value may stay undecided before another member takes it up.
+const undecidedAfter = 500 * time.Millisecond
+
+func ballotLess(a, b message.Ballot) bool {
+	if a.Round != b.Round {
+		return a.Round < b.Round
+	}
+	return a.Proposer < b.Proposer
+}
+
+// isProposer reports whether the member is the first of those that may propose.
+func (r *Replica) isProposer() bool { return r.proposerRank() == 0 }
+
+// proposerRank is how many members that may propose stand before this one.
+func (r *Replica) proposerRank() int {
+	suspects := r.suspects()
+	rank := 0
+	for _, member := range r.control.View.Members {
+		if member.Identity == r.control.Identity {
+			return rank
+		}
+		if !lo.Contains(suspects, member.Identity) && r.isComplete(member) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (r *Replica) mayPropose() bool {
+	// A moment after a view began nobody has told yet who is complete.
+	return r.IsMember() && r.now-r.lease.viewEntered >= settleTime && r.control.Complete && !r.leaving && !r.stalled
+}
+
+func (r *Replica) tickProposal() {
+	if !r.mayPropose() {
+		r.detector.wantsAnother = false
+		return
+	}
+	wanted, wants := r.wantedView()
+	undecided := r.control.Accepted.Number != 0
+	if !wants && !undecided {
+		r.detector.wantsAnother = false
+		return
+	}
+	if !r.detector.wantsAnother {
+		r.detector.wantsAnother, r.detector.wantedSince = true, r.now
+	}
+	patience := time.Duration(r.proposerRank()) * proposalDelay
+	if !wants {
+		wanted, patience = r.control.Accepted, patience+undecidedAfter
+	}
+	if r.now-r.detector.wantedSince < patience || r.proposal.open && r.now-r.proposal.began < roundTimeout {
+		return
+	}
+	r.beginRound(wanted)
+}
+
+func (r *Replica) beginRound(value message.View) {
+	round := max(r.proposal.highest, r.control.Promised.Round) + 1
+	r.proposal = proposal{
+		open: true, value: value, began: r.now, highest: round,
+		ballot:   message.Ballot{Round: round, Proposer: r.control.Identity},
+		promises: map[string]bool{}, accepts: map[string]bool{},
+	}
+	for _, member := range r.control.View.Members {
+		r.sendAfterSync(member, message.Message{Prepare: &message.Prepare{Ballot: r.proposal.ballot}})
+	}
+}
+
+// votes reports whether the member may vote on the view after that of m.
+func (r *Replica) votes(m *message.Message) bool {
+	return m.View == r.control.View.Number && r.IsMember() && r.control.Complete &&
+		positionOf(r.control.View, m.From) >= 0
+}
+
+func (r *Replica) onPrepare(m *message.Message) {
+	if !r.votes(m) {
+		return
+	}
+	promise := &message.Promise{Ballot: m.Prepare.Ballot}
+	if ballotLess(m.Prepare.Ballot, r.control.Promised) {
+		promise.Refused, promise.Promised = true, r.control.Promised
+	} else {
+		r.control.Promised = m.Prepare.Ballot
+		r.controlDirty = true
+		promise.AcceptedBallot, promise.Accepted = r.control.AcceptedBallot, r.control.Accepted
+	}
+	r.sendAfterSync(r.sender(m), message.Message{Promise: promise})
+}
+
+func (r *Replica) onPromise(m *message.Message) {
+	p := &r.proposal
+	if m.View != r.control.View.Number || !p.open || p.accepting || m.Promise.Ballot != p.ballot {
+		return
+	}
+	if m.Promise.Refused {
+		p.highest = max(p.highest, m.Promise.Promised.Round)
+		return
+	}
+	p.promises[m.From] = true
+	if m.Promise.Accepted.Number != 0 && !ballotLess(m.Promise.AcceptedBallot, p.best) {
+		p.best, p.value = m.Promise.AcceptedBallot, m.Promise.Accepted
+	}
+	if len(p.promises) < r.majority() {
+		return
+	}
+	p.accepting = true
+	for _, member := range r.control.View.Members {
+		r.send(member, message.Message{Accept: &message.Accept{Ballot: p.ballot, Value: p.value}})
+	}
+}
+
+func (r *Replica) onAccept(m *message.Message) {
+	if !r.votes(m) || m.Accept.Value.Number != r.control.View.Number+1 {
+		return
+	}
+	accepted := &message.Accepted{Ballot: m.Accept.Ballot}
+	if ballotLess(m.Accept.Ballot, r.control.Promised) {
+		accepted.Refused, accepted.Promised = true, r.control.Promised
+	} else {
+		r.control.Promised, r.control.AcceptedBallot, r.control.Accepted = m.Accept.Ballot, m.Accept.Ballot, m.Accept.Value
+		r.controlDirty = true
+	}
+	r.sendAfterSync(r.sender(m), message.Message{Accepted: accepted})
+}
+
+func (r *Replica) onAccepted(m *message.Message) {
+	p := &r.proposal
+	if m.View != r.control.View.Number || !p.open || !p.accepting || m.Accepted.Ballot != p.ballot {
+		return
+	}
+	if m.Accepted.Refused {
+		p.highest = max(p.highest, m.Accepted.Promised.Round)
+		return
+	}
+	p.accepts[m.From] = true
+	if len(p.accepts) < r.majority() {
+		return
+	}
+	r.announce(p.value)
+}
+
+// announce enters a decided view and tells everyone whom it concerns.
+func (r *Replica) announce(view message.View) {
+	concerned := append(append([]message.Member{}, r.control.View.Members...), view.Members...)
+	concerned = lo.UniqBy(concerned, func(m message.Member) string { return m.Identity })
+	r.enterView(view)
+	for _, member := range concerned {
+		if member.Identity != r.control.Identity {
+			r.send(member, message.Message{Announcement: &message.Announcement{View: view}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlplane/replica/calls.go
@@ -0,0 +1,106 @@
+package replica
+
+import (
+	"net/http"
+
+	"pumiceline/internal/message"
+)
+
+// onConfigCall takes an operator's call: the member that the operator reached passes it on, the head decides changes
+// and the tail answers reads.
+func (r *Replica) onConfigCall(m *message.Message) {
+	target, ok := r.responsibleFor(m.ConfigCall)
+	if !ok {
+		return
+	}
+	if target.Identity != r.control.Identity {
+		if m.From == r.control.Identity {
+			r.send(target, message.Message{ConfigCall: m.ConfigCall})
+		}
+		return
+	}
+	if len(r.link.calls) >= maxWaitingCalls {
+		return
+	}
+	for _, waiting := range r.link.calls {
+		if waiting.from.Identity == m.From && waiting.call.ID == m.ConfigCall.ID {
+			return
+		}
+	}
+	r.link.calls = append(r.link.calls, waitingCall{from: r.sender(m), call: *m.ConfigCall, arrived: r.now})
+	r.serveCalls()
+}
+
+func (r *Replica) responsibleFor(call *message.ConfigCall) (message.Member, bool) {
+	members := r.control.View.Members
+	if len(members) == 0 {
+		return message.Member{}, false
+	}
+	if call.Method == http.MethodGet {
+		return members[len(members)-1], true
+	}
+	return members[0], true
+}
+
+// serveCalls decides the waiting calls as far as it can now.
+func (r *Replica) serveCalls() {
+	for len(r.link.calls) > 0 && r.link.synced && r.link.settled && r.link.current == nil {
+		next := r.link.calls[0]
+		r.link.calls = r.link.calls[1:]
+		if r.now-next.arrived > callLifetime {
+			continue
+		}
+		if next.call.Method == http.MethodGet {
+			r.read(next)
+		} else {
+			r.decide(next)
+		}
+	}
+}
+
+// read answers with the state of the tail once a majority has confirmed that the view is the newest.
+func (r *Replica) read(call waitingCall) {
+	if !r.isTail() {
+		return
+	}
+	r.confirm(func() {
+		if r.link.settled {
+			r.answer(call, http.StatusOK, r.chain.Document)
+		}
+	})
+}
+
+func (r *Replica) decide(call waitingCall) {
+	if !r.isHead() {
+		return
+	}
+	decision := r.judge(&r.chain, &call.call)
+	switch {
+	case decision.Apply:
+		replicate := &message.Replicate{PreviousDigest: r.chain.Digest, Change: &decision.Change, Document: decision.Document}
+		r.apply(decision.Change, decision.Document)
+		replicate.Sequence, replicate.Digest = r.chain.Sequence, r.chain.Digest
+		r.link.current = &call
+		r.passDown(replicate)
+	case decision.Status == http.StatusOK:
+		r.answer(call, decision.Status, decision.Body)
+	default:
+		// A head that was replaced without knowing it must refuse nothing.
+		r.confirm(func() { r.answer(call, decision.Status, decision.Body) })
+	}
+}
+
+// finishCurrent acknowledges the change that has settled.
+func (r *Replica) finishCurrent() {
+	if r.link.current == nil {
+		return
+	}
+	call := *r.link.current
+	r.link.current = nil
+	r.answer(call, http.StatusOK, nil)
+}
+
+func (r *Replica) answer(call waitingCall, status int, body []byte) {
+	result := &message.ConfigResult{ID: call.call.ID, Status: status, Body: body}
+	r.send(call.from, message.Message{ConfigResult: result})
+}
--- /dev/null
+++ b/internal/controlplane/replica/confirm.go
@@ -0,0 +1,97 @@
+package replica
+
+import (
+	"time"
+
+	"pumiceline/internal/message"
+)
+
+// confirmations lets effects wait until a majority has said that the view is the newest. One round serves all that
+// waited when it began.
+type confirmations struct {
+	round   uint64
+	running []func()
+	waiting []func()
+	votes   map[string]bool
+	sentAt  time.Duration
+	began   time.Duration
+}
+
+// confirmTimeout ends a round that no majority answers: the callers' relays ask again.
+const confirmTimeout = 1500 * time.Millisecond
+
+// abandon drops all that waits; its round number is never used again.
+func (c *confirmations) abandon() {
+	c.running, c.waiting, c.votes = nil, nil, nil
+}
+
+// confirm runs effect when a majority has confirmed the view.
+func (r *Replica) confirm(effect func()) {
+	r.confirms.waiting = append(r.confirms.waiting, effect)
+	if r.confirms.running == nil {
+		r.beginConfirm()
+	}
+}
+
+func (r *Replica) beginConfirm() {
+	c := &r.confirms
+	if len(c.waiting) == 0 {
+		return
+	}
+	c.round++
+	c.running, c.waiting = c.waiting, nil
+	c.votes = map[string]bool{}
+	c.began = r.now
+	r.sendConfirms()
+}
+
+func (r *Replica) sendConfirms() {
+	r.confirms.sentAt = r.now
+	for _, member := range r.control.View.Members {
+		if !r.confirms.votes[member.Identity] {
+			r.send(member, message.Message{Confirm: &message.Confirm{Round: r.confirms.round}})
+		}
+	}
+}
+
+func (r *Replica) onConfirm(m *message.Message) {
+	if m.View != r.control.View.Number || !r.IsMember() || r.control.Accepted.Number != 0 {
+		return
+	}
+	r.sendAfterSync(r.sender(m), message.Message{Confirmed: &message.Confirmed{Round: m.Confirm.Round}})
+}
+
+func (r *Replica) onConfirmed(m *message.Message) {
+	c := &r.confirms
+	if m.View != r.control.View.Number || c.running == nil || m.Confirmed.Round != c.round {
+		return
+	}
+	if positionOf(r.control.View, m.From) < 0 {
+		return
+	}
+	c.votes[m.From] = true
+	if len(c.votes) < r.majority() {
+		return
+	}
+	effects := c.running
+	c.running = nil
+	for _, effect := range effects {
+		effect()
+	}
+	r.beginConfirm()
+}
+
+func (r *Replica) tickConfirms() {
+	c := &r.confirms
+	if c.running == nil {
+		return
+	}
+	if r.now-c.began > confirmTimeout {
+		c.running = nil
+		r.beginConfirm()
+		return
+	}
+	if r.now-c.sentAt >= confirmResend {
+		r.sendConfirms()
+	}
+}
--- /dev/null
+++ b/internal/controlplane/replica/replica.go
@@ -0,0 +1,286 @@
+// Package replica is a coordinator's part in the agreed control state, as a state machine: it takes messages and the
+// time, and returns messages and records to be synced. It knows no network, disk or clock.
+//
+// The state is replicated along a chain of members (van Renesse and Schneider): the head takes changes, each member
+// syncs a change before it passes it on, and the tail's word that it has synced it is the acknowledgement. The
+// membership is a numbered view; the members of view n choose view n+1 by one single-value agreement of a majority.
+package replica
+
+import (
+	"time"
+
+	"pumiceline/internal/message"
+)
+
+// Intervals and limits of the protocol.
+const (
+	heartbeatInterval  = 200 * time.Millisecond
+	suspectAfter       = 900 * time.Millisecond // silence after which a member is suspected
+	reportLifetime     = 600 * time.Millisecond // how long another member's suspicion counts
+	joinLifetime       = 700 * time.Millisecond // how long a request to join counts
+	shrinkPatience     = 3 * time.Second        // suspicion that long may shrink the view to its least size
+	roundTimeout       = 400 * time.Millisecond // an agreement round that takes longer is begun anew
+	resendAfter        = 150 * time.Millisecond // unacknowledged replication is sent again
+	confirmResend      = 100 * time.Millisecond
+	callLifetime       = 1500 * time.Millisecond // a waiting call that is older was given up by its relay
+	ownStallAfter      = 300 * time.Millisecond  // ticks further apart mean that this process stood still
+	monitorsPerMember  = 3
+	maxWaitingCalls    = 64
+	majorityContactAge = 800 * time.Millisecond
+)
+
+// Options are fixed for the life of a process.
+type Options struct {
+	Self       message.Member
+	Seeds      []string // internal addresses
+	Tolerance  int      // members that may be lost at one time
+	Lease      time.Duration
+	FirstStart bool
+}
+
+// Decision is what a change amounts to on top of a state.
+type Decision struct {
+	Status   int // 200: taken before or to be applied; otherwise refused
+	Body     []byte
+	Apply    bool
+	Change   message.Change
+	Document []byte
+}
+
+// Judge decides a call on top of a state. It must be a pure function.
+type Judge func(state *message.ChainState, call *message.ConfigCall) Decision
+
+// Output is what a step asks the caller to do, in this order: send Immediate; write Control and Chain where they are
+// set and sync them; then send AfterSync. Outputs are carried out in the order in which they were returned.
+type Output struct {
+	Immediate []message.Message
+	Control   *message.ControlState
+	Chain     *message.ChainState
+	AfterSync []message.Message
+}
+
+// Replica is the state machine. It has one owner and no locks.
+type Replica struct {
+	options Options
+	judge   Judge
+	now     time.Duration
+	ticked  bool
+
+	control message.ControlState
+	chain   message.ChainState
+
+	out          Output
+	controlDirty bool
+	chainDirty   bool
+
+	detector detector
+	proposal proposal
+	link     chainLink
+	confirms confirmations
+	lease    leaseState
+	leaving  bool
+	stalled  bool
+}
+
+// New makes a replica from what was found on disk; the zero states stand for an empty disk.
+func New(options Options, judge Judge, now time.Duration, control message.ControlState, chain message.ChainState) *Replica {
+	r := &Replica{options: options, judge: judge, now: now, control: control, chain: chain}
+	if control.Identity == "" {
+		r.control = firstControlState(options)
+		r.controlDirty = true
+	}
+	r.options.Self.Identity = r.control.Identity
+	r.detector.init()
+	r.lease.init(now, options.Lease)
+	r.enterRole()
+	return r
+}
+
+// firstControlState is that of a member with an empty disk. On the first start of the system the seeds are the first
+// view, under identities that everyone can derive from their addresses.
+func firstControlState(options Options) message.ControlState {
+	state := message.ControlState{Identity: options.Self.Identity}
+	if !options.FirstStart {
+		return state
+	}
+	state.View = FirstView(options.Seeds)
+	for _, member := range state.View.Members {
+		if member.Address == options.Self.Address {
+			state.Identity = member.Identity
+			state.Complete = true
+		}
+	}
+	return state
+}
+
+// FirstView is the view that a system starts with.
+func FirstView(seeds []string) message.View {
+	view := message.View{Number: 1, Size: len(seeds)}
+	for _, address := range seeds {
+		view.Members = append(view.Members, message.Member{Identity: "seed-" + address, Address: address, Since: 1})
+	}
+	return view
+}
+
+// Identity returns the member's identity.
+func (r *Replica) Identity() string { return r.control.Identity }
+
+// View returns the newest view known.
+func (r *Replica) View() message.View { return r.control.View }
+
+// Served returns the newest state known to be acknowledged; its sequence is 0 where none is.
+func (r *Replica) Served() message.ChainState { return r.link.served }
+
+// IsMember reports whether the replica belongs to the newest view it knows.
+func (r *Replica) IsMember() bool { return r.position() >= 0 }
+
+// IsSynced reports whether the replica holds the state of its view.
+func (r *Replica) IsSynced() bool { return r.IsMember() && r.link.synced }
+
+// HasMajority reports whether a majority of the view was heard a moment ago.
+func (r *Replica) HasMajority() bool {
+	if !r.IsMember() {
+		return false
+	}
+	near := 0
+	for _, member := range r.control.View.Members {
+		heard, known := r.detector.heard[member.Identity]
+		if member.Identity == r.control.Identity || known && r.now-heard <= majorityContactAge {
+			near++
+		}
+	}
+	return near >= r.majority()
+}
+
+// SetLeaving says that the process was asked to stop: the others take it out of the chain, and its lease goes back.
+func (r *Replica) SetLeaving() { r.leaving = true }
+
+// SetDiskStalled says whether a write has been under way for too long.
+func (r *Replica) SetDiskStalled(stalled bool) { r.stalled = stalled }
+
+// Tick does what is due at now.
+func (r *Replica) Tick(now time.Duration) Output {
+	if r.ticked && now-r.now > ownStallAfter {
+		r.detector.forgive(now)
+	}
+	r.now, r.ticked = now, true
+	r.tickMembership()
+	r.tickProposal()
+	r.tickChain()
+	r.tickConfirms()
+	r.tickLease()
+	return r.takeOutput()
+}
+
+// Step takes a message.
+func (r *Replica) Step(now time.Duration, m *message.Message) Output {
+	if r.ticked && now-r.now > ownStallAfter {
+		r.detector.forgive(now)
+	}
+	r.now = max(r.now, now)
+	if m.To != "" && m.To != r.control.Identity {
+		return Output{} // meant for whoever had this address before
+	}
+	r.detector.hear(m.From, r.now)
+	r.learnOfView(m)
+	r.dispatch(m)
+	return r.takeOutput()
+}
+
+func (r *Replica) dispatch(m *message.Message) {
+	switch {
+	case m.Heartbeat != nil:
+		r.onHeartbeat(m)
+	case m.Suspicion != nil:
+		r.onSuspicion(m)
+	case m.Join != nil:
+		r.onJoin(m)
+	case m.Announcement != nil:
+		r.enterView(m.Announcement.View)
+	case m.Prepare != nil:
+		r.onPrepare(m)
+	case m.Promise != nil:
+		r.onPromise(m)
+	case m.Accept != nil:
+		r.onAccept(m)
+	case m.Accepted != nil:
+		r.onAccepted(m)
+	case m.Replicate != nil:
+		r.onReplicate(m)
+	case m.Committed != nil:
+		r.onCommitted(m)
+	case m.SnapshotRequest != nil:
+		r.onSnapshotRequest(m)
+	case m.Confirm != nil:
+		r.onConfirm(m)
+	case m.Confirmed != nil:
+		r.onConfirmed(m)
+	case m.LeaseRequest != nil:
+		r.onLeaseRequest(m)
+	case m.LeaseGrant != nil:
+		r.onLeaseGrant(m)
+	case m.LeaseRelease != nil:
+		r.onLeaseRelease(m)
+	case m.ConfigCall != nil:
+		r.onConfigCall(m)
+	}
+}
+
+// takeOutput hands out what has gathered.
+func (r *Replica) takeOutput() Output {
+	out := r.out
+	r.out = Output{}
+	if r.controlDirty {
+		state := r.control
+		out.Control = &state
+		r.controlDirty = false
+	}
+	if r.chainDirty {
+		state := r.chain
+		out.Chain = &state
+		r.chainDirty = false
+	}
+	return out
+}
+
+// send lets a message out at once.
+func (r *Replica) send(to message.Member, m message.Message) {
+	r.out.Immediate = append(r.out.Immediate, r.addressed(to, m))
+}
+
+// sendAfterSync lets a message out when all that was changed so far is on disk.
+func (r *Replica) sendAfterSync(to message.Member, m message.Message) {
+	r.out.AfterSync = append(r.out.AfterSync, r.addressed(to, m))
+}
+
+func (r *Replica) addressed(to message.Member, m message.Message) message.Message {
+	m.From, m.FromAddress, m.View = r.control.Identity, r.options.Self.Address, r.control.View.Number
+	m.To, m.ToAddress = to.Identity, to.Address
+	return m
+}
+
+// reply answers the sender of a message.
+func (r *Replica) sender(m *message.Message) message.Member {
+	return message.Member{Identity: m.From, Address: m.FromAddress}
+}
+
+func (r *Replica) majority() int { return len(r.control.View.Members)/2 + 1 }
+
+// position is the replica's place in the chain, -1 where it is no member.
+func (r *Replica) position() int { return positionOf(r.control.View, r.control.Identity) }
+
+func positionOf(view message.View, identity string) int {
+	for i, member := range view.Members {
+		if member.Identity == identity {
+			return i
+		}
+	}
+	return -1
+}
+
+func (r *Replica) isHead() bool { return r.position() == 0 }
+
+func (r *Replica) isTail() bool {
+	position := r.position()
+	return position >= 0 && position == len(r.control.View.Members)-1
+}
