--- /dev/null
+++ b/internal/dataplane/balancer/balancer.go
@@ -0,0 +1,283 @@
+// Package balancer decides for each request which backend gets it, whether it waits, or whether it is refused. It is
+// a state machine: it takes requests, outcomes, the list of backends and the time, and knows no network.
+//
+// The choice is weighted round robin: each backend that holds the requested model is due at evenly spaced turns by
+// its weight (A58, with slow start by A100); among the turns that are due next, the least loaded backend is taken.
+package balancer
+
+import (
+	"time"
+
+	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/message"
+)
+
+// Request is what the balancer knows of a request.
+type Request struct {
+	Service      string
+	Model        string // with its adapter after a slash; empty for services without models
+	Priority     int
+	PromptTokens int
+	OutputTokens int
+	PrefixKey    uint64 // hash of model and shared prompt parts; 0: none
+	Arrived      time.Time
+	Deadline     time.Time
+	Aim          time.Duration
+
+	grant   chan Grant
+	tried   []string
+	sends   int // attempts that may have arrived at a backend
+	counted bool
+	waits   bool
+	reason  WaitReason
+}
+
+// Grant is the answer to a request: a backend, or a refusal.
+type Grant struct {
+	Backend    *Backend // nil: refused
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// WaitReason says why a request waits.
+type WaitReason int
+
+// The reasons to wait.
+const (
+	WaitNone WaitReason = iota
+	WaitModel
+	WaitPlace
+)
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes of attempts.
+const (
+	Answered      Outcome = iota // an answer that serves its client
+	Failed                       // the backend answered with a failure of its own, or broke off
+	NotRun                       // the backend said that it did not run the request
+	NotHere                      // 421: another backend, or the model is not there
+	ConnectFailed                // nothing was sent
+	Abandoned                    // the client left or the deadline passed
+)
+
+// Backend is a backend as this proxy sees it.
+type Backend struct {
+	message.Backend
+	MaxConnections int
+
+	holds     map[string]time.Time // models and adapters, and since when
+	evidence  evidence
+	due       float64 // virtual time of its next turn
+	weight    float64
+	running   int // requests of this proxy
+	tokens    int // of these requests
+	others    int // requests of other proxies, as last heard
+	reported  int // what this proxy last told of itself
+	listed    bool
+	lost      bool // sends fail to connect
+	trialOut  bool
+	retryAt   time.Time
+	backoff   time.Duration
+	shedUntil time.Time // it said that it is full
+	missing   map[string]time.Time
+}
+
+// Bounds of waiting and choosing.
+const (
+	lookAhead      = 4 // due turns that are compared by load
+	connectBackoff = 500 * time.Millisecond
+	maxBackoff     = 4 * time.Second
+	shedPause      = 150 * time.Millisecond
+	missingPause   = 1500 * time.Millisecond // a model that a backend said it lacks is not looked for there
+	memoryShare    = 0.9
+	maxWaiting     = 512
+)
+
+// Balancer has one owner and no locks.
+type Balancer struct {
+	zone     string
+	config   *configuration.Config
+	backends map[string]*Backend
+	services map[string]*service
+	waiting  []*Request
+	budget   *RetryBudget
+	demand   map[demandKey]*demandCount
+	orders   []expectedLoad
+	proxies  int
+}
+
+type service struct {
+	backends []*Backend
+	time     float64 // virtual time of the turns
+}
+
+type demandKey struct{ service, model string }
+
+type demandCount struct {
+	arrivals, missed float64
+	running          int
+}
+
+type expectedLoad struct {
+	message.LoadOrder
+	at time.Time
+}
+
+// New makes a balancer for a proxy in zone.
+func New(zone string, budget *RetryBudget) *Balancer {
+	return &Balancer{
+		zone: zone, budget: budget, proxies: 1,
+		backends: map[string]*Backend{}, services: map[string]*service{}, demand: map[demandKey]*demandCount{},
+	}
+}
+
+// SetConfig takes the configuration in force.
+func (b *Balancer) SetConfig(config *configuration.Config, now time.Time) {
+	b.config = config
+	for _, backend := range b.backends {
+		backend.MaxConnections = b.connectionShare(backend.Service)
+	}
+	b.serveWaiting(now)
+}
+
+// connectionShare is this proxy's part of the connections that a backend accepts.
+func (b *Balancer) connectionShare(name string) int {
+	if b.config == nil || b.config.Services[name] == nil {
+		return 1
+	}
+	return max(1, b.config.Services[name].MaxConnections/max(1, b.proxies))
+}
+
+// SetProxies says how many proxies there are.
+func (b *Balancer) SetProxies(count int) {
+	b.proxies = max(1, count)
+	b.budget.SetProxies(count)
+	for _, backend := range b.backends {
+		backend.MaxConnections = b.connectionShare(backend.Service)
+	}
+}
+
+// SetBackends takes the list of backends; it returns those that are gone.
+func (b *Balancer) SetBackends(list []message.Backend, now time.Time) (gone []*Backend) {
+	first := len(b.backends) == 0
+	for _, backend := range b.backends {
+		backend.listed = false
+	}
+	for i := range list {
+		b.take(list[i], first, now)
+	}
+	b.services = map[string]*service{}
+	for id, backend := range b.backends {
+		if !backend.listed {
+			delete(b.backends, id)
+			gone = append(gone, backend)
+		}
+	}
+	for i := range list {
+		backend := b.backends[list[i].ID]
+		b.serviceOf(backend.Service).backends = append(b.serviceOf(backend.Service).backends, backend)
+	}
+	b.serveWaiting(now)
+	return gone
+}
+
+func (b *Balancer) serviceOf(name string) *service {
+	s := b.services[name]
+	if s == nil {
+		s = &service{}
+		for _, backend := range b.backends {
+			if backend.Service == name && backend.listed {
+				s.time = max(s.time, backend.due-1)
+			}
+		}
+		b.services[name] = s
+	}
+	return s
+}
+
+// take adds or updates one backend. What it shows for the first time is ready since now, except in the first list.
+func (b *Balancer) take(entry message.Backend, first bool, now time.Time) {
+	backend := b.backends[entry.ID]
+	if backend == nil {
+		backend = &Backend{holds: map[string]time.Time{}, missing: map[string]time.Time{}, weight: 1}
+		backend.MaxConnections = b.connectionShare(entry.Service)
+		if !first {
+			backend.evidence.readySince = now
+		}
+		b.backends[entry.ID] = backend
+	}
+	backend.Backend, backend.listed = entry, true
+	held := map[string]time.Time{}
+	for _, model := range entry.Models {
+		keepSince(held, backend.holds, model.Name, now)
+		for _, adapter := range model.Adapters {
+			keepSince(held, backend.holds, model.Name+"/"+adapter, now)
+		}
+	}
+	backend.holds = held
+}
+
+func keepSince(to, from map[string]time.Time, name string, now time.Time) {
+	since, ok := from[name]
+	if !ok {
+		since = now
+	}
+	to[name] = since
+}
+
+// SetTotals takes what all proxies together carry, and the loads under way.
+func (b *Balancer) SetTotals(loads []message.BackendLoad, orders []message.LoadOrder, now time.Time) {
+	totals := map[string]int{}
+	for _, load := range loads {
+		totals[load.Backend] = load.Running
+	}
+	for id, backend := range b.backends {
+		backend.others = max(0, totals[id]-backend.reported)
+	}
+	b.orders = b.orders[:0]
+	for _, order := range orders {
+		b.orders = append(b.orders, expectedLoad{order, now.Add(time.Duration(order.DoneInMS) * time.Millisecond)})
+	}
+	b.serveWaiting(now)
+}
+
+// Report returns what the coordinators are told: demand since the last report and the present loads.
+func (b *Balancer) Report() (demand []message.ModelDemand, loads []message.BackendLoad) {
+	waiting := map[demandKey]int{}
+	for _, request := range b.waiting {
+		if request.reason == WaitModel {
+			waiting[demandKey{request.Service, request.Model}]++
+		}
+	}
+	for key, count := range b.demand {
+		entry := message.ModelDemand{
+			Service: key.service, Model: key.model, Arrivals: count.arrivals, Missed: count.missed,
+			Running: count.running, Waiting: waiting[key],
+		}
+		count.arrivals, count.missed = 0, 0
+		if entry.Arrivals == 0 && entry.Missed == 0 && entry.Running == 0 && entry.Waiting == 0 {
+			delete(b.demand, key)
+			continue
+		}
+		demand = append(demand, entry)
+	}
+	for id, backend := range b.backends {
+		backend.reported = backend.running
+		if backend.running > 0 {
+			loads = append(loads, message.BackendLoad{Backend: id, Running: backend.running})
+		}
+	}
+	return demand, loads
+}
+
+func (b *Balancer) countDemand(request *Request) *demandCount {
+	key := demandKey{request.Service, request.Model}
+	count := b.demand[key]
+	if count == nil {
+		count = &demandCount{}
+		b.demand[key] = count
+	}
+	return count
+}
--- /dev/null
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -0,0 +1,102 @@
+package balancer
+
+import (
+	"context"
+	"time"
+
+	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/message"
+)
+
+const (
+	dispatchQueue = 256
+	dispatchTick  = 50 * time.Millisecond
+)
+
+// Dispatcher owns a balancer: one goroutine that works through a queue of commands.
+type Dispatcher struct {
+	commands chan func(*Balancer)
+}
+
+// NewDispatcher starts the owner of a balancer; it ends with ctx.
+func NewDispatcher(ctx context.Context, b *Balancer) *Dispatcher {
+	d := &Dispatcher{commands: make(chan func(*Balancer), dispatchQueue)}
+	go d.run(ctx, b)
+	return d
+}
+
+func (d *Dispatcher) run(ctx context.Context, b *Balancer) {
+	ticker := time.NewTicker(dispatchTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-d.commands:
+			command(b)
+		case now := <-ticker.C:
+			b.Tick(now)
+		}
+	}
+}
+
+// Acquire asks for a backend and waits for the answer. An error means that ctx ended first.
+func (d *Dispatcher) Acquire(ctx context.Context, request *Request) (Grant, error) {
+	if request.grant == nil {
+		request.grant = make(chan Grant, 1)
+	}
+	d.commands <- func(b *Balancer) { b.Arrive(request, time.Now()) }
+	select {
+	case grant := <-request.grant:
+		return grant, nil
+	case <-ctx.Done():
+		return d.giveUp(ctx, request)
+	}
+}
+
+// giveUp takes a request out; a grant that was made in the same moment is returned.
+func (d *Dispatcher) giveUp(ctx context.Context, request *Request) (Grant, error) {
+	left := make(chan bool, 1)
+	d.commands <- func(b *Balancer) { left <- b.Leave(request) }
+	if <-left {
+		return Grant{}, ctx.Err()
+	}
+	return <-request.grant, nil
+}
+
+// Finish tells the outcome of an attempt.
+func (d *Dispatcher) Finish(request *Request, backend *Backend, outcome Outcome, span time.Duration) {
+	d.commands <- func(b *Balancer) { b.Finish(request, backend, outcome, span, time.Now()) }
+}
+
+// Update takes what was pulled; nil parts are unchanged. Backends that are gone are given to onGone.
+func (d *Dispatcher) Update(config *configuration.Config, backends []message.Backend, hasBackends bool, reply *message.PullReply, onGone func([]*Backend)) {
+	d.commands <- func(b *Balancer) {
+		now := time.Now()
+		if config != nil {
+			b.SetConfig(config, now)
+		}
+		if reply != nil {
+			b.SetProxies(reply.Proxies)
+		}
+		if hasBackends {
+			if gone := b.SetBackends(backends, now); len(gone) > 0 && onGone != nil {
+				onGone(gone)
+			}
+		}
+		if reply != nil {
+			b.SetTotals(reply.TotalLoads, reply.Orders, now)
+		}
+	}
+}
+
+// Report returns what the coordinators are told.
+func (d *Dispatcher) Report() (demand []message.ModelDemand, loads []message.BackendLoad) {
+	done := make(chan struct{})
+	d.commands <- func(b *Balancer) {
+		demand, loads = b.Report()
+		close(done)
+	}
+	<-done
+	return demand, loads
+}
--- /dev/null
+++ b/internal/dataplane/proxy/feed.go
@@ -0,0 +1,168 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/dataplane/backend"
+	"pumiceline/internal/dataplane/balancer"
+	"pumiceline/internal/dataplane/ingress"
+	"pumiceline/internal/message"
+)
+
+// Times of reading the list without the coordinators.
+const (
+	tableStale   = 2 * time.Second
+	watchEvery   = 500 * time.Millisecond
+	ownReadShare = 0.3 // of the platform's rate that proxies use for this, all together
+)
+
+// feed takes what the proxy pulls: configuration, backends and loads.
+type feed struct {
+	settings   *bootstrap.Settings
+	dispatcher *balancer.Dispatcher
+	handler    *ingress.Handler
+	pool       *backend.Pool
+	reader     *discovery.Reader
+	seeds      []string
+
+	mutex    sync.Mutex
+	members  []string
+	sequence uint64
+	digest   uint64
+	observed time.Time
+	proxies  int
+	ready    atomic.Bool
+}
+
+func newFeed(settings *bootstrap.Settings, dispatcher *balancer.Dispatcher, handler *ingress.Handler, pool *backend.Pool, seeds []string) *feed {
+	return &feed{
+		settings: settings, dispatcher: dispatcher, handler: handler, pool: pool, seeds: seeds,
+		reader: discovery.NewReader(settings.Platform.Address), proxies: 1,
+	}
+}
+
+// isReady reports whether a configuration and a list of backends are known.
+func (f *feed) isReady() bool { return f.ready.Load() }
+
+// Addresses returns the coordinators: those of the own machine first, then those known from the view, then the seeds.
+func (f *feed) Addresses() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	all := append(append([]string{}, f.members...), f.seeds...)
+	return lo.Uniq(all)
+}
+
+// SetMembers takes the coordinators' addresses. Proxies spread over them; one on the own machine comes first.
+func (f *feed) SetMembers(addresses []string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if sameSet(f.members, addresses) {
+		return
+	}
+	f.members = lo.Shuffle(append([]string{}, addresses...))
+}
+
+func sameSet(a, b []string) bool {
+	return len(a) == len(b) && len(lo.Without(a, b...)) == 0
+}
+
+// Versions tells what the proxy has, and its demand and loads.
+func (f *feed) Versions() message.Pull {
+	demand, loads := f.dispatcher.Report()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return message.Pull{ConfigSequence: f.sequence, BackendDigest: f.digest, Demand: demand, Loads: loads, Proxies: 1}
+}
+
+// Apply takes an answer of a coordinator. Nothing ever goes backward within the life of the process.
+func (f *feed) Apply(reply *message.PullReply, sent time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	config := f.newConfig(reply.Config)
+	var backends []message.Backend
+	newer := false
+	if reply.BackendsKnown {
+		observed := sent.Add(time.Duration(reply.HeldMS-reply.BackendsAgeMS) * time.Millisecond)
+		if observed.After(f.observed) {
+			if reply.Backends != nil {
+				newer, backends, f.digest = true, reply.Backends.Backends, reply.Backends.Digest
+				f.observed = observed
+			} else if f.digest != 0 {
+				f.observed = observed
+			}
+		}
+	}
+	f.proxies = max(1, reply.Proxies)
+	f.dispatcher.Update(config, backends, newer, reply, f.forget)
+	if config != nil {
+		f.handler.SetConfig(config)
+	}
+	f.handler.Confirm()
+	if f.sequence > 0 && f.digest != 0 {
+		f.ready.Store(true)
+	}
+}
+
+func (f *feed) newConfig(update *message.ConfigUpdate) *configuration.Config {
+	if update == nil || update.Sequence <= f.sequence {
+		return nil
+	}
+	config, err := configuration.Parse(update.Document)
+	if err != nil {
+		logrus.WithError(err).Error("a configuration from the coordinators cannot be read; the old one stays")
+		return nil
+	}
+	f.sequence = update.Sequence
+	logrus.WithField("version", config.Version).Debug("configuration in force")
+	return config
+}
+
+func (f *feed) forget(gone []*balancer.Backend) {
+	for _, b := range gone {
+		f.pool.Forget(b.ID)
+	}
+}
+
+// watch reads the list itself while no coordinator has brought a fresh one.
+func (f *feed) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(watchEvery + rand.N(watchEvery))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			f.readWhereStale(ctx)
+		}
+		timer.Stop()
+	}
+}
+
+func (f *feed) readWhereStale(ctx context.Context) {
+	f.mutex.Lock()
+	stale := time.Since(f.observed) > tableStale
+	share := f.settings.Platform.RatePerS * ownReadShare * watchEvery.Seconds() / float64(f.proxies)
+	f.mutex.Unlock()
+	if !stale || rand.Float64() > share {
+		return
+	}
+	table, err := f.reader.Read(ctx)
+	if err != nil {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !table.Observed.After(f.observed) {
+		return
+	}
+	f.observed, f.digest = table.Observed, table.Digest
+	f.dispatcher.Update(nil, table.Backends, true, nil, f.forget)
+}
--- /dev/null
+++ b/internal/dataplane/proxy/proxy.go
@@ -0,0 +1,141 @@
+// Package proxy assembles a machine's part in the data plane: the clients' listener, readiness, and what it pulls
+// from the coordinators.
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/controlplane/coordinator"
+	"pumiceline/internal/controlplane/distribution"
+	"pumiceline/internal/dataplane/backend"
+	"pumiceline/internal/dataplane/balancer"
+	"pumiceline/internal/dataplane/ingress"
+)
+
+// Times of a proxy.
+const (
+	pullHold       = 400 * time.Millisecond
+	idleTimeout    = 3 * time.Minute // clients take up connections that have rested for long
+	headerTimeout  = 10 * time.Second
+	noticeTime     = 2500 * time.Millisecond // the platform needs two missed checks to send no more connections
+	stopMargin     = 700 * time.Millisecond  // before the end of the grace time
+	drainPoll      = 50 * time.Millisecond
+	poolSweep      = 1 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// Proxy is the data plane's process.
+type Proxy struct {
+	settings *bootstrap.Settings
+	handler  *ingress.Handler
+	feed     *feed
+	leaving  atomic.Bool
+	active   connections
+}
+
+// Run serves until ctx ends, then stops in order.
+func Run(ctx context.Context, settings *bootstrap.Settings) error {
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	budget := balancer.NewRetryBudget(settings.Bounds.RetryWindow, settings.Bounds.RetryRatio, settings.Bounds.RetryExtra, time.Now())
+	dispatcher := balancer.NewDispatcher(running, balancer.New(settings.Zone, budget))
+	pool := backend.NewPool()
+	handler := ingress.New(dispatcher, pool)
+	feed := newFeed(settings, dispatcher, handler, pool, coordinator.SeedAddresses(settings))
+	p := &Proxy{settings: settings, handler: handler, feed: feed}
+	puller := distribution.NewPuller(settings.Node+"/"+settings.IP, feed, pullHold)
+	go puller.Run(running)
+	go feed.watch(running)
+	go sweep(running, pool)
+	ready := &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	front := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: p.active.track, ErrorLog: nil,
+	}
+	if err := serve(ready, settings.ReadyAddress); err != nil {
+		return err
+	}
+	if err := serve(front, settings.FrontAddress); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return p.stop(front)
+}
+
+func serve(server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listening")
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logrus.WithError(err).WithField("address", address).Error("a listener stopped")
+		}
+	}()
+	return nil
+}
+
+func (p *Proxy) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if p.leaving.Load() || !p.feed.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// stop goes on serving until no new connections come, and then until all that was taken is answered.
+func (p *Proxy) stop(front *http.Server) error {
+	began := time.Now()
+	p.leaving.Store(true)
+	p.handler.SetLeaving()
+	logrus.Info("stopping")
+	time.Sleep(noticeTime)
+	remaining := p.settings.Bounds.Grace - stopMargin - time.Since(began)
+	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	defer cancel()
+	err := front.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		logrus.WithField("requests", p.handler.Active()).Warn("the grace time is over with requests under way")
+		return nil
+	}
+	return errors.Wrap(err, "stopping")
+}
+
+func sweep(ctx context.Context, pool *backend.Pool) {
+	ticker := time.NewTicker(poolSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			pool.CloseExpired()
+		}
+	}
+}
+
+// connections keeps count of the clients' connections.
+type connections struct {
+	mutex sync.Mutex
+	open  int
+}
+
+func (c *connections) track(_ net.Conn, state http.ConnState) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch state {
+	case http.StateNew:
+		c.open++
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	}
+}
