Place models and adapters: a planner, an executor and the controller of the lease holder

Ruled out: waiting for the list to show a load (it lags by 0.8 s): the holder publishes what reports told it. Change: placement (pure planner by demand, tasks of conditional orders under the lease's fence), urgent reports of missing models from proxies through coordinators to the holder.

--- /dev/null
+++ b/internal/controlplane/coordinator/subscriber.go
@@ -0,0 +1,52 @@
+package coordinator
+
+import (
+	"time"
+
+	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/message"
+)
+
+// holderSubscriber pulls from the lease holder what this coordinator passes on.
+type holderSubscriber struct {
+	owner  *owner
+	digest uint64
+	table  *discovery.Table
+}
+
+// Addresses returns the lease holder's address, unless that is this process.
+func (s *holderSubscriber) Addresses() []string {
+	standing := s.owner.standing.Load()
+	if standing == nil || standing.holder == "" || standing.holder == s.owner.self.Address {
+		return nil
+	}
+	return []string{standing.holder}
+}
+
+// SetMembers does nothing: the view names the members.
+func (s *holderSubscriber) SetMembers([]string) {}
+
+// Versions tells the list that is known here and what was gathered from proxies.
+func (s *holderSubscriber) Versions() message.Pull {
+	demand, loads, proxies := s.owner.hub.TakeDemand()
+	return message.Pull{ConfigSequence: ^uint64(0), BackendDigest: s.digest, Demand: demand, Loads: loads, Proxies: proxies}
+}
+
+// Apply takes the holder's list.
+func (s *holderSubscriber) Apply(reply *message.PullReply, sent time.Time) {
+	s.owner.hub.SetTotals(reply.TotalLoads, reply.Proxies, reply.Orders)
+	if !reply.BackendsKnown {
+		return
+	}
+	observed := sent.Add(time.Duration(reply.HeldMS-reply.BackendsAgeMS) * time.Millisecond)
+	switch {
+	case reply.Backends != nil:
+		s.table = discovery.FromUpdate(reply.Backends)
+		s.digest = s.table.Digest
+	case s.table == nil:
+		return
+	}
+	current := *s.table
+	current.Observed = observed
+	s.owner.hub.SetTable(&current)
+}
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,8 @@
 type Hub struct {
 	commands chan func(*state)
 	status   atomic.Pointer[Status]
+	config   atomic.Pointer[message.ConfigUpdate]
+	onUrgent atomic.Pointer[func()]
 }
 
 type state struct {
@@ -85,8 +88,15 @@
 // SetStatus tells the member's standing.
 func (h *Hub) SetStatus(status Status) { h.status.Store(&status) }
 
+// SetOnUrgent sets what is called when a source tells of requests that wait for a model or were refused for it.
+func (h *Hub) SetOnUrgent(call func()) { h.onUrgent.Store(&call) }
+
+// Config returns the newest acknowledged configuration, nil where none is known.
+func (h *Hub) Config() *message.ConfigUpdate { return h.config.Load() }
+
 // SetConfig tells the newest acknowledged configuration.
 func (h *Hub) SetConfig(update message.ConfigUpdate) {
+	h.config.Store(&update)
 	h.commands <- func(s *state) {
 		if s.config == nil || update.Sequence > s.config.Sequence {
 			s.config = &update
@@ -153,6 +163,9 @@
 	arrived := time.Now()
 	h.commands <- func(s *state) {
 		s.note(from, &pull, arrived)
+		if call := h.onUrgent.Load(); call != nil && isUrgent(&pull) {
+			(*call)()
+		}
 		held := heldPull{pull: pull, from: from, arrived: arrived, reply: reply}
 		if !h.tryAnswer(s, &held, time.Now()) {
 			s.held = append(s.held, held)
@@ -160,6 +173,10 @@
 	}
 }
 
+func isUrgent(pull *message.Pull) bool {
+	return slices.ContainsFunc(pull.Demand, func(d message.ModelDemand) bool { return d.Waiting > 0 || d.Missed > 0 })
+}
+
 func (h *Hub) answerDue(s *state, now time.Time) {
 	kept := s.held[:0]
 	for i := range s.held {
--- /dev/null
+++ b/internal/controlplane/placement/planner.go
@@ -0,0 +1,269 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/message"
+)
+
+// Figures of the plan.
+const (
+	keepAsked        = 20 * time.Second // a model asked for within it should be somewhere
+	busyRate         = 0.8              // requests a second from which a model gets more than one copy
+	runningPerCopy   = 3.0              // requests under way that one copy should carry
+	ahead            = 2                // models after the busy ones in the operator's list that are held ready
+	aheadCopies      = 1
+	mostCopiesShare  = 0.6 // of the service's backends, for one model
+	recentlyAsked    = 3 * time.Second
+	gainOverVictim   = 1.3 // hysteresis: so much more a new copy must be worth than the one that goes
+	waitingWorth     = 2.0 // of one waiting or refused request, in requests a second
+	minAdapterCopies = 1
+)
+
+// Backend is a backend as the planner sees it.
+type Backend struct {
+	message.Backend
+	Busy bool // an order or a task is under way
+}
+
+// Task is what one backend is to be ordered, in this order: unloads, then a load, then adapters.
+type Task struct {
+	Backend  message.Backend
+	Service  string
+	Unload   []string // models
+	Load     string   // model; empty: none
+	LoadTime time.Duration
+	Drop     []string // adapters to be unloaded, as model/adapter
+	Adapters []string // adapters to be loaded, as model/adapter
+	Reason   string
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Now       time.Time
+	Services  map[string]*configuration.Service
+	Backends  []Backend
+	Loading   map[string]map[string]int // by service and model: loads that tasks under way will bring
+	Demand    *DemandTable
+	LoadsLeft map[string]int // by service: loads that may begin now
+}
+
+// plan is one run of the planner for one service.
+type plan struct {
+	in       *Input
+	service  *configuration.Service
+	backends []*Backend
+	copies   map[string]int // held and being loaded
+	desired  map[string]int
+	tasks    []Task
+}
+
+// Plan returns the tasks that should begin now, the most urgent first.
+func Plan(in *Input) []Task {
+	var tasks []Task
+	names := make([]string, 0, len(in.Services))
+	for name, service := range in.Services {
+		if service.Runtime != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		p := newPlan(in, in.Services[name])
+		p.placeModels()
+		p.placeAdapters()
+		tasks = append(tasks, p.tasks...)
+	}
+	return tasks
+}
+
+func newPlan(in *Input, service *configuration.Service) *plan {
+	p := &plan{in: in, service: service, copies: map[string]int{}, desired: map[string]int{}}
+	for i := range in.Backends {
+		backend := &in.Backends[i]
+		if backend.Service != service.Name || backend.Draining || backend.TimeLeftMS > 0 {
+			continue
+		}
+		p.backends = append(p.backends, backend)
+		for _, model := range backend.Models {
+			p.copies[model.Name]++
+		}
+	}
+	for model, count := range in.Loading[service.Name] {
+		p.copies[model] += count
+	}
+	p.setDesired()
+	return p
+}
+
+// setDesired says how many copies each model should have.
+func (p *plan) setDesired() {
+	models := p.service.Runtime.Models
+	most := max(1, int(mostCopiesShare*float64(len(p.backends))))
+	lastBusy := -1
+	for i, model := range models {
+		demand := p.in.Demand.Of(p.service.Name, model.Name)
+		want := 0
+		if !demand.LastAsked.IsZero() && p.in.Now.Sub(demand.LastAsked) < keepAsked {
+			want = 1
+		}
+		if rate := max(demand.Fast, demand.Slow); rate >= busyRate {
+			want = max(2, int(math.Ceil(demand.Running/runningPerCopy)))
+			lastBusy = i
+		}
+		p.desired[model.Name] = min(want, most)
+	}
+	if lastBusy < 0 {
+		return
+	}
+	for i := 1; i <= ahead && i < len(models); i++ {
+		next := models[(lastBusy+i)%len(models)].Name
+		p.desired[next] = max(p.desired[next], aheadCopies)
+	}
+}
+
+// want is a model that has fewer copies than it should.
+type want struct {
+	model configuration.Model
+	worth float64
+}
+
+func (p *plan) wants() []want {
+	var out []want
+	for _, model := range p.service.Runtime.Models {
+		missing := p.desired[model.Name] - p.copies[model.Name]
+		if missing <= 0 {
+			continue
+		}
+		out = append(out, want{model: model, worth: p.worthOfMore(model.Name)})
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].worth > out[j].worth })
+	return out
+}
+
+// worthOfMore is what one more copy is worth, in requests a second.
+func (p *plan) worthOfMore(model string) float64 {
+	demand := p.in.Demand.Of(p.service.Name, model)
+	rate := max(demand.Fast, demand.Slow)
+	if p.copies[model] == 0 {
+		return rate + waitingWorth*(float64(demand.Waiting)+demand.Missed) + 0.05
+	}
+	return rate / float64(p.copies[model]+1)
+}
+
+// worthOfOne is what is lost when one of a model's copies goes.
+func (p *plan) worthOfOne(model string) float64 {
+	demand := p.in.Demand.Of(p.service.Name, model)
+	rate := max(demand.Fast, demand.Slow)
+	copies := p.copies[model]
+	if copies > p.desired[model] && copies > 1 {
+		return 0.1 * rate / float64(copies)
+	}
+	if copies > 1 {
+		return rate / float64(copies)
+	}
+	worth := rate + waitingWorth*(float64(demand.Waiting)+demand.Missed)
+	if p.in.Now.Sub(demand.LastAsked) < recentlyAsked {
+		worth += 0.5
+	}
+	if p.desired[model] > 0 {
+		worth += 0.03
+	}
+	return worth
+}
+
+func (p *plan) placeModels() {
+	for _, wanted := range p.wants() {
+		if p.in.LoadsLeft[p.service.Name] <= 0 {
+			return
+		}
+		if task, ok := p.placeOne(wanted); ok {
+			p.in.LoadsLeft[p.service.Name]--
+			p.tasks = append(p.tasks, task)
+		}
+	}
+}
+
+// option is a backend that could take a model, and what has to go for it.
+type option struct {
+	backend *Backend
+	victims []string
+	loss    float64
+}
+
+func (p *plan) placeOne(wanted want) (Task, bool) {
+	var best *option
+	for _, backend := range p.backends {
+		if backend.Busy || holds(backend, wanted.model.Name) {
+			continue
+		}
+		candidate, ok := p.makeRoom(backend, wanted.model)
+		if ok && (best == nil || candidate.loss < best.loss) {
+			best = &candidate
+		}
+	}
+	if best == nil || wanted.worth < gainOverVictim*best.loss {
+		return Task{}, false
+	}
+	best.backend.Busy = true
+	for _, victim := range best.victims {
+		p.copies[victim]--
+	}
+	p.copies[wanted.model.Name]++
+	return Task{
+		Backend: best.backend.Backend, Service: p.service.Name, Unload: best.victims, Load: wanted.model.Name,
+		LoadTime: wanted.model.Load, Reason: "a copy is wanted",
+	}, true
+}
+
+func holds(backend *Backend, model string) bool {
+	return slices.ContainsFunc(backend.Models, func(m message.LoadedModel) bool { return m.Name == model })
+}
+
+// makeRoom says which models have to go from a backend so that one more fits.
+func (p *plan) makeRoom(backend *Backend, model configuration.Model) (option, bool) {
+	free := p.service.Runtime.WeightsMB - p.used(backend)
+	held := slices.Clone(backend.Models)
+	sort.SliceStable(held, func(i, j int) bool { return p.worthOfOne(held[i].Name) < p.worthOfOne(held[j].Name) })
+	choice := option{backend: backend}
+	for _, candidate := range held {
+		if free >= model.WeightsMB {
+			break
+		}
+		choice.victims = append(choice.victims, candidate.Name)
+		choice.loss += p.worthOfOne(candidate.Name)
+		free += p.size(candidate)
+	}
+	if free < model.WeightsMB {
+		return option{}, false
+	}
+	// Backends that hold fewer busy models are taken first among equals.
+	for _, kept := range backend.Models {
+		if !slices.Contains(choice.victims, kept.Name) {
+			choice.loss += 1e-3 * p.in.Demand.Of(p.service.Name, kept.Name).Fast
+		}
+	}
+	return choice, true
+}
+
+func (p *plan) used(backend *Backend) float64 {
+	used := 0.0
+	for _, model := range backend.Models {
+		used += p.size(model)
+	}
+	return used
+}
+
+// size is what a held model takes with its adapters. One that the configuration does not know is taken to be large.
+func (p *plan) size(held message.LoadedModel) float64 {
+	for _, model := range p.service.Runtime.Models {
+		if model.Name == held.Name {
+			return model.WeightsMB + float64(len(held.Adapters))*model.AdapterMB
+		}
+	}
+	return p.service.Runtime.WeightsMB
+}
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -106,6 +106,7 @@
 	demand   map[demandKey]*demandCount
 	orders   []expectedLoad
 	proxies  int
+	urgent   bool // a model is missing that the coordinators have not been told of
 }
 
 type service struct {
@@ -245,6 +246,7 @@
 
 // Report returns what the coordinators are told: demand since the last report and the present loads.
 func (b *Balancer) Report() (demand []message.ModelDemand, loads []message.BackendLoad) {
+	b.urgent = false
 	waiting := map[demandKey]int{}
 	for _, request := range b.waiting {
 		if request.reason == WaitModel {
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/message"
 )
 
 // Arrive takes a request, or one whose attempt came to nothing. The request is granted at once, or it waits.
@@ -180,15 +180,6 @@
 	return cost
 }
 
-// adapterSeparator stands between a model and its adapter.
-const adapterSeparator = "/"
-
-// ModelOnly returns the model of a name that may have an adapter.
-func ModelOnly(name string) string {
-	model, _, _ := strings.Cut(name, adapterSeparator)
-	return model
-}
-
 func (b *Balancer) grantTo(request *Request, backend *Backend, now time.Time) {
 	if request.sends == 0 {
 		b.budget.Request(now)
@@ -225,7 +216,10 @@
 		}
 		return false
 	}
-	request.reason = WaitModel
+	if request.reason != WaitModel {
+		request.reason = WaitModel
+		b.urgent = true
+	}
 	ready := b.expected(request, now)
 	if ready.Add(serviceSlack).After(request.Deadline) || ready.Add(serviceSlack).After(request.Arrived.Add(request.Aim)) && request.Aim < loadSlack {
 		b.countDemand(request).missed++
@@ -238,7 +232,7 @@
 // expected is when the request's model should be there.
 func (b *Balancer) expected(request *Request, now time.Time) time.Time {
 	for _, order := range b.orders {
-		if order.Service == request.Service && (order.Model == request.Model || order.Model == ModelOnly(request.Model)) {
+		if order.Service == request.Service && (order.Model == request.Model || order.Model == message.ModelOf(request.Model)) {
 			return order.at.Add(loadSlack / 2)
 		}
 	}
@@ -247,7 +241,7 @@
 		return now.Add(unknownLoad)
 	}
 	for _, model := range runtime.Models {
-		if model.Name == ModelOnly(request.Model) {
+		if model.Name == message.ModelOf(request.Model) {
 			if b.heldAnywhere(request.Service, model.Name, now) {
 				return now.Add(loadSlack) // only its adapter is missing
 			}
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -16,11 +16,13 @@
 // Dispatcher owns a balancer: one goroutine that works through a queue of commands.
 type Dispatcher struct {
 	commands chan func(*Balancer)
+	onUrgent func()
 }
 
-// NewDispatcher starts the owner of a balancer; it ends with ctx.
-func NewDispatcher(ctx context.Context, b *Balancer) *Dispatcher {
-	d := &Dispatcher{commands: make(chan func(*Balancer), dispatchQueue)}
+// NewDispatcher starts the owner of a balancer; it ends with ctx. onUrgent is called when a model is missing, once
+// until the next report; it must not wait.
+func NewDispatcher(ctx context.Context, b *Balancer, onUrgent func()) *Dispatcher {
+	d := &Dispatcher{commands: make(chan func(*Balancer), dispatchQueue), onUrgent: onUrgent}
 	go d.run(ctx, b)
 	return d
 }
@@ -34,6 +36,9 @@
 			return
 		case command := <-d.commands:
 			command(b)
+			if b.urgent {
+				d.onUrgent()
+			}
 		case now := <-ticker.C:
 			b.Tick(now)
 		}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -47,13 +47,15 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	budget := balancer.NewRetryBudget(settings.Bounds.RetryWindow, settings.Bounds.RetryRatio, settings.Bounds.RetryExtra, time.Now())
-	dispatcher := balancer.NewDispatcher(running, balancer.New(settings.Zone, budget))
+	urgent := newUrgency()
+	dispatcher := balancer.NewDispatcher(running, balancer.New(settings.Zone, budget), urgent.raise)
 	pool := backend.NewPool()
 	handler := ingress.New(dispatcher, pool)
 	feed := newFeed(settings, dispatcher, handler, pool, coordinator.SeedAddresses(settings))
 	p := &Proxy{settings: settings, handler: handler, feed: feed}
 	puller := distribution.NewPuller(settings.Node+"/"+settings.IP, feed, pullHold)
 	go puller.Run(running)
+	go urgent.run(running, puller)
 	go feed.watch(running)
 	go sweep(running, pool)
 	ready := &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
