Keep LIMIT and LOST: a task looks at the room itself; a stopping proxy holds nobody

Cause: LIMIT: a task went by the planner's view where a load had been cut off midway; LOST: requests that waited for a model outlasted the grace time. Ruled out: a longer rest after a failed task (the list lags by an unknown time). Change: the executor checks the room against a report before each conditional load; waiting for a model ends with 503 when the process stops. Copies follow durations and where demand moves next; waiting goes by the client's patience.

--- a/internal/controlplane/placement/adapters.go
+++ b/internal/controlplane/placement/adapters.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"sort"
-
-	"pumiceline/internal/message"
 )
 
 // adapterWant is an adapter that has fewer copies than it should.
@@ -27,7 +25,7 @@
 		}
 		task := added[backend]
 		if task == nil {
-			task = &Task{Backend: backend.Backend, Service: p.service.Name, Reason: "adapters are wanted"}
+			task = &Task{Backend: backend.Backend, Service: p.service.Name, Room: Room{p.service.Runtime}, Reason: "adapters are wanted"}
 			added[backend] = task
 		}
 		if drop, ok := p.adapterToDrop(backend, task, wanted); ok && drop != "" {
@@ -100,10 +98,7 @@
 }
 
 func (p *plan) adapterCount(backend *Backend, task *Task) int {
-	count := 0
-	for _, model := range backend.Models {
-		count += len(model.Adapters)
-	}
+	count := countAdapters(backend.Models)
 	if task != nil {
 		count += len(task.Adapters) - len(task.Drop)
 	}
@@ -140,12 +135,4 @@
 	return used+p.adapterSize(wanted.model+"/"+wanted.adapter) <= p.service.Runtime.WeightsMB
 }
 
-func (p *plan) adapterSize(name string) float64 {
-	model := message.ModelOf(name)
-	for _, m := range p.service.Runtime.Models {
-		if m.Name == model {
-			return m.AdapterMB
-		}
-	}
-	return 0
-}
+func (p *plan) adapterSize(name string) float64 { return Room{p.service.Runtime}.SizeOf(name) }
--- a/internal/controlplane/placement/demand.go
+++ b/internal/controlplane/placement/demand.go
@@ -14,6 +14,11 @@
 const (
 	fastMemory = 3 * time.Second
 	slowMemory = 25 * time.Second
+
+	durationMemory  = 20 * time.Second
+	usualDuration   = 600 * time.Millisecond // of a request, where nothing was measured
+	leastRate       = 0.3                    // requests a second below which durations are not trusted
+	longestDuration = 3 * time.Second
 )
 
 // Demand is what was asked for one model or adapter.
@@ -24,6 +29,9 @@
 	Waiting   int     // requests that wait for it now
 	Missed    float64 // requests refused for want of it, fading
 	LastAsked time.Time
+
+	durations float64 // fading sum of running requests, for the mean duration
+	rates     float64 // fading sum of arrivals
 }
 
 // DemandTable keeps averages by service and model; adapters have entries of their own beside their model's.
@@ -43,6 +51,18 @@
 	return Demand{}
 }
 
+// IsEmpty reports whether nothing was ever asked of a service.
+func (t *DemandTable) IsEmpty(service string) bool { return len(t.entries[service]) == 0 }
+
+// Duration is how many seconds a request of a model takes, by Little's law.
+func (t *DemandTable) Duration(service, model string) float64 {
+	entry := t.entries[service][model]
+	if entry == nil || entry.rates < leastRate {
+		return usualDuration.Seconds()
+	}
+	return min(longestDuration.Seconds(), entry.durations/entry.rates)
+}
+
 func (t *DemandTable) entry(service, model string) *Demand {
 	models := t.entries[service]
 	if models == nil {
@@ -116,6 +136,8 @@
 	d.Running = blend(d.Running, float64(s.running), span, fastMemory)
 	d.Missed = d.Missed*math.Exp(-span/fastMemory.Seconds()) + s.missed
 	d.Waiting = s.waiting
+	d.durations = blend(d.durations, float64(s.running), span, durationMemory)
+	d.rates = blend(d.rates, s.arrivals/span, span, durationMemory)
 	if s.arrivals > 0 || s.waiting > 0 || s.missed > 0 {
 		d.LastAsked = now
 	}
--- a/internal/controlplane/placement/executor.go
+++ b/internal/controlplane/placement/executor.go
@@ -94,6 +94,9 @@
 	if !ok {
 		return Refused, ErrFenced
 	}
+	if operation == Load && !r.task.Room.Fits(r.models, name) {
+		return Refused, errors.Errorf("no room for %s", name)
+	}
 	revision := r.orders
 	answer := r.Caller.Order(ctx, r.task.Backend, Order{
 		Operation: operation, Model: message.ModelOf(name), Adapter: message.AdapterOf(name),
--- a/internal/controlplane/placement/planner.go
+++ b/internal/controlplane/placement/planner.go
@@ -15,9 +15,8 @@
 	keepAsked        = 20 * time.Second // a model asked for within it should be somewhere
 	busyRate         = 0.8              // requests a second from which a model gets more than one copy
 	runningPerCopy   = 3.0              // requests under way that one copy should carry
-	ahead            = 2                // models after the busy ones in the operator's list that are held ready
-	aheadCopies      = 1
-	mostCopiesShare  = 0.6 // of the service's backends, for one model
+	ahead            = 2                // places by which demand is expected to move on in the operator's list
+	mostCopiesShare  = 0.6              // of the service's backends, for one model
 	recentlyAsked    = 3 * time.Second
 	gainOverVictim   = 1.3 // hysteresis: so much more a new copy must be worth than the one that goes
 	waitingWorth     = 2.0 // of one waiting or refused request, in requests a second
@@ -39,6 +38,7 @@
 	LoadTime time.Duration
 	Drop     []string // adapters to be unloaded, as model/adapter
 	Adapters []string // adapters to be loaded, as model/adapter
+	Room     Room
 	Reason   string
 }
 
@@ -100,30 +100,46 @@
 	return p
 }
 
-// setDesired says how many copies each model should have.
+// setDesired says how many copies each model should have: by what is asked now, and by what would be asked if the
+// demand moved on by some places in the operator's list, as it does from time to time.
 func (p *plan) setDesired() {
 	models := p.service.Runtime.Models
 	most := max(1, int(mostCopiesShare*float64(len(p.backends))))
-	lastBusy := -1
 	for i, model := range models {
 		demand := p.in.Demand.Of(p.service.Name, model.Name)
 		want := 0
 		if !demand.LastAsked.IsZero() && p.in.Now.Sub(demand.LastAsked) < keepAsked {
 			want = 1
 		}
-		if rate := max(demand.Fast, demand.Slow); rate >= busyRate {
-			want = max(2, int(math.Ceil(demand.Running/runningPerCopy)))
-			lastBusy = i
+		want = max(want, p.copiesFor(model.Name, p.rateOf(model.Name)))
+		for step := 1; step <= ahead; step++ {
+			before := models[(i-step+len(models))%len(models)].Name
+			want = max(want, p.copiesFor(model.Name, p.rateOf(before)))
 		}
 		p.desired[model.Name] = min(want, most)
 	}
-	if lastBusy < 0 {
-		return
+}
+
+// rateOf is the rate at which a model is asked for. Before any demand was seen, a model that the platform placed more
+// than once is taken to be busy.
+func (p *plan) rateOf(model string) float64 {
+	if !p.in.Demand.IsEmpty(p.service.Name) {
+		demand := p.in.Demand.Of(p.service.Name, model)
+		return max(demand.Fast, demand.Slow)
+	}
+	if p.copies[model] > 1 {
+		return busyRate
 	}
-	for i := 1; i <= ahead && i < len(models); i++ {
-		next := models[(lastBusy+i)%len(models)].Name
-		p.desired[next] = max(p.desired[next], aheadCopies)
+	return 0
+}
+
+// copiesFor is how many copies a model needs at a rate, by the time that its requests take; 0 where it is not busy.
+func (p *plan) copiesFor(model string, rate float64) int {
+	if rate < busyRate {
+		return 0
 	}
+	running := rate * p.in.Demand.Duration(p.service.Name, model)
+	return max(2, int(math.Ceil(running/runningPerCopy)))
 }
 
 // want is a model that has fewer copies than it should.
@@ -216,7 +232,7 @@
 	p.copies[wanted.model.Name]++
 	return Task{
 		Backend: best.backend.Backend, Service: p.service.Name, Unload: best.victims, Load: wanted.model.Name,
-		LoadTime: wanted.model.Load, Reason: "a copy is wanted",
+		LoadTime: wanted.model.Load, Room: Room{p.service.Runtime}, Reason: "a copy is wanted",
 	}, true
 }
 
@@ -250,20 +266,6 @@
 	return choice, true
 }
 
-func (p *plan) used(backend *Backend) float64 {
-	used := 0.0
-	for _, model := range backend.Models {
-		used += p.size(model)
-	}
-	return used
-}
+func (p *plan) used(backend *Backend) float64 { return Room{p.service.Runtime}.Used(backend.Models) }
 
-// size is what a held model takes with its adapters. One that the configuration does not know is taken to be large.
-func (p *plan) size(held message.LoadedModel) float64 {
-	for _, model := range p.service.Runtime.Models {
-		if model.Name == held.Name {
-			return model.WeightsMB + float64(len(held.Adapters))*model.AdapterMB
-		}
-	}
-	return p.service.Runtime.WeightsMB
-}
+func (p *plan) size(held message.LoadedModel) float64 { return Room{p.service.Runtime}.Size(held) }
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -22,6 +22,7 @@
 	PrefixKey    uint64 // hash of model and shared prompt parts; 0: none
 	Arrived      time.Time
 	Deadline     time.Time
+	Patience     time.Time // a client that has heard nothing until then has left
 	Aim          time.Duration
 
 	grant   chan Grant
@@ -106,6 +107,7 @@
 	demand   map[demandKey]*demandCount
 	orders   []expectedLoad
 	proxies  int
+	leaving  bool
 	urgent   bool // a model is missing that the coordinators have not been told of
 }
 
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -200,9 +200,11 @@
 // Times after which refused clients are told to come back, and of waiting.
 const (
 	refusedPause   = 400 * time.Millisecond
-	placeWaitShare = 0.25             // of the aim: so long a request waits for a place
-	loadSlack      = 2 * time.Second  // from the end of a load until proxies know of it
-	serviceSlack   = 1 * time.Second  // what the answer itself takes at least
+	placeWaitShare = 0.25 // of the aim: so long a request waits for a place
+	adapterLoad    = 500 * time.Millisecond
+	loadSlack      = 2 * time.Second // from the end of a load until proxies know of it
+	serviceSlack   = 1 * time.Second // what the answer itself takes at least
+	leavingPause   = 50 * time.Millisecond
 	unknownLoad    = 12 * time.Second // a load that is not even ordered yet
 )
 
@@ -220,8 +222,12 @@
 		request.reason = WaitModel
 		b.urgent = true
 	}
+	if b.leaving {
+		b.refuse(request, leavingPause, "this proxy is stopping")
+		return true
+	}
 	ready := b.expected(request, now)
-	if ready.Add(serviceSlack).After(request.Deadline) || ready.Add(serviceSlack).After(request.Arrived.Add(request.Aim)) && request.Aim < loadSlack {
+	if ready.Add(serviceSlack).After(request.Patience) {
 		b.countDemand(request).missed++
 		b.refuse(request, max(refusedPause, ready.Sub(now)), "the model is nowhere")
 		return true
@@ -243,7 +249,7 @@
 	for _, model := range runtime.Models {
 		if model.Name == message.ModelOf(request.Model) {
 			if b.heldAnywhere(request.Service, model.Name, now) {
-				return now.Add(loadSlack) // only its adapter is missing
+				return now.Add(adapterLoad) // only its adapter is missing
 			}
 			return now.Add(model.Load + loadSlack)
 		}
@@ -251,6 +257,12 @@
 	return now.Add(unknownLoad)
 }
 
+// SetLeaving refuses those that wait for a model, now and later: the process may end before it is there.
+func (b *Balancer) SetLeaving(now time.Time) {
+	b.leaving = true
+	b.serveWaiting(now)
+}
+
 func (b *Balancer) heldAnywhere(name, model string, now time.Time) bool {
 	s := b.services[name]
 	return s != nil && slices.ContainsFunc(s.backends, func(backend *Backend) bool { return backend.has(model, now) })
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -69,6 +69,9 @@
 	return <-request.grant, nil
 }
 
+// SetLeaving says that the process was asked to stop.
+func (d *Dispatcher) SetLeaving() { d.commands <- func(b *Balancer) { b.SetLeaving(time.Now()) } }
+
 // Finish tells the outcome of an attempt.
 func (d *Dispatcher) Finish(request *Request, backend *Backend, outcome Outcome, span time.Duration) {
 	d.commands <- func(b *Balancer) { b.Finish(request, backend, outcome, span, time.Now()) }
--- a/internal/dataplane/ingress/ingress.go
+++ b/internal/dataplane/ingress/ingress.go
@@ -27,6 +27,10 @@
 	leaveFor       = 1 * time.Second
 	fallbackPrompt = 1000
 	fallbackOutput = 200
+
+	leastSilence    = 2 * time.Second
+	silencePerAim   = 4
+	silencePerPause = 8
 )
 
 // Handler serves clients.
@@ -55,8 +59,11 @@
 // HasConfig reports whether a configuration is in force.
 func (h *Handler) HasConfig() bool { return h.config.Load() != nil }
 
-// SetLeaving makes every answer end its connection.
-func (h *Handler) SetLeaving() { h.leaving.Store(true) }
+// SetLeaving makes every answer end its connection, and ends waiting that may outlast the process.
+func (h *Handler) SetLeaving() {
+	h.leaving.Store(true)
+	h.dispatcher.SetLeaving()
+}
 
 // Active returns how many requests are under way.
 func (h *Handler) Active() int64 { return h.active.Load() }
@@ -145,7 +152,7 @@
 func newBalancerRequest(r *http.Request, route *configuration.Route, service string, arrived, deadline time.Time) *balancer.Request {
 	request := &balancer.Request{
 		Service: service, Model: r.Header.Get("Model"), Priority: route.Priority,
-		Arrived: arrived, Deadline: deadline, Aim: route.Aim,
+		Arrived: arrived, Deadline: deadline, Patience: patience(route, arrived, deadline), Aim: route.Aim,
 	}
 	if request.Model == "" {
 		return request
@@ -162,6 +169,19 @@
 	return request
 }
 
+// patience is when a client gives a silent stream up: after two seconds, four times the objective or eight times the
+// longest pause, whichever is longest.
+func patience(route *configuration.Route, arrived, deadline time.Time) time.Time {
+	if route.Kind != configuration.Streaming {
+		return deadline
+	}
+	silence := max(leastSilence, silencePerAim*route.Aim, silencePerPause*route.MaxPause)
+	if given := arrived.Add(silence); given.Before(deadline) {
+		return given
+	}
+	return deadline
+}
+
 // prefixKey names the shared part of a prompt: all parts but the last, which belongs to the request or its session.
 func prefixKey(model, parts string) uint64 {
 	last := strings.LastIndexByte(parts, ',')
