--- a/internal/controlplane/placement/planner.go
+++ b/internal/controlplane/placement/planner.go
@@ -19,6 +19,10 @@
 	mostCopiesShare  = 0.6              // of the service's backends, for one model
 	recentlyAsked    = 3 * time.Second
 	gainOverVictim   = 1.3 // hysteresis: so much more a new copy must be worth than the one that goes
+	anticipation     = 0.3 // part of the rate of the models before it that a model is expected to get
+	soleWorth        = 0.03
+	surplusShare     = 0.1
+	recentWorth      = 0.5
 	waitingWorth     = 2.0 // of one waiting or refused request, in requests a second
 	minAdapterCopies = 1
 )
@@ -59,6 +63,7 @@
 	backends []*Backend
 	copies   map[string]int // held and being loaded
 	desired  map[string]int
+	nextRate map[string]float64 // the highest rate that may move on to a model
 	tasks    []Task
 }
 
@@ -82,7 +87,7 @@
 }
 
 func newPlan(in *Input, service *configuration.Service) *plan {
-	p := &plan{in: in, service: service, copies: map[string]int{}, desired: map[string]int{}}
+	p := &plan{in: in, service: service, copies: map[string]int{}, desired: map[string]int{}, nextRate: map[string]float64{}}
 	for i := range in.Backends {
 		backend := &in.Backends[i]
 		if backend.Service != service.Name || backend.Draining || backend.TimeLeftMS > 0 {
@@ -115,6 +120,7 @@
 		for step := 1; step <= ahead; step++ {
 			before := models[(i-step+len(models))%len(models)].Name
 			want = max(want, p.copiesFor(model.Name, p.rateOf(before)))
+			p.nextRate[model.Name] = max(p.nextRate[model.Name], p.rateOf(before))
 		}
 		p.desired[model.Name] = min(want, most)
 	}
@@ -161,38 +167,42 @@
 	return out
 }
 
+// expectedRate is the rate at which a model is asked for, or a part of the rate that may move on to it.
+func (p *plan) expectedRate(model string) float64 {
+	return max(p.rateOf(model), anticipation*p.nextRate[model])
+}
+
 // worthOfMore is what one more copy is worth, in requests a second.
 func (p *plan) worthOfMore(model string) float64 {
 	demand := p.in.Demand.Of(p.service.Name, model)
-	rate := max(demand.Fast, demand.Slow)
 	if p.copies[model] == 0 {
-		return rate + waitingWorth*(float64(demand.Waiting)+demand.Missed) + 0.05
+		return p.expectedRate(model) + waitingWorth*(float64(demand.Waiting)+demand.Missed) + soleWorth
 	}
-	return rate / float64(p.copies[model]+1)
+	return p.expectedRate(model) / float64(p.copies[model]+1)
 }
 
 // worthOfOne is what is lost when one of a model's copies goes.
 func (p *plan) worthOfOne(model string) float64 {
 	demand := p.in.Demand.Of(p.service.Name, model)
-	rate := max(demand.Fast, demand.Slow)
 	copies := p.copies[model]
 	if copies > p.desired[model] && copies > 1 {
-		return 0.1 * rate / float64(copies)
+		return surplusShare * p.expectedRate(model) / float64(copies)
 	}
 	if copies > 1 {
-		return rate / float64(copies)
+		return p.expectedRate(model) / float64(copies)
 	}
-	worth := rate + waitingWorth*(float64(demand.Waiting)+demand.Missed)
-	if p.in.Now.Sub(demand.LastAsked) < recentlyAsked {
-		worth += 0.5
-	}
-	if p.desired[model] > 0 {
-		worth += 0.03
+	worth := p.expectedRate(model) + waitingWorth*(float64(demand.Waiting)+demand.Missed) + soleWorth
+	if !demand.LastAsked.IsZero() && p.in.Now.Sub(demand.LastAsked) < recentlyAsked {
+		worth += recentWorth
 	}
 	return worth
 }
 
+// placeModels places nothing before any demand was seen: the platform's own placement is the best guess then.
 func (p *plan) placeModels() {
+	if p.in.Demand.IsEmpty(p.service.Name) {
+		return
+	}
 	for _, wanted := range p.wants() {
 		if p.in.LoadsLeft[p.service.Name] <= 0 {
 			return
@@ -222,7 +232,7 @@
 			best = &candidate
 		}
 	}
-	if best == nil || wanted.worth < gainOverVictim*best.loss {
+	if best == nil || wanted.worth <= gainOverVictim*best.loss {
 		return Task{}, false
 	}
 	best.backend.Busy = true
