--- a/internal/controlplane/configuration/judge.go
+++ b/internal/controlplane/configuration/judge.go
@@ -18,7 +18,7 @@
 // Judge decides an operator's change on top of a state: it was taken before, it is to be applied, or it is refused
 // with 412 (another version is current) or 400 (invalid; the body names the places).
 func Judge(state *message.ChainState, call *message.ConfigCall) replica.Decision {
-	digest := callDigest(call)
+	digest := Digest(call)
 	taken := func(change message.Change) bool { return bytes.Equal(change.Digest, digest) }
 	if slices.ContainsFunc(state.History, taken) {
 		return replica.Decision{Status: http.StatusOK}
@@ -55,8 +55,8 @@
 	return replica.Decision{Status: status, Body: body}
 }
 
-// callDigest tells calls apart: a call that is sent again has the same one.
-func callDigest(call *message.ConfigCall) []byte {
+// Digest tells calls apart: a call that is sent again has the same one.
+func Digest(call *message.ConfigCall) []byte {
 	hash := sha256.New()
 	hash.Write([]byte(call.Method + "\n" + strings.TrimSpace(call.IfMatch) + "\n"))
 	hash.Write(call.Body)
--- a/internal/controlplane/replica/chain.go
+++ b/internal/controlplane/replica/chain.go
@@ -41,6 +41,7 @@
 	r.link = chainLink{served: r.link.served, calls: calls}
 	if r.isHead() && r.control.Complete {
 		r.link.synced = true
+		r.markView()
 		r.passDown(nil)
 	}
 }
@@ -85,6 +86,9 @@
 		return
 	}
 	replicate := m.Replicate
+	if r.chain.View == m.View && replicate.Sequence < r.chain.Sequence {
+		return // overtaken by a later one: within a view the state only grows
+	}
 	switch {
 	case replicate.Snapshot != nil:
 		r.adopt(*replicate.Snapshot)
@@ -100,6 +104,7 @@
 	}
 	first := !r.link.synced
 	r.link.synced = true
+	r.markView()
 	if !r.control.Complete {
 		r.control.Complete = true
 		r.controlDirty = true
@@ -112,6 +117,14 @@
 	}
 }
 
+// markView notes that the state is that of this view, so that nothing older is taken for it after a restart.
+func (r *Replica) markView() {
+	if r.chain.View != r.control.View.Number {
+		r.chain.View = r.control.View.Number
+		r.chainDirty = true
+	}
+}
+
 // adopt replaces the whole state by the predecessor's.
 func (r *Replica) adopt(state message.ChainState) {
 	if bytes.Equal(r.chain.Digest, state.Digest) && r.chain.Sequence == state.Sequence {
@@ -125,6 +138,7 @@
 func (r *Replica) apply(change message.Change, document []byte) {
 	history := append(r.chain.History[:len(r.chain.History):len(r.chain.History)], change)
 	r.chain = message.ChainState{
+		View:     r.control.View.Number,
 		Sequence: r.chain.Sequence + 1,
 		Digest:   ChainDigest(r.chain.Digest, &change),
 		Version:  change.Version,
--- a/internal/controlplane/replica/lease.go
+++ b/internal/controlplane/replica/lease.go
@@ -83,7 +83,7 @@
 		lowest := r.control.View.Number << tokenViewBits
 		l.wantToken = max(lowest, r.control.LeaseToken, l.refusedFor) + 1
 	}
-	request := &message.LeaseRequest{Token: l.wantToken, Round: l.round}
+	request := &message.LeaseRequest{Token: l.wantToken, Round: l.round, Renew: l.token != 0}
 	for _, member := range r.control.View.Members {
 		r.send(member, message.Message{LeaseRequest: request})
 	}
@@ -108,6 +108,7 @@
 	}
 	release := &message.LeaseRelease{Token: r.lease.token}
 	r.lease.token = 0
+	r.lease.round++ // grants that are still on their way count for nothing
 	for _, member := range r.control.View.Members {
 		r.send(member, message.Message{LeaseRelease: release})
 	}
@@ -120,9 +121,11 @@
 	l := &r.lease
 	request := m.LeaseRequest
 	grant := &message.LeaseGrant{Round: request.Round}
-	renewal := l.holder == m.From && r.now < l.expires && request.Token >= r.control.LeaseToken
-	vacant := r.now >= l.expires && r.now >= max(l.startedAt, l.viewEntered)+l.length
-	if renewal || vacant && request.Token > r.control.LeaseToken {
+	held := r.now < l.expires
+	renewal := request.Renew && held && l.holder == m.From && request.Token == r.control.LeaseToken
+	// A holder that restarted has no lease any more, but only one process can have its identity.
+	vacant := !held && r.now >= max(l.startedAt, l.viewEntered)+l.length || held && l.holder == m.From
+	if renewal || !request.Renew && vacant && request.Token > r.control.LeaseToken {
 		grant.Granted = true
 		l.holder, l.holderAt, l.expires, l.heardOf = m.From, m.FromAddress, r.now+l.length, r.now
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -44,6 +44,7 @@
 
 // ChainState is the replicated state: the configuration and every change that was taken.
 type ChainState struct {
+	View     uint64   `msg:"w"` // the view in which it was last agreed with the predecessor
 	Sequence uint64   `msg:"s"` // number of changes taken
 	Digest   []byte   `msg:"d"` // chained over all changes
 	Version  uint64   `msg:"v"` // the operator's version, 0 before the first
@@ -166,6 +167,7 @@
 type LeaseRequest struct {
 	Token uint64 `msg:"t"`
 	Round uint64 `msg:"r"`
+	Renew bool   `msg:"n"` // the sender holds the lease under this very token
 }
 
 // LeaseGrant answers LeaseRequest.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -1519,6 +1519,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "w":
+			z.View, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "View")
+				return
+			}
 		case "s":
 			z.Sequence, err = dc.ReadUint64()
 			if err != nil {
@@ -1610,9 +1616,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ChainState) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
+	// write "w"
+	err = en.Append(0x86, 0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.View)
+	if err != nil {
+		err = msgp.WrapError(err, "View")
+		return
+	}
 	// write "s"
-	err = en.Append(0x85, 0xa1, 0x73)
+	err = en.Append(0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -1700,9 +1716,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChainState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
+	// string "w"
+	o = append(o, 0x86, 0xa1, 0x77)
+	o = msgp.AppendUint64(o, z.View)
 	// string "s"
-	o = append(o, 0x85, 0xa1, 0x73)
+	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Sequence)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -1749,6 +1768,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "w":
+			z.View, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "View")
+				return
+			}
 		case "s":
 			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -1841,7 +1866,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChainState) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.History {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.History[za0001].Digest)
 	}
@@ -3757,6 +3782,12 @@
 				err = msgp.WrapError(err, "Round")
 				return
 			}
+		case "n":
+			z.Renew, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Renew")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3770,9 +3801,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z LeaseRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "t"
-	err = en.Append(0x82, 0xa1, 0x74)
+	err = en.Append(0x83, 0xa1, 0x74)
 	if err != nil {
 		return
 	}
@@ -3791,19 +3822,32 @@
 		err = msgp.WrapError(err, "Round")
 		return
 	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Renew)
+	if err != nil {
+		err = msgp.WrapError(err, "Renew")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z LeaseRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "t"
-	o = append(o, 0x82, 0xa1, 0x74)
+	o = append(o, 0x83, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Token)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendUint64(o, z.Round)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.Renew)
 	return
 }
 
@@ -3837,6 +3881,12 @@
 				err = msgp.WrapError(err, "Round")
 				return
 			}
+		case "n":
+			z.Renew, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Renew")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3851,7 +3901,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z LeaseRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
@@ -4934,6 +4984,12 @@
 							err = msgp.WrapError(err, "LeaseRequest", "Round")
 							return
 						}
+					case "n":
+						z.LeaseRequest.Renew, err = dc.ReadBool()
+						if err != nil {
+							err = msgp.WrapError(err, "LeaseRequest", "Renew")
+							return
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -5655,9 +5711,9 @@
 					return
 				}
 			} else {
-				// map header, size 2
+				// map header, size 3
 				// write "t"
-				err = en.Append(0x82, 0xa1, 0x74)
+				err = en.Append(0x83, 0xa1, 0x74)
 				if err != nil {
 					return
 				}
@@ -5676,6 +5732,16 @@
 					err = msgp.WrapError(err, "LeaseRequest", "Round")
 					return
 				}
+				// write "n"
+				err = en.Append(0xa1, 0x6e)
+				if err != nil {
+					return
+				}
+				err = en.WriteBool(z.LeaseRequest.Renew)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRequest", "Renew")
+					return
+				}
 			}
 		}
 		if (zb0001Mask & 0x40000) == 0 { // if not omitted
@@ -6146,13 +6212,16 @@
 			if z.LeaseRequest == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 2
+				// map header, size 3
 				// string "t"
-				o = append(o, 0x82, 0xa1, 0x74)
+				o = append(o, 0x83, 0xa1, 0x74)
 				o = msgp.AppendUint64(o, z.LeaseRequest.Token)
 				// string "r"
 				o = append(o, 0xa1, 0x72)
 				o = msgp.AppendUint64(o, z.LeaseRequest.Round)
+				// string "n"
+				o = append(o, 0xa1, 0x6e)
+				o = msgp.AppendBool(o, z.LeaseRequest.Renew)
 			}
 		}
 		if (zb0001Mask & 0x40000) == 0 { // if not omitted
@@ -6813,6 +6882,12 @@
 							err = msgp.WrapError(err, "LeaseRequest", "Round")
 							return
 						}
+					case "n":
+						z.LeaseRequest.Renew, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "LeaseRequest", "Renew")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -7116,7 +7191,7 @@
 	if z.LeaseRequest == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	}
 	s += 3
 	if z.LeaseGrant == nil {
