--- a/internal/controlplane/coordinator/api.go
+++ b/internal/controlplane/coordinator/api.go
@@ -58,10 +58,15 @@
 // api serves the operator.
 type api struct {
 	owner *owner
+	node  string
 }
 
 // ServeHTTP answers PUT, PATCH and GET on /config.
 func (a *api) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/status" && r.Method == http.MethodGet {
+		a.serveStatus(w)
+		return
+	}
 	if r.URL.Path != "/config" {
 		http.NotFound(w, r)
 		return
--- a/internal/controlplane/coordinator/controller.go
+++ b/internal/controlplane/coordinator/controller.go
@@ -93,6 +93,7 @@
 			}
 		case now := <-ticker.C:
 			c.tick(ctx, now)
+			c.owner.tasks.set(c.running)
 		}
 	}
 }
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -94,13 +94,13 @@
 	go o.run(running)
 	go transport.Serve(listener, handle)
 	go newController(o, settings).run(running)
-	server := &http.Server{Handler: &api{owner: o}, ReadHeaderTimeout: headerTimeout}
-	control2, err := net.Listen("tcp", settings.ControlAddress)
+	server := &http.Server{Handler: &api{owner: o, node: settings.Node}, ReadHeaderTimeout: headerTimeout}
+	operatorListener, err := net.Listen("tcp", settings.ControlAddress)
 	if err != nil {
 		return errors.Wrap(err, "listening for the operator")
 	}
 	go func() {
-		if err := server.Serve(control2); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(operatorListener); !errors.Is(err, http.ErrServerClosed) {
 			logrus.WithError(err).Error("the operator's API stopped")
 		}
 	}()
--- a/internal/controlplane/coordinator/owner.go
+++ b/internal/controlplane/coordinator/owner.go
@@ -27,7 +27,8 @@
 	token       uint64 // of the lease where this member holds it
 	leaseSince  time.Time
 	leaseUntil  time.Time
-	served      uint64
+	sequence    uint64 // of the newest acknowledged change
+	version     uint64 // the operator's, of that change
 	hasMajority bool
 }
 
@@ -41,6 +42,7 @@
 	writer   *writer
 	hub      *distribution.Hub
 	results  *resultBoard
+	tasks    taskBoard
 	self     message.Member
 	standing atomic.Pointer[standing]
 	served   uint64
@@ -128,7 +130,9 @@
 	if token, since, until, ok := o.replica.Lease(now); ok {
 		s.token, s.leaseSince, s.leaseUntil = token, o.started.Add(since), o.started.Add(until)
 	}
-	if served := o.replica.Served(); served.Sequence > o.served {
+	served := o.replica.Served()
+	s.sequence, s.version = served.Sequence, served.Version
+	if served.Sequence > o.served {
 		o.served = served.Sequence
 		o.hub.SetConfig(message.ConfigUpdate{Sequence: served.Sequence, Document: served.Document})
 	}
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -142,6 +142,13 @@
 	return <-answer
 }
 
+// Proxies returns how many proxies there are, as far as is known here.
+func (h *Hub) Proxies() int {
+	answer := make(chan int, 1)
+	h.commands <- func(s *state) { answer <- max(s.proxies, s.countProxies(time.Now())) }
+	return <-answer
+}
+
 // TakeDemand returns what was asked since the last call, the loads of all sources and how many proxies they are.
 func (h *Hub) TakeDemand() ([]message.ModelDemand, []message.BackendLoad, int) {
 	type taken struct {
