Place adapters first and with their model; more copies of what is busy

Ruled out: a change of the window of slow start (waits came without it too). Change: adapters are planned before loads and ordered with the load of their model; a copy for every two requests under way; loads avoid backends where much runs; Backend-Load corrects what others are known to run.

--- a/internal/controlplane/coordinator/controller.go
+++ b/internal/controlplane/coordinator/controller.go
@@ -194,13 +194,14 @@
 
 // place begins the tasks that the planner wants now.
 func (c *controller) place(ctx context.Context, now time.Time) {
-	demand, _, _ := c.owner.hub.TakeDemand()
+	demand, loads, _ := c.owner.hub.TakeDemand()
 	c.demand.Update(now, demand)
 	if c.table == nil || !c.loadConfig() {
 		return
 	}
 	input := &placement.Input{
 		Now: now, Services: c.config.Services, Backends: c.present(now), Demand: c.demand,
+		Running: lo.SliceToMap(loads, func(l message.BackendLoad) (string, int) { return l.Backend, l.Running }),
 		Loading: c.loading(), LoadsLeft: c.loadsLeft(now),
 	}
 	for _, task := range placement.Plan(input) {
--- a/internal/controlplane/placement/adapters.go
+++ b/internal/controlplane/placement/adapters.go
@@ -4,13 +4,15 @@
 	"fmt"
 	"slices"
 	"sort"
+
+	"pumiceline/internal/controlplane/configuration"
 )
 
 // adapterWant is an adapter that has fewer copies than it should.
 type adapterWant struct {
 	model   string
 	adapter string
-	copies  int
+	asked   bool
 	worth   float64
 }
 
@@ -50,22 +52,67 @@
 			continue
 		}
 		held := p.adapterCopies(model.Name)
-		busy := p.desired[model.Name] > 1
-		for i := 1; i <= model.Adapters; i++ {
-			adapter := fmt.Sprintf("a%d", i)
-			demand := p.in.Demand.Of(p.service.Name, model.Name+"/"+adapter)
-			asked := demand.Waiting > 0 || demand.Missed > 0.05 || !demand.LastAsked.IsZero() && p.in.Now.Sub(demand.LastAsked) < keepAsked
-			if held[adapter] >= minAdapterCopies || !asked && !busy {
-				continue
+		for _, wanted := range p.rankAdapters(model) {
+			if held[wanted.adapter] < p.adapterTargetCopies(model, wanted) {
+				out = append(out, wanted)
 			}
-			worth := max(demand.Fast, demand.Slow) + waitingWorth*(float64(demand.Waiting)+demand.Missed) + 0.01
-			out = append(out, adapterWant{model: model.Name, adapter: adapter, copies: held[adapter], worth: worth})
 		}
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].worth > out[j].worth })
 	return out
 }
 
+// adapterTargetCopies is how many copies of an adapter there should be: one of each of a busy model's, and more of
+// those that are asked for while the places of its holders suffice for all.
+func (p *plan) adapterTargetCopies(model configuration.Model, wanted adapterWant) int {
+	if p.desired[model.Name] <= 1 && !wanted.asked {
+		return 0
+	}
+	if wanted.worth < adapterBusyRate {
+		return 1
+	}
+	holders := p.copies[model.Name]
+	return max(1, min(holders, holders*p.service.Runtime.AdapterSlots/model.Adapters))
+}
+
+// adapterBusyRate is the rate, in requests a second, from which an adapter gets more than one copy.
+const adapterBusyRate = 0.3
+
+// rankAdapters returns all adapters of a model, those that are worth most first.
+func (p *plan) rankAdapters(model configuration.Model) []adapterWant {
+	out := make([]adapterWant, 0, model.Adapters)
+	for i := 1; i <= model.Adapters; i++ {
+		adapter := fmt.Sprintf("a%d", i)
+		demand := p.in.Demand.Of(p.service.Name, model.Name+"/"+adapter)
+		asked := demand.Waiting > 0 || demand.Missed > 0.05 || !demand.LastAsked.IsZero() && p.in.Now.Sub(demand.LastAsked) < keepAsked
+		worth := max(demand.Fast, demand.Slow) + waitingWorth*(float64(demand.Waiting)+demand.Missed) + 0.01
+		out = append(out, adapterWant{model: model.Name, adapter: adapter, asked: asked, worth: worth})
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].worth > out[j].worth })
+	return out
+}
+
+// adaptersFor are the adapters that a new copy of a model gets with it: those that have the fewest copies.
+func (p *plan) adaptersFor(model configuration.Model, chosen *option) []string {
+	if p.desired[model.Name] <= 1 {
+		return nil
+	}
+	places := p.service.Runtime.AdapterSlots
+	for _, kept := range chosen.backend.Models {
+		if !slices.Contains(chosen.victims, kept.Name) {
+			places -= len(kept.Adapters)
+		}
+	}
+	held := p.adapterCopies(model.Name)
+	ranked := p.rankAdapters(model)
+	sort.SliceStable(ranked, func(i, j int) bool { return held[ranked[i].adapter] < held[ranked[j].adapter] })
+	var names []string
+	for _, wanted := range ranked[:max(0, min(places, len(ranked)))] {
+		names = append(names, wanted.model+"/"+wanted.adapter)
+	}
+	return names
+}
+
 func (p *plan) adapterCopies(model string) map[string]int {
 	held := map[string]int{}
 	for _, backend := range p.backends {
@@ -86,7 +133,7 @@
 	var best *Backend
 	fewest := 0
 	for _, backend := range p.backends {
-		if backend.Busy || !holds(backend, wanted.model) {
+		if backend.Busy || !holds(backend, wanted.model) || backend.Holds(wanted.model+"/"+wanted.adapter) || planned(added[backend], wanted) {
 			continue
 		}
 		count := p.adapterCount(backend, added[backend])
@@ -97,6 +144,10 @@
 	return best
 }
 
+func planned(task *Task, wanted adapterWant) bool {
+	return task != nil && slices.Contains(task.Adapters, wanted.model+"/"+wanted.adapter)
+}
+
 func (p *plan) adapterCount(backend *Backend, task *Task) int {
 	count := countAdapters(backend.Models)
 	if task != nil {
--- a/internal/controlplane/placement/planner.go
+++ b/internal/controlplane/placement/planner.go
@@ -14,7 +14,7 @@
 const (
 	keepAsked        = 20 * time.Second // a model asked for within it should be somewhere
 	busyRate         = 0.8              // requests a second from which a model gets more than one copy
-	runningPerCopy   = 3.0              // requests under way that one copy should carry
+	runningPerCopy   = 2.0              // requests under way that one copy should carry
 	ahead            = 2                // places by which demand is expected to move on in the operator's list
 	mostCopiesShare  = 0.6              // of the service's backends, for one model
 	recentlyAsked    = 3 * time.Second
@@ -22,6 +22,8 @@
 	anticipation     = 0.3 // part of the rate of the models before it that a model is expected to get
 	soleWorth        = 0.03
 	surplusShare     = 0.1
+	runningLoss      = 0.004 // of a load beside one running request, in requests a second
+	neighbourLoss    = 0.01  // of a load beside a busy model, as a part of its rate
 	recentWorth      = 0.5
 	waitingWorth     = 2.0 // of one waiting or refused request, in requests a second
 	minAdapterCopies = 1
@@ -53,6 +55,7 @@
 	Backends  []Backend
 	Loading   map[string]map[string]int // by service and model: loads that tasks under way will bring
 	Demand    *DemandTable
+	Running   map[string]int // requests under way by backend
 	LoadsLeft map[string]int // by service: loads that may begin now
 }
 
@@ -79,8 +82,8 @@
 	slices.Sort(names)
 	for _, name := range names {
 		p := newPlan(in, in.Services[name])
+		p.placeAdapters() // they take milliseconds, and a load keeps a backend from taking other orders for seconds
 		p.placeModels()
-		p.placeAdapters()
 		tasks = append(tasks, p.tasks...)
 	}
 	return tasks
@@ -242,7 +245,8 @@
 	p.copies[wanted.model.Name]++
 	return Task{
 		Backend: best.backend.Backend, Service: p.service.Name, Unload: best.victims, Load: wanted.model.Name,
-		LoadTime: wanted.model.Load, Room: Room{p.service.Runtime}, Reason: "a copy is wanted",
+		LoadTime: wanted.model.Load, Adapters: p.adaptersFor(wanted.model, best),
+		Room: Room{p.service.Runtime}, Reason: "a copy is wanted",
 	}, true
 }
 
@@ -267,10 +271,11 @@
 	if free < model.WeightsMB {
 		return option{}, false
 	}
-	// Backends that hold fewer busy models are taken first among equals.
+	// A load takes longer where much runs, and keeps adapters from being loaded beside busy models.
+	choice.loss += runningLoss * float64(p.in.Running[backend.ID])
 	for _, kept := range backend.Models {
 		if !slices.Contains(choice.victims, kept.Name) {
-			choice.loss += 1e-3 * p.in.Demand.Of(p.service.Name, kept.Name).Fast
+			choice.loss += neighbourLoss * p.expectedRate(kept.Name)
 		}
 	}
 	return choice, true
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -72,10 +72,11 @@
 	evidence  evidence
 	due       float64 // virtual time of its next turn
 	weight    float64
-	running   int // requests of this proxy
-	tokens    int // of these requests
-	others    int // requests of other proxies, as last heard
-	reported  int // what this proxy last told of itself
+	running   int       // requests of this proxy
+	tokens    int       // of these requests
+	others    int       // requests of other proxies, as last heard
+	heardAt   time.Time // when the backend itself told its load last
+	reported  int       // what this proxy last told of itself
 	listed    bool
 	lost      bool // sends fail to connect
 	trialOut  bool
@@ -93,7 +94,9 @@
 	shedPause      = 150 * time.Millisecond
 	missingPause   = 1500 * time.Millisecond // a model that a backend said it lacks is not looked for there
 	memoryShare    = 0.9
-	maxWaiting     = 512
+
+	ownWordLifetime = 600 * time.Millisecond // so long a backend's own word on its load stands above the proxies' sum
+	maxWaiting      = 512
 )
 
 // Balancer has one owner and no locks.
@@ -237,7 +240,9 @@
 		totals[load.Backend] = load.Running
 	}
 	for id, backend := range b.backends {
-		backend.others = max(0, totals[id]-backend.reported)
+		if now.Sub(backend.heardAt) > ownWordLifetime {
+			backend.others = max(0, totals[id]-backend.reported)
+		}
 	}
 	b.orders = b.orders[:0]
 	for _, order := range orders {
@@ -246,6 +251,12 @@
 	b.serveWaiting(now)
 }
 
+// Observe takes what a backend tells of its load with an answer.
+func (b *Balancer) Observe(backend *Backend, running, waiting int, now time.Time) {
+	backend.others = max(0, running+waiting-backend.running)
+	backend.heardAt = now
+}
+
 // Report returns what the coordinators are told: demand since the last report and the present loads.
 func (b *Balancer) Report() (demand []message.ModelDemand, loads []message.BackendLoad) {
 	b.urgent = false
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -202,8 +202,8 @@
 	refusedPause   = 400 * time.Millisecond
 	placeWaitShare = 0.25 // of the aim: so long a request waits for a place
 	adapterLoad    = 500 * time.Millisecond
-	loadSlack      = 2 * time.Second // from the end of a load until proxies know of it
-	serviceSlack   = 1 * time.Second // what the answer itself takes at least
+	loadSlack      = 2 * time.Second        // from the end of a load until proxies know of it
+	serviceSlack   = 300 * time.Millisecond // what the answer itself takes at least
 	leavingPause   = 50 * time.Millisecond
 	unknownLoad    = 12 * time.Second // a load that is not even ordered yet
 )
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -72,6 +72,11 @@
 // SetLeaving says that the process was asked to stop.
 func (d *Dispatcher) SetLeaving() { d.commands <- func(b *Balancer) { b.SetLeaving(time.Now()) } }
 
+// Observe tells what a backend said of its load with an answer.
+func (d *Dispatcher) Observe(backend *Backend, running, waiting int) {
+	d.commands <- func(b *Balancer) { b.Observe(backend, running, waiting, time.Now()) }
+}
+
 // Finish tells the outcome of an attempt.
 func (d *Dispatcher) Finish(request *Request, backend *Backend, outcome Outcome, span time.Duration) {
 	d.commands <- func(b *Balancer) { b.Finish(request, backend, outcome, span, time.Now()) }
--- a/internal/dataplane/ingress/exchange.go
+++ b/internal/dataplane/ingress/exchange.go
@@ -23,6 +23,7 @@
 
 // exchange is one client request on its way.
 type exchange struct {
+	timing   timing
 	handler  *Handler
 	writer   http.ResponseWriter
 	route    *configuration.Route
@@ -44,6 +45,7 @@
 
 // run tries backends until the client has its answer.
 func (x *exchange) run() {
+	defer x.logTiming()
 	for range maxAttempts {
 		grant, err := x.handler.dispatcher.Acquire(x.ctx, x.request)
 		if err != nil {
@@ -54,6 +56,7 @@
 			x.refuse(grant.RetryAfter, grant.Reason)
 			return
 		}
+		x.timing.granted(x.request.Arrived)
 		switch x.attempt(grant.Backend) {
 		case finished:
 			return
@@ -100,6 +103,9 @@
 		return x.afterError(target, began, err)
 	}
 	defer answer.Close()
+	if running, waiting, _, ok := backend.ParseLoad(answer.Header.Get(backend.HeaderLoad)); ok {
+		x.handler.dispatcher.Observe(target, running, waiting)
+	}
 	outcome := balancer.Failed
 	defer func() { x.handler.dispatcher.Finish(x.request, target, outcome, time.Since(began)) }()
 	if answer.IsNotRun() {
@@ -236,6 +242,7 @@
 }
 
 func (x *exchange) passEvents(events []byte) bool {
+	x.timing.event(x.request.Arrived)
 	if id := lastEventID(events); id != "" {
 		x.outgoing.LastEvent = id
 	}
