Load from a backend's own disk first; count loads from their beginning

Adapters nobody asked for pushed one another out. Ruled out: loads ahead for rare models (which one is next cannot be seen). Change: every coordinator keeps which models each address has held; warm loads are preferred and not counted; the window holds beginnings; shorter polls; no swap of adapters without demand.

--- a/internal/controlplane/coordinator/controller.go
+++ b/internal/controlplane/coordinator/controller.go
@@ -43,7 +43,9 @@
 	resting  map[string]time.Time // backends that are left alone until then
 	demand   *placement.DemandTable
 	starts   map[string][]time.Time // loads that began, by service
-	token    uint64                 // of the lease under which the tables were filled
+	warm     warmHistory
+	began    time.Time // of the lease
+	token    uint64    // of the lease under which the tables were filled
 	config   *configuration.Config
 	sequence uint64
 }
@@ -58,6 +60,7 @@
 	task     placement.Task
 	expected time.Time
 	cancel   context.CancelFunc
+	started  bool // its load has begun
 }
 
 func newController(o *owner, settings *bootstrap.Settings) *controller {
@@ -109,9 +112,11 @@
 	if s == nil {
 		return
 	}
+	table := c.owner.hub.Table()
+	c.warm.note(table)
 	if !holds {
 		c.resign()
-		if table := c.owner.hub.Table(); !table.IsKnown() || now.Sub(table.Observed) >= staleAfter {
+		if !table.IsKnown() || now.Sub(table.Observed) >= staleAfter {
 			c.read(ctx, now, ownInterval)
 		}
 		return
@@ -147,6 +152,7 @@
 	clear(c.overlays)
 	clear(c.resting)
 	c.starts = map[string][]time.Time{}
+	c.began = s.leaseSince
 	logrus.WithField("token", s.token).Info("holding the controller lease")
 }
 
@@ -234,7 +240,9 @@
 			entry.Models = known.models
 		}
 		_, busy := c.running[entry.ID]
-		backends = append(backends, placement.Backend{Backend: entry, Busy: busy || now.Before(c.resting[entry.ID])})
+		backends = append(backends, placement.Backend{
+			Backend: entry, Busy: busy || now.Before(c.resting[entry.ID]), Warm: c.warm.of(entry),
+		})
 	}
 	return backends
 }
@@ -258,37 +266,45 @@
 	return lo.ContainsBy(known.models, func(m message.LoadedModel) bool { return m.Name == t.task.Load })
 }
 
-// loadsLeft says how many loads may begin now within the rule's sliding window.
+// loadsLeft says how many loads from the weight store may begin now within the rule's sliding window. Those of tasks
+// whose load has not begun yet count, and so do all that the predecessor may have begun.
 func (c *controller) loadsLeft(now time.Time) map[string]int {
 	left := map[string]int{}
-	window := c.settings.Bounds.CapWindow
+	window := c.settings.Bounds.CapWindow + loadStartSlack
 	for name, service := range c.config.Services {
 		if service.Runtime == nil {
 			continue
 		}
-		most := max(1, int(service.Runtime.LoadsPerS*window.Seconds()))
-		starts := lo.Filter(c.starts[name], func(at time.Time, _ int) bool { return now.Sub(at) <= window+loadStartSlack })
-		c.starts[name] = starts
-		left[name] = most - len(starts)
+		rated := service.Runtime.LoadsPerS * c.settings.Bounds.CapWindow.Seconds()
+		most := max(1, int(rated*c.settings.Bounds.CapExcess)+loadsBeyond)
+		c.starts[name] = lo.Filter(c.starts[name], func(at time.Time, _ int) bool { return now.Sub(at) <= window })
+		pending := lo.CountBy(lo.Values(c.running), func(t *runningTask) bool {
+			return t.task.Service == name && t.task.Load != "" && !t.task.Warm && !t.started
+		})
+		left[name] = most - len(c.starts[name]) - pending
+		if now.Sub(c.began) <= window {
+			left[name] = 0
+		}
 	}
 	return left
 }
 
-// loadStartSlack covers the time between the decision for a load and its beginning.
-const loadStartSlack = 2 * time.Second
+// The rule on loads allows three beyond the rate; one is left as a margin for loads taken for warm that are not.
+const (
+	loadStartSlack = 300 * time.Millisecond // from an order until its load begins, at the most
+	loadsBeyond    = 1
+)
 
 func (c *controller) begin(ctx context.Context, task placement.Task, now time.Time) {
 	id := task.Backend.ID
 	running, cancel := context.WithCancel(ctx)
 	c.running[id] = &runningTask{task: task, expected: now.Add(task.LoadTime), cancel: cancel}
-	if task.Load != "" {
-		c.starts[task.Service] = append(c.starts[task.Service], now)
-	}
 	executor := &placement.Executor{
 		Caller: c.caller, Owner: c.owner.self.Identity, Fence: c.fence(c.token),
 		Publish: func(backend string, models []message.LoadedModel) {
 			c.events <- func(now time.Time) { c.note(backend, models, now) }
 		},
+		Started: func(backend string) { c.events <- func(now time.Time) { c.noteStart(backend, now) } },
 	}
 	logrus.WithFields(logrus.Fields{
 		"backend": id, "load": task.Load, "unload": task.Unload, "adapters": task.Adapters, "drop": task.Drop, "reason": task.Reason,
@@ -309,6 +325,19 @@
 	}
 }
 
+// noteStart counts a load that has begun.
+func (c *controller) noteStart(backend string, now time.Time) {
+	running := c.running[backend]
+	if running == nil {
+		return
+	}
+	running.started = true
+	running.expected = now.Add(running.task.LoadTime)
+	if !running.task.Warm {
+		c.starts[running.task.Service] = append(c.starts[running.task.Service], now)
+	}
+}
+
 func (c *controller) note(backend string, models []message.LoadedModel, now time.Time) {
 	if c.token == 0 {
 		return
--- a/internal/controlplane/placement/adapters.go
+++ b/internal/controlplane/placement/adapters.go
@@ -75,6 +75,9 @@
 	return max(1, min(holders, holders*p.service.Runtime.AdapterSlots/model.Adapters))
 }
 
+// adapterGain is what a swap of adapters must be worth, in requests a second.
+const adapterGain = 0.05
+
 // adapterBusyRate is the rate, in requests a second, from which an adapter gets more than one copy.
 const adapterBusyRate = 0.3
 
@@ -161,7 +164,10 @@
 	if p.adapterCount(backend, task) < p.service.Runtime.AdapterSlots && p.adapterFits(backend, task, wanted) {
 		return "", true
 	}
-	least := wanted.worth / gainOverVictim
+	if !wanted.asked {
+		return "", false // nothing goes for what nobody asked for
+	}
+	least := wanted.worth/gainOverVictim - adapterGain
 	for _, model := range backend.Models {
 		for _, adapter := range model.Adapters {
 			name := model.Name + "/" + adapter
--- a/internal/controlplane/placement/executor.go
+++ b/internal/controlplane/placement/executor.go
@@ -6,18 +6,20 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"pumiceline/internal/message"
 )
 
 // Times of carrying out a task.
 const (
-	pollUnload     = 200 * time.Millisecond
-	pollLoad       = 250 * time.Millisecond
+	pollUnload     = 70 * time.Millisecond
+	pollLoad       = 150 * time.Millisecond
+	pollRest       = 200 * time.Millisecond
 	adapterPause   = 50 * time.Millisecond
 	conflictPause  = 300 * time.Millisecond
 	adapterRetry   = 40 * time.Millisecond
-	announceTime   = 150 * time.Millisecond // from telling the proxies that a model goes until it is unloaded
+	announceTime   = 80 * time.Millisecond // from telling the proxies that a model goes until it is unloaded
 	unloadPatience = 20 * time.Second
 	loadPatience   = 15 * time.Second
 	firstPoll      = 0.9 // of the load's time
@@ -37,6 +39,8 @@
 	Fence  Fence
 	// Publish tells what a backend holds now, or what proxies may still use of it.
 	Publish func(backend string, models []message.LoadedModel)
+	// Started tells that the task's load has begun, or may have.
+	Started func(backend string)
 }
 
 // run is one task under way.
@@ -81,7 +85,7 @@
 			r.models, r.orders = report.Models, report.Orders
 			return nil
 		}
-		if err := pause(ctx, pollUnload); err != nil {
+		if err := pause(ctx, pollRest); err != nil {
 			return err
 		}
 	}
@@ -105,6 +109,10 @@
 	if answer == Taken {
 		r.orders++
 	}
+	if operation == Load && name == r.task.Load && (answer == Taken || answer == Unknown) {
+		r.Started(r.task.Backend.ID)
+	}
+	logrus.WithFields(logrus.Fields{"backend": r.task.Backend.ID, "operation": operation, "name": name, "answer": answer}).Debug("order")
 	return answer, nil
 }
 
@@ -143,13 +151,30 @@
 	if _, err := r.insist(ctx, Unload, model); err != nil {
 		return err
 	}
-	if err := r.sync(ctx, r.orders); err != nil {
-		return err
-	}
-	if r.holds(model) {
-		return errors.Errorf("%s was not unloaded", model)
+	return r.awaitUnload(ctx, model)
+}
+
+// awaitUnload polls until the model is gone; its runs have to end first.
+func (r *run) awaitUnload(ctx context.Context, model string) error {
+	deadline := time.Now().Add(unloadPatience)
+	for time.Now().Before(deadline) {
+		if err := pause(ctx, pollUnload); err != nil {
+			return err
+		}
+		report, err := r.Caller.Report(ctx, r.task.Backend)
+		if err != nil {
+			return err
+		}
+		if report.InUse || report.Orders < r.orders {
+			continue
+		}
+		r.models, r.orders = report.Models, report.Orders
+		if r.holds(model) {
+			return errors.Errorf("%s was not unloaded", model)
+		}
+		return nil
 	}
-	return nil
+	return errors.Errorf("%s takes too long to be unloaded", model)
 }
 
 func (r *run) holds(name string) bool {
--- a/internal/controlplane/placement/planner.go
+++ b/internal/controlplane/placement/planner.go
@@ -23,6 +23,7 @@
 	soleWorth        = 0.03
 	surplusShare     = 0.1
 	runningLoss      = 0.004 // of a load beside one running request, in requests a second
+	coldLoss         = 0.25  // of a load from the weight store, which takes several times as long
 	neighbourLoss    = 0.01  // of a load beside a busy model, as a part of its rate
 	recentWorth      = 0.5
 	waitingWorth     = 2.0 // of one waiting or refused request, in requests a second
@@ -32,7 +33,8 @@
 // Backend is a backend as the planner sees it.
 type Backend struct {
 	message.Backend
-	Busy bool // an order or a task is under way
+	Busy bool            // an order or a task is under way
+	Warm map[string]bool // models that it held before and reads from its own disk
 }
 
 // Task is what one backend is to be ordered, in this order: unloads, then a load, then adapters.
@@ -42,6 +44,7 @@
 	Unload   []string // models
 	Load     string   // model; empty: none
 	LoadTime time.Duration
+	Warm     bool     // the load is read from the backend's own disk
 	Drop     []string // adapters to be unloaded, as model/adapter
 	Adapters []string // adapters to be loaded, as model/adapter
 	Room     Room
@@ -207,12 +210,11 @@
 		return
 	}
 	for _, wanted := range p.wants() {
-		if p.in.LoadsLeft[p.service.Name] <= 0 {
-			return
-		}
 		if task, ok := p.placeOne(wanted); ok {
-			p.in.LoadsLeft[p.service.Name]--
 			p.tasks = append(p.tasks, task)
+			if !task.Warm {
+				p.in.LoadsLeft[p.service.Name]--
+			}
 		}
 	}
 }
@@ -230,12 +232,15 @@
 		if backend.Busy || holds(backend, wanted.model.Name) {
 			continue
 		}
+		if !backend.Warm[wanted.model.Name] && p.in.LoadsLeft[p.service.Name] <= 0 {
+			continue
+		}
 		candidate, ok := p.makeRoom(backend, wanted.model)
 		if ok && (best == nil || candidate.loss < best.loss) {
 			best = &candidate
 		}
 	}
-	if best == nil || wanted.worth <= gainOverVictim*best.loss {
+	if best == nil || wanted.worth <= gainOverVictim*best.loss-coldLoss {
 		return Task{}, false
 	}
 	best.backend.Busy = true
@@ -245,11 +250,21 @@
 	p.copies[wanted.model.Name]++
 	return Task{
 		Backend: best.backend.Backend, Service: p.service.Name, Unload: best.victims, Load: wanted.model.Name,
-		LoadTime: wanted.model.Load, Adapters: p.adaptersFor(wanted.model, best),
+		LoadTime: p.loadTime(best.backend, wanted.model), Warm: best.backend.Warm[wanted.model.Name], Adapters: p.adaptersFor(wanted.model, best),
 		Room: Room{p.service.Runtime}, Reason: "a copy is wanted",
 	}, true
 }
 
+// warmShare is the part of a load's time that reading from a backend's own disk takes at most.
+const warmShare = 0.25
+
+func (p *plan) loadTime(backend *Backend, model configuration.Model) time.Duration {
+	if backend.Warm[model.Name] {
+		return time.Duration(warmShare * float64(model.Load))
+	}
+	return model.Load
+}
+
 func holds(backend *Backend, model string) bool {
 	return slices.ContainsFunc(backend.Models, func(m message.LoadedModel) bool { return m.Name == model })
 }
@@ -272,6 +287,9 @@
 		return option{}, false
 	}
 	// A load takes longer where much runs, and keeps adapters from being loaded beside busy models.
+	if !backend.Warm[model.Name] {
+		choice.loss += coldLoss
+	}
 	choice.loss += runningLoss * float64(p.in.Running[backend.ID])
 	for _, kept := range backend.Models {
 		if !slices.Contains(choice.victims, kept.Name) {
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -204,6 +204,8 @@
 	adapterLoad    = 500 * time.Millisecond
 	loadSlack      = 2 * time.Second        // from the end of a load until proxies know of it
 	serviceSlack   = 300 * time.Millisecond // what the answer itself takes at least
+	orderWaitShare = 0.2                    // of the aim: so long a request waits to hear whether its model is ordered
+	warmLoad       = 1500 * time.Millisecond
 	leavingPause   = 50 * time.Millisecond
 	unknownLoad    = 12 * time.Second // a load that is not even ordered yet
 )
@@ -246,6 +248,9 @@
 	if runtime == nil {
 		return now.Add(unknownLoad)
 	}
+	if now.Sub(request.Arrived) < time.Duration(orderWaitShare*float64(request.Aim)) {
+		return now.Add(warmLoad) // the order may come yet, and may be for a load from a backend's own disk
+	}
 	for _, model := range runtime.Models {
 		if model.Name == message.ModelOf(request.Model) {
 			if b.heldAnywhere(request.Service, model.Name, now) {
