--- /dev/null
+++ b/internal/bootstrap/bootstrap_test.go
@@ -0,0 +1,43 @@
+package bootstrap
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const whole = `
+node: "a-1"
+zone: "a"
+ip: "10.1.0.1"
+zones: {a: "r"}
+listen: {front: "10.1.0.1:80", ready: "10.1.0.1:81"}
+portRange: [7000, 7015]
+seedNodes: ["10.1.0.1:90"]
+stateDir: null
+bounds: {drainMs: 2500, retryRatio: 0.25}
+cloud: {address: "10.9.0.1:80", ratePerS: 3.5}
+unknown: {x: 1}
+`
+
+func TestSettingsAreRead(t *testing.T) {
+	settings, err := Parse([]byte(whole))
+	require.NoError(t, err)
+	assert.Equal(t, 7000, settings.FirstPort)
+	assert.Equal(t, 2500*time.Millisecond, settings.Bounds.Drain)
+	assert.Equal(t, 0.25, settings.Bounds.RetryRatio)
+	assert.Equal(t, 3.5, settings.Platform.RatePerS)
+	assert.Empty(t, settings.StateDir, "a machine without a disk has null there")
+	assert.Equal(t, defaultGrace, settings.Bounds.Grace)
+}
+
+func TestFaultySettingsNameTheirPlaces(t *testing.T) {
+	_, err := Parse([]byte("ip: 3\nportRange: [9, 2]\nseedNodes: \"x\"\n"))
+	require.Error(t, err)
+	assert.Equal(t, "node: must be given; zone: must be given; ip: a text is wanted; ip: must be given; "+
+		"seedNodes: a list is wanted; portRange: two ports in rising order are wanted", err.Error())
+	_, err = Parse([]byte("node: [unclosed"))
+	assert.ErrorContains(t, err, "not YAML")
+}
--- /dev/null
+++ b/internal/controlplane/storage/ring_test.go
@@ -0,0 +1,140 @@
+package storage
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// memoryFile keeps written and synced contents apart, as a disk does that loses power.
+type memoryFile struct {
+	written, synced []byte
+	refuse          bool
+}
+
+func newMemoryFile() *memoryFile {
+	return &memoryFile{written: make([]byte, FileBytes), synced: make([]byte, FileBytes)}
+}
+
+func (f *memoryFile) ReadAt(p []byte, offset int64) (int, error) {
+	return copy(p, f.written[offset:]), nil
+}
+
+func (f *memoryFile) WriteAt(p []byte, offset int64) (int, error) {
+	if f.refuse {
+		return 0, errors.New("no space left")
+	}
+	return copy(f.written[offset:], p), nil
+}
+
+func (f *memoryFile) Sync() error {
+	if f.refuse {
+		return errors.New("no space left")
+	}
+	f.synced = append(f.synced[:0], f.written...)
+	return nil
+}
+
+func newFiles() ([]File, []*memoryFile) {
+	files, memory := make([]File, FileCount), make([]*memoryFile, FileCount)
+	for i := range files {
+		memory[i] = newMemoryFile()
+		files[i] = memory[i]
+	}
+	return files, memory
+}
+
+func open(t *testing.T, files []File) *Ring {
+	t.Helper()
+	ring, err := OpenFiles(files)
+	require.NoError(t, err)
+	return ring
+}
+
+func TestNewestRecordOfEachKindIsKept(t *testing.T) {
+	files, _ := newFiles()
+	ring := open(t, files)
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("a"), 2: []byte("b")}))
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("c")}))
+	again := open(t, files)
+	assert.Equal(t, "c", string(again.Newest(1)))
+	assert.Equal(t, "b", string(again.Newest(2)))
+	assert.Nil(t, again.Newest(3))
+}
+
+// Every cut of a write that was not synced leaves the records before it, and the next write is kept.
+func TestEveryTornWriteLeavesWhatWasSynced(t *testing.T) {
+	files, memory := newFiles()
+	ring := open(t, files)
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("first"), 2: []byte("other")}))
+	current, offset := ring.current, ring.offset
+	torn := appendRecord(nil, 1, ring.sequence+1, []byte("second"))
+	for cut := 0; cut < len(torn); cut++ {
+		copies := make([]File, FileCount)
+		for i, file := range memory {
+			contents := newMemoryFile()
+			copy(contents.written, file.written)
+			copies[i] = contents
+		}
+		copy(copies[current].(*memoryFile).written[offset:], torn[:cut])
+		restarted := open(t, copies)
+		require.Equal(t, "first", string(restarted.Newest(1)), "cut at %d", cut)
+		require.Equal(t, "other", string(restarted.Newest(2)), "cut at %d", cut)
+		require.NoError(t, restarted.Write(map[Kind][]byte{1: []byte("third")}))
+		require.Equal(t, "third", string(open(t, copies).Newest(1)), "cut at %d", cut)
+	}
+}
+
+func TestAChangedByteIsNoRecord(t *testing.T) {
+	files, memory := newFiles()
+	ring := open(t, files)
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("first")}))
+	current, offset := ring.current, ring.offset
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("second")}))
+	memory[current].written[offset+headerSize] ^= 1
+	assert.Equal(t, "first", string(open(t, files).Newest(1)))
+}
+
+func TestTheRingGoesRound(t *testing.T) {
+	files, _ := newFiles()
+	ring := open(t, files)
+	require.NoError(t, ring.Write(map[Kind][]byte{2: []byte("kept")}))
+	large := make([]byte, FileBytes/3)
+	for i := byte(0); i < 5*FileCount; i++ {
+		large[0] = i
+		require.NoError(t, ring.Write(map[Kind][]byte{1: large}))
+		again := open(t, files)
+		require.Equal(t, i, again.Newest(1)[0])
+		require.Equal(t, "kept", string(again.Newest(2)))
+	}
+}
+
+func TestARefusedWriteIsTriedInTheNextFile(t *testing.T) {
+	files, memory := newFiles()
+	ring := open(t, files)
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("first"), 2: []byte("other")}))
+	memory[ring.current].refuse = true
+	require.Error(t, ring.Write(map[Kind][]byte{1: []byte("second")}))
+	assert.Equal(t, "first", string(open(t, files).Newest(1)), "a refused write is not kept")
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("second")}))
+	again := open(t, files)
+	assert.Equal(t, "second", string(again.Newest(1)))
+	assert.Equal(t, "other", string(again.Newest(2)))
+}
+
+func TestARecordThatFitsNowhere(t *testing.T) {
+	files, _ := newFiles()
+	assert.ErrorIs(t, open(t, files).Write(map[Kind][]byte{1: make([]byte, FileBytes)}), ErrTooLarge)
+}
+
+func TestFilesOnDisk(t *testing.T) {
+	dir := t.TempDir()
+	ring, err := Open(dir)
+	require.NoError(t, err)
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("kept")}))
+	again, err := Open(dir)
+	require.NoError(t, err)
+	assert.Equal(t, "kept", string(again.Newest(1)))
+}
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -171,13 +171,10 @@
 	return best
 }
 
-// cost ranks backends among the due turns: what runs there against what it can do, and the way to it.
+// cost ranks backends among the due turns: what runs there against what it can do. Equals keep the order of their
+// turns, so that without load the shares are those of the weights.
 func (b *Balancer) cost(backend *Backend) float64 {
-	cost := float64(backend.running+backend.others+1) / backend.weight
-	if backend.Zone != b.zone {
-		cost += 0.01
-	}
-	return cost
+	return float64(backend.running+backend.others) / backend.weight
 }
 
 func (b *Balancer) grantTo(request *Request, backend *Backend, now time.Time) {
