--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -54,7 +54,7 @@
 
 // Run runs the coordinator until ctx ends, then leaves in order.
 func Run(ctx context.Context, settings *bootstrap.Settings) error {
-	self := message.Member{Address: InternalAddress(settings.IP, settings.FirstPort), Identity: newIdentity(settings.Node)}
+	self := message.Member{Address: InternalAddress(settings.IP, settings.FirstPort), Identity: newIdentity(settings.Node), Zone: settings.Zone}
 	listener, err := net.Listen("tcp", self.Address)
 	if err != nil {
 		return errors.Wrap(err, "listening for the system")
--- a/internal/controlplane/coordinator/owner.go
+++ b/internal/controlplane/coordinator/owner.go
@@ -138,7 +138,7 @@
 	}
 	o.standing.Store(s)
 	addresses := lo.Map(s.view.Members, func(m message.Member, _ int) string { return m.Address })
-	o.hub.SetStatus(distribution.Status{Available: s.hasMajority && o.replica.IsSynced(), Members: addresses})
+	o.hub.SetStatus(distribution.Status{Available: s.hasMajority && o.replica.IsSynced(), Members: s.view.Members})
 	if s.view.Number != o.logged {
 		o.logged = s.view.Number
 		logrus.WithFields(logrus.Fields{"view": s.view.Number, "members": addresses, "member": s.member}).Info("view entered")
--- a/internal/controlplane/coordinator/subscriber.go
+++ b/internal/controlplane/coordinator/subscriber.go
@@ -24,7 +24,7 @@
 }
 
 // SetMembers does nothing: the view names the members.
-func (s *holderSubscriber) SetMembers([]string) {}
+func (s *holderSubscriber) SetMembers([]message.Member) {}
 
 // Versions tells the list that is known here and what was gathered from proxies.
 func (s *holderSubscriber) Versions() message.Pull {
--- /dev/null
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -0,0 +1,141 @@
+package distribution
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/message"
+	"pumiceline/internal/transport"
+)
+
+func newTestHub(t *testing.T, available bool) *Hub {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	hub := NewHub()
+	hub.SetStatus(Status{Available: available, Members: []message.Member{{Address: "m"}}})
+	go hub.Run(ctx)
+	return hub
+}
+
+func pull(t *testing.T, hub *Hub, from string, request message.Pull) *message.PullReply {
+	t.Helper()
+	answer := make(chan *message.Message, 1)
+	hub.HandlePull(from, request, func(m *message.Message) { answer <- m })
+	return (<-answer).PullReply
+}
+
+func table(id string, observed time.Time) *discovery.Table {
+	t := &discovery.Table{Observed: observed, Backends: []message.Backend{{ID: id, Service: "s", Address: "a"}}}
+	t.SetDigest()
+	return t
+}
+
+func TestAPullGetsOnlyWhatItLacks(t *testing.T) {
+	hub := newTestHub(t, true)
+	hub.SetConfig(message.ConfigUpdate{Sequence: 3, Document: []byte("c")})
+	hub.SetTable(table("b", time.Now()))
+	first := pull(t, hub, "p", message.Pull{})
+	require.NotNil(t, first.Config)
+	require.NotNil(t, first.Backends)
+	second := pull(t, hub, "p", message.Pull{ConfigSequence: 3, BackendDigest: first.Backends.Digest})
+	assert.Nil(t, second.Config)
+	assert.Nil(t, second.Backends)
+	assert.True(t, second.BackendsKnown)
+}
+
+func TestAHeldPullIsAnsweredByNews(t *testing.T) {
+	hub := newTestHub(t, true)
+	answer := make(chan *message.Message, 1)
+	hub.HandlePull("p", message.Pull{HoldMS: 60_000}, func(m *message.Message) { answer <- m })
+	hub.SetConfig(message.ConfigUpdate{Sequence: 1})
+	assert.Equal(t, uint64(1), (<-answer).PullReply.Config.Sequence)
+}
+
+func TestAMemberWithoutMajoritySendsAway(t *testing.T) {
+	reply := pull(t, newTestHub(t, false), "p", message.Pull{HoldMS: 60_000})
+	assert.True(t, reply.Unavailable)
+	assert.Equal(t, "m", reply.Members[0].Address)
+}
+
+func TestNothingGoesBackward(t *testing.T) {
+	hub := newTestHub(t, true)
+	now := time.Now()
+	hub.SetConfig(message.ConfigUpdate{Sequence: 5})
+	hub.SetConfig(message.ConfigUpdate{Sequence: 4})
+	hub.SetTable(table("new", now))
+	hub.SetTable(table("old", now.Add(-time.Second)))
+	reply := pull(t, hub, "p", message.Pull{})
+	assert.Equal(t, uint64(5), reply.Config.Sequence)
+	assert.Equal(t, "new", reply.Backends.Backends[0].ID)
+}
+
+func TestDemandAndLoadsAreSummedOverSources(t *testing.T) {
+	hub := newTestHub(t, true)
+	for _, from := range []string{"p", "q"} {
+		pull(t, hub, from, message.Pull{
+			Proxies: 1, Demand: []message.ModelDemand{{Service: "s", Model: "m", Arrivals: 2, Waiting: 1}},
+			Loads: []message.BackendLoad{{Backend: "b", Running: 3}},
+		})
+	}
+	demand, loads, proxies := hub.TakeDemand()
+	assert.Equal(t, []message.ModelDemand{{Service: "s", Model: "m", Arrivals: 4, Waiting: 2}}, demand)
+	assert.Equal(t, []message.BackendLoad{{Backend: "b", Running: 6}}, loads)
+	assert.Equal(t, 2, proxies)
+	demand, _, _ = hub.TakeDemand()
+	assert.Equal(t, []message.ModelDemand{{Service: "s", Model: "m", Waiting: 2}}, demand, "arrivals are taken once")
+}
+
+// subscriber notes what it gets.
+type subscriber struct {
+	addresses []string
+	mutex     sync.Mutex
+	members   []message.Member
+	applied   chan *message.PullReply
+}
+
+func (s *subscriber) Versions() message.Pull { return message.Pull{Proxies: 1} }
+func (s *subscriber) Addresses() []string    { return s.addresses }
+func (s *subscriber) SetMembers(members []message.Member) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.members = members
+}
+func (s *subscriber) Apply(reply *message.PullReply, _ time.Time) {
+	select {
+	case s.applied <- reply:
+	default:
+	}
+}
+
+func serve(t *testing.T, hub *Hub) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go transport.Serve(listener, func(m *message.Message, reply func(*message.Message)) {
+		hub.HandlePull(m.From, *m.Pull, reply)
+	})
+	return listener.Addr().String()
+}
+
+func TestAPullerGoesOnToOneThatCanAnswer(t *testing.T) {
+	cutOff, well := newTestHub(t, false), newTestHub(t, true)
+	well.SetConfig(message.ConfigUpdate{Sequence: 8})
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	deadAddress := dead.Addr().String()
+	dead.Close()
+	s := &subscriber{addresses: []string{deadAddress, serve(t, cutOff), serve(t, well)}, applied: make(chan *message.PullReply, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go NewPuller("p", s, time.Millisecond).Run(ctx)
+	assert.Equal(t, uint64(8), (<-s.applied).Config.Sequence)
+}
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -21,8 +21,8 @@
 
 // Status is what the hub is told of the member's standing.
 type Status struct {
-	Available bool     // a majority of the view was heard a moment ago and the state is synced
-	Members   []string // internal addresses of the coordinators
+	Available bool // a majority of the view was heard a moment ago and the state is synced
+	Members   []message.Member
 }
 
 // Hub answers pulls. One goroutine owns its tables and works through a queue of commands.
--- a/internal/controlplane/distribution/puller.go
+++ b/internal/controlplane/distribution/puller.go
@@ -11,9 +11,10 @@
 
 // Times of pulling.
 const (
-	pullMargin = 800 * time.Millisecond // an answer later than the hold and this is lost
-	retryPause = 80 * time.Millisecond
-	idlePause  = 250 * time.Millisecond // while there is nobody to ask
+	pullMargin  = 800 * time.Millisecond // an answer later than the hold and this is lost
+	retryPause  = 80 * time.Millisecond
+	returnAfter = 4 * time.Second        // then the preferred peer is tried again
+	idlePause   = 250 * time.Millisecond // while there is nobody to ask
 )
 
 // Subscriber is who pulls.
@@ -24,8 +25,8 @@
 	Apply(reply *message.PullReply, sent time.Time)
 	// Addresses returns whom to ask, the preferred first.
 	Addresses() []string
-	// SetMembers tells the coordinators' addresses as a peer knows them.
-	SetMembers(addresses []string)
+	// SetMembers tells the coordinators as a peer knows them.
+	SetMembers(members []message.Member)
 }
 
 // Puller asks for what its subscriber lacks.
@@ -36,6 +37,7 @@
 	hold       time.Duration
 	current    atomic.Pointer[string] // the peer that answered last
 	preferred  int
+	movedAt    time.Time
 }
 
 // NewPuller makes a puller; an answer without news is held for hold.
@@ -53,7 +55,12 @@
 		}
 		if !p.pullFrom(ctx, addresses[p.preferred%len(addresses)]) {
 			p.preferred++
+			p.movedAt = time.Now()
 			pause(ctx, retryPause)
+			continue
+		}
+		if p.preferred > 0 && time.Since(p.movedAt) > returnAfter {
+			p.preferred = 0
 		}
 	}
 }
--- a/internal/controlplane/placement/executor.go
+++ b/internal/controlplane/placement/executor.go
@@ -41,6 +41,8 @@
 	Publish func(backend string, models []message.LoadedModel)
 	// Started tells that the task's load has begun, or may have.
 	Started func(backend string)
+	// Pause waits; tests put their own in its place. Nil: the steady clock's.
+	Pause func(ctx context.Context, span time.Duration) error
 }
 
 // run is one task under way.
@@ -85,7 +87,7 @@
 			r.models, r.orders = report.Models, report.Orders
 			return nil
 		}
-		if err := pause(ctx, pollRest); err != nil {
+		if err := r.pause(ctx, pollRest); err != nil {
 			return err
 		}
 	}
@@ -129,7 +131,7 @@
 		case Refused:
 			return answer, errors.Errorf("%s of %s is refused", operation, name)
 		}
-		if err := pause(ctx, conflictPause); err != nil {
+		if err := r.pause(ctx, conflictPause); err != nil {
 			return answer, err
 		}
 		if err := r.sync(ctx, 0); err != nil {
@@ -145,7 +147,7 @@
 	}
 	r.models = slices.DeleteFunc(slices.Clone(r.models), func(m message.LoadedModel) bool { return m.Name == model })
 	r.Publish(r.task.Backend.ID, r.models)
-	if err := pause(ctx, announceTime); err != nil {
+	if err := r.pause(ctx, announceTime); err != nil {
 		return err
 	}
 	if _, err := r.insist(ctx, Unload, model); err != nil {
@@ -158,7 +160,7 @@
 func (r *run) awaitUnload(ctx context.Context, model string) error {
 	deadline := time.Now().Add(unloadPatience)
 	for time.Now().Before(deadline) {
-		if err := pause(ctx, pollUnload); err != nil {
+		if err := r.pause(ctx, pollUnload); err != nil {
 			return err
 		}
 		report, err := r.Caller.Report(ctx, r.task.Backend)
@@ -191,7 +193,7 @@
 		return err
 	}
 	if answer == Taken {
-		if err := pause(ctx, time.Duration(firstPoll*float64(r.task.LoadTime))); err != nil {
+		if err := r.pause(ctx, time.Duration(firstPoll*float64(r.task.LoadTime))); err != nil {
 			return err
 		}
 	}
@@ -209,7 +211,7 @@
 			}
 			return nil
 		}
-		if err := pause(ctx, pollLoad); err != nil {
+		if err := r.pause(ctx, pollLoad); err != nil {
 			return err
 		}
 	}
@@ -228,7 +230,7 @@
 		if _, err := r.insist(ctx, Unload, name); err != nil {
 			return err
 		}
-		if err := pause(ctx, adapterPause); err != nil {
+		if err := r.pause(ctx, adapterPause); err != nil {
 			return err
 		}
 		if err := r.sync(ctx, r.orders); err != nil {
@@ -255,7 +257,7 @@
 		switch answer {
 		case Taken, Held:
 			r.models = withAdapter(r.models, name)
-			if err := pause(ctx, adapterPause); err != nil {
+			if err := r.pause(ctx, adapterPause); err != nil {
 				return err
 			}
 			r.Publish(r.task.Backend.ID, r.models)
@@ -270,7 +272,7 @@
 				return nil
 			}
 		}
-		if err := pause(ctx, adapterRetry); err != nil {
+		if err := r.pause(ctx, adapterRetry); err != nil {
 			return err
 		}
 	}
@@ -288,7 +290,10 @@
 	return out
 }
 
-func pause(ctx context.Context, span time.Duration) error {
+func (r *run) pause(ctx context.Context, span time.Duration) error {
+	if r.Pause != nil {
+		return r.Pause(ctx, span)
+	}
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
--- a/internal/controlplane/placement/planner.go
+++ b/internal/controlplane/placement/planner.go
@@ -115,7 +115,7 @@
 // demand moved on by some places in the operator's list, as it does from time to time.
 func (p *plan) setDesired() {
 	models := p.service.Runtime.Models
-	most := max(1, int(mostCopiesShare*float64(len(p.backends))))
+	most := int(math.Ceil(mostCopiesShare * float64(len(p.backends))))
 	for i, model := range models {
 		demand := p.in.Demand.Of(p.service.Name, model.Name)
 		want := 0
--- /dev/null
+++ b/internal/controlplane/placement/planner_test.go
@@ -0,0 +1,182 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/message"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// fleet is a service of backends with room for two models each, and ten models m0 to m9.
+type fleet struct {
+	runtime  *configuration.Runtime
+	backends []Backend
+	demand   *DemandTable
+	now      time.Time
+}
+
+func newFleet(holdings ...[]string) *fleet {
+	f := &fleet{demand: NewDemandTable(), now: start, runtime: &configuration.Runtime{
+		Capacity: 8, WeightsMB: 210, AdapterSlots: 3, LoadsPerS: 2,
+	}}
+	for i := range 10 {
+		f.runtime.Models = append(f.runtime.Models, configuration.Model{
+			Name: fmt.Sprintf("m%d", i), WeightsMB: 100, Load: 5 * time.Second, AdapterMB: 1,
+		})
+	}
+	for i, names := range holdings {
+		backend := Backend{Warm: map[string]bool{}}
+		backend.ID, backend.Service = fmt.Sprintf("b%d", i), "s"
+		for _, name := range names {
+			backend.Models = append(backend.Models, message.LoadedModel{Name: name})
+		}
+		f.backends = append(f.backends, backend)
+	}
+	return f
+}
+
+// ask lets demand be as given for a while: requests a second by model.
+func (f *fleet) ask(span time.Duration, rates map[string]float64) {
+	for passed := time.Duration(0); passed < span; passed += 100 * time.Millisecond {
+		f.now = f.now.Add(100 * time.Millisecond)
+		var report []message.ModelDemand
+		for model, rate := range rates {
+			report = append(report, message.ModelDemand{Service: "s", Model: model, Arrivals: rate / 10, Running: int(rate / 2)})
+		}
+		f.demand.Update(f.now, report)
+	}
+}
+
+func (f *fleet) wait(model string, waiting int) {
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.demand.Update(f.now, []message.ModelDemand{{Service: "s", Model: model, Arrivals: float64(waiting), Waiting: waiting}})
+}
+
+func (f *fleet) plan(loadsLeft int) []Task {
+	return Plan(&Input{
+		Now: f.now, Services: map[string]*configuration.Service{"s": {Name: "s", Runtime: f.runtime}},
+		Backends: append([]Backend{}, f.backends...), Demand: f.demand, Loading: map[string]map[string]int{},
+		LoadsLeft: map[string]int{"s": loadsLeft},
+	})
+}
+
+func loads(tasks []Task) map[string]string {
+	out := map[string]string{}
+	for _, task := range tasks {
+		if task.Load != "" {
+			out[task.Load] = task.Backend.ID
+		}
+	}
+	return out
+}
+
+// Found on the bench: sole copies were evicted before the first request came.
+func TestNothingMovesBeforeAnyDemand(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m0", "m2"}, []string{"m3", "m4"})
+	assert.Empty(t, loads(f.plan(10)))
+}
+
+func TestAMissingModelReplacesTheLeastWanted(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m8", "m2"}, []string{"m3", "m4"})
+	f.ask(10*time.Second, map[string]float64{"m0": 0.5, "m1": 0.3, "m2": 0.3, "m3": 0.3, "m8": 0.3})
+	f.wait("m7", 1)
+	tasks := f.plan(10)
+	assert.Equal(t, map[string]string{"m7": "b2"}, loads(tasks))
+	assert.Equal(t, []string{"m4"}, tasks[0].Unload, "the only model that nobody asks for")
+}
+
+func TestABusyModelGetsMoreCopies(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m2", "m3"}, []string{"m4", "m5"}, []string{"m6", "m8"})
+	f.ask(20*time.Second, map[string]float64{"m0": 12})
+	found := loads(f.plan(10))
+	assert.Contains(t, found, "m0")
+	assert.Contains(t, found, "m1", "and so does the next one in the operator's list, ahead of its demand")
+}
+
+func TestLoadsKeepToWhatIsLeft(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m2", "m3"}, []string{"m4", "m5"})
+	for _, model := range []string{"m6", "m7", "m8"} {
+		f.wait(model, 1)
+	}
+	assert.Len(t, loads(f.plan(1)), 1)
+	assert.Empty(t, loads(f.plan(0)))
+	f.backends[1].Warm["m8"] = true
+	assert.Equal(t, map[string]string{"m8": "b1"}, loads(f.plan(0)), "one from a backend's own disk does not count")
+}
+
+func TestAWarmBackendIsPreferred(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m2", "m3"}, []string{"m4", "m5"})
+	f.backends[2].Warm["m9"] = true
+	f.wait("m9", 1)
+	tasks := f.plan(10)
+	assert.Equal(t, map[string]string{"m9": "b2"}, loads(tasks))
+	assert.Less(t, tasks[0].LoadTime, 5*time.Second)
+}
+
+func TestBusyDrainingAndLeavingBackendsGetNoOrders(t *testing.T) {
+	f := newFleet([]string{"m0"}, []string{"m1"}, []string{"m2"}, []string{"m3"})
+	f.backends[0].Busy = true
+	f.backends[1].Draining = true
+	f.backends[2].TimeLeftMS = 900
+	f.wait("m9", 1)
+	assert.Equal(t, map[string]string{"m9": "b3"}, loads(f.plan(10)))
+}
+
+func TestWhatOnlyALeavingBackendHoldsIsLoadedElsewhere(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m2"})
+	f.ask(5*time.Second, map[string]float64{"m1": 0.4})
+	f.backends[0].TimeLeftMS = 1500
+	assert.Equal(t, "b1", loads(f.plan(10))["m1"])
+}
+
+func TestAdaptersOfBusyModelsAreSpreadOverTheirHolders(t *testing.T) {
+	f := newFleet([]string{"m0"}, []string{"m0"})
+	f.runtime.Models[0].Adapters = 5
+	f.ask(5*time.Second, map[string]float64{"m0": 4})
+	placed := map[string]int{}
+	for _, task := range f.plan(0) {
+		assert.LessOrEqual(t, len(task.Adapters), f.runtime.AdapterSlots)
+		for _, adapter := range task.Adapters {
+			placed[adapter]++
+		}
+	}
+	assert.Len(t, placed, 5)
+}
+
+func TestAnAdapterNobodyAskedForDisplacesNone(t *testing.T) {
+	f := newFleet([]string{"m0"})
+	f.runtime.Models[0].Adapters = 9
+	f.backends[0].Models[0].Adapters = []string{"a1", "a2", "a3"}
+	f.ask(5*time.Second, map[string]float64{"m0": 4})
+	assert.Empty(t, f.plan(0))
+	f.wait("m0/a7", 2)
+	tasks := f.plan(0)
+	assert.Len(t, tasks, 1)
+	assert.Equal(t, []string{"m0/a7"}, tasks[0].Adapters)
+	assert.Len(t, tasks[0].Drop, 1)
+}
+
+func TestAPlanNeverExceedsTheRoom(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m2", "m3"}, []string{"m4"})
+	f.runtime.Models[0].Adapters = 3
+	f.ask(5*time.Second, map[string]float64{"m0": 9, "m5": 2, "m6": 1, "m7": 0.5})
+	for _, task := range f.plan(10) {
+		held := map[string]bool{}
+		for _, model := range task.Backend.Models {
+			held[model.Name] = true
+		}
+		for _, gone := range task.Unload {
+			delete(held, gone)
+		}
+		if task.Load != "" {
+			held[task.Load] = true
+		}
+		assert.LessOrEqual(t, float64(len(held))*100, f.runtime.WeightsMB, "%+v", task)
+	}
+}
--- a/internal/controlplane/replica/chain.go
+++ b/internal/controlplane/replica/chain.go
@@ -10,14 +10,13 @@
 
 // chainLink is the member's part in passing the state down the chain of its view.
 type chainLink struct {
-	synced    bool // the state agrees with what the predecessor has in this view
-	settled   bool // every member of the view has synced the state
-	served    message.ChainState
-	sentAt    time.Duration
-	askedAt   time.Duration
-	calls     []waitingCall
-	current   *waitingCall // the call whose change is on its way down the chain
-	sequenced uint64
+	synced  bool // the state agrees with what the predecessor has in this view
+	settled bool // every member of the view has synced the state
+	served  message.ChainState
+	sentAt  time.Duration
+	askedAt time.Duration
+	calls   []waitingCall
+	current *waitingCall // the call whose change is on its way down the chain
 }
 
 // waitingCall is an operator's call that waits at the head or the tail.
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -155,7 +155,7 @@
 		return
 	}
 	passed := r.addressed(head, message.Message{Join: m.Join})
-	passed.From, passed.FromAddress = m.From, m.FromAddress
+	passed.From, passed.FromAddress, passed.FromZone = m.From, m.FromAddress, m.FromZone
 	r.out.Immediate = append(r.out.Immediate, passed)
 }
 
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -254,14 +254,15 @@
 }
 
 func (r *Replica) addressed(to message.Member, m message.Message) message.Message {
-	m.From, m.FromAddress, m.View = r.control.Identity, r.options.Self.Address, r.control.View.Number
+	m.From, m.FromAddress, m.FromZone = r.control.Identity, r.options.Self.Address, r.options.Self.Zone
+	m.View = r.control.View.Number
 	m.To, m.ToAddress = to.Identity, to.Address
 	return m
 }
 
-// reply answers the sender of a message.
+// sender is who sent a message.
 func (r *Replica) sender(m *message.Message) message.Member {
-	return message.Member{Identity: m.From, Address: m.FromAddress}
+	return message.Member{Identity: m.From, Address: m.FromAddress, Zone: m.FromZone}
 }
 
 func (r *Replica) majority() int { return len(r.control.View.Members)/2 + 1 }
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -35,7 +35,9 @@
 
 // Grant is the answer to a request: a backend, or a refusal.
 type Grant struct {
-	Backend    *Backend // nil: refused
+	Backend    *Backend // nil: refused; only the balancer looks into it
+	ID         string   // the backend's
+	Address    string
 	RetryAfter time.Duration
 	Reason     string
 }
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -191,7 +191,7 @@
 	if request.Model != "" {
 		b.countDemand(request).running++
 	}
-	request.grant <- Grant{Backend: backend}
+	request.grant <- Grant{Backend: backend, ID: backend.ID, Address: backend.Address}
 }
 
 // Times after which refused clients are told to come back, and of waiting.
--- a/internal/dataplane/ingress/exchange.go
+++ b/internal/dataplane/ingress/exchange.go
@@ -57,7 +57,7 @@
 			return
 		}
 		x.timing.granted(x.request.Arrived)
-		switch x.attempt(grant.Backend) {
+		switch x.attempt(grant) {
 		case finished:
 			return
 		case again:
@@ -95,9 +95,10 @@
 }
 
 // attempt sends the request to one backend and passes its answer on.
-func (x *exchange) attempt(target *balancer.Backend) verdict {
+func (x *exchange) attempt(grant balancer.Grant) verdict {
+	target := grant.Backend
 	began := time.Now()
-	x.outgoing.Backend, x.outgoing.Address = target.ID, target.Address
+	x.outgoing.Backend, x.outgoing.Address = grant.ID, grant.Address
 	answer, err := x.handler.pool.Do(x.ctx, &x.outgoing)
 	if err != nil {
 		return x.afterError(target, began, err)
--- a/internal/dataplane/proxy/feed.go
+++ b/internal/dataplane/proxy/feed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/samber/lo/mutable"
 	"github.com/sirupsen/logrus"
 
 	"pumiceline/internal/bootstrap"
@@ -54,22 +55,26 @@
 // isReady reports whether a configuration and a list of backends are known.
 func (f *feed) isReady() bool { return f.ready.Load() }
 
-// Addresses returns the coordinators: those of the own machine first, then those known from the view, then the seeds.
+// Addresses returns the coordinators: those known from the view, of the own zone first, then the seeds.
 func (f *feed) Addresses() []string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	all := append(append([]string{}, f.members...), f.seeds...)
-	return lo.Uniq(all)
+	all := append([]string{}, f.members...)
+	return lo.Uniq(append(all, f.seeds...))
 }
 
-// SetMembers takes the coordinators' addresses. Proxies spread over them; one on the own machine comes first.
-func (f *feed) SetMembers(addresses []string) {
+// SetMembers takes the coordinators. Proxies prefer those of their own zone, else they spread over all.
+func (f *feed) SetMembers(members []message.Member) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	addresses := lo.Map(members, func(m message.Member, _ int) string { return m.Address })
 	if sameSet(f.members, addresses) {
 		return
 	}
-	f.members = lo.Shuffle(append([]string{}, addresses...))
+	shuffled := append([]message.Member{}, members...)
+	mutable.Shuffle(shuffled)
+	near, far := lo.FilterReject(shuffled, func(m message.Member, _ int) bool { return m.Zone == f.settings.Zone })
+	f.members = lo.Map(append(near, far...), func(m message.Member, _ int) string { return m.Address })
 }
 
 func sameSet(a, b []string) bool {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -8,6 +8,7 @@
 type Member struct {
 	Identity string `msg:"i"`
 	Address  string `msg:"a"`
+	Zone     string `msg:"z"`
 	Since    uint64 `msg:"s"` // number of the view from which it has been a member without a gap
 }
 
@@ -56,6 +57,7 @@
 type Message struct {
 	From        string `msg:"f"` // sender's identity
 	FromAddress string `msg:"fa"`
+	FromZone    string `msg:"fz"`
 	To          string `msg:"t"` // receiver's identity; empty: whoever has the address
 	ToAddress   string `msg:"-"`
 	View        uint64 `msg:"v"` // sender's view
@@ -228,7 +230,7 @@
 type PullReply struct {
 	ID            uint64         `msg:"i"`
 	Unavailable   bool           `msg:"u"` // the member has no majority behind it: ask another
-	Members       []string       `msg:"m"` // addresses of the coordinators
+	Members       []Member       `msg:"m"` // the coordinators
 	Config        *ConfigUpdate  `msg:"c,omitempty"`
 	Backends      *BackendUpdate `msg:"b,omitempty"`
 	BackendsKnown bool           `msg:"k"`
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -4280,6 +4280,12 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
+		case "z":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
 		case "s":
 			z.Since, err = dc.ReadUint64()
 			if err != nil {
@@ -4298,10 +4304,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
+	err = en.Append(0x84, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -4320,6 +4326,16 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
 	// write "s"
 	err = en.Append(0xa1, 0x73)
 	if err != nil {
@@ -4334,15 +4350,18 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
+	o = append(o, 0x84, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Identity)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Address)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Since)
@@ -4379,6 +4398,12 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
 		case "s":
 			z.Since, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -4398,8 +4423,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Identity) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.Uint64Size
+func (z *Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Identity) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Uint64Size
 	return
 }
 
@@ -4433,6 +4458,12 @@
 				err = msgp.WrapError(err, "FromAddress")
 				return
 			}
+		case "fz":
+			z.FromZone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "FromZone")
+				return
+			}
 		case "t":
 			z.To, err = dc.ReadString()
 			if err != nil {
@@ -5214,88 +5245,88 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(24)
-	var zb0001Mask uint32 /* 24 bits */
+	zb0001Len := uint32(25)
+	var zb0001Mask uint32 /* 25 bits */
 	_ = zb0001Mask
 	if z.Heartbeat == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x20
 	}
 	if z.Suspicion == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	if z.Join == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	if z.Announcement == nil {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x100
 	}
 	if z.Prepare == nil {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x200
 	}
 	if z.Promise == nil {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x400
 	}
 	if z.Accept == nil {
 		zb0001Len--
-		zb0001Mask |= 0x400
+		zb0001Mask |= 0x800
 	}
 	if z.Accepted == nil {
 		zb0001Len--
-		zb0001Mask |= 0x800
+		zb0001Mask |= 0x1000
 	}
 	if z.Replicate == nil {
 		zb0001Len--
-		zb0001Mask |= 0x1000
+		zb0001Mask |= 0x2000
 	}
 	if z.Committed == nil {
 		zb0001Len--
-		zb0001Mask |= 0x2000
+		zb0001Mask |= 0x4000
 	}
 	if z.SnapshotRequest == nil {
 		zb0001Len--
-		zb0001Mask |= 0x4000
+		zb0001Mask |= 0x8000
 	}
 	if z.Confirm == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8000
+		zb0001Mask |= 0x10000
 	}
 	if z.Confirmed == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10000
+		zb0001Mask |= 0x20000
 	}
 	if z.LeaseRequest == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20000
+		zb0001Mask |= 0x40000
 	}
 	if z.LeaseGrant == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40000
+		zb0001Mask |= 0x80000
 	}
 	if z.LeaseRelease == nil {
 		zb0001Len--
-		zb0001Mask |= 0x80000
+		zb0001Mask |= 0x100000
 	}
 	if z.ConfigCall == nil {
 		zb0001Len--
-		zb0001Mask |= 0x100000
+		zb0001Mask |= 0x200000
 	}
 	if z.ConfigResult == nil {
 		zb0001Len--
-		zb0001Mask |= 0x200000
+		zb0001Mask |= 0x400000
 	}
 	if z.Pull == nil {
 		zb0001Len--
-		zb0001Mask |= 0x400000
+		zb0001Mask |= 0x800000
 	}
 	if z.PullReply == nil {
 		zb0001Len--
-		zb0001Mask |= 0x800000
+		zb0001Mask |= 0x1000000
 	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
@@ -5325,6 +5356,16 @@
 			err = msgp.WrapError(err, "FromAddress")
 			return
 		}
+		// write "fz"
+		err = en.Append(0xa2, 0x66, 0x7a)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.FromZone)
+		if err != nil {
+			err = msgp.WrapError(err, "FromZone")
+			return
+		}
 		// write "t"
 		err = en.Append(0xa1, 0x74)
 		if err != nil {
@@ -5345,7 +5386,7 @@
 			err = msgp.WrapError(err, "View")
 			return
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// write "hb"
 			err = en.Append(0xa2, 0x68, 0x62)
 			if err != nil {
@@ -5390,7 +5431,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// write "su"
 			err = en.Append(0xa2, 0x73, 0x75)
 			if err != nil {
@@ -5422,7 +5463,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// write "jo"
 			err = en.Append(0xa2, 0x6a, 0x6f)
 			if err != nil {
@@ -5447,7 +5488,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// write "an"
 			err = en.Append(0xa2, 0x61, 0x6e)
 			if err != nil {
@@ -5472,7 +5513,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// write "pr"
 			err = en.Append(0xa2, 0x70, 0x72)
 			if err != nil {
@@ -5513,7 +5554,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// write "pm"
 			err = en.Append(0xa2, 0x70, 0x6d)
 			if err != nil {
@@ -5532,7 +5573,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// write "ac"
 			err = en.Append(0xa2, 0x61, 0x63)
 			if err != nil {
@@ -5551,7 +5592,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// write "ad"
 			err = en.Append(0xa2, 0x61, 0x64)
 			if err != nil {
@@ -5570,7 +5611,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// write "re"
 			err = en.Append(0xa2, 0x72, 0x65)
 			if err != nil {
@@ -5589,7 +5630,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// write "co"
 			err = en.Append(0xa2, 0x63, 0x6f)
 			if err != nil {
@@ -5624,7 +5665,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// write "sr"
 			err = en.Append(0xa2, 0x73, 0x72)
 			if err != nil {
@@ -5649,7 +5690,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// write "cf"
 			err = en.Append(0xa2, 0x63, 0x66)
 			if err != nil {
@@ -5674,7 +5715,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// write "cd"
 			err = en.Append(0xa2, 0x63, 0x64)
 			if err != nil {
@@ -5699,7 +5740,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// write "lr"
 			err = en.Append(0xa2, 0x6c, 0x72)
 			if err != nil {
@@ -5744,7 +5785,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// write "lg"
 			err = en.Append(0xa2, 0x6c, 0x67)
 			if err != nil {
@@ -5789,7 +5830,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
 			// write "ll"
 			err = en.Append(0xa2, 0x6c, 0x6c)
 			if err != nil {
@@ -5814,7 +5855,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
 			// write "cc"
 			err = en.Append(0xa2, 0x63, 0x63)
 			if err != nil {
@@ -5833,7 +5874,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
 			// write "cr"
 			err = en.Append(0xa2, 0x63, 0x72)
 			if err != nil {
@@ -5878,7 +5919,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
 			// write "pu"
 			err = en.Append(0xa2, 0x70, 0x75)
 			if err != nil {
@@ -5897,7 +5938,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
 			// write "pl"
 			err = en.Append(0xa2, 0x70, 0x6c)
 			if err != nil {
@@ -5924,88 +5965,88 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(24)
-	var zb0001Mask uint32 /* 24 bits */
+	zb0001Len := uint32(25)
+	var zb0001Mask uint32 /* 25 bits */
 	_ = zb0001Mask
 	if z.Heartbeat == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x20
 	}
 	if z.Suspicion == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	if z.Join == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	if z.Announcement == nil {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x100
 	}
 	if z.Prepare == nil {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x200
 	}
 	if z.Promise == nil {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x400
 	}
 	if z.Accept == nil {
 		zb0001Len--
-		zb0001Mask |= 0x400
+		zb0001Mask |= 0x800
 	}
 	if z.Accepted == nil {
 		zb0001Len--
-		zb0001Mask |= 0x800
+		zb0001Mask |= 0x1000
 	}
 	if z.Replicate == nil {
 		zb0001Len--
-		zb0001Mask |= 0x1000
+		zb0001Mask |= 0x2000
 	}
 	if z.Committed == nil {
 		zb0001Len--
-		zb0001Mask |= 0x2000
+		zb0001Mask |= 0x4000
 	}
 	if z.SnapshotRequest == nil {
 		zb0001Len--
-		zb0001Mask |= 0x4000
+		zb0001Mask |= 0x8000
 	}
 	if z.Confirm == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8000
+		zb0001Mask |= 0x10000
 	}
 	if z.Confirmed == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10000
+		zb0001Mask |= 0x20000
 	}
 	if z.LeaseRequest == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20000
+		zb0001Mask |= 0x40000
 	}
 	if z.LeaseGrant == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40000
+		zb0001Mask |= 0x80000
 	}
 	if z.LeaseRelease == nil {
 		zb0001Len--
-		zb0001Mask |= 0x80000
+		zb0001Mask |= 0x100000
 	}
 	if z.ConfigCall == nil {
 		zb0001Len--
-		zb0001Mask |= 0x100000
+		zb0001Mask |= 0x200000
 	}
 	if z.ConfigResult == nil {
 		zb0001Len--
-		zb0001Mask |= 0x200000
+		zb0001Mask |= 0x400000
 	}
 	if z.Pull == nil {
 		zb0001Len--
-		zb0001Mask |= 0x400000
+		zb0001Mask |= 0x800000
 	}
 	if z.PullReply == nil {
 		zb0001Len--
-		zb0001Mask |= 0x800000
+		zb0001Mask |= 0x1000000
 	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
@@ -6018,13 +6059,16 @@
 		// string "fa"
 		o = append(o, 0xa2, 0x66, 0x61)
 		o = msgp.AppendString(o, z.FromAddress)
+		// string "fz"
+		o = append(o, 0xa2, 0x66, 0x7a)
+		o = msgp.AppendString(o, z.FromZone)
 		// string "t"
 		o = append(o, 0xa1, 0x74)
 		o = msgp.AppendString(o, z.To)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
 		o = msgp.AppendUint64(o, z.View)
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "hb"
 			o = append(o, 0xa2, 0x68, 0x62)
 			if z.Heartbeat == nil {
@@ -6042,7 +6086,7 @@
 				o = msgp.AppendBool(o, z.Heartbeat.Leaving)
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "su"
 			o = append(o, 0xa2, 0x73, 0x75)
 			if z.Suspicion == nil {
@@ -6057,7 +6101,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "jo"
 			o = append(o, 0xa2, 0x6a, 0x6f)
 			if z.Join == nil {
@@ -6069,7 +6113,7 @@
 				o = msgp.AppendBool(o, z.Join.DiskStalled)
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "an"
 			o = append(o, 0xa2, 0x61, 0x6e)
 			if z.Announcement == nil {
@@ -6085,7 +6129,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "pr"
 			o = append(o, 0xa2, 0x70, 0x72)
 			if z.Prepare == nil {
@@ -6103,7 +6147,7 @@
 				o = msgp.AppendString(o, z.Prepare.Ballot.Proposer)
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "pm"
 			o = append(o, 0xa2, 0x70, 0x6d)
 			if z.Promise == nil {
@@ -6116,7 +6160,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "ac"
 			o = append(o, 0xa2, 0x61, 0x63)
 			if z.Accept == nil {
@@ -6129,7 +6173,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "ad"
 			o = append(o, 0xa2, 0x61, 0x64)
 			if z.Accepted == nil {
@@ -6142,7 +6186,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "re"
 			o = append(o, 0xa2, 0x72, 0x65)
 			if z.Replicate == nil {
@@ -6155,7 +6199,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "co"
 			o = append(o, 0xa2, 0x63, 0x6f)
 			if z.Committed == nil {
@@ -6170,7 +6214,7 @@
 				o = msgp.AppendBytes(o, z.Committed.Digest)
 			}
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "sr"
 			o = append(o, 0xa2, 0x73, 0x72)
 			if z.SnapshotRequest == nil {
@@ -6182,7 +6226,7 @@
 				o = msgp.AppendBool(o, z.SnapshotRequest.Whole)
 			}
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "cf"
 			o = append(o, 0xa2, 0x63, 0x66)
 			if z.Confirm == nil {
@@ -6194,7 +6238,7 @@
 				o = msgp.AppendUint64(o, z.Confirm.Round)
 			}
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "cd"
 			o = append(o, 0xa2, 0x63, 0x64)
 			if z.Confirmed == nil {
@@ -6206,7 +6250,7 @@
 				o = msgp.AppendUint64(o, z.Confirmed.Round)
 			}
 		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// string "lr"
 			o = append(o, 0xa2, 0x6c, 0x72)
 			if z.LeaseRequest == nil {
@@ -6224,7 +6268,7 @@
 				o = msgp.AppendBool(o, z.LeaseRequest.Renew)
 			}
 		}
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// string "lg"
 			o = append(o, 0xa2, 0x6c, 0x67)
 			if z.LeaseGrant == nil {
@@ -6242,7 +6286,7 @@
 				o = msgp.AppendUint64(o, z.LeaseGrant.Token)
 			}
 		}
-		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
 			// string "ll"
 			o = append(o, 0xa2, 0x6c, 0x6c)
 			if z.LeaseRelease == nil {
@@ -6254,7 +6298,7 @@
 				o = msgp.AppendUint64(o, z.LeaseRelease.Token)
 			}
 		}
-		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
 			// string "cc"
 			o = append(o, 0xa2, 0x63, 0x63)
 			if z.ConfigCall == nil {
@@ -6267,7 +6311,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
 			// string "cr"
 			o = append(o, 0xa2, 0x63, 0x72)
 			if z.ConfigResult == nil {
@@ -6285,7 +6329,7 @@
 				o = msgp.AppendBytes(o, z.ConfigResult.Body)
 			}
 		}
-		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
 			// string "pu"
 			o = append(o, 0xa2, 0x70, 0x75)
 			if z.Pull == nil {
@@ -6298,7 +6342,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
 			// string "pl"
 			o = append(o, 0xa2, 0x70, 0x6c)
 			if z.PullReply == nil {
@@ -6345,6 +6389,12 @@
 				err = msgp.WrapError(err, "FromAddress")
 				return
 			}
+		case "fz":
+			z.FromZone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FromZone")
+				return
+			}
 		case "t":
 			z.To, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -7106,7 +7156,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.StringPrefixSize + len(z.FromAddress) + 2 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.Uint64Size + 3
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.StringPrefixSize + len(z.FromAddress) + 3 + msgp.StringPrefixSize + len(z.FromZone) + 2 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.Uint64Size + 3
 	if z.Heartbeat == nil {
 		s += msgp.NilSize
 	} else {
@@ -8547,10 +8597,10 @@
 			if cap(z.Members) >= int(zb0002) {
 				z.Members = (z.Members)[:zb0002]
 			} else {
-				z.Members = make([]string, zb0002)
+				z.Members = make([]Member, zb0002)
 			}
 			for za0001 := range z.Members {
-				z.Members[za0001], err = dc.ReadString()
+				err = z.Members[za0001].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Members", za0001)
 					return
@@ -8818,7 +8868,7 @@
 			return
 		}
 		for za0001 := range z.Members {
-			err = en.WriteString(z.Members[za0001])
+			err = z.Members[za0001].EncodeMsg(en)
 			if err != nil {
 				err = msgp.WrapError(err, "Members", za0001)
 				return
@@ -9025,7 +9075,11 @@
 		o = append(o, 0xa1, 0x6d)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 		for za0001 := range z.Members {
-			o = msgp.AppendString(o, z.Members[za0001])
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "c"
@@ -9142,10 +9196,10 @@
 			if cap(z.Members) >= int(zb0002) {
 				z.Members = (z.Members)[:zb0002]
 			} else {
-				z.Members = make([]string, zb0002)
+				z.Members = make([]Member, zb0002)
 			}
 			for za0001 := range z.Members {
-				z.Members[za0001], bts, err = msgp.ReadStringBytes(bts)
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Members", za0001)
 					return
@@ -9363,7 +9417,7 @@
 func (z *PullReply) Msgsize() (s int) {
 	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
-		s += msgp.StringPrefixSize + len(z.Members[za0001])
+		s += z.Members[za0001].Msgsize()
 	}
 	s += 2
 	if z.Config == nil {
@@ -10146,46 +10200,11 @@
 				z.Members = make([]Member, zb0002)
 			}
 			for za0001 := range z.Members {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				err = z.Members[za0001].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Members", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Members", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Members[za0001].Identity, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Identity")
-							return
-						}
-					case "a":
-						z.Members[za0001].Address, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Address")
-							return
-						}
-					case "s":
-						z.Members[za0001].Since, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Since")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "z":
 			z.Size, err = dc.ReadInt()
@@ -10228,35 +10247,9 @@
 		return
 	}
 	for za0001 := range z.Members {
-		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Members[za0001].Identity)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Identity")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
+		err = z.Members[za0001].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Members[za0001].Address)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Address")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Members[za0001].Since)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Since")
+			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
 	}
@@ -10284,16 +10277,11 @@
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
-		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Members[za0001].Identity)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Members[za0001].Address)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Members[za0001].Since)
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
 	}
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
@@ -10338,46 +10326,11 @@
 				z.Members = make([]Member, zb0002)
 			}
 			for za0001 := range z.Members {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Members", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Members", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Members[za0001].Identity, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Identity")
-							return
-						}
-					case "a":
-						z.Members[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Address")
-							return
-						}
-					case "s":
-						z.Members[za0001].Since, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Since")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "z":
 			z.Size, bts, err = msgp.ReadIntBytes(bts)
@@ -10401,7 +10354,7 @@
 func (z *View) Msgsize() (s int) {
 	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Identity) + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Address) + 2 + msgp.Uint64Size
+		s += z.Members[za0001].Msgsize()
 	}
 	s += 2 + msgp.IntSize
 	return
