--- a/internal/controlplane/configuration/routing.go
+++ b/internal/controlplane/configuration/routing.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"net"
 	"slices"
 	"strings"
 )
@@ -18,8 +17,8 @@
 
 // Match returns the route with the longest prefix for a request's host and path, nil where there is none.
 func (c *Config) Match(host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	if colon := strings.LastIndexByte(host, ':'); colon > strings.LastIndexByte(host, ']') {
+		host = host[:colon]
 	}
 	for _, route := range c.byHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
