Prompts that wait count in the choice and in admission

Change: each proxy learns by model what a prompt token takes, tells how much of its prompts waits at each backend, and chooses and refuses by the sum; the limit is 0.6 of the client's patience.

--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -275,20 +276,20 @@
 }
 
 func (s *state) sumLoads(now time.Time) []message.BackendLoad {
-	running := map[string]int{}
+	sums := map[string]message.BackendLoad{}
 	for _, known := range s.sources {
 		if now.Sub(known.at) > loadLifetime {
 			continue
 		}
 		for _, load := range known.loads {
-			running[load.Backend] += load.Running
+			sum := sums[load.Backend]
+			sum.Backend = load.Backend
+			sum.Running += load.Running
+			sum.Queued += load.Queued
+			sums[load.Backend] = sum
 		}
 	}
-	loads := make([]message.BackendLoad, 0, len(running))
-	for backend, count := range running {
-		loads = append(loads, message.BackendLoad{Backend: backend, Running: count})
-	}
-	return loads
+	return slices.Collect(maps.Values(sums))
 }
 
 func (s *state) takeDemand(now time.Time) []message.ModelDemand {
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -30,6 +30,8 @@
 	sends   int // attempts that may have arrived at a backend
 	counted bool
 	waits   bool
+	work    float64 // milliseconds that reading its prompt should take
+	queued  bool    // its first event has not come yet
 	reason  WaitReason
 }
 
@@ -74,11 +76,13 @@
 	evidence  evidence
 	due       float64 // virtual time of its next turn
 	weight    float64
-	running   int       // requests of this proxy
-	tokens    int       // of these requests
-	others    int       // requests of other proxies, as last heard
-	heardAt   time.Time // when the backend itself told its load last
-	reported  int       // what this proxy last told of itself
+	running   int                 // requests of this proxy
+	tokens    int                 // of these requests
+	others    int                 // requests of other proxies, as last heard
+	heardAt   time.Time           // when the backend itself told its load last
+	queued    float64             // milliseconds of this proxy's prompts that have not brought their first event
+	queuedOut float64             // the same of other proxies, as last heard
+	reported  message.BackendLoad // what this proxy last told of itself
 	listed    bool
 	lost      bool // sends fail to connect
 	trialOut  bool
@@ -111,6 +115,7 @@
 	budget   *RetryBudget
 	demand   map[demandKey]*demandCount
 	orders   []expectedLoad
+	pace     paceTable
 	proxies  int
 	leaving  bool
 	urgent   bool // a model is missing that the coordinators have not been told of
@@ -137,7 +142,7 @@
 func New(zone string, budget *RetryBudget) *Balancer {
 	return &Balancer{
 		zone: zone, budget: budget, proxies: 1,
-		backends: map[string]*Backend{}, services: map[string]*service{}, demand: map[demandKey]*demandCount{},
+		pace: paceTable{}, backends: map[string]*Backend{}, services: map[string]*service{}, demand: map[demandKey]*demandCount{},
 	}
 }
 
@@ -237,14 +242,15 @@
 
 // SetTotals takes what all proxies together carry, and the loads under way.
 func (b *Balancer) SetTotals(loads []message.BackendLoad, orders []message.LoadOrder, now time.Time) {
-	totals := map[string]int{}
+	totals := map[string]message.BackendLoad{}
 	for _, load := range loads {
-		totals[load.Backend] = load.Running
+		totals[load.Backend] = load
 	}
 	for id, backend := range b.backends {
 		if now.Sub(backend.heardAt) > ownWordLifetime {
-			backend.others = max(0, totals[id]-backend.reported)
+			backend.others = max(0, totals[id].Running-backend.reported.Running)
 		}
+		backend.queuedOut = float64(max(0, totals[id].Queued-backend.reported.Queued))
 	}
 	b.orders = b.orders[:0]
 	for _, order := range orders {
@@ -281,9 +287,9 @@
 		demand = append(demand, entry)
 	}
 	for id, backend := range b.backends {
-		backend.reported = backend.running
+		backend.reported = message.BackendLoad{Backend: id, Running: backend.running, Queued: int(backend.queued)}
 		if backend.running > 0 {
-			loads = append(loads, message.BackendLoad{Backend: id, Running: backend.running})
+			loads = append(loads, backend.reported)
 		}
 	}
 	return demand, loads
--- a/internal/dataplane/balancer/balancer_test.go
+++ b/internal/dataplane/balancer/balancer_test.go
@@ -278,3 +278,46 @@
 	assert.False(t, budget.TryRepeat(start.Add(9*time.Second)), "its predecessor may have spent it")
 	assert.True(t, budget.TryRepeat(start.Add(10*time.Second)))
 }
+
+func TestAPromptGoesWhereTheLeastWaits(t *testing.T) {
+	b := newBalancer(t, holding("a", "m"), holding("b", "m"))
+	long := request("llm", "m", start)
+	long.PromptTokens = 8000
+	first, _ := arrive(b, long, start)
+	for range 3 {
+		grant, waiting := arrive(b, request("llm", "m", start), start)
+		require.False(t, waiting)
+		assert.NotEqual(t, first.ID, grant.ID, "a long prompt waits there")
+	}
+	b.Began(long, first.Backend, 400*time.Millisecond)
+	assert.Zero(t, first.Backend.queued)
+}
+
+func TestNoPromptQueuesBeyondItsClientsPatience(t *testing.T) {
+	b := newBalancer(t, holding("a", "m"))
+	for range 3 {
+		r := request("llm", "m", start)
+		r.PromptTokens, r.Patience = 10_000, start.Add(2*time.Second)
+		arrive(b, r, start)
+	}
+	r := request("llm", "m", start)
+	r.Patience = start.Add(2 * time.Second)
+	_, waiting := arrive(b, r, start)
+	assert.True(t, waiting, "1.5 s of prompts wait at the only holder")
+	b.Tick(start.Add(time.Second / 4))
+	assert.Nil(t, (<-r.grant).Backend, "and a client is told to come back in good time")
+}
+
+func TestThePaceIsALowQuantile(t *testing.T) {
+	pace := paceTable{}
+	r := &Request{Model: "m/a1", PromptTokens: 1000}
+	assert.Equal(t, usualPace*1000, pace.work(r))
+	for i := range 300 {
+		span := 135 * time.Millisecond
+		if i%2 == 0 {
+			span = time.Second // it waited
+		}
+		pace.learn(r, span)
+	}
+	assert.InDelta(t, 100, pace.work(r), 30, "what it takes without waiting, less what the shortest takes")
+}
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -11,6 +11,7 @@
 
 // Arrive takes a request, or one whose attempt came to nothing. The request is granted at once, or it waits.
 func (b *Balancer) Arrive(request *Request, now time.Time) {
+	request.work = b.pace.work(request)
 	if !request.counted {
 		request.counted = true
 		if request.Model != "" {
@@ -127,6 +128,9 @@
 	if backend.running+backend.others >= max(1, backend.Capacity) {
 		return false
 	}
+	if queued := backend.queued + backend.queuedOut; queued > 0 && queued+request.work > queueShare*milliseconds(request.Patience.Sub(request.Arrived)) {
+		return false // its client would leave before its first event
+	}
 	runtime := b.runtime(request.Service)
 	if runtime == nil || runtime.CacheTokens == 0 {
 		return true
@@ -174,9 +178,18 @@
 // cost ranks backends among the due turns: what runs there against what it can do. Equals keep the order of their
 // turns, so that without load the shares are those of the weights.
 func (b *Balancer) cost(backend *Backend) float64 {
-	return float64(backend.running+backend.others) / backend.weight
+	running := float64(backend.running + backend.others)
+	return (running*runningCost + backend.queued + backend.queuedOut) / backend.weight
 }
 
+// runningCost is what one running request counts beside prompts that wait, in milliseconds.
+const runningCost = 4.0
+
+// queueShare is the part of a client's patience that prompts before its own may take.
+const queueShare = 0.6
+
+func milliseconds(span time.Duration) float64 { return span.Seconds() * 1000 }
+
 func (b *Balancer) grantTo(request *Request, backend *Backend, now time.Time) {
 	if request.sends == 0 {
 		b.budget.Request(now)
@@ -184,6 +197,10 @@
 	request.sends++
 	request.tried = append(request.tried, backend.ID)
 	backend.running++
+	request.queued = request.PromptTokens > 0
+	if request.queued {
+		backend.queued += request.work
+	}
 	backend.tokens += request.PromptTokens + request.OutputTokens
 	if backend.lost {
 		backend.trialOut = true
@@ -277,6 +294,7 @@
 // Finish takes the outcome of an attempt.
 func (b *Balancer) Finish(request *Request, backend *Backend, outcome Outcome, span time.Duration, now time.Time) {
 	backend.running--
+	b.dequeue(request, backend)
 	backend.tokens -= request.PromptTokens + request.OutputTokens
 	backend.trialOut = false
 	if request.Model != "" {
@@ -303,6 +321,19 @@
 	b.serveWaiting(now)
 }
 
+// Began notes that a request's first event came after span.
+func (b *Balancer) Began(request *Request, backend *Backend, span time.Duration) {
+	b.dequeue(request, backend)
+	b.pace.learn(request, span)
+}
+
+func (b *Balancer) dequeue(request *Request, backend *Backend) {
+	if request.queued {
+		request.queued = false
+		backend.queued = max(0, backend.queued-request.work)
+	}
+}
+
 // connected ends the time out of the schedule after a trial send that came through.
 func (b *Balancer) connected(backend *Backend, now time.Time) {
 	if backend.lost {
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -77,6 +77,11 @@
 	d.commands <- func(b *Balancer) { b.Observe(backend, running, waiting, time.Now()) }
 }
 
+// Began tells that a request's first event came after span.
+func (d *Dispatcher) Began(request *Request, backend *Backend, span time.Duration) {
+	d.commands <- func(b *Balancer) { b.Began(request, backend, span) }
+}
+
 // Finish tells the outcome of an attempt.
 func (d *Dispatcher) Finish(request *Request, backend *Backend, outcome Outcome, span time.Duration) {
 	d.commands <- func(b *Balancer) { b.Finish(request, backend, outcome, span, time.Now()) }
--- a/internal/dataplane/ingress/exchange.go
+++ b/internal/dataplane/ingress/exchange.go
@@ -120,7 +120,7 @@
 	x.ran++
 	if answer.Status >= 200 && answer.Status <= 299 && x.route.Kind == configuration.Streaming {
 		var result verdict
-		result, outcome = x.passStream(answer)
+		result, outcome = x.passStream(answer, func() { x.handler.dispatcher.Began(x.request, target, time.Since(began)) })
 		return result
 	}
 	var result verdict
@@ -208,7 +208,7 @@
 }
 
 // passStream passes events on as they come, each whole.
-func (x *exchange) passStream(answer *backend.Answer) (verdict, balancer.Outcome) {
+func (x *exchange) passStream(answer *backend.Answer, onFirst func()) (verdict, balancer.Outcome) {
 	if !x.begun {
 		x.writeHead(answer)
 		x.writer.WriteHeader(answer.Status)
@@ -223,6 +223,10 @@
 		n, err := answer.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if end := lastEventEnd(pending); end > 0 {
+			if onFirst != nil {
+				onFirst()
+				onFirst = nil
+			}
 			if !x.passEvents(pending[:end]) {
 				return finished, balancer.Abandoned
 			}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -213,6 +213,7 @@
 type BackendLoad struct {
 	Backend string `msg:"b"`
 	Running int    `msg:"r"`
+	Queued  int    `msg:"q"` // milliseconds of prompts that have not brought their first event yet
 }
 
 // Pull asks for what the sender lacks: it tells the versions that it has.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -1104,6 +1104,12 @@
 				err = msgp.WrapError(err, "Running")
 				return
 			}
+		case "q":
+			z.Queued, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Queued")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1117,9 +1123,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z BackendLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "b"
-	err = en.Append(0x82, 0xa1, 0x62)
+	err = en.Append(0x83, 0xa1, 0x62)
 	if err != nil {
 		return
 	}
@@ -1138,19 +1144,32 @@
 		err = msgp.WrapError(err, "Running")
 		return
 	}
+	// write "q"
+	err = en.Append(0xa1, 0x71)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Queued)
+	if err != nil {
+		err = msgp.WrapError(err, "Queued")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z BackendLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "b"
-	o = append(o, 0x82, 0xa1, 0x62)
+	o = append(o, 0x83, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Backend)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendInt(o, z.Running)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt(o, z.Queued)
 	return
 }
 
@@ -1184,6 +1203,12 @@
 				err = msgp.WrapError(err, "Running")
 				return
 			}
+		case "q":
+			z.Queued, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queued")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1198,7 +1223,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z BackendLoad) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Backend) + 2 + msgp.IntSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
@@ -8240,6 +8265,12 @@
 							err = msgp.WrapError(err, "Loads", za0002, "Running")
 							return
 						}
+					case "q":
+						z.Loads[za0002].Queued, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0002, "Queued")
+							return
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -8337,9 +8368,9 @@
 		return
 	}
 	for za0002 := range z.Loads {
-		// map header, size 2
+		// map header, size 3
 		// write "b"
-		err = en.Append(0x82, 0xa1, 0x62)
+		err = en.Append(0x83, 0xa1, 0x62)
 		if err != nil {
 			return
 		}
@@ -8358,6 +8389,16 @@
 			err = msgp.WrapError(err, "Loads", za0002, "Running")
 			return
 		}
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Loads[za0002].Queued)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "Queued")
+			return
+		}
 	}
 	// write "p"
 	err = en.Append(0xa1, 0x70)
@@ -8402,13 +8443,16 @@
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
 	for za0002 := range z.Loads {
-		// map header, size 2
+		// map header, size 3
 		// string "b"
-		o = append(o, 0x82, 0xa1, 0x62)
+		o = append(o, 0x83, 0xa1, 0x62)
 		o = msgp.AppendString(o, z.Loads[za0002].Backend)
 		// string "r"
 		o = append(o, 0xa1, 0x72)
 		o = msgp.AppendInt(o, z.Loads[za0002].Running)
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendInt(o, z.Loads[za0002].Queued)
 	}
 	// string "p"
 	o = append(o, 0xa1, 0x70)
@@ -8516,6 +8560,12 @@
 							err = msgp.WrapError(err, "Loads", za0002, "Running")
 							return
 						}
+					case "q":
+						z.Loads[za0002].Queued, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0002, "Queued")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -8551,7 +8601,7 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Loads {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Loads[za0002].Backend) + 2 + msgp.IntSize
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Loads[za0002].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
 	s += 2 + msgp.IntSize
 	return
@@ -8776,6 +8826,12 @@
 							err = msgp.WrapError(err, "TotalLoads", za0003, "Running")
 							return
 						}
+					case "q":
+						z.TotalLoads[za0003].Queued, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "TotalLoads", za0003, "Queued")
+							return
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -9002,9 +9058,9 @@
 			return
 		}
 		for za0003 := range z.TotalLoads {
-			// map header, size 2
+			// map header, size 3
 			// write "b"
-			err = en.Append(0x82, 0xa1, 0x62)
+			err = en.Append(0x83, 0xa1, 0x62)
 			if err != nil {
 				return
 			}
@@ -9023,6 +9079,16 @@
 				err = msgp.WrapError(err, "TotalLoads", za0003, "Running")
 				return
 			}
+			// write "q"
+			err = en.Append(0xa1, 0x71)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.TotalLoads[za0003].Queued)
+			if err != nil {
+				err = msgp.WrapError(err, "TotalLoads", za0003, "Queued")
+				return
+			}
 		}
 		// write "o"
 		err = en.Append(0xa1, 0x6f)
@@ -9134,13 +9200,16 @@
 		o = append(o, 0xa1, 0x6c)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.TotalLoads)))
 		for za0003 := range z.TotalLoads {
-			// map header, size 2
+			// map header, size 3
 			// string "b"
-			o = append(o, 0x82, 0xa1, 0x62)
+			o = append(o, 0x83, 0xa1, 0x62)
 			o = msgp.AppendString(o, z.TotalLoads[za0003].Backend)
 			// string "r"
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendInt(o, z.TotalLoads[za0003].Running)
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendInt(o, z.TotalLoads[za0003].Queued)
 		}
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
@@ -9373,6 +9442,12 @@
 							err = msgp.WrapError(err, "TotalLoads", za0003, "Running")
 							return
 						}
+					case "q":
+						z.TotalLoads[za0003].Queued, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "TotalLoads", za0003, "Queued")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -9436,7 +9511,7 @@
 	}
 	s += 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.TotalLoads {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.TotalLoads[za0003].Backend) + 2 + msgp.IntSize
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.TotalLoads[za0003].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0004 := range z.Orders {
