Lists of backends travel as what has changed

Ruled out: fewer publications (requests would wait for models that are there). Change: the hub keeps 24 earlier lists and sends the difference; the receiver checks the digest of what comes out and asks for the whole list where it does not fit.

--- a/internal/controlplane/coordinator/subscriber.go
+++ b/internal/controlplane/coordinator/subscriber.go
@@ -41,8 +41,12 @@
 	observed := sent.Add(time.Duration(reply.HeldMS-reply.BackendsAgeMS) * time.Millisecond)
 	switch {
 	case reply.Backends != nil:
-		s.table = discovery.FromUpdate(reply.Backends)
-		s.digest = s.table.Digest
+		table, ok := discovery.Apply(s.table, reply.Backends)
+		if !ok {
+			s.table, s.digest = nil, 0
+			return
+		}
+		s.table, s.digest = table, table.Digest
 	case s.table == nil:
 		return
 	}
--- a/internal/controlplane/discovery/digest.go
+++ b/internal/controlplane/discovery/digest.go
@@ -1,25 +1,78 @@
 package discovery
 
 import (
+	"bytes"
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"pumiceline/internal/message"
 )
 
-// digest tells lists of different content apart.
-func digest(backends []message.Backend) uint64 {
-	update := message.BackendUpdate{Backends: backends}
+// SetDigest puts the backends in the order of their ids and brings the digest up to date.
+func (t *Table) SetDigest() {
+	slices.SortFunc(t.Backends, func(a, b message.Backend) int { return cmp.Compare(a.ID, b.ID) })
+	update := message.BackendUpdate{Backends: t.Backends}
 	text, err := update.MarshalMsg(nil)
 	if err != nil {
-		return 0
+		t.Digest = 0
+		return
 	}
-	return xxhash.Sum64(text) | 1 // never 0, which stands for no list
+	t.Digest = xxhash.Sum64(text) | 1 // never 0, which stands for no list
+}
+
+// Whole makes an update of the whole table.
+func (t *Table) Whole() *message.BackendUpdate {
+	return &message.BackendUpdate{Digest: t.Digest, Backends: t.Backends}
 }
 
-// SetDigest brings the digest up to date after the backends were changed.
-func (t *Table) SetDigest() { t.Digest = digest(t.Backends) }
+// Since makes an update for who has the older table base.
+func (t *Table) Since(base *Table) *message.BackendUpdate {
+	update := &message.BackendUpdate{Digest: t.Digest, Base: base.Digest}
+	before := map[string]*message.Backend{}
+	for i := range base.Backends {
+		before[base.Backends[i].ID] = &base.Backends[i]
+	}
+	for i := range t.Backends {
+		backend := &t.Backends[i]
+		if old, ok := before[backend.ID]; !ok || !same(old, backend) {
+			update.Backends = append(update.Backends, *backend)
+		}
+		delete(before, backend.ID)
+	}
+	for id := range before {
+		update.Gone = append(update.Gone, id)
+	}
+	return update
+}
 
-// FromUpdate makes a table of a list that another process has read.
-func FromUpdate(update *message.BackendUpdate) *Table {
-	return &Table{Backends: update.Backends, Digest: update.Digest}
+func same(a, b *message.Backend) bool {
+	x, errX := a.MarshalMsg(nil)
+	y, errY := b.MarshalMsg(nil)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
+
+// Apply makes the table that an update tells of; base is the table at hand, and may be nil. ok is false where the
+// update builds on another table, or does not lead to the one that it names: the whole list must be asked for.
+func Apply(base *Table, update *message.BackendUpdate) (table *Table, ok bool) {
+	if update.Base == 0 {
+		return &Table{Backends: update.Backends, Digest: update.Digest}, true
+	}
+	if base == nil || base.Digest != update.Base {
+		return nil, false
+	}
+	next := &Table{}
+	changed := map[string]bool{}
+	for _, backend := range update.Backends {
+		changed[backend.ID] = true
+	}
+	for _, backend := range base.Backends {
+		if !changed[backend.ID] && !slices.Contains(update.Gone, backend.ID) {
+			next.Backends = append(next.Backends, backend)
+		}
+	}
+	next.Backends = append(next.Backends, update.Backends...)
+	next.SetDigest()
+	return next, next.Digest == update.Digest
 }
--- a/internal/controlplane/discovery/discovery.go
+++ b/internal/controlplane/discovery/discovery.go
@@ -75,7 +75,7 @@
 			return nil, err
 		}
 		if next == "" {
-			table.Digest = digest(table.Backends)
+			table.SetDigest()
 			return table, nil
 		}
 		token = next
--- a/internal/controlplane/discovery/discovery_test.go
+++ b/internal/controlplane/discovery/discovery_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pumiceline/internal/message"
 )
 
 func read(t *testing.T, handler http.HandlerFunc) (*Table, error) {
@@ -56,3 +58,32 @@
 		}
 	})
 }
+
+func tableOf(entries ...message.Backend) *Table {
+	t := &Table{Backends: entries}
+	t.SetDigest()
+	return t
+}
+
+func TestUpdatesLeadToTheSameTable(t *testing.T) {
+	a, b, c := message.Backend{ID: "a"}, message.Backend{ID: "b"}, message.Backend{ID: "c"}
+	loaded := b
+	loaded.Models = []message.LoadedModel{{Name: "m"}}
+	before, after := tableOf(c, a, b), tableOf(loaded, a, message.Backend{ID: "d"})
+	update := after.Since(before)
+	assert.Len(t, update.Backends, 2, "only what changed")
+	assert.Equal(t, []string{"c"}, update.Gone)
+	next, ok := Apply(before, update)
+	require.True(t, ok)
+	assert.Equal(t, after.Backends, next.Backends)
+	_, ok = Apply(tableOf(a), update)
+	assert.False(t, ok, "another base")
+	_, ok = Apply(nil, update)
+	assert.False(t, ok)
+	whole, ok := Apply(nil, after.Whole())
+	require.True(t, ok)
+	assert.Equal(t, after.Digest, whole.Digest)
+	update.Gone = nil
+	_, ok = Apply(before, update)
+	assert.False(t, ok, "an update that leads elsewhere is not taken")
+}
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -18,6 +18,7 @@
 	sourceLifetime = 5 * time.Second // a proxy that pulled so long ago still counts
 	loadLifetime   = 2 * time.Second // so long its loads and waiting requests count
 	hubTick        = 50 * time.Millisecond
+	keptTables     = 24 // earlier lists from which updates are made
 )
 
 // Status is what the hub is told of the member's standing.
@@ -37,6 +38,8 @@
 type state struct {
 	config   *message.ConfigUpdate
 	table    *discovery.Table
+	recent   []*discovery.Table                // earlier tables, the newest last
+	updates  map[uint64]*message.BackendUpdate // to the present table, by the digest that they build on
 	sources  map[string]*source
 	held     []heldPull
 	demand   map[demandKey]*message.ModelDemand
@@ -113,6 +116,13 @@
 			return
 		}
 		changed := !s.table.IsKnown() || s.table.Digest != table.Digest
+		if changed && s.table.IsKnown() {
+			s.recent = append(s.recent, s.table)
+			s.recent = s.recent[max(0, len(s.recent)-keptTables):]
+		}
+		if changed {
+			s.updates = map[uint64]*message.BackendUpdate{}
+		}
 		s.table = table
 		if changed {
 			h.answerDue(s, time.Now())
@@ -217,7 +227,7 @@
 		reply.BackendsKnown = true
 		reply.BackendsAgeMS = now.Sub(s.table.Observed).Milliseconds()
 		if newBackends {
-			reply.Backends = &message.BackendUpdate{Digest: s.table.Digest, Backends: s.table.Backends}
+			reply.Backends = s.updateFrom(held.pull.BackendDigest)
 		}
 	}
 	reply.Proxies = max(s.proxies, s.countProxies(now))
@@ -230,6 +240,21 @@
 	return true
 }
 
+// updateFrom makes the update for who has the table of that digest: the whole table where it is not known any more.
+func (s *state) updateFrom(digest uint64) *message.BackendUpdate {
+	if update := s.updates[digest]; update != nil {
+		return update
+	}
+	update := s.table.Whole()
+	for _, old := range s.recent {
+		if old.Digest == digest {
+			update = s.table.Since(old)
+		}
+	}
+	s.updates[digest] = update
+	return update
+}
+
 func (s *state) setOrders(orders []message.LoadOrder) { s.orders, s.ordersAt = orders, time.Now() }
 
 // remainingOrders tells the loads under way with the time that is left from now.
--- a/internal/dataplane/proxy/feed.go
+++ b/internal/dataplane/proxy/feed.go
@@ -40,6 +40,7 @@
 	members  []string
 	sequence uint64
 	digest   uint64
+	table    *discovery.Table // as pulled last
 	observed time.Time
 	proxies  int
 	ready    atomic.Bool
@@ -100,9 +101,9 @@
 		observed := sent.Add(time.Duration(reply.HeldMS-reply.BackendsAgeMS) * time.Millisecond)
 		if observed.After(f.observed) {
 			if reply.Backends != nil {
-				newer, backends, f.digest = true, reply.Backends.Backends, reply.Backends.Digest
-				f.observed = observed
-			} else if f.digest != 0 {
+				backends, newer = f.takeTable(reply.Backends)
+			}
+			if f.digest != 0 {
 				f.observed = observed
 			}
 		}
@@ -118,6 +119,17 @@
 	}
 }
 
+// takeTable takes an update of the list; one that does not fit is passed over, and the whole list asked for next.
+func (f *feed) takeTable(update *message.BackendUpdate) ([]message.Backend, bool) {
+	table, ok := discovery.Apply(f.table, update)
+	if !ok {
+		f.table, f.digest = nil, 0
+		return nil, false
+	}
+	f.table, f.digest = table, table.Digest
+	return table.Backends, true
+}
+
 func (f *feed) newConfig(update *message.ConfigUpdate) *configuration.Config {
 	if update == nil || update.Sequence <= f.sequence {
 		return nil
@@ -168,6 +180,6 @@
 	if !table.Observed.After(f.observed) {
 		return
 	}
-	f.observed, f.digest = table.Observed, table.Digest
+	f.observed, f.digest, f.table = table.Observed, table.Digest, table
 	f.dispatcher.Update(nil, table.Backends, true, nil, f.forget)
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -248,10 +248,12 @@
 	Document []byte `msg:"d"`
 }
 
-// BackendUpdate is the list of backends.
+// BackendUpdate is the list of backends, or what has changed since the list that the receiver has.
 type BackendUpdate struct {
-	Digest   uint64    `msg:"d"`
-	Backends []Backend `msg:"b"`
+	Digest   uint64    `msg:"d"` // of the whole list
+	Base     uint64    `msg:"s"` // digest of the list that this builds on; 0: this is the whole list
+	Backends []Backend `msg:"b"` // all, or those that are new or changed
+	Gone     []string  `msg:"g"` // ids of those that are no more on the list
 }
 
 // Backend is an entry of the platform's list.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -1251,6 +1251,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "s":
+			z.Base, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
 		case "b":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -1270,6 +1276,25 @@
 					return
 				}
 			}
+		case "g":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if cap(z.Gone) >= int(zb0003) {
+				z.Gone = (z.Gone)[:zb0003]
+			} else {
+				z.Gone = make([]string, zb0003)
+			}
+			for za0002 := range z.Gone {
+				z.Gone[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1283,9 +1308,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *BackendUpdate) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 4
 	// write "d"
-	err = en.Append(0x82, 0xa1, 0x64)
+	err = en.Append(0x84, 0xa1, 0x64)
 	if err != nil {
 		return
 	}
@@ -1294,6 +1319,16 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Base)
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
 	// write "b"
 	err = en.Append(0xa1, 0x62)
 	if err != nil {
@@ -1311,16 +1346,36 @@
 			return
 		}
 	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Gone)))
+	if err != nil {
+		err = msgp.WrapError(err, "Gone")
+		return
+	}
+	for za0002 := range z.Gone {
+		err = en.WriteString(z.Gone[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Gone", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *BackendUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "d"
-	o = append(o, 0x82, 0xa1, 0x64)
+	o = append(o, 0x84, 0xa1, 0x64)
 	o = msgp.AppendUint64(o, z.Digest)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Base)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
@@ -1331,6 +1386,12 @@
 			return
 		}
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+	for za0002 := range z.Gone {
+		o = msgp.AppendString(o, z.Gone[za0002])
+	}
 	return
 }
 
@@ -1358,6 +1419,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "s":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
 		case "b":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1377,6 +1444,25 @@
 					return
 				}
 			}
+		case "g":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if cap(z.Gone) >= int(zb0003) {
+				z.Gone = (z.Gone)[:zb0003]
+			} else {
+				z.Gone = make([]string, zb0003)
+			}
+			for za0002 := range z.Gone {
+				z.Gone[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1391,10 +1477,14 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BackendUpdate) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Backends {
 		s += z.Backends[za0001].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Gone {
+		s += msgp.StringPrefixSize + len(z.Gone[za0002])
+	}
 	return
 }
 
@@ -8715,53 +8805,11 @@
 				if z.Backends == nil {
 					z.Backends = new(BackendUpdate)
 				}
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
+				err = z.Backends.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Backends")
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Backends")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.Backends.Digest, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Backends", "Digest")
-							return
-						}
-					case "b":
-						var zb0005 uint32
-						zb0005, err = dc.ReadArrayHeader()
-						if err != nil {
-							err = msgp.WrapError(err, "Backends", "Backends")
-							return
-						}
-						if cap(z.Backends.Backends) >= int(zb0005) {
-							z.Backends.Backends = (z.Backends.Backends)[:zb0005]
-						} else {
-							z.Backends.Backends = make([]Backend, zb0005)
-						}
-						for za0002 := range z.Backends.Backends {
-							err = z.Backends.Backends[za0002].DecodeMsg(dc)
-							if err != nil {
-								err = msgp.WrapError(err, "Backends", "Backends", za0002)
-								return
-							}
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Backends")
-							return
-						}
-					}
-				}
 			}
 		case "k":
 			z.BackendsKnown, err = dc.ReadBool()
@@ -8788,75 +8836,75 @@
 				return
 			}
 		case "l":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "TotalLoads")
 				return
 			}
-			if cap(z.TotalLoads) >= int(zb0006) {
-				z.TotalLoads = (z.TotalLoads)[:zb0006]
+			if cap(z.TotalLoads) >= int(zb0004) {
+				z.TotalLoads = (z.TotalLoads)[:zb0004]
 			} else {
-				z.TotalLoads = make([]BackendLoad, zb0006)
+				z.TotalLoads = make([]BackendLoad, zb0004)
 			}
-			for za0003 := range z.TotalLoads {
-				var zb0007 uint32
-				zb0007, err = dc.ReadMapHeader()
+			for za0002 := range z.TotalLoads {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "TotalLoads", za0003)
+					err = msgp.WrapError(err, "TotalLoads", za0002)
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0005 > 0 {
+					zb0005--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "TotalLoads", za0003)
+						err = msgp.WrapError(err, "TotalLoads", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "b":
-						z.TotalLoads[za0003].Backend, err = dc.ReadString()
+						z.TotalLoads[za0002].Backend, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003, "Backend")
+							err = msgp.WrapError(err, "TotalLoads", za0002, "Backend")
 							return
 						}
 					case "r":
-						z.TotalLoads[za0003].Running, err = dc.ReadInt()
+						z.TotalLoads[za0002].Running, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003, "Running")
+							err = msgp.WrapError(err, "TotalLoads", za0002, "Running")
 							return
 						}
 					case "q":
-						z.TotalLoads[za0003].Queued, err = dc.ReadInt()
+						z.TotalLoads[za0002].Queued, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003, "Queued")
+							err = msgp.WrapError(err, "TotalLoads", za0002, "Queued")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003)
+							err = msgp.WrapError(err, "TotalLoads", za0002)
 							return
 						}
 					}
 				}
 			}
 		case "o":
-			var zb0008 uint32
-			zb0008, err = dc.ReadArrayHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
-			if cap(z.Orders) >= int(zb0008) {
-				z.Orders = (z.Orders)[:zb0008]
+			if cap(z.Orders) >= int(zb0006) {
+				z.Orders = (z.Orders)[:zb0006]
 			} else {
-				z.Orders = make([]LoadOrder, zb0008)
+				z.Orders = make([]LoadOrder, zb0006)
 			}
-			for za0004 := range z.Orders {
-				err = z.Orders[za0004].DecodeMsg(dc)
+			for za0003 := range z.Orders {
+				err = z.Orders[za0003].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Orders", za0004)
+					err = msgp.WrapError(err, "Orders", za0003)
 					return
 				}
 			}
@@ -8977,34 +9025,11 @@
 					return
 				}
 			} else {
-				// map header, size 2
-				// write "d"
-				err = en.Append(0x82, 0xa1, 0x64)
+				err = z.Backends.EncodeMsg(en)
 				if err != nil {
+					err = msgp.WrapError(err, "Backends")
 					return
 				}
-				err = en.WriteUint64(z.Backends.Digest)
-				if err != nil {
-					err = msgp.WrapError(err, "Backends", "Digest")
-					return
-				}
-				// write "b"
-				err = en.Append(0xa1, 0x62)
-				if err != nil {
-					return
-				}
-				err = en.WriteArrayHeader(uint32(len(z.Backends.Backends)))
-				if err != nil {
-					err = msgp.WrapError(err, "Backends", "Backends")
-					return
-				}
-				for za0002 := range z.Backends.Backends {
-					err = z.Backends.Backends[za0002].EncodeMsg(en)
-					if err != nil {
-						err = msgp.WrapError(err, "Backends", "Backends", za0002)
-						return
-					}
-				}
 			}
 		}
 		// write "k"
@@ -9057,16 +9082,16 @@
 			err = msgp.WrapError(err, "TotalLoads")
 			return
 		}
-		for za0003 := range z.TotalLoads {
+		for za0002 := range z.TotalLoads {
 			// map header, size 3
 			// write "b"
 			err = en.Append(0x83, 0xa1, 0x62)
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.TotalLoads[za0003].Backend)
+			err = en.WriteString(z.TotalLoads[za0002].Backend)
 			if err != nil {
-				err = msgp.WrapError(err, "TotalLoads", za0003, "Backend")
+				err = msgp.WrapError(err, "TotalLoads", za0002, "Backend")
 				return
 			}
 			// write "r"
@@ -9074,9 +9099,9 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteInt(z.TotalLoads[za0003].Running)
+			err = en.WriteInt(z.TotalLoads[za0002].Running)
 			if err != nil {
-				err = msgp.WrapError(err, "TotalLoads", za0003, "Running")
+				err = msgp.WrapError(err, "TotalLoads", za0002, "Running")
 				return
 			}
 			// write "q"
@@ -9084,9 +9109,9 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteInt(z.TotalLoads[za0003].Queued)
+			err = en.WriteInt(z.TotalLoads[za0002].Queued)
 			if err != nil {
-				err = msgp.WrapError(err, "TotalLoads", za0003, "Queued")
+				err = msgp.WrapError(err, "TotalLoads", za0002, "Queued")
 				return
 			}
 		}
@@ -9100,10 +9125,10 @@
 			err = msgp.WrapError(err, "Orders")
 			return
 		}
-		for za0004 := range z.Orders {
-			err = z.Orders[za0004].EncodeMsg(en)
+		for za0003 := range z.Orders {
+			err = z.Orders[za0003].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Orders", za0004)
+				err = msgp.WrapError(err, "Orders", za0003)
 				return
 			}
 		}
@@ -9168,19 +9193,10 @@
 			if z.Backends == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 2
-				// string "d"
-				o = append(o, 0x82, 0xa1, 0x64)
-				o = msgp.AppendUint64(o, z.Backends.Digest)
-				// string "b"
-				o = append(o, 0xa1, 0x62)
-				o = msgp.AppendArrayHeader(o, uint32(len(z.Backends.Backends)))
-				for za0002 := range z.Backends.Backends {
-					o, err = z.Backends.Backends[za0002].MarshalMsg(o)
-					if err != nil {
-						err = msgp.WrapError(err, "Backends", "Backends", za0002)
-						return
-					}
+				o, err = z.Backends.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends")
+					return
 				}
 			}
 		}
@@ -9199,25 +9215,25 @@
 		// string "l"
 		o = append(o, 0xa1, 0x6c)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.TotalLoads)))
-		for za0003 := range z.TotalLoads {
+		for za0002 := range z.TotalLoads {
 			// map header, size 3
 			// string "b"
 			o = append(o, 0x83, 0xa1, 0x62)
-			o = msgp.AppendString(o, z.TotalLoads[za0003].Backend)
+			o = msgp.AppendString(o, z.TotalLoads[za0002].Backend)
 			// string "r"
 			o = append(o, 0xa1, 0x72)
-			o = msgp.AppendInt(o, z.TotalLoads[za0003].Running)
+			o = msgp.AppendInt(o, z.TotalLoads[za0002].Running)
 			// string "q"
 			o = append(o, 0xa1, 0x71)
-			o = msgp.AppendInt(o, z.TotalLoads[za0003].Queued)
+			o = msgp.AppendInt(o, z.TotalLoads[za0002].Queued)
 		}
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Orders)))
-		for za0004 := range z.Orders {
-			o, err = z.Orders[za0004].MarshalMsg(o)
+		for za0003 := range z.Orders {
+			o, err = z.Orders[za0003].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Orders", za0004)
+				err = msgp.WrapError(err, "Orders", za0003)
 				return
 			}
 		}
@@ -9331,53 +9347,11 @@
 				if z.Backends == nil {
 					z.Backends = new(BackendUpdate)
 				}
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Backends.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Backends")
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Backends")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.Backends.Digest, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Backends", "Digest")
-							return
-						}
-					case "b":
-						var zb0005 uint32
-						zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Backends", "Backends")
-							return
-						}
-						if cap(z.Backends.Backends) >= int(zb0005) {
-							z.Backends.Backends = (z.Backends.Backends)[:zb0005]
-						} else {
-							z.Backends.Backends = make([]Backend, zb0005)
-						}
-						for za0002 := range z.Backends.Backends {
-							bts, err = z.Backends.Backends[za0002].UnmarshalMsg(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Backends", "Backends", za0002)
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Backends")
-							return
-						}
-					}
-				}
 			}
 		case "k":
 			z.BackendsKnown, bts, err = msgp.ReadBoolBytes(bts)
@@ -9404,75 +9378,75 @@
 				return
 			}
 		case "l":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "TotalLoads")
 				return
 			}
-			if cap(z.TotalLoads) >= int(zb0006) {
-				z.TotalLoads = (z.TotalLoads)[:zb0006]
+			if cap(z.TotalLoads) >= int(zb0004) {
+				z.TotalLoads = (z.TotalLoads)[:zb0004]
 			} else {
-				z.TotalLoads = make([]BackendLoad, zb0006)
+				z.TotalLoads = make([]BackendLoad, zb0004)
 			}
-			for za0003 := range z.TotalLoads {
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0002 := range z.TotalLoads {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "TotalLoads", za0003)
+					err = msgp.WrapError(err, "TotalLoads", za0002)
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "TotalLoads", za0003)
+						err = msgp.WrapError(err, "TotalLoads", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "b":
-						z.TotalLoads[za0003].Backend, bts, err = msgp.ReadStringBytes(bts)
+						z.TotalLoads[za0002].Backend, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003, "Backend")
+							err = msgp.WrapError(err, "TotalLoads", za0002, "Backend")
 							return
 						}
 					case "r":
-						z.TotalLoads[za0003].Running, bts, err = msgp.ReadIntBytes(bts)
+						z.TotalLoads[za0002].Running, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003, "Running")
+							err = msgp.WrapError(err, "TotalLoads", za0002, "Running")
 							return
 						}
 					case "q":
-						z.TotalLoads[za0003].Queued, bts, err = msgp.ReadIntBytes(bts)
+						z.TotalLoads[za0002].Queued, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003, "Queued")
+							err = msgp.WrapError(err, "TotalLoads", za0002, "Queued")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "TotalLoads", za0003)
+							err = msgp.WrapError(err, "TotalLoads", za0002)
 							return
 						}
 					}
 				}
 			}
 		case "o":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
-			if cap(z.Orders) >= int(zb0008) {
-				z.Orders = (z.Orders)[:zb0008]
+			if cap(z.Orders) >= int(zb0006) {
+				z.Orders = (z.Orders)[:zb0006]
 			} else {
-				z.Orders = make([]LoadOrder, zb0008)
+				z.Orders = make([]LoadOrder, zb0006)
 			}
-			for za0004 := range z.Orders {
-				bts, err = z.Orders[za0004].UnmarshalMsg(bts)
+			for za0003 := range z.Orders {
+				bts, err = z.Orders[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Orders", za0004)
+					err = msgp.WrapError(err, "Orders", za0003)
 					return
 				}
 			}
@@ -9504,18 +9478,15 @@
 	if z.Backends == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
-		for za0002 := range z.Backends.Backends {
-			s += z.Backends.Backends[za0002].Msgsize()
-		}
+		s += z.Backends.Msgsize()
 	}
 	s += 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.TotalLoads {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.TotalLoads[za0003].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	for za0002 := range z.TotalLoads {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.TotalLoads[za0002].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0004 := range z.Orders {
-		s += z.Orders[za0004].Msgsize()
+	for za0003 := range z.Orders {
+		s += z.Orders[za0003].Msgsize()
 	}
 	return
 }
