--- a/internal/controlplane/coordinator/subscriber.go
+++ b/internal/controlplane/coordinator/subscriber.go
@@ -1,16 +1,20 @@
 package coordinator
 
 import (
+	"sync"
 	"time"
 
 	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/message"
 )
 
 // holderSubscriber pulls from the lease holder what this coordinator passes on.
 type holderSubscriber struct {
 	owner  *owner
+	mutex  sync.Mutex // urgent reports run beside the pulls
 	digest uint64
+	loads  distribution.Loads
 	table  *discovery.Table
 }
 
@@ -29,12 +33,16 @@
 // Versions tells the list that is known here and what was gathered from proxies.
 func (s *holderSubscriber) Versions() message.Pull {
 	demand, loads, proxies := s.owner.hub.TakeDemand()
-	return message.Pull{ConfigSequence: ^uint64(0), BackendDigest: s.digest, Demand: demand, Loads: loads, Proxies: proxies}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return message.Pull{ConfigSequence: ^uint64(0), BackendDigest: s.digest, Demand: demand, Loads: loads, Proxies: proxies, LoadVersion: s.loads.Version()}
 }
 
 // Apply takes the holder's list.
 func (s *holderSubscriber) Apply(reply *message.PullReply, sent time.Time) {
-	s.owner.hub.SetTotals(reply.TotalLoads, reply.Proxies, reply.Orders)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.owner.hub.SetTotals(s.loads.Take(reply), reply.Proxies, reply.Orders)
 	if !reply.BackendsKnown {
 		return
 	}
--- a/internal/controlplane/distribution/distribution_test.go
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -139,3 +139,37 @@
 	go NewPuller("p", s, time.Millisecond).Run(ctx)
 	assert.Equal(t, uint64(8), (<-s.applied).Config.Sequence)
 }
+
+func TestLoadsAreToldAsDifferences(t *testing.T) {
+	hub := newTestHub(t, true)
+	tell := func(running ...int) {
+		var loads []message.BackendLoad
+		for i, count := range running {
+			if count > 0 {
+				loads = append(loads, message.BackendLoad{Backend: string(rune('a' + i)), Running: count})
+			}
+		}
+		pull(t, hub, "other", message.Pull{Loads: loads})
+	}
+	var follower Loads
+	follow := func(has uint64) (told int, running map[string]int) {
+		reply := pull(t, hub, "me", message.Pull{LoadVersion: has})
+		running = map[string]int{}
+		for _, load := range follower.Take(reply) {
+			running[load.Backend] = load.Running
+		}
+		return len(reply.TotalLoads), running
+	}
+	tell(10, 20, 30)
+	told, running := follow(0)
+	assert.Equal(t, 3, told)
+	assert.Equal(t, map[string]int{"a": 10, "b": 20, "c": 30}, running)
+	tell(10, 21, 0)
+	told, running = follow(follower.Version())
+	assert.Equal(t, 1, told, "a small change is not told, an end is")
+	assert.Equal(t, map[string]int{"a": 10, "b": 20}, running)
+	tell(10, 30, 5)
+	told, running = follow(7)
+	assert.Equal(t, 3, told, "one that missed an answer gets all")
+	assert.Equal(t, map[string]int{"a": 10, "b": 30, "c": 5}, running)
+}
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -54,6 +54,7 @@
 	at      time.Time
 	loads   []message.BackendLoad
 	demand  []message.ModelDemand // its waiting and running requests
+	told    loadsTold
 }
 
 type demandKey struct{ service, model string }
@@ -231,15 +232,26 @@
 		}
 	}
 	reply.Proxies = max(s.proxies, s.countProxies(now))
-	reply.TotalLoads = s.upstream
-	if s.upstream == nil {
-		reply.TotalLoads = s.sumLoads(now)
-	}
+	s.addLoads(reply, held, now)
 	reply.Orders = s.remainingOrders(now)
 	go held.reply(&message.Message{PullReply: reply})
 	return true
 }
 
+// addLoads adds the sums of loads to an answer, as differences where the source has the version told last.
+func (s *state) addLoads(reply *message.PullReply, held *heldPull, now time.Time) {
+	totals := s.upstream
+	if totals == nil {
+		totals = s.sumLoads(now)
+	}
+	known := s.sources[held.from]
+	if known == nil {
+		reply.TotalLoads, reply.LoadsWhole = totals, true
+		return
+	}
+	reply.TotalLoads, reply.LoadsWhole, reply.LoadVersion = known.told.next(held.pull.LoadVersion, totals)
+}
+
 // updateFrom makes the update for who has the table of that digest: the whole table where it is not known any more.
 func (s *state) updateFrom(digest uint64) *message.BackendUpdate {
 	if update := s.updates[digest]; update != nil {
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -88,7 +88,7 @@
 }
 
 // Update takes what was pulled; nil parts are unchanged. Backends that are gone are given to onGone.
-func (d *Dispatcher) Update(config *configuration.Config, backends []message.Backend, hasBackends bool, reply *message.PullReply, onGone func([]*Backend)) {
+func (d *Dispatcher) Update(config *configuration.Config, backends []message.Backend, hasBackends bool, reply *message.PullReply, loads []message.BackendLoad, onGone func([]*Backend)) {
 	d.commands <- func(b *Balancer) {
 		now := time.Now()
 		if config != nil {
@@ -103,7 +103,7 @@
 			}
 		}
 		if reply != nil {
-			b.SetTotals(reply.TotalLoads, reply.Orders, now)
+			b.SetTotals(loads, reply.Orders, now)
 		}
 	}
 }
--- a/internal/dataplane/ingress/ingress_test.go
+++ b/internal/dataplane/ingress/ingress_test.go
@@ -139,7 +139,7 @@
 			ID: fmt.Sprintf("i-%d", i), Service: "s", Zone: "z", Capacity: 10, Address: b.listener.Addr().String(),
 		})
 	}
-	dispatcher.Update(config, list, true, nil, nil)
+	dispatcher.Update(config, list, true, nil, nil, nil)
 	p := &proxy{handler: New(dispatcher, backend.NewPool())}
 	p.handler.SetConfig(config)
 	p.handler.Confirm()
--- a/internal/dataplane/proxy/feed.go
+++ b/internal/dataplane/proxy/feed.go
@@ -14,6 +14,7 @@
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/dataplane/backend"
 	"pumiceline/internal/dataplane/balancer"
 	"pumiceline/internal/dataplane/ingress"
@@ -40,6 +41,7 @@
 	members  []string
 	sequence uint64
 	digest   uint64
+	loads    distribution.Loads
 	table    *discovery.Table // as pulled last
 	observed time.Time
 	proxies  int
@@ -87,7 +89,7 @@
 	demand, loads := f.dispatcher.Report()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return message.Pull{ConfigSequence: f.sequence, BackendDigest: f.digest, Demand: demand, Loads: loads, Proxies: 1}
+	return message.Pull{ConfigSequence: f.sequence, BackendDigest: f.digest, Demand: demand, Loads: loads, Proxies: 1, LoadVersion: f.loads.Version()}
 }
 
 // Apply takes an answer of a coordinator. Nothing ever goes backward within the life of the process.
@@ -109,7 +111,7 @@
 		}
 	}
 	f.proxies = max(1, reply.Proxies)
-	f.dispatcher.Update(config, backends, newer, reply, f.forget)
+	f.dispatcher.Update(config, backends, newer, reply, f.loads.Take(reply), f.forget)
 	if config != nil {
 		f.handler.SetConfig(config)
 	}
@@ -181,5 +183,5 @@
 		return
 	}
 	f.observed, f.digest, f.table = table.Observed, table.Digest, table
-	f.dispatcher.Update(nil, table.Backends, true, nil, f.forget)
+	f.dispatcher.Update(nil, table.Backends, true, nil, nil, f.forget)
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -225,6 +225,7 @@
 	Demand         []ModelDemand `msg:"d"`
 	Loads          []BackendLoad `msg:"l"`
 	Proxies        int           `msg:"p"` // how many proxies the sender speaks for
+	LoadVersion    uint64        `msg:"v"` // of the sums of loads that the sender has; 0: none
 }
 
 // PullReply carries what is newer than the versions told.
@@ -238,7 +239,9 @@
 	BackendsAgeMS int64          `msg:"a"` // how old the list of backends is
 	HeldMS        int64          `msg:"h"`
 	Proxies       int            `msg:"p"` // how many proxies there are
-	TotalLoads    []BackendLoad  `msg:"l"` // what all proxies together carry
+	TotalLoads    []BackendLoad  `msg:"l"` // what all proxies together carry: all of it, or what has changed
+	LoadsWhole    bool           `msg:"w"`
+	LoadVersion   uint64         `msg:"lv"`
 	Orders        []LoadOrder    `msg:"o"` // loads that are under way
 }
 
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -8376,6 +8376,12 @@
 				err = msgp.WrapError(err, "Proxies")
 				return
 			}
+		case "v":
+			z.LoadVersion, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "LoadVersion")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -8389,9 +8395,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Pull) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "i"
-	err = en.Append(0x87, 0xa1, 0x69)
+	err = en.Append(0x88, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -8500,15 +8506,25 @@
 		err = msgp.WrapError(err, "Proxies")
 		return
 	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.LoadVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "LoadVersion")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Pull) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "i"
-	o = append(o, 0x87, 0xa1, 0x69)
+	o = append(o, 0x88, 0xa1, 0x69)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -8547,6 +8563,9 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendInt(o, z.Proxies)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.LoadVersion)
 	return
 }
 
@@ -8671,6 +8690,12 @@
 				err = msgp.WrapError(err, "Proxies")
 				return
 			}
+		case "v":
+			z.LoadVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadVersion")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -8693,7 +8718,7 @@
 	for za0002 := range z.Loads {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Loads[za0002].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
-	s += 2 + msgp.IntSize
+	s += 2 + msgp.IntSize + 2 + msgp.Uint64Size
 	return
 }
 
@@ -8889,6 +8914,18 @@
 					}
 				}
 			}
+		case "w":
+			z.LoadsWhole, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "LoadsWhole")
+				return
+			}
+		case "lv":
+			z.LoadVersion, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "LoadVersion")
+				return
+			}
 		case "o":
 			var zb0006 uint32
 			zb0006, err = dc.ReadArrayHeader()
@@ -8922,8 +8959,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *PullReply) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Config == nil {
 		zb0001Len--
@@ -9115,6 +9152,26 @@
 				return
 			}
 		}
+		// write "w"
+		err = en.Append(0xa1, 0x77)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.LoadsWhole)
+		if err != nil {
+			err = msgp.WrapError(err, "LoadsWhole")
+			return
+		}
+		// write "lv"
+		err = en.Append(0xa2, 0x6c, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.LoadVersion)
+		if err != nil {
+			err = msgp.WrapError(err, "LoadVersion")
+			return
+		}
 		// write "o"
 		err = en.Append(0xa1, 0x6f)
 		if err != nil {
@@ -9140,8 +9197,8 @@
 func (z *PullReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Config == nil {
 		zb0001Len--
@@ -9227,6 +9284,12 @@
 			o = append(o, 0xa1, 0x71)
 			o = msgp.AppendInt(o, z.TotalLoads[za0002].Queued)
 		}
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendBool(o, z.LoadsWhole)
+		// string "lv"
+		o = append(o, 0xa2, 0x6c, 0x76)
+		o = msgp.AppendUint64(o, z.LoadVersion)
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Orders)))
@@ -9431,6 +9494,18 @@
 					}
 				}
 			}
+		case "w":
+			z.LoadsWhole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadsWhole")
+				return
+			}
+		case "lv":
+			z.LoadVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadVersion")
+				return
+			}
 		case "o":
 			var zb0006 uint32
 			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -9484,7 +9559,7 @@
 	for za0002 := range z.TotalLoads {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.TotalLoads[za0002].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
-	s += 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.BoolSize + 3 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Orders {
 		s += z.Orders[za0003].Msgsize()
 	}
