Mend what reading the whole change showed: retry share, ramps of models, idle limits

Cause, all found on reading: (1) a coordinator that has just started counts few proxies, and each would take most of the shared retry allowance and of a backend's connections; (2) slow start counted from a backend's first listing alone, not from when a model or adapter was first shown there; (3) an idempotent request that had run got 503, which promises that it has not; (4) the operator's idle limit was not kept; (5) turns began anew with each list; (6) a short grace time was used up by waiting; averages of idle adapters and credits of old routes were kept for good. Ruled out: for (1) a count kept on disk, as proxies have none. New tests for 1 to 4.

--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -289,17 +289,23 @@
 	known.proxies, known.at = pull.Proxies, now
 	known.loads, known.demand = pull.Loads, pull.Demand
 	for _, d := range pull.Demand {
-		key := demandKey{d.Service, d.Model}
-		sum := s.demand[key]
-		if sum == nil {
-			sum = &message.ModelDemand{Service: d.Service, Model: d.Model}
-			s.demand[key] = sum
-		}
+		sum := s.demandFor(d.Service, d.Model)
 		sum.Arrivals += d.Arrivals
 		sum.Missed += d.Missed
 	}
 }
 
+// demandFor returns the sum for a model, which it makes where there is none.
+func (s *state) demandFor(service, model string) *message.ModelDemand {
+	key := demandKey{service, model}
+	sum := s.demand[key]
+	if sum == nil {
+		sum = &message.ModelDemand{Service: service, Model: model}
+		s.demand[key] = sum
+	}
+	return sum
+}
+
 func (s *state) countProxies(now time.Time) int {
 	count := 0
 	for from, known := range s.sources {
@@ -335,12 +341,7 @@
 			continue
 		}
 		for _, d := range known.demand {
-			key := demandKey{d.Service, d.Model}
-			sum := s.demand[key]
-			if sum == nil {
-				sum = &message.ModelDemand{Service: d.Service, Model: d.Model}
-				s.demand[key] = sum
-			}
+			sum := s.demandFor(d.Service, d.Model)
 			sum.Waiting += d.Waiting
 			sum.Running += d.Running
 		}
--- a/internal/controlplane/placement/demand.go
+++ b/internal/controlplane/placement/demand.go
@@ -15,6 +15,7 @@
 	fastMemory = 3 * time.Second
 	slowMemory = 25 * time.Second
 
+	forgetAfter     = 10 * time.Minute // a model or adapter that nobody asked for so long has no entry
 	durationMemory  = 20 * time.Second
 	usualDuration   = 600 * time.Millisecond // of a request, where nothing was measured
 	leastRate       = 0.3                    // requests a second below which durations are not trusted
@@ -109,6 +110,9 @@
 				s = &sample{}
 			}
 			entry.take(now, span, s)
+			if now.Sub(entry.LastAsked) > forgetAfter {
+				delete(models, name)
+			}
 		}
 	}
 }
--- a/internal/controlplane/replica/confirm.go
+++ b/internal/controlplane/replica/confirm.go
@@ -58,7 +58,8 @@
 	if m.View != r.control.View.Number || !r.IsMember() || r.control.Accepted.Number != 0 {
 		return
 	}
-	r.sendAfterSync(r.sender(m), message.Message{Confirmed: &message.Confirmed{Round: m.Confirm.Round}})
+	// Nothing has to be on disk for it: an acceptance that is not yet synced has not been told to anyone either.
+	r.send(r.sender(m), message.Message{Confirmed: &message.Confirmed{Round: m.Confirm.Round}})
 }
 
 func (r *Replica) onConfirmed(m *message.Message) {
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -72,7 +72,7 @@
 	message.Backend
 	MaxConnections int
 
-	holds     map[string]time.Time // models and adapters, and since when
+	holds     map[string]time.Time // models and adapters, and since when they are ready here
 	evidence  evidence
 	due       float64 // virtual time of its next turn
 	weight    float64
@@ -116,7 +116,6 @@
 	demand   map[demandKey]*demandCount
 	orders   []expectedLoad
 	pace     paceTable
-	proxies  int
 	leaving  bool
 	urgent   bool // a model is missing that the coordinators have not been told of
 }
@@ -141,7 +140,7 @@
 // New makes a balancer for a proxy in zone.
 func New(zone string, budget *RetryBudget) *Balancer {
 	return &Balancer{
-		zone: zone, budget: budget, proxies: 1,
+		zone: zone, budget: budget,
 		pace: paceTable{}, backends: map[string]*Backend{}, services: map[string]*service{}, demand: map[demandKey]*demandCount{},
 	}
 }
@@ -160,13 +159,12 @@
 	if b.config == nil || b.config.Services[name] == nil {
 		return 1
 	}
-	return max(1, b.config.Services[name].MaxConnections/max(1, b.proxies))
+	return max(1, b.config.Services[name].MaxConnections/b.budget.Proxies())
 }
 
 // SetProxies says how many proxies there are.
-func (b *Balancer) SetProxies(count int) {
-	b.proxies = max(1, count)
-	b.budget.SetProxies(count)
+func (b *Balancer) SetProxies(count int, now time.Time) {
+	b.budget.SetProxies(count, now)
 	for _, backend := range b.backends {
 		backend.MaxConnections = b.connectionShare(backend.Service)
 	}
@@ -181,7 +179,9 @@
 	for i := range list {
 		b.take(list[i], first, now)
 	}
-	b.services = map[string]*service{}
+	for _, s := range b.services {
+		s.backends = s.backends[:0]
+	}
 	for id, backend := range b.backends {
 		if !backend.listed {
 			delete(b.backends, id)
@@ -189,8 +189,8 @@
 		}
 	}
 	for i := range list {
-		backend := b.backends[list[i].ID]
-		b.serviceOf(backend.Service).backends = append(b.serviceOf(backend.Service).backends, backend)
+		s := b.serviceOf(list[i].Service)
+		s.backends = append(s.backends, b.backends[list[i].ID])
 	}
 	b.serveWaiting(now)
 	return gone
@@ -200,11 +200,6 @@
 	s := b.services[name]
 	if s == nil {
 		s = &service{}
-		for _, backend := range b.backends {
-			if backend.Service == name && backend.listed {
-				s.time = max(s.time, backend.due-1)
-			}
-		}
 		b.services[name] = s
 	}
 	return s
@@ -222,11 +217,15 @@
 		b.backends[entry.ID] = backend
 	}
 	backend.Backend, backend.listed = entry, true
+	readySince := now
+	if first {
+		readySince = time.Time{} // it may have been there for long
+	}
 	held := map[string]time.Time{}
 	for _, model := range entry.Models {
-		keepSince(held, backend.holds, model.Name, now)
+		keepSince(held, backend.holds, model.Name, readySince)
 		for _, adapter := range model.Adapters {
-			keepSince(held, backend.holds, model.Name+"/"+adapter, now)
+			keepSince(held, backend.holds, model.Name+"/"+adapter, readySince)
 		}
 	}
 	backend.holds = held
--- a/internal/dataplane/balancer/balancer_test.go
+++ b/internal/dataplane/balancer/balancer_test.go
@@ -246,7 +246,7 @@
 
 func TestTheRetryBudgetHoldsInEveryWindow(t *testing.T) {
 	budget := NewRetryBudget(10*time.Second, 0.2, 60, start)
-	budget.SetProxies(10)
+	budget.SetProxies(10, start)
 	now := start
 	var requests, repeats []time.Time
 	for step := range 4000 {
@@ -321,3 +321,34 @@
 	}
 	assert.InDelta(t, 100, pace.work(r), 30, "what it takes without waiting, less what the shortest takes")
 }
+
+// Found on reading: a coordinator that has just started counts one proxy, and each would take the whole allowance.
+func TestALowerCountOfProxiesIsBelievedLate(t *testing.T) {
+	budget := NewRetryBudget(10*time.Second, 0.2, 60, start)
+	budget.SetProxies(10, start)
+	budget.SetProxies(1, start.Add(15*time.Second))
+	assert.Equal(t, 10, budget.Proxies())
+	budget.SetProxies(12, start.Add(16*time.Second))
+	assert.Equal(t, 12, budget.Proxies(), "a higher one at once")
+	budget.SetProxies(11, start.Add(36*time.Second))
+	assert.Equal(t, 12, budget.Proxies())
+	budget.SetProxies(11, start.Add(37*time.Second))
+	assert.Equal(t, 11, budget.Proxies())
+}
+
+func TestANewlyShownModelRampsUpWhereItIsNew(t *testing.T) {
+	b := newBalancer(t, holding("a", "m", "n"), holding("b", "n"))
+	now := start.Add(time.Minute)
+	b.SetBackends([]message.Backend{holding("a", "m", "n"), holding("b", "n", "m")}, now)
+	weights := func(model string, now time.Time) (float64, float64) {
+		r := request("llm", model, now)
+		return b.backends["a"].weightFor(r, now), b.backends["b"].weightFor(r, now)
+	}
+	old, fresh := weights("m", now)
+	assert.Equal(t, 1.0, old)
+	assert.InDelta(t, 1/slowStartWindow.Seconds(), fresh, 1e-9)
+	old, other := weights("n", now)
+	assert.Equal(t, old, other, "what it held before is not new there")
+	_, ready := weights("m", now.Add(slowStartWindow))
+	assert.Equal(t, 1.0, ready)
+}
--- a/internal/dataplane/balancer/budget.go
+++ b/internal/dataplane/balancer/budget.go
@@ -14,6 +14,7 @@
 	requests []time.Time
 	repeats  []time.Time
 	proxies  int
+	countAt  time.Time // when there were as many proxies last
 }
 
 // Safety margins of the budget: the rule's window slides, and proxies come and go.
@@ -27,8 +28,16 @@
 	return &RetryBudget{window: window, ratio: ratio, extra: extra, started: now, proxies: 1}
 }
 
-// SetProxies says how many proxies share the allowance.
-func (b *RetryBudget) SetProxies(count int) { b.proxies = max(1, count) }
+// SetProxies says how many proxies share the allowance. A lower count is believed only after two windows: a coordinator
+// that has just started has not heard of all, and a proxy that is cut off still uses its share.
+func (b *RetryBudget) SetProxies(count int, now time.Time) {
+	if count >= b.proxies || now.Sub(b.countAt) > 2*b.window {
+		b.proxies, b.countAt = max(1, count), now
+	}
+}
+
+// Proxies returns how many proxies share what is shared.
+func (b *RetryBudget) Proxies() int { return b.proxies }
 
 // Request notes a request's first send.
 func (b *RetryBudget) Request(now time.Time) { b.requests = append(b.trim(b.requests, now), now) }
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -72,7 +72,7 @@
 // tryGrant answers a request where that is possible now; false means that it has to wait.
 func (b *Balancer) tryGrant(request *Request, now time.Time) bool {
 	candidates, held := b.candidates(request, now)
-	if backend := b.choose(request, candidates); backend != nil {
+	if backend := b.choose(request, candidates, now); backend != nil {
 		if request.sends > 0 && !b.budget.TryRepeat(now) {
 			b.refuse(request, refusedPause, "no retries left")
 			return true
@@ -153,7 +153,7 @@
 }
 
 // choose takes the least loaded of the backends whose turns are due next, and gives the turn away.
-func (b *Balancer) choose(request *Request, candidates []*Backend) *Backend {
+func (b *Balancer) choose(request *Request, candidates []*Backend, now time.Time) *Backend {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -166,20 +166,26 @@
 	})
 	best := candidates[0]
 	for _, backend := range candidates[1:min(lookAhead, len(candidates))] {
-		if b.cost(backend) < b.cost(best) {
+		if backend.cost(request, now) < best.cost(request, now) {
 			best = backend
 		}
 	}
 	s.time = max(s.time, min(candidates[0].due, best.due))
-	best.due = max(best.due, s.time) + 1/best.weight
+	best.due = max(best.due, s.time) + 1/best.weightFor(request, now)
 	return best
 }
 
 // cost ranks backends among the due turns: what runs there against what it can do. Equals keep the order of their
 // turns, so that without load the shares are those of the weights.
-func (b *Balancer) cost(backend *Backend) float64 {
+func (backend *Backend) cost(request *Request, now time.Time) float64 {
 	running := float64(backend.running + backend.others)
-	return (running*runningCost + backend.queued + backend.queuedOut) / backend.weight
+	return (running*runningCost + backend.queued + backend.queuedOut) / backend.weightFor(request, now)
+}
+
+// weightFor is the backend's weight for a request: slow start counts from when it first showed what is requested, too.
+func (backend *Backend) weightFor(request *Request, now time.Time) float64 {
+	factor := min(ramp(backend.holds[message.ModelOf(request.Model)], now), ramp(backend.holds[request.Model], now))
+	return max(minWeight, backend.weight*factor)
 }
 
 // runningCost is what one running request counts beside prompts that wait, in milliseconds.
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -95,7 +95,7 @@
 			b.SetConfig(config, now)
 		}
 		if reply != nil {
-			b.SetProxies(reply.Proxies)
+			b.SetProxies(reply.Proxies, now)
 		}
 		if hasBackends {
 			if gone := b.SetBackends(backends, now); len(gone) > 0 && onGone != nil {
--- a/internal/dataplane/balancer/weight.go
+++ b/internal/dataplane/balancer/weight.go
@@ -10,7 +10,7 @@
 	errorUtilizationPenalty = 1.0
 	blackoutPeriod          = 10 * time.Second
 	weightExpiration        = 60 * time.Second
-	slowStartWindow         = 3 * time.Second
+	slowStartWindow         = 2 * time.Second
 	slowStartAggression     = 1.0
 	slowStartFloor          = 0.10
 	evidenceMemory          = 15 * time.Second // completions and their durations fade with this time constant
@@ -77,9 +77,11 @@
 }
 
 // ramp is the A100 factor: max(floor, time_factor^(1/aggression)) within the window since the backend became ready.
-func (e *evidence) ramp(now time.Time) float64 {
-	age := now.Sub(e.readySince)
-	if e.readySince.IsZero() || age >= slowStartWindow {
+func (e *evidence) ramp(now time.Time) float64 { return ramp(e.readySince, now) }
+
+func ramp(readySince, now time.Time) float64 {
+	age := now.Sub(readySince)
+	if readySince.IsZero() || age >= slowStartWindow {
 		return 1
 	}
 	timeFactor := max(age.Seconds(), 1) / slowStartWindow.Seconds()
--- a/internal/dataplane/ingress/exchange.go
+++ b/internal/dataplane/ingress/exchange.go
@@ -75,7 +75,7 @@
 	switch {
 	case x.begun:
 		panic(http.ErrAbortHandler)
-	case x.ran > 0 && !x.route.IsIdempotent():
+	case x.ran > 0:
 		http.Error(x.writer, reason, http.StatusBadGateway)
 	default:
 		refuse(x.writer, after, reason)
--- a/internal/dataplane/ingress/ingress.go
+++ b/internal/dataplane/ingress/ingress.go
@@ -51,13 +51,21 @@
 }
 
 // SetConfig puts a configuration in force.
-func (h *Handler) SetConfig(config *configuration.Config) { h.config.Store(config) }
+func (h *Handler) SetConfig(config *configuration.Config) {
+	h.config.Store(config)
+	h.splitter.reset()
+}
 
 // Confirm notes that the configuration in force was the newest a moment ago.
 func (h *Handler) Confirm() { h.confirmed.Store(int64(time.Since(h.started))) }
 
-// HasConfig reports whether a configuration is in force.
-func (h *Handler) HasConfig() bool { return h.config.Load() != nil }
+// IdleTimeout is how long a client's connection may rest by the configuration in force; 0: none is.
+func (h *Handler) IdleTimeout() time.Duration {
+	if config := h.config.Load(); config != nil {
+		return config.Limits.IdleTimeout
+	}
+	return 0
+}
 
 // SetLeaving makes every answer end its connection, and ends waiting that may outlast the process.
 func (h *Handler) SetLeaving() {
--- a/internal/dataplane/ingress/ingress_test.go
+++ b/internal/dataplane/ingress/ingress_test.go
@@ -195,6 +195,10 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 	assert.Equal(t, "again", body)
+
+	response, _, err = newProxy(t, newFakeBackend(t, closeNow), newFakeBackend(t, closeNow)).call(t, "/read/a", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode, "it may have run: 503 would promise that it has not")
 }
 
 func TestAnAnswerToAnotherRequestIsPassedOver(t *testing.T) {
--- a/internal/dataplane/ingress/splitter.go
+++ b/internal/dataplane/ingress/splitter.go
@@ -12,6 +12,13 @@
 	credit map[string]map[string]float64 // by route and service
 }
 
+// reset forgets the routes of an earlier configuration.
+func (s *splitter) reset() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.credit = nil
+}
+
 func (s *splitter) pick(route *configuration.Route) string {
 	if len(route.Shares) == 1 {
 		return route.Shares[0].Service
--- /dev/null
+++ b/internal/dataplane/proxy/idle_test.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestConnectionsRestNoLongerThanTheLimit lets a real server's connection rest, and the clock of the sweep go on.
+func TestConnectionsRestNoLongerThanTheLimit(t *testing.T) {
+	idle := &idleConnections{}
+	resting := make(chan struct{}, 8)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "a") }),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			idle.track(conn, state)
+			if state == http.StateIdle {
+				resting <- struct{}{}
+			}
+		},
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer server.Close()
+	go func() { _ = server.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	const limit = 10 * time.Second
+	ask := func() error {
+		fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(response.Body)
+		<-resting
+		return err
+	}
+	require.NoError(t, ask())
+	idle.closeExpired(time.Now().Add(limit), limit)
+	idle.closeExpired(time.Now().Add(time.Hour), 0)
+	require.NoError(t, ask(), "within the limit, or without one, it stays")
+	idle.closeExpired(time.Now().Add(limit+2*idleGrace), limit)
+	_, err = reader.ReadByte()
+	assert.Error(t, err, "beyond it the server closes it")
+}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +23,10 @@
 // Times of a proxy.
 const (
 	pullHold       = 400 * time.Millisecond
-	idleTimeout    = 3 * time.Minute // clients take up connections that have rested for long
+	idleTimeout    = 3 * time.Minute // the operator's limit ends most connections before
 	headerTimeout  = 10 * time.Second
 	noticeTime     = 2500 * time.Millisecond // the platform needs two missed checks to send no more connections
+	noticeShare    = 0.4                     // of the grace time, at the most
 	stopMargin     = 700 * time.Millisecond  // before the end of the grace time
 	drainPoll      = 50 * time.Millisecond
 	poolSweep      = 1 * time.Second
@@ -39,7 +39,7 @@
 	handler  *ingress.Handler
 	feed     *feed
 	leaving  atomic.Bool
-	active   connections
+	idle     idleConnections
 }
 
 // Run serves until ctx ends, then stops in order.
@@ -57,11 +57,11 @@
 	go puller.Run(running)
 	go urgent.run(running, puller)
 	go feed.watch(running)
-	go sweep(running, pool)
+	go p.sweep(running, pool)
 	ready := &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	front := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: p.active.track, ErrorLog: nil,
+		ConnState: p.idle.track,
 	}
 	if err := serve(ready, settings.ReadyAddress); err != nil {
 		return err
@@ -100,7 +100,7 @@
 	p.leaving.Store(true)
 	p.handler.SetLeaving()
 	logrus.Info("stopping")
-	time.Sleep(noticeTime)
+	time.Sleep(min(noticeTime, time.Duration(noticeShare*float64(p.settings.Bounds.Grace))))
 	remaining := p.settings.Bounds.Grace - stopMargin - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
@@ -112,32 +112,17 @@
 	return errors.Wrap(err, "stopping")
 }
 
-func sweep(ctx context.Context, pool *backend.Pool) {
+// sweep closes connections that have rested for too long: to backends, and of clients.
+func (p *Proxy) sweep(ctx context.Context, pool *backend.Pool) {
 	ticker := time.NewTicker(poolSweep)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
 			pool.CloseExpired()
+			p.idle.closeExpired(now, p.handler.IdleTimeout())
 		}
 	}
 }
-
-// connections keeps count of the clients' connections.
-type connections struct {
-	mutex sync.Mutex
-	open  int
-}
-
-func (c *connections) track(_ net.Conn, state http.ConnState) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	switch state {
-	case http.StateNew:
-		c.open++
-	case http.StateClosed, http.StateHijacked:
-		c.open--
-	}
-}
