One package for the weights of both programs

Cause: A58's weight and A100's slow start stood twice, in decide and in the system's balancer. Ruled out: sharing the turns too: decide's queue holds all backends, the system chooses among the few that hold a model. Change: internal/weight, pure, in any unit of time, used by both; a retry is paid before its turn is taken.

--- a/decide/weights.go
+++ b/decide/weights.go
@@ -6,6 +6,7 @@
 	"pumiceline/internal/admission"
 	"pumiceline/internal/probing"
 	"pumiceline/internal/turns"
+	"pumiceline/internal/weight"
 )
 
 // Parameters of A58 and A100. Window and floor of the ramp come from the settings' cold time and cold share.
@@ -111,7 +112,7 @@
 		return mean
 	}
 	qps, util := s.qps/s.mass, s.util/s.mass
-	return (qps + meanShare*mean) / (util + meanShare + s.eps/s.qps*errorUtilizationPenalty)
+	return weight.A58(qps+meanShare*mean, util+meanShare, s.eps/s.qps, errorUtilizationPenalty)
 }
 
 // like is the mean weight that goes for s: of its kind, else of all, scaled by listed size.
@@ -146,7 +147,7 @@
 	if !s.cold || age >= window {
 		return 1
 	}
-	return min(1, max(b.set.Rules.ColdShare, math.Pow(max(age, 1e6)/window, 1/aggression)))
+	return weight.SlowStart(age, 1e6, window, b.set.Rules.ColdShare, aggression)
 }
 
 // guaranteed is the share of its capacity that a cold server is sure to have: an even climb from the cold
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -72,15 +72,15 @@
 // tryGrant answers a request where that is possible now; false means that it has to wait.
 func (b *Balancer) tryGrant(request *Request, now time.Time) bool {
 	candidates, held := b.candidates(request, now)
-	if backend := b.choose(request, candidates, now); backend != nil {
-		if request.sends > 0 && !b.budget.TryRepeat(now) {
-			b.refuse(request, refusedPause, "no retries left")
-			return true
-		}
-		b.grantTo(request, backend, now)
+	if len(candidates) == 0 {
+		return b.refuseWhereHopeless(request, held, now)
+	}
+	if request.sends > 0 && !b.budget.TryRepeat(now) {
+		b.refuse(request, refusedPause, "no retries left")
 		return true
 	}
-	return b.refuseWhereHopeless(request, held, now)
+	b.grantTo(request, b.choose(request, candidates, now), now)
+	return true
 }
 
 // candidates are the backends that may get the request now; held reports whether any backend has its model at all.
@@ -154,9 +154,6 @@
 
 // choose takes the least loaded of the backends whose turns are due next, and gives the turn away.
 func (b *Balancer) choose(request *Request, candidates []*Backend, now time.Time) *Backend {
-	if len(candidates) == 0 {
-		return nil
-	}
 	s := b.services[request.Service]
 	sort.Slice(candidates, func(i, j int) bool {
 		if candidates[i].due != candidates[j].due {
--- a/internal/dataplane/balancer/weight.go
+++ b/internal/dataplane/balancer/weight.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"pumiceline/internal/weight"
 )
 
 // Parameters of the weights (gRFC A58) and of slow start (gRFC A100).
@@ -58,7 +60,7 @@
 // derived is the A58 weight: rate / (utilization + errors/rate * penalty). Rate and utilization are those of the
 // proxy's own traffic over the same time, so that the time cancels out. ok is false during the blackout, after
 // expiry, and where the proxy's own traffic does not suffice.
-func (e *evidence) derived(now time.Time, slots int) (weight float64, ok bool) {
+func (e *evidence) derived(now time.Time, slots int) (derived float64, ok bool) {
 	if e.nonEmptySince.IsZero() || now.Sub(e.nonEmptySince) < blackoutPeriod {
 		return 0, false
 	}
@@ -72,8 +74,7 @@
 	}
 	utilization := e.busySeconds / evidenceMemory.Seconds() / float64(max(1, slots))
 	rate := e.completions / evidenceMemory.Seconds()
-	penalty := e.errors / e.completions * errorUtilizationPenalty
-	return rate / (utilization + penalty), true
+	return weight.A58(rate, utilization, e.errors/e.completions, errorUtilizationPenalty), true
 }
 
 // ramp is the A100 factor: max(floor, time_factor^(1/aggression)) within the window since the backend became ready.
@@ -81,9 +82,8 @@
 
 func ramp(readySince, now time.Time) float64 {
 	age := now.Sub(readySince)
-	if readySince.IsZero() || age >= slowStartWindow {
-		return 1
+	if readySince.IsZero() {
+		return 1 // it was there when this proxy began
 	}
-	timeFactor := max(age.Seconds(), 1) / slowStartWindow.Seconds()
-	return max(slowStartFloor, math.Pow(timeFactor, 1/slowStartAggression))
+	return weight.SlowStart(age.Seconds(), 1, slowStartWindow.Seconds(), slowStartFloor, slowStartAggression)
 }
