--- a/tools/labrank/main.go
+++ b/tools/labrank/main.go
@@ -26,7 +26,7 @@
 )
 
 type cli struct {
-	Sim   string `help:"The simulator." default:"../given/kit/bin/lbsim" type:"path"`
+	Sim   string `help:"The simulator." required:"" type:"path"`
 	On    string `help:"The deployment." enum:"quotes,invitations" default:"quotes"`
 	Days  int    `help:"Days of each kind." default:"3"`
 	Plots string `help:"Folder for the scatter plot and the figures." default:"docs/plots" type:"path"`
