The electorate grows at once while the system starts for the first time

Change: on the first start of the whole system nobody can be replaced yet, so for its first two seconds joiners wait for nothing.

--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -95,8 +95,7 @@
 		}
 	}
 	for _, joiner := range joiners {
-		patient := r.now-r.detector.joiners[joiner.Identity].first >= growthPatience
-		if electorate.give(joiner, present, mayGrow && patient) {
+		if electorate.give(joiner, present, mayGrow && r.isPatient(joiner)) {
 			next.Members = append(next.Members, joiner)
 		}
 	}
@@ -116,6 +115,15 @@
 	return r.detector.condition[member.Identity].leaving
 }
 
+// isPatient reports whether a joiner has asked for long enough that the electorate may grow by it. While the system
+// starts for the first time it comes to replace nobody.
+func (r *Replica) isPatient(joiner message.Member) bool {
+	if r.options.FirstStart && r.now <= foundingTime {
+		return true
+	}
+	return r.now-r.detector.joiners[joiner.Identity].first >= growthPatience
+}
+
 // newcomers are the voters that got their vote a moment ago.
 func (r *Replica) newcomers() []message.Member {
 	return lo.Filter(r.control.View.Electorate(), func(m message.Member, _ int) bool {
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -21,6 +21,7 @@
 	reportLifetime    = 600 * time.Millisecond              // how long another member's suspicion counts
 	joinLifetime      = 700 * time.Millisecond              // how long a request to join counts
 	growthPatience    = suspectAfter + 300*time.Millisecond // a joiner asks so long before the electorate grows by it
+	foundingTime      = 2 * time.Second                     // after the first start of the whole system
 	roundTimeout      = 400 * time.Millisecond              // an agreement round that takes longer is begun anew
 	dropPatience      = 2 * time.Second                     // so long silent members stay for others that are not complete yet
 	newcomerTime      = 8 * time.Second                     // a planned successor is that much older than its predecessor's end at the most
