What a member hears itself counts where the monitors of a silent one are lost

Change: all members ask all voters whether their view is the newest, so each hears each; 1.6 s of own silence count as a report does, and a vote is given back only to a member that was heard.

--- a/internal/controlplane/replica/detector.go
+++ b/internal/controlplane/replica/detector.go
@@ -286,14 +286,14 @@
 	}
 }
 
-// suspects returns who is silent, by the reports that are fresh. Where two suspect one another, the one nearer to the
-// head stays. A member whose address another process has now is gone.
+// suspects returns who is silent, by the reports that are fresh and by what this member hears itself. Where two suspect
+// one another, the one nearer to the head stays. A member whose address another process has now is gone.
 func (r *Replica) suspects() []string {
 	var out []string
 	members := r.control.View.Members
 	for i := len(members) - 1; i >= 0; i-- {
 		identity := members[i].Identity
-		if r.isReported(isSilent, identity, out) || r.isDisplaced(members[i]) {
+		if r.isReported(isSilent, identity, out) || r.isDisplaced(members[i]) || !r.hasHeard(members[i]) {
 			out = append(out, identity)
 		}
 	}
@@ -310,6 +310,12 @@
 	return false
 }
 
+// hasHeard reports whether this member itself has heard another one lately. All members ask all voters whether their view
+// is the newest, so each hears each, also where the monitors of a silent member are lost with it.
+func (r *Replica) hasHeard(member message.Member) bool {
+	return member.Identity == r.control.Identity || r.now-r.detector.heard[member.Identity] <= longSilence
+}
+
 // isDisplaced reports whether another process has the member's address: a later member, or one that asks to join more
 // than once.
 func (r *Replica) isDisplaced(member message.Member) bool {
--- a/internal/controlplane/replica/electorate.go
+++ b/internal/controlplane/replica/electorate.go
@@ -72,10 +72,10 @@
 	e.displaced = e.displaced[max(0, len(e.displaced)-mostDisplaced):]
 }
 
-// letGo settles the vote of a member that leaves in order. It goes to nobody where more than least are left. Once the
-// leaver is out of the chain it goes to a member that was displaced by the leaver's successor, a newcomer of its zone;
-// else the leaver keeps it, as it may only be restarted.
-func (e *electorate) letGo(leaver message.Member, stays bool, newcomers []message.Member) {
+// letGo settles the vote of a member that leaves in order. It goes to nobody where more than least are left; to a
+// member that was displaced by the leaver's successor, a newcomer of its zone; else the leaver keeps it, as it may only
+// be restarted.
+func (e *electorate) letGo(leaver message.Member, newcomers []message.Member) {
 	at := slices.IndexFunc(e.voters, func(m message.Member) bool { return m.Identity == leaver.Identity })
 	if at < 0 {
 		return
@@ -84,9 +84,6 @@
 		e.voters = slices.Delete(e.voters, at, at+1)
 		return
 	}
-	if stays {
-		return
-	}
 	heir := slices.IndexFunc(e.displaced, func(d message.Displaced) bool {
 		return lo.ContainsBy(newcomers, func(m message.Member) bool {
 			return m.Identity == d.By && m.Zone == leaver.Zone && m.Identity != leaver.Identity
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -55,7 +55,8 @@
 // hasGroundForChange reports whether anything speaks for another view; mostly nothing does.
 func (r *Replica) hasGroundForChange() bool {
 	current := r.control.View
-	if len(r.detector.reports)+len(r.detector.joiners) > 0 || lo.ContainsBy(current.Members, r.isVolatile) {
+	speaks := func(m message.Member) bool { return r.isVolatile(m) || !r.hasHeard(m) }
+	if len(r.detector.reports)+len(r.detector.joiners) > 0 || lo.ContainsBy(current.Members, speaks) {
 		return true
 	}
 	hasNoVote := func(m message.Member) bool { return !r.isVoterOf(m.Identity) }
@@ -90,7 +91,7 @@
 	present := append(slices.Clone(active), joiners...)
 	mayGrow := !r.someoneIsInDoubt(stay)
 	for _, member := range active {
-		if !r.isGoing(member) {
+		if !r.isGoing(member) && r.hasHeard(member) {
 			electorate.give(member, present, mayGrow)
 		}
 	}
@@ -101,7 +102,7 @@
 	}
 	for _, member := range current.Members {
 		if r.isReported(isLeaving, member.Identity, nil) {
-			electorate.letGo(member, includes(stay, member.Identity), r.newcomers())
+			electorate.letGo(member, r.newcomers())
 		}
 	}
 	electorate.shrink(present)
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -17,6 +17,7 @@
 const (
 	heartbeatInterval = 200 * time.Millisecond
 	suspectAfter      = 900 * time.Millisecond              // silence after which a member is suspected
+	longSilence       = 1600 * time.Millisecond             // the same, where its monitors say nothing
 	doubtAfter        = 450 * time.Millisecond              // silence after which a member is in doubt
 	reportLifetime    = 600 * time.Millisecond              // how long another member's suspicion counts
 	joinLifetime      = 700 * time.Millisecond              // how long a request to join counts
