Bounded history; changes travel and are kept as differences

Cause: the list of changes grew for ever and was written whole with each change beside the whole document, so that a file of the ring would refuse every write after some 150,000 changes; replicas and proxies got whole documents with every change.

Change: internal/delta makes differences of documents, checked by a digest. A change is passed down the chain, added to the state on disk and handed to proxies as a difference; the state is written whole after 256 changes, a new view or a new file. 4,096 changes are known by their digests; one that names a base before that horizon gets no clear answer, never 412. Documents over 3 MB are refused with 413, as no file of the ring could hold them. Ruled out: differences without a digest, as a replica that restarted from an older state would apply them silently.

Every torn addition leaves those before it.

--- a/internal/controlplane/configuration/judge.go
+++ b/internal/controlplane/configuration/judge.go
@@ -42,6 +42,9 @@
 			return refuse(http.StatusBadRequest, err)
 		}
 	}
+	if len(document) > replica.MaxDocument {
+		return refuse(http.StatusRequestEntityTooLarge, errors.Errorf("%d bytes; at most %d are kept", len(document), replica.MaxDocument))
+	}
 	config, err := Parse(document)
 	if err != nil {
 		return refuse(http.StatusBadRequest, err)
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -75,7 +75,7 @@
 	o.replica = replica.New(options, configuration.Judge, 0, control, chain)
 	self.Identity = o.replica.Identity()
 	o.self = self
-	o.writer = newWriter(ring, o.released)
+	o.writer = newWriter(ring, &chain, o.released)
 	handle := func(m *message.Message, reply func(*message.Message)) {
 		if m.Pull != nil {
 			o.hub.HandlePull(m.From, *m.Pull, reply)
--- a/internal/controlplane/coordinator/writer.go
+++ b/internal/controlplane/coordinator/writer.go
@@ -33,10 +33,13 @@
 	signal    chan struct{}
 	busySince atomic.Int64 // nanoseconds since the start of the process; 0: idle
 	started   time.Time
+	chain     *message.ChainState // the newest
+	added     int                 // changes since it was written whole
 }
 
-func newWriter(ring *storage.Ring, deliver func([]message.Message)) *writer {
-	return &writer{ring: ring, deliver: deliver, signal: make(chan struct{}, 1), started: time.Now()}
+// newWriter makes a writer for a ring that holds chain.
+func newWriter(ring *storage.Ring, chain *message.ChainState, deliver func([]message.Message)) *writer {
+	return &writer{ring: ring, chain: chain, deliver: deliver, signal: make(chan struct{}, 1), started: time.Now()}
 }
 
 // enqueue adds an output; the writer carries outputs out in order.
@@ -69,32 +72,23 @@
 	}
 }
 
-// write syncs the newest records of a batch; it returns only when they are kept.
+// maxAdditions is after how many changes the state is written whole again: that bounds what a start has to read.
+const maxAdditions = 256
+
+// write syncs a batch; it returns only when it is kept.
 func (w *writer) write(batch []replica.Output) {
 	if w.ring == nil {
 		return // a machine without a disk keeps what it has in memory
 	}
-	var control *message.ControlState
-	var chain *message.ChainState
-	for _, out := range batch {
-		if out.Control != nil {
-			control = out.Control
-		}
-		if out.Chain != nil {
-			chain = out.Chain
-		}
-	}
-	records, err := encodeRecords(control, chain)
-	if err != nil {
-		logrus.WithError(err).Error("a record cannot be encoded")
-	}
-	if len(records) == 0 {
+	wanted := w.gather(batch)
+	if wanted.isEmpty() {
 		return
 	}
 	w.busySince.Store(int64(time.Since(w.started)) + 1)
 	defer w.busySince.Store(0)
 	for attempt := 0; ; attempt++ {
-		if err = w.ring.Write(records); err == nil {
+		err := w.writeOnce(wanted)
+		if err == nil {
 			return
 		}
 		if attempt == 0 {
@@ -104,6 +98,68 @@
 	}
 }
 
+// gathered is what a batch comes to.
+type gathered struct {
+	control   *message.ControlState
+	additions []message.ChangeRecord
+	whole     bool // the configuration was replaced, not added to
+}
+
+func (g *gathered) isEmpty() bool { return g.control == nil && !g.whole && len(g.additions) == 0 }
+
+func (w *writer) gather(batch []replica.Output) *gathered {
+	g := &gathered{}
+	for i := range batch {
+		out := &batch[i]
+		if out.Control != nil {
+			g.control = out.Control
+		}
+		if out.Chain != nil {
+			w.chain = out.Chain
+			g.additions = append(g.additions, out.Additions...)
+			g.whole = g.whole || len(out.Additions) == 0
+		}
+	}
+	return g
+}
+
+// writeOnce adds the changes to the configuration on disk where that will do, else it writes the configuration whole.
+func (w *writer) writeOnce(wanted *gathered) error {
+	records, err := encodeRecords(wanted.control, nil)
+	if err != nil {
+		return err
+	}
+	additions, size, err := encodeAdditions(wanted.additions)
+	if err != nil {
+		return err
+	}
+	mayAdd := !wanted.whole && w.ring.CanAdd(size, records) && w.added+len(additions) <= maxAdditions
+	if mayAdd && len(additions) > 0 {
+		w.added += len(additions)
+		return w.ring.Add(chainRecord, additions, records)
+	}
+	if mayAdd {
+		return w.ring.Write(records)
+	}
+	w.added = 0
+	if records, err = encodeRecords(wanted.control, w.chain); err != nil {
+		return err
+	}
+	return w.ring.Write(records)
+}
+
+func encodeAdditions(changes []message.ChangeRecord) (texts [][]byte, size int, err error) {
+	for i := range changes {
+		text, err := changes[i].MarshalMsg(nil)
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "a change")
+		}
+		texts = append(texts, text)
+		size += storage.AdditionBytes(text)
+	}
+	return texts, size, nil
+}
+
 func encodeRecords(control *message.ControlState, chain *message.ChainState) (map[storage.Kind][]byte, error) {
 	records := map[storage.Kind][]byte{}
 	if control != nil {
@@ -147,5 +203,14 @@
 			return control, chain, errors.Wrap(err, "the configuration on disk")
 		}
 	}
+	for i, text := range ring.Added(chainRecord) {
+		var change message.ChangeRecord
+		if _, err = change.UnmarshalMsg(text); err != nil {
+			return control, chain, errors.Wrapf(err, "change %d after the configuration on disk", i+1)
+		}
+		if chain, err = replica.Extend(&chain, &change); err != nil {
+			return control, chain, errors.Wrapf(err, "change %d after the configuration on disk", i+1)
+		}
+	}
 	return control, chain, nil
 }
--- a/internal/controlplane/distribution/distribution_test.go
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -80,6 +81,37 @@
 	assert.Nil(t, reply.Config)
 }
 
+// Who has an earlier configuration gets what changed, and asks for the whole where that does not fit.
+func TestConfigurationsTravelAsDifferences(t *testing.T) {
+	hub := newTestHub(t, true)
+	routes := strings.Repeat(`{"name":"route","host":"h.example","pathStart":"/a/"},`, 100)
+	first := message.ConfigUpdate{Sequence: 1, Document: []byte(`{"version":1,"routes":[` + routes + `]}`)}
+	second := message.ConfigUpdate{Sequence: 2, Document: []byte(`{"version":2,"routes":[` + routes + `]}`)}
+	hub.SetConfig(first)
+	var copied ConfigCopy
+	document, newer := copied.Take(pull(t, hub, "p", message.Pull{}).Config)
+	require.True(t, newer)
+	assert.Equal(t, first.Document, document)
+	hub.SetConfig(second)
+	update := pull(t, hub, "p", message.Pull{ConfigSequence: copied.Known()}).Config
+	assert.Empty(t, update.Document)
+	assert.Less(t, len(update.Delta), 100)
+
+	spoilt := ConfigCopy{sequence: 1, document: []byte("other")}
+	_, newer = spoilt.Take(update)
+	assert.False(t, newer)
+	assert.Equal(t, uint64(1), spoilt.Sequence(), "what it has stays in force")
+	document, newer = spoilt.Take(pull(t, hub, "p", message.Pull{ConfigSequence: spoilt.Known()}).Config)
+	assert.True(t, newer)
+	assert.Equal(t, second.Document, document)
+
+	document, newer = copied.Take(update)
+	require.True(t, newer)
+	assert.Equal(t, second.Document, document)
+	_, newer = copied.Take(&first)
+	assert.False(t, newer, "it never goes backward")
+}
+
 func TestNothingGoesBackward(t *testing.T) {
 	hub := newTestHub(t, true)
 	now := time.Now()
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -40,7 +40,7 @@
 }
 
 type state struct {
-	config   *message.ConfigUpdate
+	config   configHistory
 	table    *discovery.Table
 	recent   []*discovery.Table                // earlier tables, the newest last
 	updates  map[uint64]*message.BackendUpdate // to the present table, by the digest that they build on
@@ -107,8 +107,7 @@
 func (h *Hub) SetConfig(update message.ConfigUpdate) {
 	h.config.Store(&update)
 	h.commands <- func(s *state) {
-		if s.config == nil || update.Sequence > s.config.Sequence {
-			s.config = &update
+		if s.config.put(update) {
 			h.answerDue(s, time.Now())
 		}
 	}
@@ -222,14 +221,14 @@
 		go held.reply(&message.Message{PullReply: &message.PullReply{ID: held.pull.ID, Unavailable: true, Members: status.Members}})
 		return true
 	}
-	newConfig := s.config != nil && s.config.Sequence > held.pull.ConfigSequence
+	newConfig := s.config.newest() > held.pull.ConfigSequence
 	newBackends := s.table.IsKnown() && s.table.Digest != held.pull.BackendDigest
 	if !newConfig && !newBackends && waited < time.Duration(held.pull.HoldMS)*time.Millisecond {
 		return false
 	}
 	reply := &message.PullReply{ID: held.pull.ID, Members: status.Members, HeldMS: waited.Milliseconds()}
 	if newConfig {
-		reply.Config = s.config
+		reply.Config = s.config.updateFrom(held.pull.ConfigSequence)
 	}
 	if s.table.IsKnown() {
 		reply.BackendsKnown = true
--- a/internal/controlplane/replica/calls.go
+++ b/internal/controlplane/replica/calls.go
@@ -77,11 +77,12 @@
 	decision := r.judge(&r.chain, &call.call)
 	switch {
 	case decision.Apply:
-		replicate := &message.Replicate{PreviousDigest: r.chain.Digest, Change: &decision.Change, Document: decision.Document}
-		r.apply(decision.Change, decision.Document)
-		replicate.Sequence, replicate.Digest = r.chain.Sequence, r.chain.Digest
+		record := newRecord(&r.chain, decision.Change, decision.Document, r.control.View.Number)
+		if r.apply(record) != nil {
+			return // it is larger than it may be, which the judge refuses
+		}
 		r.link.deciding = &call
-		r.passDown(replicate)
+		r.passDown(&message.Replicate{Change: record, Sequence: r.chain.Sequence, Digest: r.chain.Digest})
 	case decision.Status == 0: // its relay asks again
 	case decision.Status == http.StatusOK:
 		// What is settled in this view is held by every complete member, so it is there in every later view too: no
--- a/internal/controlplane/replica/chain.go
+++ b/internal/controlplane/replica/chain.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
 	"time"
 
 	"pumiceline/internal/message"
@@ -28,14 +27,6 @@
 	arrived time.Duration
 }
 
-// ChainDigest extends a digest over all earlier changes by one change.
-func ChainDigest(previous []byte, change *message.Change) []byte {
-	hash := sha256.New()
-	hash.Write(previous)
-	hash.Write(change.Digest)
-	return hash.Sum(nil)[:16]
-}
-
 // enterRole starts the member's part in a view, or anew after a start.
 func (r *Replica) enterRole() {
 	calls := r.link.calls
@@ -97,8 +88,7 @@
 		r.tellPredecessor()
 		return
 	case bytes.Equal(r.chain.Digest, replicate.Digest) && r.chain.Sequence == replicate.Sequence:
-	case replicate.Change != nil && bytes.Equal(r.chain.Digest, replicate.PreviousDigest):
-		r.apply(*replicate.Change, replicate.Document)
+	case replicate.Change != nil && r.apply(replicate.Change) == nil:
 	default:
 		r.send(predecessor, message.Message{SnapshotRequest: &message.SnapshotRequest{Whole: true}})
 		return
@@ -122,31 +112,36 @@
 func (r *Replica) markView() {
 	if r.chain.View != r.control.View.Number {
 		r.chain.View = r.control.View.Number
-		r.chainDirty = true
+		r.replaceChain()
 	}
 }
 
+// replaceChain notes that the state has to be written whole.
+func (r *Replica) replaceChain() {
+	r.chainDirty, r.additions = true, nil
+	r.chainReplaced = true
+}
+
 // adopt replaces the whole state by the predecessor's.
 func (r *Replica) adopt(state message.ChainState) {
 	if bytes.Equal(r.chain.Digest, state.Digest) && r.chain.Sequence == state.Sequence {
 		return
 	}
 	r.chain = state
-	r.chainDirty = true
+	r.replaceChain()
 }
 
-// apply puts one change on top of the state.
-func (r *Replica) apply(change message.Change, document []byte) {
-	history := append(r.chain.History[:len(r.chain.History):len(r.chain.History)], change)
-	r.chain = message.ChainState{
-		View:     r.control.View.Number,
-		Sequence: r.chain.Sequence + 1,
-		Digest:   ChainDigest(r.chain.Digest, &change),
-		Version:  change.Version,
-		Document: document,
-		History:  history,
+// apply puts one change on top of the state; an error says that it does not fit, and leaves the state as it is.
+func (r *Replica) apply(record *message.ChangeRecord) error {
+	next, err := Extend(&r.chain, record)
+	if err != nil {
+		return err
 	}
+	next.View = r.control.View.Number
+	r.chain = next
 	r.chainDirty = true
+	r.additions = append(r.additions, *record)
+	return nil
 }
 
 func (r *Replica) onCommitted(m *message.Message) {
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -67,6 +67,8 @@
 	Immediate []message.Message
 	Control   *message.ControlState
 	Chain     *message.ChainState
+	// Additions are what has to be added to the state of the output before to make Chain; none: it is written whole.
+	Additions []message.ChangeRecord
 	AfterSync []message.Message
 }
 
@@ -84,6 +86,9 @@
 	controlDirty bool
 	chainDirty   bool
 
+	chainReplaced bool // since the last output
+	additions     []message.ChangeRecord
+
 	detector detector
 	proposal proposal
 	link     chainLink
@@ -268,7 +273,10 @@
 	if r.chainDirty {
 		state := r.chain
 		out.Chain = &state
-		r.chainDirty = false
+		if !r.chainReplaced {
+			out.Additions = r.additions
+		}
+		r.chainDirty, r.chainReplaced, r.additions = false, false, nil
 	}
 	return out
 }
--- a/internal/controlplane/storage/ring_test.go
+++ b/internal/controlplane/storage/ring_test.go
@@ -163,3 +163,49 @@
 	require.NoError(t, err)
 	assert.Equal(t, "kept", string(again.Newest(1)))
 }
+
+// Additions are kept in order with the record that they add to, whatever else is written, and end with the next one.
+func TestAdditionsFollowTheirRecord(t *testing.T) {
+	files, _ := newFiles()
+	ring := open(t, files)
+	assert.False(t, ring.CanAdd(1, nil), "the first write begins a file")
+	require.NoError(t, ring.Write(map[Kind][]byte{2: []byte("base")}))
+	require.True(t, ring.CanAdd(10, nil))
+	require.NoError(t, ring.Add(2, [][]byte{[]byte("one"), []byte("two")}, map[Kind][]byte{1: []byte("control")}))
+	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("control again")}))
+	require.NoError(t, ring.Add(2, [][]byte{[]byte("three")}, nil))
+	again := open(t, files)
+	assert.Equal(t, [][]byte{[]byte("one"), []byte("two"), []byte("three")}, again.Added(2))
+	assert.Equal(t, "control again", string(again.Newest(1)))
+	assert.False(t, again.CanAdd(1, nil), "what follows may be torn")
+	require.NoError(t, again.Write(map[Kind][]byte{2: []byte("base with three")}))
+	last := open(t, files)
+	assert.Empty(t, last.Added(2))
+	assert.Equal(t, "base with three", string(last.Newest(2)))
+}
+
+// A torn or refused addition leaves those before it, and a file that is full takes no more.
+func TestEveryTornAdditionLeavesWhatWasSynced(t *testing.T) {
+	files, memory := newFiles()
+	ring := open(t, files)
+	require.NoError(t, ring.Write(map[Kind][]byte{2: []byte("base")}))
+	require.NoError(t, ring.Add(2, [][]byte{[]byte("one")}, nil))
+	current, offset := ring.current, ring.offset
+	torn := appendRecord(nil, Kind(2).additions(), ring.sequence+1, []byte("two"))
+	for cut := 0; cut < len(torn); cut++ {
+		copies := make([]File, FileCount)
+		for i, file := range memory {
+			contents := newMemoryFile()
+			copy(contents.written, file.written)
+			copies[i] = contents
+		}
+		copy(copies[current].(*memoryFile).written[offset:], torn[:cut])
+		require.Equal(t, [][]byte{[]byte("one")}, open(t, copies).Added(2), "cut at %d", cut)
+	}
+	memory[current].refuse = true
+	require.Error(t, ring.Add(2, [][]byte{[]byte("two")}, nil))
+	assert.False(t, ring.CanAdd(1, nil))
+	require.NoError(t, ring.Write(map[Kind][]byte{2: []byte("whole")}))
+	assert.Empty(t, open(t, files).Added(2))
+	assert.False(t, ring.CanAdd(FileBytes, nil))
+}
--- a/internal/dataplane/proxy/feed.go
+++ b/internal/dataplane/proxy/feed.go
@@ -39,7 +39,7 @@
 
 	mutex    sync.Mutex
 	members  []string
-	sequence uint64
+	config   distribution.ConfigCopy
 	digest   uint64
 	loads    distribution.Loads
 	table    *discovery.Table // as pulled last
@@ -89,7 +89,7 @@
 	demand, loads := f.dispatcher.Report()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return message.Pull{ConfigSequence: f.sequence, BackendDigest: f.digest, Demand: demand, Loads: loads, Proxies: 1, LoadVersion: f.loads.Version()}
+	return message.Pull{ConfigSequence: f.config.Known(), BackendDigest: f.digest, Demand: demand, Loads: loads, Proxies: 1, LoadVersion: f.loads.Version()}
 }
 
 // Apply takes an answer of a coordinator. Nothing ever goes backward within the life of the process.
@@ -116,7 +116,7 @@
 		f.handler.SetConfig(config)
 	}
 	f.handler.Confirm()
-	if f.sequence > 0 && f.digest != 0 {
+	if f.config.Sequence() > 0 && f.digest != 0 {
 		f.ready.Store(true)
 	}
 }
@@ -133,15 +133,15 @@
 }
 
 func (f *feed) newConfig(update *message.ConfigUpdate) *configuration.Config {
-	if update == nil || update.Sequence <= f.sequence {
+	document, newer := f.config.Take(update)
+	if !newer {
 		return nil
 	}
-	config, err := configuration.Parse(update.Document)
+	config, err := configuration.Parse(document)
 	if err != nil {
 		logrus.WithError(err).Error("a configuration from the coordinators cannot be read; the old one stays")
 		return nil
 	}
-	f.sequence = update.Sequence
 	logrus.WithField("version", config.Version).Debug("configuration in force")
 	return config
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -73,6 +73,15 @@
 	Horizon  uint64   `msg:"o"` // the version before the first change in History: of earlier ones nothing is known
 }
 
+// ChangeRecord is a change as it is passed on and kept: what it makes of the state before it.
+type ChangeRecord struct {
+	View           uint64 `msg:"w"`
+	Previous       []byte `msg:"p"` // chained digest of the state that it builds on
+	Change         Change `msg:"c"`
+	Delta          []byte `msg:"x"` // from the document before it to the one after it
+	DocumentDigest []byte `msg:"o"` // of the document after it
+}
+
 // Message is one message between processes. Exactly one of the pointers is set.
 type Message struct {
 	From        string `msg:"f"` // sender's identity
@@ -163,12 +172,10 @@
 // Replicate passes the replicated state down the chain: a change on top of a known state, a whole state, or only
 // the digest, which the receiver compares with its own.
 type Replicate struct {
-	Sequence       uint64      `msg:"s"`
-	Digest         []byte      `msg:"d"`
-	PreviousDigest []byte      `msg:"p"`
-	Change         *Change     `msg:"c,omitempty"`
-	Document       []byte      `msg:"o,omitempty"` // the configuration after Change
-	Snapshot       *ChainState `msg:"n,omitempty"`
+	Sequence uint64        `msg:"s"`
+	Digest   []byte        `msg:"d"`
+	Change   *ChangeRecord `msg:"c,omitempty"`
+	Snapshot *ChainState   `msg:"n,omitempty"`
 }
 
 // Committed travels from the tail to the head: every member has synced the state.
@@ -284,10 +291,13 @@
 	Orders        []LoadOrder    `msg:"o"` // loads that are under way
 }
 
-// ConfigUpdate is a configuration that was acknowledged.
+// ConfigUpdate is a configuration that was acknowledged, whole or as a difference.
 type ConfigUpdate struct {
 	Sequence uint64 `msg:"s"`
-	Document []byte `msg:"d"`
+	Document []byte `msg:"d"` // empty where Delta stands for it
+	Base     uint64 `msg:"b"` // sequence of the configuration that Delta builds on
+	Delta    []byte `msg:"x"`
+	Digest   []byte `msg:"g"` // of the document that Delta makes
 }
 
 // BackendUpdate is the list of backends, or what has changed since the list that the receiver has.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -2474,6 +2474,314 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ChangeRecord) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			z.View, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "View")
+				return
+			}
+		case "p":
+			z.Previous, err = dc.ReadBytes(z.Previous)
+			if err != nil {
+				err = msgp.WrapError(err, "Previous")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Change")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					z.Change.Version, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Version")
+						return
+					}
+				case "b":
+					z.Change.Base, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Base")
+						return
+					}
+				case "d":
+					z.Change.Digest, err = dc.ReadBytes(z.Change.Digest)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Digest")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Change")
+						return
+					}
+				}
+			}
+		case "x":
+			z.Delta, err = dc.ReadBytes(z.Delta)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
+		case "o":
+			z.DocumentDigest, err = dc.ReadBytes(z.DocumentDigest)
+			if err != nil {
+				err = msgp.WrapError(err, "DocumentDigest")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ChangeRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "w"
+	err = en.Append(0x85, 0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.View)
+	if err != nil {
+		err = msgp.WrapError(err, "View")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Previous)
+	if err != nil {
+		err = msgp.WrapError(err, "Previous")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "v"
+	err = en.Append(0x83, 0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Change.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Change", "Version")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Change.Base)
+	if err != nil {
+		err = msgp.WrapError(err, "Change", "Base")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Change.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Change", "Digest")
+		return
+	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Delta)
+	if err != nil {
+		err = msgp.WrapError(err, "Delta")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.DocumentDigest)
+	if err != nil {
+		err = msgp.WrapError(err, "DocumentDigest")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ChangeRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "w"
+	o = append(o, 0x85, 0xa1, 0x77)
+	o = msgp.AppendUint64(o, z.View)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBytes(o, z.Previous)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	// map header, size 3
+	// string "v"
+	o = append(o, 0x83, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Change.Version)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Change.Base)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Change.Digest)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.Delta)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBytes(o, z.DocumentDigest)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChangeRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			z.View, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "View")
+				return
+			}
+		case "p":
+			z.Previous, bts, err = msgp.ReadBytesBytes(bts, z.Previous)
+			if err != nil {
+				err = msgp.WrapError(err, "Previous")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Change")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					z.Change.Version, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Version")
+						return
+					}
+				case "b":
+					z.Change.Base, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Base")
+						return
+					}
+				case "d":
+					z.Change.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Change.Digest)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Digest")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Change")
+						return
+					}
+				}
+			}
+		case "x":
+			z.Delta, bts, err = msgp.ReadBytesBytes(bts, z.Delta)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
+		case "o":
+			z.DocumentDigest, bts, err = msgp.ReadBytesBytes(bts, z.DocumentDigest)
+			if err != nil {
+				err = msgp.WrapError(err, "DocumentDigest")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ChangeRecord) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Previous) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Change.Digest) + 2 + msgp.BytesPrefixSize + len(z.Delta) + 2 + msgp.BytesPrefixSize + len(z.DocumentDigest)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Committed) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -2963,6 +3271,24 @@
 				err = msgp.WrapError(err, "Document")
 				return
 			}
+		case "b":
+			z.Base, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "x":
+			z.Delta, err = dc.ReadBytes(z.Delta)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
+		case "g":
+			z.Digest, err = dc.ReadBytes(z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2976,9 +3302,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ConfigUpdate) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 5
 	// write "s"
-	err = en.Append(0x82, 0xa1, 0x73)
+	err = en.Append(0x85, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -2997,19 +3323,58 @@
 		err = msgp.WrapError(err, "Document")
 		return
 	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Base)
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Delta)
+	if err != nil {
+		err = msgp.WrapError(err, "Delta")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 5
 	// string "s"
-	o = append(o, 0x82, 0xa1, 0x73)
+	o = append(o, 0x85, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Sequence)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBytes(o, z.Document)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Base)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.Delta)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
@@ -3034,13 +3399,31 @@
 		case "s":
 			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "d":
+			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
+			if err != nil {
+				err = msgp.WrapError(err, "Document")
+				return
+			}
+		case "b":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "x":
+			z.Delta, bts, err = msgp.ReadBytesBytes(bts, z.Delta)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
 				return
 			}
-		case "d":
-			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
+		case "g":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		default:
@@ -3057,7 +3440,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigUpdate) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document)
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Delta) + 2 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
@@ -9597,40 +9980,11 @@
 				if z.Config == nil {
 					z.Config = new(ConfigUpdate)
 				}
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				err = z.Config.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Config")
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Config")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Config.Sequence, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Config", "Sequence")
-							return
-						}
-					case "d":
-						z.Config.Document, err = dc.ReadBytes(z.Config.Document)
-						if err != nil {
-							err = msgp.WrapError(err, "Config", "Document")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Config")
-							return
-						}
-					}
-				}
 			}
 		case "b":
 			if dc.IsNil() {
@@ -9675,26 +10029,26 @@
 				return
 			}
 		case "l":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "TotalLoads")
 				return
 			}
-			if cap(z.TotalLoads) >= int(zb0004) {
-				z.TotalLoads = (z.TotalLoads)[:zb0004]
+			if cap(z.TotalLoads) >= int(zb0003) {
+				z.TotalLoads = (z.TotalLoads)[:zb0003]
 			} else {
-				z.TotalLoads = make([]BackendLoad, zb0004)
+				z.TotalLoads = make([]BackendLoad, zb0003)
 			}
 			for za0002 := range z.TotalLoads {
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
+				var zb0004 uint32
+				zb0004, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "TotalLoads", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0004 > 0 {
+					zb0004--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "TotalLoads", za0002)
@@ -9741,16 +10095,16 @@
 				return
 			}
 		case "o":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
-			if cap(z.Orders) >= int(zb0006) {
-				z.Orders = (z.Orders)[:zb0006]
+			if cap(z.Orders) >= int(zb0005) {
+				z.Orders = (z.Orders)[:zb0005]
 			} else {
-				z.Orders = make([]LoadOrder, zb0006)
+				z.Orders = make([]LoadOrder, zb0005)
 			}
 			for za0003 := range z.Orders {
 				err = z.Orders[za0003].DecodeMsg(dc)
@@ -9841,25 +10195,9 @@
 					return
 				}
 			} else {
-				// map header, size 2
-				// write "s"
-				err = en.Append(0x82, 0xa1, 0x73)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Config.Sequence)
-				if err != nil {
-					err = msgp.WrapError(err, "Config", "Sequence")
-					return
-				}
-				// write "d"
-				err = en.Append(0xa1, 0x64)
-				if err != nil {
-					return
-				}
-				err = en.WriteBytes(z.Config.Document)
+				err = z.Config.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Config", "Document")
+					err = msgp.WrapError(err, "Config")
 					return
 				}
 			}
@@ -10049,13 +10387,11 @@
 			if z.Config == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 2
-				// string "s"
-				o = append(o, 0x82, 0xa1, 0x73)
-				o = msgp.AppendUint64(o, z.Config.Sequence)
-				// string "d"
-				o = append(o, 0xa1, 0x64)
-				o = msgp.AppendBytes(o, z.Config.Document)
+				o, err = z.Config.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Config")
+					return
+				}
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
@@ -10178,40 +10514,11 @@
 				if z.Config == nil {
 					z.Config = new(ConfigUpdate)
 				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Config.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Config")
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Config")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Config.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Config", "Sequence")
-							return
-						}
-					case "d":
-						z.Config.Document, bts, err = msgp.ReadBytesBytes(bts, z.Config.Document)
-						if err != nil {
-							err = msgp.WrapError(err, "Config", "Document")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Config")
-							return
-						}
-					}
-				}
 			}
 		case "b":
 			if msgp.IsNil(bts) {
@@ -10255,26 +10562,26 @@
 				return
 			}
 		case "l":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "TotalLoads")
 				return
 			}
-			if cap(z.TotalLoads) >= int(zb0004) {
-				z.TotalLoads = (z.TotalLoads)[:zb0004]
+			if cap(z.TotalLoads) >= int(zb0003) {
+				z.TotalLoads = (z.TotalLoads)[:zb0003]
 			} else {
-				z.TotalLoads = make([]BackendLoad, zb0004)
+				z.TotalLoads = make([]BackendLoad, zb0003)
 			}
 			for za0002 := range z.TotalLoads {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "TotalLoads", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0004 > 0 {
+					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "TotalLoads", za0002)
@@ -10321,16 +10628,16 @@
 				return
 			}
 		case "o":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
-			if cap(z.Orders) >= int(zb0006) {
-				z.Orders = (z.Orders)[:zb0006]
+			if cap(z.Orders) >= int(zb0005) {
+				z.Orders = (z.Orders)[:zb0005]
 			} else {
-				z.Orders = make([]LoadOrder, zb0006)
+				z.Orders = make([]LoadOrder, zb0005)
 			}
 			for za0003 := range z.Orders {
 				bts, err = z.Orders[za0003].UnmarshalMsg(bts)
@@ -10361,7 +10668,7 @@
 	if z.Config == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Config.Document)
+		s += z.Config.Msgsize()
 	}
 	s += 2
 	if z.Backends == nil {
@@ -10410,12 +10717,6 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "p":
-			z.PreviousDigest, err = dc.ReadBytes(z.PreviousDigest)
-			if err != nil {
-				err = msgp.WrapError(err, "PreviousDigest")
-				return
-			}
 		case "c":
 			if dc.IsNil() {
 				err = dc.ReadNil()
@@ -10426,54 +10727,13 @@
 				z.Change = nil
 			} else {
 				if z.Change == nil {
-					z.Change = new(Change)
+					z.Change = new(ChangeRecord)
 				}
-				var zb0002 uint32
-				zb0002, err = dc.ReadMapHeader()
+				err = z.Change.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Change")
 					return
 				}
-				for zb0002 > 0 {
-					zb0002--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Change")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						z.Change.Version, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Version")
-							return
-						}
-					case "b":
-						z.Change.Base, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Base")
-							return
-						}
-					case "d":
-						z.Change.Digest, err = dc.ReadBytes(z.Change.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Digest")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Change")
-							return
-						}
-					}
-				}
-			}
-		case "o":
-			z.Document, err = dc.ReadBytes(z.Document)
-			if err != nil {
-				err = msgp.WrapError(err, "Document")
-				return
 			}
 		case "n":
 			if dc.IsNil() {
@@ -10507,20 +10767,16 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Replicate) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Change == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Document == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x4
 	}
 	if z.Snapshot == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x8
 	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
@@ -10550,17 +10806,7 @@
 			err = msgp.WrapError(err, "Digest")
 			return
 		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.PreviousDigest)
-		if err != nil {
-			err = msgp.WrapError(err, "PreviousDigest")
-			return
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
 			// write "c"
 			err = en.Append(0xa1, 0x63)
 			if err != nil {
@@ -10572,52 +10818,14 @@
 					return
 				}
 			} else {
-				// map header, size 3
-				// write "v"
-				err = en.Append(0x83, 0xa1, 0x76)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Change.Version)
-				if err != nil {
-					err = msgp.WrapError(err, "Change", "Version")
-					return
-				}
-				// write "b"
-				err = en.Append(0xa1, 0x62)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Change.Base)
-				if err != nil {
-					err = msgp.WrapError(err, "Change", "Base")
-					return
-				}
-				// write "d"
-				err = en.Append(0xa1, 0x64)
-				if err != nil {
-					return
-				}
-				err = en.WriteBytes(z.Change.Digest)
+				err = z.Change.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Change", "Digest")
+					err = msgp.WrapError(err, "Change")
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "o"
-			err = en.Append(0xa1, 0x6f)
-			if err != nil {
-				return
-			}
-			err = en.WriteBytes(z.Document)
-			if err != nil {
-				err = msgp.WrapError(err, "Document")
-				return
-			}
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// write "n"
 			err = en.Append(0xa1, 0x6e)
 			if err != nil {
@@ -10644,20 +10852,16 @@
 func (z *Replicate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Change == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Document == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x4
 	}
 	if z.Snapshot == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x8
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -10670,33 +10874,20 @@
 		// string "d"
 		o = append(o, 0xa1, 0x64)
 		o = msgp.AppendBytes(o, z.Digest)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendBytes(o, z.PreviousDigest)
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
 			// string "c"
 			o = append(o, 0xa1, 0x63)
 			if z.Change == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 3
-				// string "v"
-				o = append(o, 0x83, 0xa1, 0x76)
-				o = msgp.AppendUint64(o, z.Change.Version)
-				// string "b"
-				o = append(o, 0xa1, 0x62)
-				o = msgp.AppendUint64(o, z.Change.Base)
-				// string "d"
-				o = append(o, 0xa1, 0x64)
-				o = msgp.AppendBytes(o, z.Change.Digest)
+				o, err = z.Change.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
 			}
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "o"
-			o = append(o, 0xa1, 0x6f)
-			o = msgp.AppendBytes(o, z.Document)
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "n"
 			o = append(o, 0xa1, 0x6e)
 			if z.Snapshot == nil {
@@ -10743,12 +10934,6 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "p":
-			z.PreviousDigest, bts, err = msgp.ReadBytesBytes(bts, z.PreviousDigest)
-			if err != nil {
-				err = msgp.WrapError(err, "PreviousDigest")
-				return
-			}
 		case "c":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -10758,54 +10943,13 @@
 				z.Change = nil
 			} else {
 				if z.Change == nil {
-					z.Change = new(Change)
+					z.Change = new(ChangeRecord)
 				}
-				var zb0002 uint32
-				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Change.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Change")
 					return
 				}
-				for zb0002 > 0 {
-					zb0002--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Change")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						z.Change.Version, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Version")
-							return
-						}
-					case "b":
-						z.Change.Base, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Base")
-							return
-						}
-					case "d":
-						z.Change.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Change.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Digest")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Change")
-							return
-						}
-					}
-				}
-			}
-		case "o":
-			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
-			if err != nil {
-				err = msgp.WrapError(err, "Document")
-				return
 			}
 		case "n":
 			if msgp.IsNil(bts) {
@@ -10838,13 +10982,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Replicate) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.BytesPrefixSize + len(z.PreviousDigest) + 2
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2
 	if z.Change == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Change.Digest)
+		s += z.Change.Msgsize()
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Document) + 2
+	s += 2
 	if z.Snapshot == nil {
 		s += msgp.NilSize
 	} else {
