Grantors that were away renew the lease; who hears of a holder does not stand beside it

A member that came back stood for the lease at once and raised its own token, so it refused the holder for good.

Change: a vacant grantor renews for a token at least as high as the highest that it knows; a member stands only when no renewal was heard for the length of a lease. Test: four members of which three are away one after the other (fails before).

--- a/internal/controlplane/replica/lease.go
+++ b/internal/controlplane/replica/lease.go
@@ -13,10 +13,11 @@
 	viewEntered time.Duration
 
 	// as grantor
-	holder   string
-	holderAt string // address
-	expires  time.Duration
-	heardOf  time.Duration // when the holder last renewed
+	holder      string
+	holderAt    string // address
+	expires     time.Duration
+	heardOf     time.Duration // when the holder last renewed
+	renewalSeen time.Duration // when another member asked to renew; 0: never
 
 	// as holder
 	token      uint64
@@ -97,6 +98,9 @@
 func (r *Replica) mayStandForLease() bool {
 	l := &r.lease
 	vacantSince := max(l.expires, max(l.startedAt, l.viewEntered)+l.length) // nobody grants anything new before
+	if l.renewalSeen != 0 {
+		vacantSince = max(vacantSince, l.renewalSeen+l.length)
+	}
 	behind := len(r.control.View.Members) - 1 - r.position()
 	return r.now >= vacantSince+time.Duration(behind)*standDelay
 }
@@ -125,11 +129,17 @@
 	l := &r.lease
 	request := m.LeaseRequest
 	grant := &message.LeaseGrant{Round: request.Round}
+	if request.Renew && m.From != r.control.Identity {
+		l.renewalSeen = r.now // who was away knows of the holder by this before it would stand itself
+	}
 	held := r.now < l.expires
 	renewal := request.Renew && held && l.holder == m.From && request.Token == r.control.LeaseToken
 	// A holder that restarted has no lease any more, but only one process can have its identity.
 	vacant := !held && r.now >= max(l.startedAt, l.viewEntered)+l.length || held && l.holder == m.From
-	if renewal || !request.Renew && vacant && request.Token > r.control.LeaseToken {
+	// A grantor that was away renews too, once it has granted nothing for a lease: the token shows that none of later
+	// date was granted by a majority with it.
+	returned := request.Renew && vacant && request.Token >= r.control.LeaseToken
+	if renewal || returned || !request.Renew && vacant && request.Token > r.control.LeaseToken {
 		grant.Granted = true
 		l.holder, l.holderAt, l.expires, l.heardOf = m.From, m.FromAddress, r.now+l.length, r.now
 	}
@@ -163,6 +173,6 @@
 
 func (r *Replica) onLeaseRelease(m *message.Message) {
 	if r.lease.holder == m.From && m.LeaseRelease.Token == r.control.LeaseToken {
-		r.lease.expires = r.now
+		r.lease.expires, r.lease.renewalSeen = r.now, 0
 	}
 }
--- a/internal/controlplane/replica/lease_test.go
+++ b/internal/controlplane/replica/lease_test.go
@@ -69,3 +69,26 @@
 	assert.False(t, holds)
 	assert.False(t, started.HasMajority())
 }
+
+// A grantor that was away, or restarted, renews the lease again; else a holder loses it though a majority is there, when
+// enough grantors have been away one after the other.
+func TestGrantorsThatWereAwayRenewTheLease(t *testing.T) {
+	g := newTolerantGroup(t, 4, 1)
+	g.tick(5 * time.Second)
+	index := holder(g)
+	token, since, _, _ := g.members[index].Lease(g.now)
+	for i := range g.members {
+		if i == index {
+			continue
+		}
+		g.tick(3*time.Second, i)
+		options := g.members[i].options
+		options.FirstStart = false
+		g.members[i] = New(options, accept, g.now, g.members[i].control, g.members[i].chain)
+		g.tick(6 * time.Second)
+		require.Equal(t, []int{index}, holders(g), "after member %d", i)
+	}
+	sameToken, sameSince, _, _ := g.members[index].Lease(g.now)
+	assert.Equal(t, token, sameToken)
+	assert.Equal(t, since, sameSince, "it was held without a gap")
+}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -67,7 +67,7 @@
 func (n *node) send(m message.Message) {
 	c := n.cluster
 	if m.LeaseGrant != nil && m.LeaseGrant.Granted {
-		n.lastGrant = grantHold{holder: m.To, token: m.LeaseGrant.Token, at: c.now}
+		n.lastGrant = grantHold{holder: m.To, token: m.LeaseGrant.Token}
 	}
 	if m.ConfigResult != nil && m.ToAddress == n.address {
 		c.deliverResult(n, m.ConfigResult)
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -208,6 +208,7 @@
 	}
 	n.plantReplies(&m)
 	n.act(n.replica.Step(n.clock(), &m))
+	n.forgetGrant(&m)
 	n.watchLease()
 }
 
