--- a/cmd/pumicectl/status.go
+++ b/cmd/pumicectl/status.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"pumiceline/internal/controlplane/coordinator"
 )
@@ -32,28 +35,20 @@
 
 func (e *endpoints) printStatus(ctx context.Context, asJSON bool) error {
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "COORDINATOR\tVIEW\tMEMBER\tMAJORITY\tVERSION\tLEASE HOLDER\tPROXIES\tBACKENDS\tLOADS")
+	fmt.Fprintln(table, "COORDINATOR\tVIEW\tCHAIN\tVOTERS\tMEMBER\tMAJORITY\tSERVES\tVERSION\tLEASE HOLDER\tPROXIES\tBACKENDS\tLOADS\tWAITS FOR")
 	silent := false
 	var placements []string
 	for _, address := range strings.FieldsFunc(e.list, func(r rune) bool { return r == ',' }) {
-		code, body, err := callOnce(ctx, http.MethodGet, "http://"+address+"/status", "", nil)
-		var status coordinator.Status
-		if err == nil && code == http.StatusOK {
-			err = json.Unmarshal(body, &status)
-		}
-		if err != nil || code != http.StatusOK {
-			fmt.Fprintf(table, "%s\tno answer (%d, %v)\n", address, code, err)
+		status, body, err := askStatus(ctx, address)
+		switch {
+		case err != nil:
+			fmt.Fprintf(table, "%s\tno answer: %v\n", address, err)
 			silent = true
-			continue
-		}
-		if asJSON {
+		case asJSON:
 			fmt.Println(string(body))
-			continue
-		}
-		fmt.Fprintf(table, "%s\t%d\t%v\t%v\t%d\t%s\t%d\t%d\t%d\n", address, status.View, status.Member, status.HasMajority,
-			status.Version, status.LeaseHolder, status.Proxies, status.Backends, len(status.Tasks))
-		for _, task := range status.Tasks {
-			placements = append(placements, fmt.Sprintf("%s: load %q, unload %v, adapters %v: %s", task.Backend, task.Load, task.Unload, task.Adapters, task.Reason))
+		default:
+			printRow(table, address, status)
+			placements = append(placements, describeTasks(status.Tasks)...)
 		}
 	}
 	if !asJSON {
@@ -69,3 +64,27 @@
 	}
 	return nil
 }
+
+// askStatus returns how a coordinator sees the system.
+func askStatus(ctx context.Context, address string) (status *coordinator.Status, body []byte, err error) {
+	code, body, err := callOnce(ctx, http.MethodGet, "http://"+address+"/status", "", nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	if code != http.StatusOK {
+		return nil, nil, errors.Errorf("status %d", code)
+	}
+	status = &coordinator.Status{}
+	return status, body, errors.Wrap(json.Unmarshal(body, status), "its answer")
+}
+
+func printRow(table io.Writer, address string, s *coordinator.Status) {
+	fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%v\t%v\t%v\t%d\t%s\t%d\t%d\t%d\t%s\n", address, s.View, len(s.Members), len(s.Voters),
+		s.Member, s.HasMajority, s.Serves, s.Version, s.LeaseHolder, s.Proxies, s.Backends, len(s.Tasks), s.WaitsFor)
+}
+
+func describeTasks(tasks []coordinator.Task) []string {
+	return lo.Map(tasks, func(t coordinator.Task, _ int) string {
+		return fmt.Sprintf("%s: load %q, unload %v, adapters %v: %s", t.Backend, t.Load, t.Unload, t.Adapters, t.Reason)
+	})
+}
--- a/internal/controlplane/coordinator/owner.go
+++ b/internal/controlplane/coordinator/owner.go
@@ -30,6 +30,8 @@
 	sequence    uint64 // of the newest acknowledged change
 	version     uint64 // the operator's, of that change
 	hasMajority bool
+	servesUntil time.Time
+	waitsFor    string
 }
 
 // owner runs the replica: one goroutine that takes messages and ticks from a queue.
@@ -125,7 +127,10 @@
 // publish tells the rest of the process how the replica stands.
 func (o *owner) publish() {
 	now := o.now()
-	s := &standing{view: o.replica.View(), member: o.replica.IsMember(), hasMajority: o.replica.HasMajority()}
+	s := &standing{
+		view: o.replica.View(), member: o.replica.IsMember(), hasMajority: o.replica.HasMajority(),
+		servesUntil: o.started.Add(o.replica.ServesUntil()), waitsFor: o.replica.WaitsFor(),
+	}
 	if address, ok := o.replica.LeaseHolder(); ok {
 		s.holder = address
 	}
@@ -140,7 +145,7 @@
 	}
 	o.standing.Store(s)
 	addresses := lo.Map(s.view.Members, func(m message.Member, _ int) string { return m.Address })
-	o.hub.SetStatus(distribution.Status{Until: o.started.Add(o.replica.ServesUntil()), Members: s.view.Members})
+	o.hub.SetStatus(distribution.Status{Until: s.servesUntil, Members: s.view.Members})
 	if s.view.Number != o.logged {
 		o.logged = s.view.Number
 		logrus.WithFields(logrus.Fields{"view": s.view.Number, "members": addresses, "member": s.member}).Info("view entered")
--- a/internal/controlplane/coordinator/status.go
+++ b/internal/controlplane/coordinator/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -16,10 +17,13 @@
 	Identity    string   `json:"identity"`
 	View        uint64   `json:"view"`
 	Members     []string `json:"members"` // in the order of the chain
+	Voters      []string `json:"voters"`  // a majority of them decides on the next view
 	Member      bool     `json:"member"`
-	HasMajority bool     `json:"hasMajority"`
-	Sequence    uint64   `json:"sequence"` // changes taken
-	Version     uint64   `json:"version"`  // the operator's version in force
+	HasMajority bool     `json:"hasMajority"` // a majority confirmed its view a moment ago
+	Serves      bool     `json:"serves"`      // it hands out configurations to proxies
+	WaitsFor    string   `json:"waitsFor"`    // what keeps it from taking part; empty: nothing
+	Sequence    uint64   `json:"sequence"`    // changes taken
+	Version     uint64   `json:"version"`     // the operator's version in force
 	LeaseHolder string   `json:"leaseHolder"`
 	LeaseToken  uint64   `json:"leaseToken"` // 0 where another member holds it
 	Proxies     int      `json:"proxies"`
@@ -53,12 +57,17 @@
 	return nil
 }
 
+func describe(members []message.Member) []string {
+	return lo.Map(members, func(m message.Member, _ int) string { return m.Identity + " " + m.Address })
+}
+
 // serveStatus answers GET /status.
 func (a *api) serveStatus(w http.ResponseWriter) {
 	status := Status{Node: a.node, Identity: a.owner.self.Identity, Tasks: a.owner.tasks.get()}
 	if s := a.owner.standing.Load(); s != nil {
 		status.View, status.Member, status.HasMajority = s.view.Number, s.member, s.hasMajority
-		status.Members = lo.Map(s.view.Members, func(m message.Member, _ int) string { return m.Identity + " " + m.Address })
+		status.Members, status.Voters = describe(s.view.Members), describe(s.view.Electorate())
+		status.Serves, status.WaitsFor = time.Now().Before(s.servesUntil), s.waitsFor
 		status.LeaseHolder, status.LeaseToken = s.holder, s.token
 		status.Sequence, status.Version = s.sequence, s.version
 	}
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -165,8 +165,8 @@
 	return r.IsMember() && r.confirms.confirmed && r.now < r.confirms.contact+contactLifetime
 }
 
-// Undecided tells what keeps the member from going on, for people who look for a fault: empty where nothing does.
-func (r *Replica) Undecided() string {
+// WaitsFor tells what keeps the member from going on, for people who look for a fault: empty where nothing does.
+func (r *Replica) WaitsFor() string {
 	switch {
 	case r.control.Accepted.Number != 0:
 		return "the decision on view " + strconv.FormatUint(r.control.Accepted.Number, 10)
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -163,5 +163,5 @@
 	}
 	view := n.replica.View()
 	return fmt.Sprintf("place %d: node %d %s in view %d, serves %d, waits for %s", n.slot, n.index, state, view.Number,
-		n.replica.Served().Version, n.replica.Undecided())
+		n.replica.Served().Version, n.replica.WaitsFor())
 }
