--- a/cmd/pumicectl/simulate.go
+++ b/cmd/pumicectl/simulate.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"sync"
+	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -28,11 +29,15 @@
 	drawn := flags.Bool("drawn", false, "draw members, tolerance, disks and overlaps from each seed")
 	shrink := flags.Bool("shrink", false, "leave out of each failing run what it does not need, and print its story")
 	jobs := flags.Int("jobs", max(1, runtime.NumCPU()/2), "seeds at a time")
+	pauses := flags.Bool("pauses", false, "measure how long nothing is acknowledged after each kind of loss, over the seeds")
 	asJSON := flags.Bool("json", false, "print one JSON object a seed")
 	return &ffcli.Command{
 		Name: "simulate", ShortUsage: "pumicectl simulate [flags]", FlagSet: flags,
 		ShortHelp: "play coordinators over a simulated network, disks and clocks, and check every rule",
 		Exec: func(ctx context.Context, _ []string) error {
+			if *pauses {
+				return printPauses(simulation.MeasurePauses(*members, *tolerance, *seeds))
+			}
 			shape := simulation.Options{Members: *members, Tolerance: *tolerance, Volatile: *volatile, Length: *length, Wild: *wild}
 			series := series{first: *seed, count: *seeds, jobs: *jobs, asJSON: *asJSON, shrink: *shrink}
 			series.options = func(seed uint64) simulation.Options {
@@ -48,6 +53,16 @@
 	}
 }
 
+func printPauses(pauses []simulation.Pause) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "LOSS\tPAUSE MEDIAN\tLONGEST\tPUT TO ACKNOWLEDGEMENT P50\tP99")
+	for _, p := range pauses {
+		fmt.Fprintf(table, "%v\t%v\t%v\t%v\t%v\n", p.Kind, p.Median.Round(time.Millisecond), p.Longest.Round(time.Millisecond),
+			p.Wait50.Round(100*time.Microsecond), p.Wait99.Round(100*time.Microsecond))
+	}
+	return table.Flush()
+}
+
 // series is a row of seeds to play.
 type series struct {
 	first, count   uint64
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -121,7 +121,7 @@
 func (c *Cluster) result() *Result {
 	result := &Result{
 		Violations: c.history.violations, Acknowledged: len(c.history.acknowledged), Refused: len(c.history.refused),
-		Reads: c.history.reads, Leases: c.leases.count, Faults: c.faults, Struck: c.struck, Moves: c.moves,
+		Reads: c.history.reads, Leases: c.leases.count, Faults: c.faults, Struck: c.struck, Moves: c.moves, Waits: c.history.waits, Pause: c.history.pause,
 	}
 	for _, n := range c.slots {
 		result.Ends = append(result.Ends, n.describe())
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -19,9 +19,11 @@
 	Length    time.Duration // of the part with faults
 	Sync      time.Duration // what a sync takes at most; 0: usualSync
 	Defect    Defect
-	Volatile  int   // so many of the members, the first ones, have no disk
-	Wild      bool  // losses overlap beyond the tolerance, but no more disks are lost at a time than it allows
-	Without   []int // planned faults that are left out, by their place in the plan
+	Volatile  int     // so many of the members, the first ones, have no disk
+	Wild      bool    // losses overlap beyond the tolerance, but no more disks are lost at a time than it allows
+	Without   []int   // planned faults that are left out, by their place in the plan
+	Script    []Fault // the faults, in place of those drawn from the seed
+	Storm     bool    // operators send one valid change after the other, without a pause
 }
 
 // Violation is a broken rule.
@@ -44,8 +46,10 @@
 	Faults       int
 	Members      int // of the last view
 	Struck       []Fault
-	Moves        []string // view changes, in order
-	Ends         []string // how each machine stands at the end
+	Moves        []string        // view changes, in order
+	Ends         []string        // how each machine stands at the end
+	Waits        []time.Duration // of each acknowledged change, from its first try
+	Pause        time.Duration   // the longest span between two acknowledgements, while faults strike
 }
 
 // Cluster is one run.
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -84,6 +84,9 @@
 
 // Plan draws the faults of the run.
 func (c *Cluster) Plan() []Fault {
+	if c.options.Script != nil {
+		return c.options.Script
+	}
 	random := rand.New(rand.NewPCG(c.options.Seed, planStream))
 	spread := func(most time.Duration) time.Duration { return time.Duration(random.Int64N(int64(most))) }
 	var plan []Fault
@@ -334,7 +337,7 @@
 
 // afterAcknowledgement strikes, now and then, in the moment in which something was acknowledged.
 func (c *Cluster) afterAcknowledgement(relay *node) {
-	if c.now >= c.options.Length || c.random.IntN(strikeAfterAck) > 0 {
+	if c.now >= c.options.Length || c.options.Script != nil || c.random.IntN(strikeAfterAck) > 0 {
 		return
 	}
 	f := Fault{Place: -1, At: c.now, Kind: PowerLoss, Span: time.Second, Slots: []int{relay.slot}, Count: 1}
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -14,6 +14,8 @@
 	unclear      map[uint64]bool // versions on which a change was built that got no clear answer
 	violations   []Violation
 	lastAck      time.Duration
+	waits        []time.Duration
+	pause        time.Duration
 }
 
 // moment is when a version had been acknowledged.
@@ -30,7 +32,11 @@
 }
 
 func (h *history) acknowledge(c *Cluster, acknowledged *call) {
+	if c.now <= c.options.Length && h.lastAck > 0 {
+		h.pause = max(h.pause, c.now-h.lastAck)
+	}
 	h.lastAck = c.now
+	h.waits = append(h.waits, c.now-acknowledged.began)
 	if h.acknowledged[string(acknowledged.Body)] != nil {
 		return
 	}
--- a/internal/simulation/operators.go
+++ b/internal/simulation/operators.go
@@ -15,6 +15,7 @@
 	answerWithin   = time.Second
 	resubmitEvery  = 220 * time.Millisecond
 	betweenCalls   = 400 * time.Millisecond
+	stormPause     = 5 * time.Millisecond
 	maxTries       = 12
 	aheadTries     = 2 // of a change on top of one that is under way
 	readOneIn      = 3
@@ -65,11 +66,14 @@
 	c := o.cluster
 	next := &call{}
 	switch taken := c.history.inOrder; {
+	case c.options.Storm:
+		o.version = c.history.newest
+		o.fillChange(next, o.version, o.version+1)
 	case c.random.IntN(readOneIn) == 0:
 		next.Method = http.MethodGet
 	case len(taken) > 0 && c.random.IntN(resendOneIn) == 0:
 		*next = *taken[c.random.IntN(len(taken))]
-		next.resent, next.tries = true, 0
+		next.resent, next.tries, next.relay = true, 0, nil
 	default:
 		o.makeChange(next)
 	}
@@ -112,13 +116,22 @@
 	c := o.cluster
 	current := o.call
 	current.tries++
-	current.relay = c.slots[c.random.IntN(len(c.slots))]
+	current.relay = o.nextRelay(current.relay)
 	current.ID = current.relay.nextCall()
 	tries := current.tries
 	o.submit(current, tries)
 	c.after(answerWithin, func() { o.timeOut(current, tries) })
 }
 
+// nextRelay is the machine that the operator asks: any at first, then the others in turn.
+func (o *operator) nextRelay(before *node) *node {
+	slots := o.cluster.slots
+	if before == nil {
+		return slots[o.cluster.random.IntN(len(slots))]
+	}
+	return slots[(before.slot+1)%len(slots)]
+}
+
 // submit hands the call to the machine's replica again and again, as its API does.
 func (o *operator) submit(current *call, tries int) {
 	if o.call != current || current.tries != tries {
@@ -159,7 +172,11 @@
 
 func (o *operator) finish() {
 	o.call = nil
-	o.cluster.after(o.cluster.spread(betweenCalls), o.begin)
+	pause := o.cluster.spread(betweenCalls)
+	if o.cluster.options.Storm {
+		pause = stormPause
+	}
+	o.cluster.after(pause, o.begin)
 }
 
 // deliverResult gives an answer to the call that waits for it at the machine.
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// After the loss of one machine the others acknowledge again well within the operators' four seconds.
+func TestPausesAfterALoss(t *testing.T) {
+	for _, shape := range []struct{ members, tolerance int }{{3, 1}, {4, 1}, {8, 2}} {
+		for _, pause := range MeasurePauses(shape.members, shape.tolerance, uint64(shape.members)) {
+			assert.Less(t, pause.Longest, 3*time.Second, "%v of %v", pause.Kind, shape)
+			t.Logf("%v %v: %+v", shape, pause.Kind, pause)
+		}
+	}
+}
+
 func TestARunRepeats(t *testing.T) {
 	options := Options{Seed: 7, Members: 5, Tolerance: 2, Length: runLength}
 	assert.Equal(t, Run(options), Run(options))
