The soak's verdict no longer depends on the machine's load

Cause, shown by 72 runs beside 23 others on 8 cores: the goroutines counted by a scrape ranged from 27 to 31 (29 to 30 when alone), and 2 of growth are allowed, so an early 28 and a late 31 fail; the heap after an hour was 1.05 to 1.42 of that after a tenth, 1.5 being allowed: one collection leaves what lies in pools, and how much does depends on how many processors ran. Ruled out: a leak (alone, 12 of 12 runs lie within 1.28).

Change: two collections, and the least of five looks each time: what is held shows at all of them. The bounds stay. Measured, the same 72 runs: goroutines 27 to 29, heap 1.12 to 1.30, all pass. The failure itself did not come again in 156 runs of the old test, so that it is this one is likely, not shown.

--- a/cmd/pumiceline/soak_test.go
+++ b/cmd/pumiceline/soak_test.go
@@ -128,10 +128,12 @@
 				served.Add(1)
 			}
 		}
-		look := func() map[string]float64 {
+		lookOnce := func() map[string]float64 {
 			time.Sleep(breath)
 			synctest.Wait()
-			runtime.GC()
+			for range 2 { // what lies in a sync.Pool outlives one collection, and how much does depends on the machine's load
+				runtime.GC()
+			}
 			found := map[string]float64{}
 			resp, err := client.Get("http://10.0.0.2:7071/v1/metrics")
 			if err != nil {
@@ -153,6 +155,19 @@
 			return found
 		}
 
+		// What a busy machine adds to a figure comes and goes: goroutines of the scrape that have not ended, what lies in
+		// pools. What is held shows at every look, so the least of a few counts.
+		look := func() map[string]float64 {
+			const looks = 5
+			least := lookOnce()
+			for range looks - 1 {
+				for name, value := range lookOnce() {
+					least[name] = min(least[name], value)
+				}
+			}
+			return least
+		}
+
 		hosts := len(listed)
 		begin := time.Now()
 		var early map[string]float64
