pumicectl try: the system's real processes on loopback, with a coordinator killed under way

It starts three coordinators, three proxies, fake backends and a fake platform, sends streams and documents, kills the holder of the lease under way, and counts what ran twice, what was passed off as whole and what was acknowledged and read back.

--- a/cmd/pumicectl/main.go
+++ b/cmd/pumicectl/main.go
@@ -27,7 +27,7 @@
 	defer stop()
 	root := &ffcli.Command{
 		Name: "pumicectl", ShortUsage: "pumicectl <command> [flags]", ShortHelp: "operate the system",
-		Subcommands: []*ffcli.Command{configCommand(), statusCommand(), simulateCommand(), checkSettingsCommand()},
+		Subcommands: []*ffcli.Command{configCommand(), statusCommand(), simulateCommand(), checkSettingsCommand(), tryCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.Parse(os.Args[1:]); err != nil {
--- /dev/null
+++ b/cmd/pumicectl/try.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"pumiceline/internal/trial"
+)
+
+// tryCommand runs the whole system on loopback.
+func tryCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("pumicectl try", flag.ContinueOnError)
+	programs := flags.String("programs", "", "folder of pumiceline-proxy and pumiceline-coordinator; by default the one of this program")
+	length := flags.Duration("for", 12*time.Second, "how long to send requests")
+	logs := flags.Bool("logs", false, "show what the processes write")
+	return &ffcli.Command{
+		Name: "try", ShortUsage: "pumicectl try [flags]", FlagSet: flags,
+		ShortHelp: "run three coordinators and three proxies on loopback with fake backends, and kill a coordinator under way",
+		Exec: func(ctx context.Context, _ []string) error {
+			if *length < time.Second {
+				return errors.New("--for: at least 1s")
+			}
+			options := trial.Options{Programs: *programs, Length: *length, Progress: os.Stdout}
+			if options.Programs == "" {
+				own, err := os.Executable()
+				if err != nil {
+					return errors.Wrap(err, "looking for the programs")
+				}
+				options.Programs = filepath.Dir(own)
+			}
+			if *logs {
+				options.Log = os.Stderr
+			}
+			result, err := trial.Run(ctx, options)
+			if err != nil {
+				return err
+			}
+			printTrial(os.Stdout, result)
+			if err := result.Fault(); err != nil {
+				fmt.Fprintln(os.Stderr, "fault:", err)
+				return errFound
+			}
+			return nil
+		},
+	}
+}
+
+func printTrial(out io.Writer, r *trial.Result) {
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "REQUESTS\tSERVED\tREFUSED\tFAILED\tRUN TWICE\tNOT WHOLE")
+	for _, row := range []struct {
+		name  string
+		count trial.Count
+	}{{"streams", r.Streams}, {"documents", r.Changing}} {
+		c := row.count
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\n", row.name, c.Served, c.Refused, c.Failed, c.Twice, c.Broken)
+	}
+	_ = table.Flush() // a closed pipe ends the program
+	fmt.Fprintf(out, "models loaded by order: %d\n", r.Loads)
+	fmt.Fprintf(out, "changes acknowledged: %d, the last is version %d, read back: %d\n", r.Acknowledged, r.Newest, r.ReadBack)
+	fmt.Fprintf(out, "killed: %s; longest time between acknowledgements: %v\n", r.KilledHolder, r.Gap.Round(time.Millisecond))
+}
