--- /dev/null
+++ b/internal/controlplane/replica/heartbeat.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"pumiceline/internal/message"
+)
+
+// observeInterval is how often a coordinator that only wants to know the view asks, and the head tells those outside it.
+const observeInterval = 1 * time.Second
+
+// tickMembership sends what is due to the other members, or asks to become one.
+func (r *Replica) tickMembership() {
+	interval := heartbeatInterval
+	if r.options.Volatile && !r.IsMember() {
+		interval = observeInterval
+	}
+	if r.detector.beaten && r.now-r.detector.lastBeat < interval {
+		return
+	}
+	r.detector.lastBeat, r.detector.beaten = r.now, true
+	r.detector.forget(r.now)
+	if !r.IsMember() {
+		r.askToJoin()
+		return
+	}
+	r.sendHeartbeats()
+	r.reportFindings()
+	r.tellAbsent()
+	if r.isIsolated() {
+		r.ask(&message.Join{Observer: true}) // its view may be an old one
+	}
+}
+
+// tellAbsent lets the head tell the view to those that are outside it: voters and displaced members that may have been
+// cut off when it was decided, and the seeds, as whoever comes back with nothing but the seeds' addresses asks them.
+func (r *Replica) tellAbsent() {
+	if !r.isHead() || r.now-r.detector.toldAbsent < observeInterval {
+		return
+	}
+	r.detector.toldAbsent = r.now
+	view := r.control.View
+	absent := everyone(view)
+	for _, displaced := range view.Displaced {
+		absent = append(absent, displaced.Member)
+	}
+	for _, seed := range r.options.Seeds {
+		absent = append(absent, message.Member{Address: seed})
+	}
+	inChain := lo.Map(view.Members, func(m message.Member, _ int) string { return m.Address })
+	for _, member := range lo.UniqBy(absent, func(m message.Member) string { return m.Address }) {
+		if !slices.Contains(inChain, member.Address) {
+			r.send(message.Member{Address: member.Address}, message.Message{Announcement: &message.Announcement{View: view}})
+		}
+	}
+}
+
+func (r *Replica) sendHeartbeats() {
+	beat := &message.Heartbeat{
+		Complete: r.control.Complete, DiskStalled: r.stalled, Leaving: r.leaving, Volatile: r.options.Volatile,
+		Isolated: r.isIsolated(),
+	}
+	for _, monitor := range r.detector.monitors {
+		r.send(monitor, message.Message{Heartbeat: beat})
+	}
+}
+
+// isIsolated reports whether no majority of the voters was heard lately. Others may still hear this member.
+func (r *Replica) isIsolated() bool {
+	if r.now-r.lease.viewEntered < suspectAfter {
+		return false
+	}
+	near := lo.CountBy(r.control.View.Electorate(), func(m message.Member) bool {
+		heard, known := r.detector.heard[m.Identity]
+		return m.Identity == r.control.Identity || known && r.now-heard <= suspectAfter
+	})
+	return near < r.majority()
+}
+
+func (r *Replica) onHeartbeat(m *message.Message) {
+	beat := m.Heartbeat
+	if beat.Complete {
+		r.detector.complete[m.From] = m.View
+	}
+	r.detector.disk[m.From] = !beat.Volatile
+	r.detector.zone[m.From] = m.FromZone
+	r.detector.condition[m.From] = condition{unfit: beat.DiskStalled || beat.Isolated, leaving: beat.Leaving}
+}
--- /dev/null
+++ b/internal/controlplane/replica/joining.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/samber/lo"
+
+	"pumiceline/internal/message"
+)
+
+// askToJoin asks everyone known for membership, and so learns of the newest view too.
+func (r *Replica) askToJoin() {
+	if !r.leaving {
+		r.ask(&message.Join{DiskStalled: r.stalled, Observer: r.options.Volatile})
+	}
+}
+
+// ask sends a request to join to all whose address is known.
+func (r *Replica) ask(join *message.Join) {
+	addresses := slices.Clone(r.options.Seeds)
+	for _, member := range everyone(r.control.View) {
+		addresses = append(addresses, member.Address)
+	}
+	for _, address := range lo.Uniq(addresses) {
+		if address != r.options.Self.Address {
+			r.send(message.Member{Address: address}, message.Message{Join: join})
+		}
+	}
+}
+
+func (r *Replica) onJoin(m *message.Message) {
+	if m.View < r.control.View.Number { // also from one that is no member: the sender may know of no other
+		r.send(r.sender(m), message.Message{Announcement: &message.Announcement{View: r.control.View}})
+	}
+	if !r.IsMember() || m.Join.Observer || m.Join.DiskStalled || positionOf(r.control.View, m.From) >= 0 {
+		return
+	}
+	known, ok := r.detector.joiners[m.From]
+	if !ok || !r.isFresh(known) {
+		known.first = r.now
+	}
+	known.member, known.view, known.at = r.sender(m), m.View, r.now
+	r.detector.joiners[m.From] = known
+	if m.View >= r.control.View.Number && !r.isProposer() {
+		r.passOnJoin(m)
+	}
+}
+
+// passOnJoin tells the head of a joiner that may not know its address.
+func (r *Replica) passOnJoin(m *message.Message) {
+	head := r.control.View.Members[0]
+	if head.Identity == r.control.Identity {
+		return
+	}
+	passed := r.addressed(head, message.Message{Join: m.Join})
+	passed.From, passed.FromAddress, passed.FromZone = m.From, m.FromAddress, m.FromZone
+	r.out.Immediate = append(r.out.Immediate, passed)
+}
+
+func (r *Replica) isFresh(j joiner) bool { return r.now-j.at <= joinLifetime }
+
+// freshJoiners are those that asked a moment ago and know the present view: they hear the members too. One that comes with the address of a member that is still heard is
+// not taken in beside it, as only one process can have the address.
+func (r *Replica) freshJoiners(suspects []string) []message.Member {
+	var out []message.Member
+	for identity, j := range r.detector.joiners {
+		if !r.isFresh(j) {
+			delete(r.detector.joiners, identity)
+			continue
+		}
+		if j.view < r.control.View.Number {
+			continue
+		}
+		holder, taken := lo.Find(r.control.View.Members, func(m message.Member) bool { return m.Address == j.member.Address })
+		if taken && !slices.Contains(suspects, holder.Identity) {
+			continue
+		}
+		member := j.member
+		member.Since = r.control.View.Number + 1
+		out = append(out, member)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Identity < out[j].Identity })
+	return out
+}
