--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// Systems of one to three machines that need to bear no loss still bear the loss of all power, and cuts.
+func TestSystemsThatBearNoLoss(t *testing.T) {
+	for members := 1; members <= 3; members++ {
+		for seed := uint64(1); seed <= seedsEach/2; seed++ {
+			requireClean(t, Options{Seed: seed, Members: members, Tolerance: 0, Length: runLength})
+		}
+	}
+}
+
 // Every kind of harm must be brought about by the seeds that a plain test run plays.
 func TestEveryKindOfFaultStrikes(t *testing.T) {
 	struck := map[FaultKind]bool{}
