--- /dev/null
+++ b/internal/quorum/store_test.go
@@ -0,0 +1,34 @@
+package quorum
+
+import (
+	"strings"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// Whichever write a failing disk meets first, its error says that something can't be kept: operators look for these words.
+func TestEveryWriteThatFailsSaysSo(t *testing.T) {
+	s, err := openStore(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := &pb.Entry{Index: proto.Uint64(1), Term: proto.Uint64(1)}
+	if err := s.save(&pb.HardState{Term: proto.Uint64(1)}, []*pb.Entry{entry}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.db.Close(); err != nil { // every write fails from now on
+		t.Fatal(err)
+	}
+	writes := map[string]func() error{
+		"log":      func() error { return s.save(&pb.HardState{Term: proto.Uint64(2)}, nil, nil) },
+		"marks":    func() error { return s.remember(map[uint64]mark{2: {Boot: 1}}) },
+		"snapshot": func() error { return s.compact(1, 0, &pb.ConfState{}, nil) },
+	}
+	for name, write := range writes {
+		if err := write(); err == nil || !strings.Contains(err.Error(), "can't be kept") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
