--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -110,13 +110,14 @@
 }
 
 // leave waits until the others have taken this member out of the view: they do so once enough of them hold the state.
+// One that is outside it waits until no request of its own can bring it in again.
 // Meanwhile it goes on as a member. What is left of the grace time is for the listeners.
 func leave(o *owner, grace time.Duration) {
 	close(o.leaving)
 	deadline := time.Now().Add(min(leaveWithin, time.Duration(leaveShare*float64(grace))))
 	for time.Now().Before(deadline) {
 		time.Sleep(leavePoll)
-		if s := o.standing.Load(); s != nil && (!s.member || len(s.view.Members) == 1) {
+		if s := o.standing.Load(); s != nil && (s.mayStop || s.member && len(s.view.Members) == 1) {
 			return
 		}
 	}
--- a/internal/controlplane/coordinator/owner.go
+++ b/internal/controlplane/coordinator/owner.go
@@ -23,6 +23,7 @@
 type standing struct {
 	view        message.View
 	member      bool
+	mayStop     bool   // it was asked to stop, and the others can do without it
 	holder      string // internal address of the lease holder; empty: not known
 	token       uint64 // of the lease where this member holds it
 	leaseSince  time.Time
@@ -128,7 +129,7 @@
 func (o *owner) publish() {
 	now := o.now()
 	s := &standing{
-		view: o.replica.View(), member: o.replica.IsMember(), hasMajority: o.replica.HasMajority(),
+		view: o.replica.View(), member: o.replica.IsMember(), mayStop: o.replica.MayStop(), hasMajority: o.replica.HasMajority(),
 		servesUntil: o.started.Add(o.replica.ServesUntil()), waitsFor: o.replica.WaitsFor(),
 	}
 	if address, ok := o.replica.LeaseHolder(); ok {
--- a/internal/controlplane/replica/agreement.go
+++ b/internal/controlplane/replica/agreement.go
@@ -69,8 +69,12 @@
 }
 
 // mayPropose reports whether the member may begin a round: it holds all that was acknowledged, so it may stand at the
-// head of the chain that it proposes, and a moment after a view began it knows who else is complete.
+// head of the chain that it proposes, and a moment after a view began it knows who else is complete. One that has stood
+// still for long waits until it can tell who is silent.
 func (r *Replica) mayPropose() bool {
+	if r.detector.stoodStill != 0 && r.now-r.detector.stoodStill < suspectAfter {
+		return false
+	}
 	return r.IsMember() && r.now-r.lease.viewEntered >= settleTime && r.control.Complete && !r.leaving && !r.stalled
 }
 
--- a/internal/controlplane/replica/detector.go
+++ b/internal/controlplane/replica/detector.go
@@ -14,20 +14,25 @@
 // detector keeps who was heard when, and what the monitors report. It proposes who to take out and who to take in; it
 // decides nothing.
 type detector struct {
-	heard        map[string]time.Duration
-	complete     map[string]uint64 // the view in which a member said that it is complete
-	disk         map[string]bool   // whether a member has one, as it said
+	heard        map[string]time.Duration // from when a member's silence counts
+	spoke        map[string]time.Duration // when a message of it came last
+	complete     map[string]uint64        // the view in which a member said that it is complete
+	disk         map[string]bool          // whether a member has one, as it said
 	zone         map[string]string
 	condition    map[string]condition
 	reports      map[report]time.Duration
 	joiners      map[string]joiner
-	monitors     []message.Member // to whom this member sends its heartbeats
-	monitored    []message.Member // whose heartbeats it awaits
+	veterans     map[string]bool          // identities that have been members
+	arrived      map[string]time.Duration // when an identity that was no member before asked for the first time
+	departing    map[string]time.Duration // when members said last that they were asked to stop, unless they came back since
+	superseded   map[string]time.Duration // when a member's vote went to a newcomer of its zone
+	stoodStill   time.Duration            // when this process went on after it had stood still for long
+	monitors     []message.Member         // to whom this member sends its heartbeats
+	monitored    []message.Member         // whose heartbeats it awaits
 	lastBeat     time.Duration
 	beaten       bool
 	toldAbsent   time.Duration
-	admitted     map[string]time.Duration // when a voter got its vote
-	silentSince  time.Duration            // since when some member is silent, 0: none is
+	silentSince  time.Duration // since when some member is silent, 0: none is
 	wantedSince  time.Duration
 	wantsAnother bool
 }
@@ -57,7 +62,7 @@
 	member message.Member
 	view   uint64 // that it knew when it asked last
 	at     time.Duration
-	first  time.Duration
+	first  time.Duration // since when it has asked without a gap
 }
 
 // disklessPatience is how long the first view waits for members with disks.
@@ -65,26 +70,33 @@
 
 func (d *detector) init() {
 	d.heard = map[string]time.Duration{}
+	d.spoke = map[string]time.Duration{}
 	d.complete = map[string]uint64{}
 	d.disk = map[string]bool{}
 	d.zone = map[string]string{}
 	d.condition = map[string]condition{}
 	d.reports = map[report]time.Duration{}
 	d.joiners = map[string]joiner{}
-	d.admitted = map[string]time.Duration{}
+	d.veterans = map[string]bool{}
+	d.arrived = map[string]time.Duration{}
+	d.departing = map[string]time.Duration{}
+	d.superseded = map[string]time.Duration{}
 }
 
 // hear notes that a message of a member came to self, which so takes back that it is silent.
 func (d *detector) hear(identity, self string, now time.Duration) {
-	d.heard[identity] = now
+	d.heard[identity], d.spoke[identity] = now, now
 	if len(d.reports) > 0 && !d.condition[identity].unfit {
 		delete(d.reports, report{isSilent, identity, self})
 		delete(d.reports, report{isDoubted, identity, self})
 	}
 }
 
-// forgive starts all silences anew: the process stood still, so it cannot tell who was silent.
-func (d *detector) forgive(now time.Duration) {
+// forgive starts all silences anew: the process stood still for a span, so it cannot tell who was silent.
+func (d *detector) forgive(now, span time.Duration) {
+	if span > suspectAfter {
+		d.stoodStill = now
+	}
 	for identity := range d.heard {
 		d.heard[identity] = now
 	}
@@ -102,10 +114,9 @@
 		}
 		delete(d.joiners, member.Identity)
 	}
-	for _, voter := range view.Electorate() {
-		if !includes(old.Electorate(), voter.Identity) {
-			d.admitted[voter.Identity] = now
-		}
+	d.noteSuccessions(old, view, now)
+	for _, member := range everyone(old) {
+		d.veterans[member.Identity] = true
 	}
 	d.setRing(view, self)
 	clear(d.reports)
@@ -113,6 +124,17 @@
 	d.beaten = false
 }
 
+// noteSuccessions keeps whose vote went to a newcomer of its zone: they will probably be told to stop.
+func (d *detector) noteSuccessions(old, view message.View, now time.Duration) {
+	isNewcomer := func(m message.Member) bool { return !includes(everyone(old), m.Identity) }
+	for _, voter := range old.Electorate() {
+		isOfZone := func(m message.Member) bool { return isNewcomer(m) && m.Zone == voter.Zone }
+		if !includes(view.Electorate(), voter.Identity) && lo.ContainsBy(view.Electorate(), isOfZone) {
+			d.superseded[voter.Identity] = now
+		}
+	}
+}
+
 // setRing works out who monitors whom.
 func (d *detector) setRing(view message.View, self string) {
 	d.monitors = monitorsOf(view, self)
@@ -121,8 +143,20 @@
 	})
 }
 
-// forget drops the reports that do not count any more.
+// identityMemory is how long it is kept what is known of an identity that has fallen silent.
+const identityMemory = 5 * time.Minute
+
+// forget drops the reports and arrivals that do not count any more.
 func (d *detector) forget(now time.Duration) {
+	for identity, at := range d.spoke {
+		if now-at > identityMemory {
+			delete(d.spoke, identity)
+			delete(d.veterans, identity)
+			delete(d.arrived, identity)
+			delete(d.departing, identity)
+			delete(d.superseded, identity)
+		}
+	}
 	maps.DeleteFunc(d.reports, func(_ report, at time.Duration) bool { return now-at > reportLifetime })
 }
 
@@ -154,5 +188,5 @@
 		return r.options.Volatile
 	}
 	hasDisk, told := r.detector.disk[member.Identity]
-	return told && !hasDisk
+	return member.Volatile || told && !hasDisk
 }
--- a/internal/controlplane/replica/electorate.go
+++ b/internal/controlplane/replica/electorate.go
@@ -2,106 +2,231 @@
 
 import (
 	"slices"
+	"sort"
+	"time"
 
 	"github.com/samber/lo"
 
 	"pumiceline/internal/message"
 )
 
-// electorate is who votes in the next view, while it is worked out.
+// electorate works out who votes in the next view. It keeps three things:
+//
+//   - A lost member does not go on voting beside its successor. A voter whose address another process has is lost for
+//     certain. Else a newcomer gets the vote of the member that it probably came for: one of its zone that leaves or has
+//     fallen silent, else one of those.
+//   - A silent voter's vote goes to a live member that has none. So losses that come one after another leave a majority,
+//     as long as there is such a member.
+//   - The number of voters is odd where more than least are to be had: an even one bears no more losses than one less.
 type electorate struct {
-	least     int
-	voters    []message.Member
-	displaced []message.Displaced
-	isLeaver  func(message.Member) bool // of a member that was asked to stop before it fell silent
+	least    int              // the tolerance may be lost for good, and a majority is left
+	voters   []message.Member // of the present view
+	present  []message.Member // members of the next chain that are alive and stay
+	mayGrow  bool             // nobody is in doubt: who is new came to replace nobody
+	leaves   func(message.Member) bool
+	silence  func(message.Member) time.Duration         // of a voter that is not present
+	newcomer func(message.Member) (time.Duration, bool) // how long ago a member asked for admission for the first time
+	mayVote  func(message.Member) bool                  // whether a member may have the vote of any silent one
+
+	displaced []message.Displaced // lost their vote while they were silent
 }
 
-// mostDisplaced bounds how many displaced members a view remembers.
-const mostDisplaced = 4
+// successionTime is how long before its predecessor is told to stop a planned successor comes at the most.
+const successionTime = 3 * time.Second
+
+// next returns the voters of the next view.
+func (e *electorate) next() []message.Member {
+	e.succeedAddresses()
+	e.succeedByNewcomers()
+	e.succeedBySpares()
+	e.restoreDisplaced()
+	e.grow()
+	e.dropLeavers()
+	e.shrink()
+	return e.voters
+}
+
+// spares are the present members that have no vote.
+func (e *electorate) spares() []message.Member {
+	return lo.Reject(e.present, func(m message.Member, _ int) bool { return includes(e.voters, m.Identity) || e.leaves(m) })
+}
 
-func newElectorate(view message.View, least int, isLeaver func(message.Member) bool) *electorate {
-	return &electorate{
-		least: least, voters: slices.Clone(view.Electorate()), displaced: slices.Clone(view.Displaced), isLeaver: isLeaver,
+func (e *electorate) isPresent(voter message.Member) bool { return includes(e.present, voter.Identity) }
+
+// leavers are the voters that were asked to stop.
+func (e *electorate) leavers() []message.Member {
+	return lo.Filter(e.voters, func(m message.Member, _ int) bool { return e.leaves(m) })
+}
+
+// absent are the voters that are neither present nor known to leave, the longest silent first.
+func (e *electorate) absent() []message.Member {
+	absent := lo.Reject(e.voters, func(m message.Member, _ int) bool { return e.isPresent(m) || e.leaves(m) })
+	sort.SliceStable(absent, func(i, j int) bool { return e.silence(absent[i]) > e.silence(absent[j]) })
+	return absent
+}
+
+// succeed gives a voter's vote to another member.
+func (e *electorate) succeed(voter, successor message.Member) {
+	at := slices.IndexFunc(e.voters, func(m message.Member) bool { return m.Identity == voter.Identity })
+	e.voters[at] = successor
+	if voter.Address != successor.Address && !e.isPresent(voter) && !e.leaves(voter) {
+		e.displaced = append(e.displaced, message.Displaced{Member: voter, By: successor.Identity})
 	}
 }
 
-// give gives a joiner a vote: its own, that of an absent voter, or a new one where the electorate may grow. It reports
-// whether the joiner has a vote now.
-func (e *electorate) give(joiner message.Member, present []message.Member, mayGrow bool) bool {
-	if includes(e.voters, joiner.Identity) {
-		return true
+// succeedAddresses gives the vote of a member to the process that has its address now.
+func (e *electorate) succeedAddresses() {
+	for _, spare := range e.spares() {
+		if voter, ok := lo.Find(e.voters, func(m message.Member) bool { return m.Address == spare.Address }); ok {
+			e.succeed(voter, spare)
+		}
 	}
-	at := e.vacancy(joiner, present)
-	switch {
-	case at >= 0 && (len(e.voters) >= e.least || e.voters[at].Address == joiner.Address):
-		e.displace(e.voters[at], joiner)
-		e.voters[at] = joiner
-	case mayGrow || len(e.voters) < e.least:
-		e.voters = append(e.voters, joiner)
-	default:
-		return false
+}
+
+// succeedByNewcomers gives each newcomer the vote of the member that it probably came for.
+func (e *electorate) succeedByNewcomers() {
+	for _, spare := range e.spares() {
+		asked, isNew := e.newcomer(spare)
+		if !isNew {
+			continue
+		}
+		if predecessor, ok := e.clearPredecessor(spare); ok {
+			e.succeed(predecessor, spare)
+			continue
+		}
+		candidates := e.predecessors(asked)
+		if len(candidates) > 0 && e.mayVote(spare) {
+			ofZone := lo.FindOrElse(candidates, candidates[0], func(m message.Member) bool { return m.Zone == spare.Zone })
+			e.succeed(ofZone, spare)
+		}
 	}
-	e.displaced = lo.Reject(e.displaced, func(d message.Displaced, _ int) bool {
-		return d.Member.Identity == joiner.Identity || d.Member.Address == joiner.Address
-	})
-	return true
-}
-
-// vacancy returns the place of an absent voter, -1 where there is none: of the joiner's own address before one of its
-// zone, as a machine is replaced within its zone.
-func (e *electorate) vacancy(joiner message.Member, present []message.Member) int {
-	for _, fits := range []func(message.Member) bool{
-		func(m message.Member) bool { return m.Address == joiner.Address },
-		func(m message.Member) bool { return m.Zone == joiner.Zone },
-		func(message.Member) bool { return true },
-	} {
-		at := slices.IndexFunc(e.voters, func(m message.Member) bool { return fits(m) && !includes(present, m.Identity) })
-		if at >= 0 {
-			return at
+}
+
+// clearPredecessor returns the voter of a newcomer's zone that it came for beyond much doubt: one that leaves, or one
+// that is silent where no other voter of the zone is left.
+func (e *electorate) clearPredecessor(newcomer message.Member) (message.Member, bool) {
+	isOfZone := func(m message.Member) bool { return m.Zone == newcomer.Zone }
+	if asked, _ := e.newcomer(newcomer); asked <= successionTime {
+		if leaver, ok := lo.Find(e.leavers(), isOfZone); ok {
+			return leaver, true
 		}
 	}
-	return -1
+	silent, ok := lo.Find(e.absent(), isOfZone)
+	others := lo.CountBy(append(slices.Clone(e.voters), e.present...), func(m message.Member) bool {
+		return isOfZone(m) && m.Identity != silent.Identity && m.Identity != newcomer.Identity
+	})
+	return silent, ok && others == 0
 }
 
-// displace remembers a member whose vote went to a newcomer that may not be its successor.
-func (e *electorate) displace(member, newcomer message.Member) {
-	if member.Address == newcomer.Address || e.isLeaver(member) {
-		return
+// predecessors are the voters whose successor a newcomer may be, the likeliest first. One that came a moment ago, while
+// a member was told to stop, came for that one: a silent one may only be cut off.
+func (e *electorate) predecessors(asked time.Duration) []message.Member {
+	if asked <= successionTime {
+		return append(e.leavers(), e.absent()...)
 	}
-	e.displaced = append(e.displaced, message.Displaced{Member: member, By: newcomer.Identity})
-	e.displaced = e.displaced[max(0, len(e.displaced)-mostDisplaced):]
+	return append(e.absent(), e.leavers()...)
 }
 
-// letGo settles the vote of a member that leaves in order. It goes to nobody where more than least are left; to a
-// member that was displaced by the leaver's successor, a newcomer of its zone; else the leaver keeps it, as it may only
-// be restarted.
-func (e *electorate) letGo(leaver message.Member, newcomers []message.Member) {
-	at := slices.IndexFunc(e.voters, func(m message.Member) bool { return m.Identity == leaver.Identity })
-	if at < 0 {
-		return
+// succeedBySpares gives the votes of silent members and then those of leaving ones to the members without a vote.
+func (e *electorate) succeedBySpares() {
+	for _, voter := range append(e.absent(), e.leavers()...) {
+		spares := lo.Filter(e.spares(), func(m message.Member, _ int) bool { return e.mayVote(m) })
+		if len(spares) == 0 {
+			return
+		}
+		ofZone := lo.FindOrElse(spares, spares[0], func(m message.Member) bool { return m.Zone == voter.Zone })
+		e.succeed(voter, ofZone)
 	}
-	if len(e.voters) > e.least {
-		e.voters = slices.Delete(e.voters, at, at+1)
-		return
+}
+
+// restoreDisplaced gives the votes of members that leave, and that nobody succeeded, back to displaced ones: where the
+// newcomer that has the vote of a displaced member of another zone proves to have come for the leaver.
+func (e *electorate) restoreDisplaced() {
+	for _, leaver := range e.leavers() {
+		heir, ok := lo.Find(e.displaced, func(d message.Displaced) bool {
+			by, votes := lo.Find(e.voters, func(m message.Member) bool { return m.Identity == d.By })
+			_, isNew := e.newcomer(by)
+			return votes && isNew && by.Zone == leaver.Zone && d.Member.Zone != leaver.Zone && !includes(e.voters, d.Member.Identity)
+		})
+		if ok && len(e.voters) <= e.least {
+			e.succeed(leaver, heir.Member)
+		}
+	}
+}
+
+// dropLeavers takes the vote of a member that leaves and that nobody succeeded as long as more than least are left. Else
+// it keeps it, as it may only be restarted.
+func (e *electorate) dropLeavers() {
+	for _, leaver := range e.leavers() {
+		if len(e.voters) > e.least {
+			e.voters = lo.Reject(e.voters, func(m message.Member, _ int) bool { return m.Identity == leaver.Identity })
+		}
 	}
-	heir := slices.IndexFunc(e.displaced, func(d message.Displaced) bool {
-		return lo.ContainsBy(newcomers, func(m message.Member) bool {
-			return m.Identity == d.By && m.Zone == leaver.Zone && m.Identity != leaver.Identity
+}
+
+// mostDisplaced bounds how many displaced members a view remembers.
+const mostDisplaced = 4
+
+// stillDisplaced are the displaced members that have no vote again, and whose address no voter has, the latest last.
+// Those without a disk are not kept: they never vote again.
+func (e *electorate) stillDisplaced(isVolatile func(message.Member) bool) []message.Displaced {
+	displaced := lo.Reject(e.displaced, func(d message.Displaced, _ int) bool {
+		return isVolatile(d.Member) || lo.ContainsBy(e.voters, func(m message.Member) bool {
+			return m.Identity == d.Member.Identity || m.Address == d.Member.Address
 		})
 	})
-	if heir >= 0 {
-		e.voters[at] = e.displaced[heir].Member
-		e.displaced = slices.Delete(e.displaced, heir, heir+1)
+	return displaced[max(0, len(displaced)-mostDisplaced):]
+}
+
+func displacedMembers(view message.View) []message.Member {
+	return lo.Map(view.Displaced, func(d message.Displaced, _ int) message.Member { return d.Member })
+}
+
+// grow gives spares votes of their own, so many that the number of voters is odd.
+func (e *electorate) grow() {
+	for _, spare := range e.spares() {
+		if len(e.voters) < e.least {
+			e.voters = append(e.voters, spare)
+		}
+	}
+	if !e.mayGrow {
+		return
+	}
+	spares := lo.Filter(e.spares(), func(m message.Member, _ int) bool { return e.mayVote(m) })
+	if (len(e.voters)+len(spares))%2 == 0 && len(spares) > 0 {
+		spares = spares[:len(spares)-1]
 	}
+	e.voters = append(e.voters, spares...)
 }
 
-// shrink takes the vote from voters that are not in the chain as long as more than least are left.
-func (e *electorate) shrink(members []message.Member) {
-	for i := 0; i < len(e.voters) && len(e.voters) > e.least; {
-		if includes(members, e.voters[i].Identity) {
-			i++
-		} else {
-			e.voters = slices.Delete(e.voters, i, i+1)
+// shrink takes the votes of silent members as long as more than least are left, and one more where their number is even.
+func (e *electorate) shrink() {
+	for _, silent := range e.absent() {
+		if len(e.voters) > e.least {
+			e.voters = lo.Reject(e.voters, func(m message.Member, _ int) bool { return m.Identity == silent.Identity })
+			e.displaced = append(e.displaced, message.Displaced{Member: silent})
 		}
 	}
+	if len(e.voters) > e.least && len(e.voters)%2 == 0 {
+		e.voters = e.voters[:len(e.voters)-1]
+	}
+}
+
+// electorateIsUnsettled reports whether votes are to be moved though nobody asks for anything: a voter is outside the
+// chain though another could have its vote, or the number of voters is not what it should be.
+func (r *Replica) electorateIsUnsettled() bool {
+	view := r.control.View
+	voters := view.Electorate()
+	spares := lo.CountBy(view.Members, func(m message.Member) bool { return !r.isVoterOf(m.Identity) })
+	absent := lo.CountBy(voters, func(m message.Member) bool { return positionOf(view, m.Identity) < 0 })
+	tooMany := len(voters) > r.leastVoters()
+	switch {
+	case absent > 0 && (spares > 0 || tooMany):
+		return true
+	case len(voters) < r.leastVoters():
+		return spares > 0
+	case len(voters)%2 == 0:
+		return spares > 0 || tooMany
+	}
+	return spares > 1
 }
--- /dev/null
+++ b/internal/controlplane/replica/electorate_test.go
@@ -0,0 +1,231 @@
+package replica
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pumiceline/internal/message"
+)
+
+// succession is a question to the electorate: who votes next. Members are named by their zone and a number: "a1".
+type succession struct {
+	name      string
+	voters    []string
+	present   []string
+	leaving   []string
+	newcomers map[string]time.Duration // how long ago they asked for the first time
+	silences  map[string]time.Duration
+	displaced map[string]string // by whom
+	least     int
+	mayGrow   bool
+	want      []string
+}
+
+func namedMember(name string) message.Member {
+	return message.Member{Identity: name, Address: "at-" + name, Zone: name[:1]}
+}
+
+func namedMembers(names []string) []message.Member {
+	return lo.Map(names, func(name string, _ int) message.Member { return namedMember(name) })
+}
+
+func (s succession) electorate() *electorate {
+	e := &electorate{
+		least: s.least, voters: namedMembers(s.voters), present: namedMembers(s.present), mayGrow: s.mayGrow,
+		leaves:  func(m message.Member) bool { return lo.Contains(s.leaving, m.Identity) },
+		silence: func(m message.Member) time.Duration { return s.silences[m.Identity] },
+		newcomer: func(m message.Member) (time.Duration, bool) {
+			asked, ok := s.newcomers[m.Identity]
+			return asked, ok
+		},
+		mayVote: func(m message.Member) bool {
+			asked, ok := s.newcomers[m.Identity]
+			return !ok || asked >= joinPatience
+		},
+	}
+	for member, by := range s.displaced {
+		e.displaced = append(e.displaced, message.Displaced{Member: namedMember(member), By: by})
+	}
+	return e
+}
+
+func TestWhoVotesNext(t *testing.T) {
+	const justNow, longAgo = 200 * time.Millisecond, 5 * time.Second
+	for _, s := range []succession{{
+		name:   "nothing to do",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "c1", "d1"}, least: 3, mayGrow: true,
+		want: []string{"a1", "b1", "c1"},
+	}, {
+		name:   "a silent voter's vote goes to a member without one",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "d1"}, least: 3,
+		want: []string{"a1", "b1", "d1"},
+	}, {
+		name:   "a silent voter keeps its vote where nobody else could have it",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1"}, least: 3,
+		want: []string{"a1", "b1", "c1"},
+	}, {
+		name:   "the longest silent one gives its vote",
+		voters: []string{"a1", "b1", "c1", "d1", "e1"}, present: []string{"a1", "b1", "c1", "f1"}, least: 5,
+		silences: map[string]time.Duration{"d1": time.Second, "e1": time.Minute},
+		want:     []string{"a1", "b1", "c1", "d1", "f1"},
+	}, {
+		name:   "a newcomer takes the place of the lost member of its zone",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "c2"}, least: 3,
+		newcomers: map[string]time.Duration{"c2": justNow},
+		want:      []string{"a1", "b1", "c2"},
+	}, {
+		name:   "a newcomer to a zone with another member waits: that one may be told to stop",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "a2"}, least: 3,
+		newcomers: map[string]time.Duration{"a2": justNow},
+		want:      []string{"a1", "b1", "c1"},
+	}, {
+		name:   "a newcomer that came for a member that leaves does not take a cut one's vote",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "a2"}, least: 3, leaving: []string{"a1"},
+		newcomers: map[string]time.Duration{"a2": joinPatience},
+		want:      []string{"a2", "b1", "c1"},
+	}, {
+		name:   "one that has asked for long came for a silent member, not for one that is restarted now",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "d2"}, least: 3, leaving: []string{"a1"},
+		newcomers: map[string]time.Duration{"d2": longAgo},
+		want:      []string{"a1", "b1", "d2"},
+	}, {
+		name:   "two newcomers never get one vote, nor one two",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "c2", "c3"}, least: 3,
+		newcomers: map[string]time.Duration{"c2": longAgo, "c3": longAgo},
+		want:      []string{"a1", "b1", "c2"},
+	}, {
+		name:   "the vote of a cut member comes back when the one leaves for which the newcomer came",
+		voters: []string{"a1", "b1", "a2"}, present: []string{"b1", "a2", "a1"}, least: 3, leaving: []string{"a1"},
+		newcomers: map[string]time.Duration{"a2": longAgo}, displaced: map[string]string{"c1": "a2"},
+		want: []string{"c1", "b1", "a2"},
+	}, {
+		name:   "a member that is only restarted keeps its vote",
+		voters: []string{"a1", "b1", "d1"}, present: []string{"a1", "b1", "d1"}, least: 3, leaving: []string{"a1"},
+		displaced: map[string]string{"c1": "d1"},
+		want:      []string{"a1", "b1", "d1"},
+	}, {
+		name:   "the number of voters stays odd",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "c1", "d1", "e1"}, least: 3, mayGrow: true,
+		want: []string{"a1", "b1", "c1", "d1", "e1"},
+	}, {
+		name:   "it does not grow while somebody is in doubt",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "c1", "d1", "e1"}, least: 3,
+		want: []string{"a1", "b1", "c1"},
+	}, {
+		name:   "it becomes odd again when a silent voter is dropped",
+		voters: []string{"a1", "b1", "c1", "d1", "e1"}, present: []string{"a1", "b1", "c1", "d1"}, least: 3, mayGrow: true,
+		want: []string{"a1", "b1", "c1"},
+	}, {
+		name:   "it grows to the least at once",
+		voters: []string{"a1"}, present: []string{"a1", "b1", "c1"}, least: 3,
+		want: []string{"a1", "b1", "c1"},
+	}} {
+		got := lo.Map(s.electorate().next(), func(m message.Member, _ int) string { return m.Identity })
+		assert.Equal(t, s.want, got, s.name)
+	}
+}
+
+// A member of a lost disk or of another process at its address is gone for certain.
+func TestAnAddressHasOneVote(t *testing.T) {
+	e := succession{voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1"}, least: 3}.electorate()
+	wiped := message.Member{Identity: "c1 anew", Address: "at-c1", Zone: "c"}
+	e.present = append(e.present, wiped)
+	assert.Contains(t, e.next(), wiped)
+	assert.Empty(t, e.stillDisplaced(func(message.Member) bool { return false }), "nobody waits for the old one")
+}
+
+// Four voters bear one loss, as three do; with the fourth member as a spare a second loss after the first leaves a majority.
+func TestASecondLossLeavesAMajority(t *testing.T) {
+	g := newGroup(t, 4)
+	g.tick(2 * time.Second)
+	require.Len(t, g.members[0].View().Electorate(), 3)
+	require.Len(t, g.members[0].View().Members, 4)
+	g.absent = []int{0}
+	g.tick(2*time.Second, 0)
+	require.Len(t, g.members[1].View().Electorate(), 3)
+	g.absent = []int{0, 1}
+	g.tick(2*time.Second, 0, 1)
+	g.call(2, http.MethodPut, "0", "\x05x")
+	assert.Len(t, g.results, 1)
+}
+
+// A member that was cut off came back to find all machines gone that it knew, and the head that would have told it of the
+// view was lost: it held the vote that the others needed.
+func TestWhoComesFirstTellsAbsentVoters(t *testing.T) {
+	g := newGroup(t, 3)
+	g.tick(2 * time.Second)
+	g.absent = []int{0}
+	g.tick(2*time.Second, 0) // m0 is cut off
+	fresh := g.add(0, 1, 2)
+	g.tick(500*time.Millisecond, 0)
+	g.members[2].SetLeaving()
+	g.tick(3*time.Second, 0)
+	require.True(t, g.members[fresh].IsSynced())
+	require.True(t, includes(g.members[fresh].View().Electorate(), "seed-m0"), "it came for m2, so m0 has its vote")
+	g.absent = []int{1, 2} // m2 has left and the head is lost; m0 is back
+	g.tick(6*time.Second, 1, 2)
+	assert.True(t, g.members[0].IsSynced())
+	assert.Equal(t, g.members[fresh].View().Number, g.members[0].View().Number)
+}
+
+// A member that was told to stop while its request to join was under way ended, and was admitted after it.
+func TestALeaverWaitsForItsRequestsToJoin(t *testing.T) {
+	g := newGroup(t, 3)
+	g.tick(2 * time.Second)
+	fresh := g.add(0, 1, 2)
+	g.tick(200 * time.Millisecond)
+	g.members[fresh].SetLeaving()
+	assert.False(t, g.members[fresh].MayStop())
+	g.lost = func(m *message.Message) bool { return m.Join != nil && m.Join.Withdrawn } // it is not heard that it goes
+	g.tick(joinLifetime)
+	assert.False(t, g.members[fresh].MayStop())
+	g.tick(withdrawalTime)
+	assert.True(t, g.members[fresh].MayStop())
+	assert.False(t, includes(everyone(g.members[0].View()), g.members[fresh].Identity()))
+}
+
+// What it has asked for is void as soon as it is heard that it goes.
+func TestAWithdrawnRequestAdmitsNobody(t *testing.T) {
+	g := newGroup(t, 3)
+	g.tick(2 * time.Second)
+	fresh := g.add(0, 1, 2)
+	g.tick(joinPatience - 400*time.Millisecond)
+	require.NotEmpty(t, g.members[0].detector.joiners)
+	g.members[fresh].SetLeaving()
+	g.tick(2 * heartbeatInterval)
+	assert.Empty(t, g.members[0].detector.joiners)
+}
+
+// A process that stood still found every machine alive, the lost ones too, and moved votes to them at once.
+func TestWhoStoodStillDoesNotProposeAtOnce(t *testing.T) {
+	g := newGroup(t, 3)
+	g.tick(2 * time.Second)
+	head := g.members[0]
+	require.True(t, head.mayPropose())
+	head.Tick(g.now + 3*time.Second)
+	assert.False(t, head.mayPropose())
+	for at := time.Duration(0); at <= suspectAfter; at += 50 * time.Millisecond {
+		head.Tick(g.now + 3*time.Second + at)
+	}
+	assert.True(t, head.mayPropose())
+}
+
+// A member without a vote heard of no renewals, stood for the lease that another held, and took a grantor from it.
+func TestWhoHasNoVoteHearsOfTheHolder(t *testing.T) {
+	g := newGroup(t, 4)
+	g.tick(2 * time.Second)
+	spare, _ := lo.Find(g.members, func(r *Replica) bool { return !r.isVoter() })
+	require.NotNil(t, spare)
+	renewal := &message.LeaseRequest{Token: 1, Round: 1, Renew: true}
+	from := g.members[0]
+	require.NotEqual(t, from, spare)
+	g.tick(3*time.Second, 3) // the spare, the last of them, would stand now
+	spare.Step(g.now, &message.Message{From: from.Identity(), To: spare.Identity(), View: spare.View().Number, LeaseRequest: renewal})
+	assert.False(t, spare.mayStandForLease())
+	assert.Equal(t, g.now, spare.lease.renewalSeen)
+}
--- a/internal/controlplane/replica/heartbeat.go
+++ b/internal/controlplane/replica/heartbeat.go
@@ -35,18 +35,16 @@
 	}
 }
 
-// tellAbsent lets the head tell the view to those that are outside it: voters and displaced members that may have been
-// cut off when it was decided, and the seeds, as whoever comes back with nothing but the seeds' addresses asks them.
+// tellAbsent lets the head, or whoever comes first after it when it is silent, tell the view to those that are outside
+// it: voters and displaced members that may have been cut off when it was decided and know nobody else any more, and the
+// seeds, as whoever comes back with nothing but the seeds' addresses asks them.
 func (r *Replica) tellAbsent() {
-	if !r.isHead() || r.now-r.detector.toldAbsent < observeInterval {
+	if !r.isProposer() || r.now-r.detector.toldAbsent < observeInterval {
 		return
 	}
 	r.detector.toldAbsent = r.now
 	view := r.control.View
-	absent := everyone(view)
-	for _, displaced := range view.Displaced {
-		absent = append(absent, displaced.Member)
-	}
+	absent := append(everyone(view), displacedMembers(view)...)
 	for _, seed := range r.options.Seeds {
 		absent = append(absent, message.Member{Address: seed})
 	}
@@ -88,4 +86,7 @@
 	r.detector.disk[m.From] = !beat.Volatile
 	r.detector.zone[m.From] = m.FromZone
 	r.detector.condition[m.From] = condition{unfit: beat.DiskStalled || beat.Isolated, leaving: beat.Leaving}
+	if at, said := r.detector.departing[m.From]; said && !beat.Leaving && r.now-at > joinPatience { // else it is a late one
+		delete(r.detector.departing, m.From)
+	}
 }
--- a/internal/controlplane/replica/joining.go
+++ b/internal/controlplane/replica/joining.go
@@ -9,11 +9,17 @@
 	"pumiceline/internal/message"
 )
 
-// askToJoin asks everyone known for membership, and so learns of the newest view too.
+// askToJoin asks everyone known for membership, and so learns of the newest view too. A member that was told to stop
+// takes back what it has asked for.
 func (r *Replica) askToJoin() {
-	if !r.leaving {
-		r.ask(&message.Join{DiskStalled: r.stalled, Observer: r.options.Volatile})
+	if r.leaving {
+		r.ask(&message.Join{Withdrawn: true})
+		return
+	}
+	if !r.options.Volatile {
+		r.lastJoin = r.now
 	}
+	r.ask(&message.Join{DiskStalled: r.stalled, Observer: r.options.Volatile})
 }
 
 // ask sends a request to join to all whose address is known.
@@ -33,10 +39,16 @@
 	if m.View < r.control.View.Number { // also from one that is no member: the sender may know of no other
 		r.send(r.sender(m), message.Message{Announcement: &message.Announcement{View: r.control.View}})
 	}
+	if m.Join.Withdrawn {
+		delete(r.detector.joiners, m.From)
+		return
+	}
 	if !r.IsMember() || m.Join.Observer || m.Join.DiskStalled || positionOf(r.control.View, m.From) >= 0 {
 		return
 	}
 	known, ok := r.detector.joiners[m.From]
+	delete(r.detector.departing, m.From) // it has been started anew
+	r.noteArrival(m.From)
 	if !ok || !r.isFresh(known) {
 		known.first = r.now
 	}
@@ -47,6 +59,15 @@
 	}
 }
 
+// noteArrival keeps when a machine came that was no member before.
+func (r *Replica) noteArrival(identity string) {
+	view := r.control.View
+	_, known := r.detector.arrived[identity]
+	if !known && !r.detector.veterans[identity] && !includes(append(everyone(view), displacedMembers(view)...), identity) {
+		r.detector.arrived[identity] = r.now
+	}
+}
+
 // passOnJoin tells the head of a joiner that may not know its address.
 func (r *Replica) passOnJoin(m *message.Message) {
 	head := r.control.View.Members[0]
@@ -60,8 +81,8 @@
 
 func (r *Replica) isFresh(j joiner) bool { return r.now-j.at <= joinLifetime }
 
-// freshJoiners are those that asked a moment ago and know the present view: they hear the members too. One that comes with the address of a member that is still heard is
-// not taken in beside it, as only one process can have the address.
+// freshJoiners are those that asked a moment ago and know the present view: they hear the members too. One that comes
+// with the address of a member that is still heard is not taken in beside it, as only one process can have the address.
 func (r *Replica) freshJoiners(suspects []string) []message.Member {
 	var out []message.Member
 	for identity, j := range r.detector.joiners {
--- a/internal/controlplane/replica/lease.go
+++ b/internal/controlplane/replica/lease.go
@@ -85,7 +85,7 @@
 		l.wantToken = max(lowest, r.control.LeaseToken, l.refusedFor) + 1
 	}
 	request := &message.LeaseRequest{Token: l.wantToken, Round: l.round, Renew: l.token != 0}
-	for _, member := range r.control.View.Electorate() {
+	for _, member := range everyone(r.control.View) { // who has no vote hears of the holder by it, and does not stand
 		r.send(member, message.Message{LeaseRequest: request})
 	}
 }
@@ -113,7 +113,7 @@
 	release := &message.LeaseRelease{Token: r.lease.token}
 	r.lease.token = 0
 	r.lease.round++ // grants that are still on their way count for nothing
-	for _, member := range r.control.View.Electorate() {
+	for _, member := range everyone(r.control.View) {
 		r.send(member, message.Message{LeaseRelease: release})
 	}
 }
@@ -123,15 +123,18 @@
 // voters of the next view enter it later than that, and grant nothing new for the length of a lease. A lease counts
 // from before it was asked for, so it has ended by then.
 func (r *Replica) onLeaseRequest(m *message.Message) {
-	if m.View != r.control.View.Number || !r.isVoter() || r.control.Accepted.Number != 0 {
+	if m.View != r.control.View.Number {
 		return
 	}
 	l := &r.lease
 	request := m.LeaseRequest
-	grant := &message.LeaseGrant{Round: request.Round}
 	if request.Renew && m.From != r.control.Identity {
-		l.renewalSeen = r.now // who was away knows of the holder by this before it would stand itself
+		l.renewalSeen = r.now // who was away, or has no vote, knows of the holder by this before it would stand itself
+	}
+	if !r.isVoter() || r.control.Accepted.Number != 0 {
+		return
 	}
+	grant := &message.LeaseGrant{Round: request.Round}
 	held := r.now < l.expires
 	renewal := request.Renew && held && l.holder == m.From && request.Token == r.control.LeaseToken
 	// A holder that restarted has no lease any more, but only one process can have its identity.
@@ -172,6 +175,10 @@
 }
 
 func (r *Replica) onLeaseRelease(m *message.Message) {
+	if !r.isVoter() {
+		r.lease.renewalSeen = 0
+		return
+	}
 	if r.lease.holder == m.From && m.LeaseRelease.Token == r.control.LeaseToken {
 		r.lease.expires, r.lease.renewalSeen = r.now, 0
 	}
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -13,8 +14,8 @@
 //
 // Three decisions are made apart from one another: who is in the chain, which joiners come in, and who votes. A member
 // that is silent leaves the chain at once, as the chain acknowledges nothing without it, but goes on voting: it may
-// come back with its disk while one of the others loses its own. A vote is taken from a silent member only when a
-// newcomer gets it, or when there are more voters than the tolerance needs.
+// come back with its disk while one of the others loses its own. A vote is taken from a silent member only when a live
+// one gets it, or when there are more voters than the tolerance needs.
 func (r *Replica) wantedView() (view message.View, ok bool) {
 	current := r.control.View
 	if !r.hasGroundForChange() {
@@ -62,8 +63,7 @@
 	if len(r.detector.reports)+len(r.detector.joiners) > 0 || lo.ContainsBy(current.Members, speaks) {
 		return true
 	}
-	hasNoVote := func(m message.Member) bool { return !r.isVoterOf(m.Identity) }
-	return len(current.Electorate()) > max(r.leastVoters(), len(current.Members)) || lo.ContainsBy(current.Members, hasNoVote)
+	return r.electorateIsUnsettled()
 }
 
 // withoutLeavers lets go of the members that were asked to stop, and of those without a disk, which only the first view
@@ -79,61 +79,98 @@
 
 // isGoing reports whether a member that is still there is to be let go.
 func (r *Replica) isGoing(member message.Member) bool {
-	return r.isVolatile(member) || r.isReported(isLeaving, member.Identity, nil)
+	return r.isVolatile(member) || r.isLeaver(member)
 }
 
-// admit adds the joiners to those that stay and settles who votes. A newcomer gets the vote of a voter that is not
-// alive in the chain; a voter more is made of it only when it has asked for long enough that a machine that it came to
-// replace would have been found silent. A member of the chain that lost its vote while it was silent gets one again.
+// admit adds the joiners to those that stay and settles who votes.
 func (r *Replica) admit(stay, alive, joiners []message.Member) message.View {
-	current := r.control.View
-	next := message.View{Number: current.Number + 1, Members: stay}
-	electorate := newElectorate(current, r.leastVoters(), r.isLeaver)
-	r.describe(electorate.voters)
-	active := lo.Filter(stay, func(m message.Member, _ int) bool { return includes(alive, m.Identity) })
-	present := append(slices.Clone(active), joiners...)
-	mayGrow := !r.someoneIsInDoubt(stay)
-	for _, member := range active {
-		if !r.isGoing(member) && r.hasHeard(member) {
-			electorate.give(member, present, mayGrow)
-		}
+	next := message.View{Number: r.control.View.Number + 1, Members: stay}
+	active := lo.Filter(stay, func(m message.Member, _ int) bool {
+		return includes(alive, m.Identity) && r.hasHeard(m) && !r.isVolatile(m)
+	})
+	admitted := r.admissible(joiners, len(stay), r.electorateWith(active))
+	next.Members = append(next.Members, admitted...)
+	r.describe(next.Members)
+	electorate := r.electorateWith(append(active, admitted...))
+	electorate.mayGrow = !r.someoneIsInDoubt(stay)
+	next.Voters = electorate.next()
+	next.Displaced = electorate.stillDisplaced(r.isVolatile)
+	r.describe(next.Voters)
+	return next
+}
+
+// electorateWith starts from the present voters, of whom some members are there.
+func (r *Replica) electorateWith(present []message.Member) *electorate {
+	view := r.control.View
+	return &electorate{
+		least: r.leastVoters(), voters: slices.Clone(view.Electorate()), present: present, displaced: slices.Clone(view.Displaced),
+		leaves: r.isDeparting, silence: r.silenceOf, newcomer: r.asksAsNewcomer, mayVote: r.mayVote,
 	}
+}
+
+// admissible are the joiners that come in now. One whose place is clear comes at once: a voter that is back, a machine
+// whose disk was lost, one that comes for a member of its zone. Any other has to ask for a while: the member that it
+// came to replace would have been found silent by then, or have been told to stop.
+func (r *Replica) admissible(joiners []message.Member, staying int, places *electorate) []message.Member {
+	var admitted []message.Member
 	for _, joiner := range joiners {
-		if electorate.give(joiner, present, mayGrow && r.isPatient(joiner)) {
-			next.Members = append(next.Members, joiner)
+		isKnown := lo.ContainsBy(everyone(r.control.View), func(m message.Member) bool { return m.Address == joiner.Address })
+		predecessor, hasPlace := places.clearPredecessor(joiner)
+		switch {
+		case isKnown || r.isPatient(joiner) || staying+len(admitted) < r.leastChain():
+		case hasPlace:
+			places.succeed(predecessor, joiner)
+		default:
+			continue
 		}
+		admitted = append(admitted, joiner)
 	}
-	for _, member := range current.Members {
-		if r.isReported(isLeaving, member.Identity, nil) {
-			electorate.letGo(member, r.newcomers())
-		}
-	}
-	electorate.shrink(present)
-	next.Voters, next.Displaced = electorate.voters, electorate.displaced
-	r.describe(next.Members)
-	return next
+	return admitted
 }
 
-// isLeaver reports whether a member said last that it was asked to stop.
+// isLeaver reports whether a member was asked to stop.
 func (r *Replica) isLeaver(member message.Member) bool {
-	return r.detector.condition[member.Identity].leaving
+	return r.isReported(isLeaving, member.Identity, nil)
 }
 
-// isPatient reports whether a joiner has asked for long enough that the electorate may grow by it. While the system
-// starts for the first time it comes to replace nobody.
-func (r *Replica) isPatient(joiner message.Member) bool {
-	if r.options.FirstStart && r.now <= foundingTime {
-		return true
+// newcomerTime is how long a machine counts as one that has just come.
+const newcomerTime = 10 * time.Second
+
+// asksAsNewcomer returns how long ago a machine asked for the first time; ok is false for one that was a member before.
+func (r *Replica) asksAsNewcomer(member message.Member) (asked time.Duration, ok bool) {
+	arrived, known := r.detector.arrived[member.Identity]
+	return r.now - arrived, known && r.now-arrived <= newcomerTime
+}
+
+// isDeparting reports whether a member said that it was asked to stop, and has not come back since.
+func (r *Replica) isDeparting(member message.Member) bool {
+	_, said := r.detector.departing[member.Identity]
+	return said
+}
+
+// isPatient reports whether a member without a vote has been known for long enough that its coming says nothing of any
+// other. While the system starts for the first time it comes to replace nobody.
+func (r *Replica) isPatient(member message.Member) bool {
+	asked, isNew := r.asksAsNewcomer(member)
+	isFounding := r.options.FirstStart && r.now <= foundingTime
+	return !isNew || isFounding || asked >= joinPatience
+}
+
+// mayVote reports whether a member without a vote may get that of a silent one: it is there, and nobody came for it a
+// moment ago.
+func (r *Replica) mayVote(member message.Member) bool {
+	at, superseded := r.detector.superseded[member.Identity]
+	if superseded && r.now-at <= newcomerTime {
+		return false
 	}
-	return r.now-r.detector.joiners[joiner.Identity].first >= growthPatience
+	spoke, known := r.detector.spoke[member.Identity]
+	isThere := member.Identity == r.control.Identity || known && r.now-spoke <= longSilence
+	return isThere && r.isPatient(member)
 }
 
-// newcomers are the voters that got their vote a moment ago.
-func (r *Replica) newcomers() []message.Member {
-	return lo.Filter(r.control.View.Electorate(), func(m message.Member, _ int) bool {
-		at, known := r.detector.admitted[m.Identity]
-		return known && r.now-at <= newcomerTime
-	})
+// silenceOf is how long nothing came from a voter.
+func (r *Replica) silenceOf(voter message.Member) time.Duration {
+	return r.now - r.detector.spoke[voter.Identity]
 }
 
 // describe fills in what is known of the seeds, of which the first view has only the addresses.
--- a/internal/controlplane/replica/replica.go
+++ b/internal/controlplane/replica/replica.go
@@ -16,20 +16,20 @@
 // Intervals and limits of the protocol.
 const (
 	heartbeatInterval = 200 * time.Millisecond
-	suspectAfter      = 900 * time.Millisecond              // silence after which a member is suspected
-	longSilence       = 1600 * time.Millisecond             // the same, where its monitors say nothing
-	doubtAfter        = 450 * time.Millisecond              // silence after which a member is in doubt
-	reportLifetime    = 600 * time.Millisecond              // how long another member's suspicion counts
-	joinLifetime      = 700 * time.Millisecond              // how long a request to join counts
-	growthPatience    = suspectAfter + 300*time.Millisecond // a joiner asks so long before the electorate grows by it
-	foundingTime      = 2 * time.Second                     // after the first start of the whole system
-	roundTimeout      = 400 * time.Millisecond              // an agreement round that takes longer is begun anew
-	dropPatience      = 2 * time.Second                     // so long silent members stay for others that are not complete yet
-	newcomerTime      = 8 * time.Second                     // a planned successor is that much older than its predecessor's end at the most
-	resendAfter       = 150 * time.Millisecond              // unacknowledged replication is sent again
+	suspectAfter      = 900 * time.Millisecond  // silence after which a member is suspected
+	longSilence       = 1600 * time.Millisecond // the same, where its monitors say nothing
+	doubtAfter        = 450 * time.Millisecond  // silence after which a member is in doubt
+	reportLifetime    = 600 * time.Millisecond  // how long another member's suspicion counts
+	joinLifetime      = 700 * time.Millisecond  // how long a request to join counts
+	joinPatience      = 2 * suspectAfter        // a joiner whose place is not clear asks so long
+	foundingTime      = 2 * time.Second         // after the first start of the whole system
+	roundTimeout      = 400 * time.Millisecond  // an agreement round that takes longer is begun anew
+	dropPatience      = 2 * time.Second         // so long silent members stay for others that are not complete yet
+	resendAfter       = 150 * time.Millisecond  // unacknowledged replication is sent again
 	confirmResend     = 100 * time.Millisecond
-	callLifetime      = 1500 * time.Millisecond // a waiting call that is older was given up by its relay
-	ownStallAfter     = 300 * time.Millisecond  // ticks further apart mean that this process stood still
+	callLifetime      = 1500 * time.Millisecond       // a waiting call that is older was given up by its relay
+	ownStallAfter     = 300 * time.Millisecond        // ticks further apart mean that this process stood still
+	withdrawalTime    = joinLifetime + 2*roundTimeout // a request to join leads to admission so much later at the most
 	monitorsPerMember = 3
 	maxWaitingCalls   = 64
 	contactInterval   = 350 * time.Millisecond // a member asks a majority so often whether its view is the newest
@@ -95,6 +95,7 @@
 	confirms confirmations
 	lease    leaseState
 	leaving  bool
+	lastJoin time.Duration // when it asked for membership last
 	stalled  bool
 }
 
@@ -185,13 +186,19 @@
 // SetLeaving says that the process was asked to stop: the others take it out of the chain, and its lease goes back.
 func (r *Replica) SetLeaving() { r.leaving = true }
 
+// MayStop reports whether a member that was asked to stop is needed no more: it is outside the chain, and no request of
+// its own by which it could be admitted again is still under way.
+func (r *Replica) MayStop() bool {
+	return r.leaving && !r.IsMember() && r.now-r.lastJoin >= withdrawalTime
+}
+
 // SetDiskStalled says whether a write has been under way for too long.
 func (r *Replica) SetDiskStalled(stalled bool) { r.stalled = stalled }
 
 // Tick does what is due at now.
 func (r *Replica) Tick(now time.Duration) Output {
 	if r.ticked && now-r.now > ownStallAfter {
-		r.detector.forgive(now)
+		r.detector.forgive(now, now-r.now)
 	}
 	r.now, r.ticked = now, true
 	r.tickMembership()
@@ -205,7 +212,7 @@
 // Step takes a message.
 func (r *Replica) Step(now time.Duration, m *message.Message) Output {
 	if r.ticked && now-r.now > ownStallAfter {
-		r.detector.forgive(now)
+		r.detector.forgive(now, now-r.now)
 	}
 	r.now = max(r.now, now)
 	if m.To != "" && m.To != r.control.Identity { // meant for whoever had this address before
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -13,21 +13,21 @@
 	Since    uint64 `msg:"s"` // number of the view from which it has been a member without a gap
 }
 
-// View is an agreed membership. The chain changes whenever a member is lost or comes back; who votes changes only when
-// a machine is replaced or added, or when there are more voters than the tolerance needs.
+// View is an agreed membership. The chain changes whenever a member is lost or comes back. The vote of one that is
+// silent goes to a live member that has none; where there is none it keeps it.
 type View struct {
 	Number  uint64   `msg:"n"`
 	Members []Member `msg:"m"` // the chain, the head first
 	Voters  []Member `msg:"v"` // a majority of them decides on the next view; none: the members of the chain
-	// Displaced are silent members whose vote went to a newcomer, the latest last. The newcomer may have come to replace
-	// another member of its zone, and that one passes its vote back when it leaves.
-	Displaced []Displaced `msg:"d"`
+	// Displaced are silent members that have lost their vote, the latest last.
+	Displaced []Displaced `msg:"dp"`
 }
 
-// Displaced is a member that lost its vote while it was silent.
+// Displaced is a member that lost its vote while it was silent. It is told of the view; and it gets the vote of the
+// member for which the newcomer that has its own proves to have come.
 type Displaced struct {
 	Member Member `msg:"m"`
-	By     string `msg:"b"` // identity of the newcomer that got the vote
+	By     string `msg:"b"` // identity of the member that got the vote
 }
 
 // Electorate returns the members whose majority decides on the next view, confirms this one and grants the lease.
@@ -135,6 +135,7 @@
 type Join struct {
 	DiskStalled bool `msg:"d"`
 	Observer    bool `msg:"o"` // the sender only wants to know the newest view
+	Withdrawn   bool `msg:"w"` // the sender was told to stop: what it asked for before is void
 }
 
 // Announcement carries a decided view.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -4461,6 +4461,12 @@
 				err = msgp.WrapError(err, "Observer")
 				return
 			}
+		case "w":
+			z.Withdrawn, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Withdrawn")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4474,9 +4480,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z Join) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "d"
-	err = en.Append(0x82, 0xa1, 0x64)
+	err = en.Append(0x83, 0xa1, 0x64)
 	if err != nil {
 		return
 	}
@@ -4495,19 +4501,32 @@
 		err = msgp.WrapError(err, "Observer")
 		return
 	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Withdrawn)
+	if err != nil {
+		err = msgp.WrapError(err, "Withdrawn")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Join) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "d"
-	o = append(o, 0x82, 0xa1, 0x64)
+	o = append(o, 0x83, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.DiskStalled)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendBool(o, z.Observer)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Withdrawn)
 	return
 }
 
@@ -4541,6 +4560,12 @@
 				err = msgp.WrapError(err, "Observer")
 				return
 			}
+		case "w":
+			z.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Withdrawn")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4555,7 +4580,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Join) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -5638,6 +5663,12 @@
 							err = msgp.WrapError(err, "Join", "Observer")
 							return
 						}
+					case "w":
+						z.Join.Withdrawn, err = dc.ReadBool()
+						if err != nil {
+							err = msgp.WrapError(err, "Join", "Withdrawn")
+							return
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -6573,9 +6604,9 @@
 					return
 				}
 			} else {
-				// map header, size 2
+				// map header, size 3
 				// write "d"
-				err = en.Append(0x82, 0xa1, 0x64)
+				err = en.Append(0x83, 0xa1, 0x64)
 				if err != nil {
 					return
 				}
@@ -6594,6 +6625,16 @@
 					err = msgp.WrapError(err, "Join", "Observer")
 					return
 				}
+				// write "w"
+				err = en.Append(0xa1, 0x77)
+				if err != nil {
+					return
+				}
+				err = en.WriteBool(z.Join.Withdrawn)
+				if err != nil {
+					err = msgp.WrapError(err, "Join", "Withdrawn")
+					return
+				}
 			}
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
@@ -7311,13 +7352,16 @@
 			if z.Join == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 2
+				// map header, size 3
 				// string "d"
-				o = append(o, 0x82, 0xa1, 0x64)
+				o = append(o, 0x83, 0xa1, 0x64)
 				o = msgp.AppendBool(o, z.Join.DiskStalled)
 				// string "o"
 				o = append(o, 0xa1, 0x6f)
 				o = msgp.AppendBool(o, z.Join.Observer)
+				// string "w"
+				o = append(o, 0xa1, 0x77)
+				o = msgp.AppendBool(o, z.Join.Withdrawn)
 			}
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
@@ -7738,6 +7782,12 @@
 							err = msgp.WrapError(err, "Join", "Observer")
 							return
 						}
+					case "w":
+						z.Join.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Join", "Withdrawn")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -8470,7 +8520,7 @@
 	if z.Join == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+		s += 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	}
 	s += 3
 	if z.Announcement == nil {
@@ -11434,7 +11484,7 @@
 					return
 				}
 			}
-		case "d":
+		case "dp":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
@@ -11540,8 +11590,8 @@
 			return
 		}
 	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
+	// write "dp"
+	err = en.Append(0xa2, 0x64, 0x70)
 	if err != nil {
 		return
 	}
@@ -11603,8 +11653,8 @@
 			return
 		}
 	}
-	// string "d"
-	o = append(o, 0xa1, 0x64)
+	// string "dp"
+	o = append(o, 0xa2, 0x64, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Displaced)))
 	for za0003 := range z.Displaced {
 		// map header, size 2
@@ -11684,7 +11734,7 @@
 					return
 				}
 			}
-		case "d":
+		case "dp":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
@@ -11754,7 +11804,7 @@
 	for za0002 := range z.Voters {
 		s += z.Voters[za0002].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize
+	s += 3 + msgp.ArrayHeaderSize
 	for za0003 := range z.Displaced {
 		s += 1 + 2 + z.Displaced[za0003].Member.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Displaced[za0003].By)
 	}
