--- a/internal/controlplane/replica/detector.go
+++ b/internal/controlplane/replica/detector.go
@@ -25,6 +25,7 @@
 	veterans     map[string]bool          // identities that have been members
 	arrived      map[string]time.Duration // when an identity that was no member before asked for the first time
 	departing    map[string]time.Duration // when members said last that they were asked to stop, unless they came back since
+	cameBack     map[string]time.Duration // when a member asked to join last
 	superseded   map[string]time.Duration // when a member's vote went to a newcomer of its zone
 	stoodStill   time.Duration            // when this process went on after it had stood still for long
 	monitors     []message.Member         // to whom this member sends its heartbeats
@@ -81,6 +82,25 @@
 	d.arrived = map[string]time.Duration{}
 	d.departing = map[string]time.Duration{}
 	d.superseded = map[string]time.Duration{}
+	d.cameBack = map[string]time.Duration{}
+}
+
+// departureTime is how long a member that was asked to stop takes at the most until it has ended.
+const departureTime = 5 * time.Second
+
+// noteDeparture keeps that a member said that it was asked to stop. What comes just after it has been started again was
+// said before.
+func (d *detector) noteDeparture(identity string, now time.Duration) {
+	at, known := d.cameBack[identity]
+	if !known || now-at > joinPatience {
+		d.departing[identity] = now
+	}
+}
+
+// noteReturn keeps that a member asks to join: it has been started again, or was taken out.
+func (d *detector) noteReturn(identity string, now time.Duration) {
+	delete(d.departing, identity)
+	d.cameBack[identity] = now
 }
 
 // hear notes that a message of a member came to self, which so takes back that it is silent.
@@ -155,6 +175,7 @@
 			delete(d.arrived, identity)
 			delete(d.departing, identity)
 			delete(d.superseded, identity)
+			delete(d.cameBack, identity)
 		}
 	}
 	maps.DeleteFunc(d.reports, func(_ report, at time.Duration) bool { return now-at > reportLifetime })
--- a/internal/controlplane/replica/joining.go
+++ b/internal/controlplane/replica/joining.go
@@ -47,7 +47,7 @@
 		return
 	}
 	known, ok := r.detector.joiners[m.From]
-	delete(r.detector.departing, m.From) // it has been started anew
+	r.detector.noteReturn(m.From, r.now)
 	r.noteArrival(m.From)
 	if !ok || !r.isFresh(known) {
 		known.first = r.now
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -142,10 +142,10 @@
 	return r.now - arrived, known && r.now-arrived <= newcomerTime
 }
 
-// isDeparting reports whether a member said that it was asked to stop, and has not come back since.
+// isDeparting reports whether a member said a moment ago that it was asked to stop, and has not come back since.
 func (r *Replica) isDeparting(member message.Member) bool {
-	_, said := r.detector.departing[member.Identity]
-	return said
+	at, said := r.detector.departing[member.Identity]
+	return said && r.now-at <= departureTime
 }
 
 // isPatient reports whether a member without a vote has been known for long enough that its coming says nothing of any
--- a/internal/controlplane/replica/suspicion.go
+++ b/internal/controlplane/replica/suspicion.go
@@ -19,7 +19,7 @@
 	}
 	for _, identity := range s.Leaving {
 		r.detector.reports[report{isLeaving, identity, reporter}] = r.now
-		r.detector.departing[identity] = r.now
+		r.detector.noteDeparture(identity, r.now)
 	}
 	for _, identity := range s.Doubted {
 		r.detector.reports[report{isDoubted, identity, reporter}] = r.now
--- a/internal/simulation/plan.go
+++ b/internal/simulation/plan.go
@@ -114,10 +114,10 @@
 }
 
 // withoutDisk are the places whose disk counts as lost: until its successor has had time to take the state, and beyond
-// the tolerance until it has it.
+// the tolerance until it has it in the newest view.
 func (c *Cluster) withoutDisk() []int {
 	return lo.FilterMap(c.slots, func(n *node, slot int) (int, bool) {
-		lacks := c.options.Wild && n.wiped > 0 && (n.replica == nil || !n.replica.IsSynced())
+		lacks := c.options.Wild && n.wiped > 0 && (n.replica == nil || !n.replica.IsSynced() || n.replica.View().Number < c.seenView)
 		return slot, c.now < n.diskLostUntil || lacks
 	})
 }
