--- a/internal/controlplane/placement/orders.go
+++ b/internal/controlplane/placement/orders.go
@@ -55,14 +55,18 @@
 	Unload = "model_unload"
 )
 
-// Caller makes calls to backends.
-type Caller struct{ client *http.Client }
+// Caller makes calls to backends. Reports share a connection a backend, which is kept for a moment. Each order has one of
+// its own: its answer carries no id, so a late one to an earlier call could not be told from it.
+type Caller struct{ reports, orders *http.Client }
 
-// NewCaller makes a caller. Connections are not kept: a backend accepts only so many from all callers.
+// NewCaller makes a caller.
 func NewCaller() *Caller {
-	return &Caller{client: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second, DisableCompression: true,
-	}}}
+	return &Caller{
+		reports: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second, DisableCompression: true,
+		}},
+		orders: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+	}
 }
 
 // Report asks a backend for what it holds.
@@ -74,7 +78,7 @@
 		return nil, errors.Wrap(err, "asking for a report")
 	}
 	request.Header.Set("Target-Backend", target.ID)
-	response, err := c.client.Do(request)
+	response, err := c.reports.Do(request)
 	if err != nil {
 		return nil, errors.Wrap(err, "asking for a report")
 	}
@@ -126,7 +130,7 @@
 	request.GetBody = nil // so that the transport cannot send it again
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Target-Backend", target.ID)
-	response, err := c.client.Do(request)
+	response, err := c.orders.Do(request)
 	if err != nil {
 		return Unknown
 	}
--- /dev/null
+++ b/internal/controlplane/placement/orders_test.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pumiceline/internal/message"
+)
+
+// rawBackend answers requests on its sockets as a test says, and counts them by path.
+type rawBackend struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	taken    map[string]int
+	serve    func(connection net.Conn, request *http.Request, earlier int) // earlier: requests on this connection before
+}
+
+func newRawBackend(t *testing.T, serve func(net.Conn, *http.Request, int)) (*rawBackend, message.Backend) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	b := &rawBackend{listener: listener, taken: map[string]int{}, serve: serve}
+	go b.accept()
+	return b, message.Backend{ID: "b-1", Address: listener.Addr().String()}
+}
+
+func (b *rawBackend) accept() {
+	for {
+		connection, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		go b.read(connection)
+	}
+}
+
+func (b *rawBackend) read(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for earlier := 0; ; earlier++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		b.mutex.Lock()
+		b.taken[request.URL.Path]++
+		b.mutex.Unlock()
+		b.serve(connection, request, earlier)
+	}
+}
+
+func (b *rawBackend) count(path string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.taken[path]
+}
+
+const (
+	wholeReport = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 41\r\n\r\n" + `{"models":[],"inUse":false,"callCount":0}`
+	orderTaken  = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+)
+
+// A second answer to a report that comes when the next call is under way was taken for the order's: 200 means that the
+// backend holds the model already.
+func TestALateAnswerToAReportIsNoneToAnOrder(t *testing.T) {
+	_, target := newRawBackend(t, func(connection net.Conn, request *http.Request, earlier int) {
+		switch {
+		case request.URL.Path == "/report":
+			_, _ = connection.Write([]byte(wholeReport))
+		case earlier > 0: // the second answer to what came before
+			_, _ = connection.Write([]byte(wholeReport + orderTaken))
+		default:
+			_, _ = connection.Write([]byte(orderTaken))
+		}
+	})
+	caller := NewCaller()
+	_, err := caller.Report(context.Background(), target)
+	require.NoError(t, err)
+	assert.Equal(t, Taken, caller.Order(context.Background(), target, Order{Operation: Load, Model: "m"}))
+	_, err = caller.Report(context.Background(), target)
+	require.NoError(t, err)
+	assert.Equal(t, Taken, caller.Order(context.Background(), target, Order{Operation: Load, Model: "n"}))
+}
+
+// An order that got no answer may have been taken: neither the caller nor its library sends it again.
+func TestAnOrderWithoutAnAnswerIsNotSentAgain(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){
+		"closed": func(connection net.Conn) { connection.Close() },
+		"reset": func(connection net.Conn) {
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			connection.Close()
+		},
+		"half an answer": func(connection net.Conn) {
+			_, _ = connection.Write([]byte("HTTP/1.1 20"))
+			connection.Close()
+		},
+	} {
+		backend, target := newRawBackend(t, func(connection net.Conn, request *http.Request, _ int) {
+			if request.URL.Path == "/order" {
+				end(connection)
+				return
+			}
+			_, _ = connection.Write([]byte(wholeReport))
+		})
+		caller := NewCaller()
+		_, err := caller.Report(context.Background(), target) // so that a kept connection is there
+		require.NoError(t, err)
+		assert.Equal(t, Unknown, caller.Order(context.Background(), target, Order{Operation: Load, Model: "m"}), name)
+		assert.Equal(t, 1, backend.count("/order"), name)
+	}
+}
