Systems whose machines have no disk: members are admitted anew, and one holds the lease

Change: where no member of the view has a disk (after the first 3 s of the first view), machines without one are members like others; a restarted one is another, whose address tells whom it succeeds.

--- a/internal/controlplane/replica/detector.go
+++ b/internal/controlplane/replica/detector.go
@@ -204,6 +204,21 @@
 	return r.detector.complete[member.Identity] == r.control.View.Number
 }
 
+// isDiskless reports whether no member of the view has a disk, and none has come for the first seconds of the system.
+// Then machines without a disk are members like others; one that restarts comes back as another.
+func (r *Replica) isDiskless() bool {
+	view := r.control.View
+	if len(view.Members) == 0 || view.Number == 1 && r.now-r.lease.viewEntered < disklessPatience {
+		return false
+	}
+	return lo.EveryBy(everyone(view), r.isVolatile)
+}
+
+// givesWay reports whether a member has no disk though others have one: only the first view can have it.
+func (r *Replica) givesWay(member message.Member) bool {
+	return r.isVolatile(member) && !r.isDiskless()
+}
+
 func (r *Replica) isVolatile(member message.Member) bool {
 	if member.Identity == r.control.Identity {
 		return r.options.Volatile
--- a/internal/controlplane/replica/electorate.go
+++ b/internal/controlplane/replica/electorate.go
@@ -168,10 +168,10 @@
 const mostDisplaced = 4
 
 // stillDisplaced are the displaced members that have no vote again, and whose address no voter has, the latest last.
-// Those without a disk are not kept: they never vote again.
-func (e *electorate) stillDisplaced(isVolatile func(message.Member) bool) []message.Displaced {
+// Those that gave way to members with a disk are not kept: they never vote again.
+func (e *electorate) stillDisplaced(givesWay func(message.Member) bool) []message.Displaced {
 	displaced := lo.Reject(e.displaced, func(d message.Displaced, _ int) bool {
-		return isVolatile(d.Member) || lo.ContainsBy(e.voters, func(m message.Member) bool {
+		return givesWay(d.Member) || lo.ContainsBy(e.voters, func(m message.Member) bool {
 			return m.Identity == d.Member.Identity || m.Address == d.Member.Address
 		})
 	})
--- a/internal/controlplane/replica/heartbeat.go
+++ b/internal/controlplane/replica/heartbeat.go
@@ -15,7 +15,7 @@
 // tickMembership sends what is due to the other members, or asks to become one.
 func (r *Replica) tickMembership() {
 	interval := heartbeatInterval
-	if r.options.Volatile && !r.IsMember() {
+	if r.options.Volatile && !r.IsMember() && !r.isDiskless() {
 		interval = observeInterval
 	}
 	if r.detector.beaten && r.now-r.detector.lastBeat < interval {
--- a/internal/controlplane/replica/joining.go
+++ b/internal/controlplane/replica/joining.go
@@ -16,10 +16,8 @@
 		r.ask(&message.Join{Withdrawn: true})
 		return
 	}
-	if !r.options.Volatile {
-		r.lastJoin = r.now
-	}
-	r.ask(&message.Join{DiskStalled: r.stalled, Observer: r.options.Volatile})
+	r.lastJoin = r.now
+	r.ask(&message.Join{DiskStalled: r.stalled, Volatile: r.options.Volatile})
 }
 
 // ask sends a request to join to all whose address is known.
@@ -43,22 +41,33 @@
 		delete(r.detector.joiners, m.From)
 		return
 	}
-	if !r.IsMember() || m.Join.Observer || m.Join.DiskStalled || positionOf(r.control.View, m.From) >= 0 {
+	if !m.Join.Observer {
+		r.noteArrival(m.From)
+	}
+	if !r.mayAdmit(m) {
 		return
 	}
-	known, ok := r.detector.joiners[m.From]
 	r.detector.noteReturn(m.From, r.now)
-	r.noteArrival(m.From)
+	known, ok := r.detector.joiners[m.From]
 	if !ok || !r.isFresh(known) {
 		known.first = r.now
 	}
 	known.member, known.view, known.at = r.sender(m), m.View, r.now
+	known.member.Volatile = m.Join.Volatile
 	r.detector.joiners[m.From] = known
 	if m.View >= r.control.View.Number && !r.isProposer() {
 		r.passOnJoin(m)
 	}
 }
 
+// mayAdmit reports whether the sender of a request could become a member of the view.
+func (r *Replica) mayAdmit(m *message.Message) bool {
+	if m.Join.Observer || m.Join.DiskStalled || m.Join.Volatile && !r.isDiskless() {
+		return false
+	}
+	return r.IsMember() && positionOf(r.control.View, m.From) < 0
+}
+
 // noteArrival keeps when a machine came that was no member before.
 func (r *Replica) noteArrival(identity string) {
 	view := r.control.View
--- a/internal/controlplane/replica/lease.go
+++ b/internal/controlplane/replica/lease.go
@@ -63,7 +63,7 @@
 	if l.token != 0 && r.now >= l.validUntil {
 		l.token = 0
 	}
-	if !r.IsMember() || !r.control.Complete || r.leaving || r.stalled || r.options.Volatile {
+	if !r.IsMember() || !r.control.Complete || r.leaving || r.stalled || r.options.Volatile && !r.isDiskless() {
 		r.releaseLease()
 		return
 	}
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -59,7 +59,7 @@
 // hasGroundForChange reports whether anything speaks for another view; mostly nothing does.
 func (r *Replica) hasGroundForChange() bool {
 	current := r.control.View
-	speaks := func(m message.Member) bool { return r.isVolatile(m) || !r.hasHeard(m) }
+	speaks := func(m message.Member) bool { return r.givesWay(m) || !r.hasHeard(m) }
 	if len(r.detector.reports)+len(r.detector.joiners) > 0 || lo.ContainsBy(current.Members, speaks) {
 		return true
 	}
@@ -79,14 +79,14 @@
 
 // isGoing reports whether a member that is still there is to be let go.
 func (r *Replica) isGoing(member message.Member) bool {
-	return r.isVolatile(member) || r.isLeaver(member)
+	return r.givesWay(member) || r.isLeaver(member)
 }
 
 // admit adds the joiners to those that stay and settles who votes.
 func (r *Replica) admit(stay, alive, joiners []message.Member) message.View {
 	next := message.View{Number: r.control.View.Number + 1, Members: stay}
 	active := lo.Filter(stay, func(m message.Member, _ int) bool {
-		return includes(alive, m.Identity) && r.hasHeard(m) && !r.isVolatile(m)
+		return includes(alive, m.Identity) && r.hasHeard(m) && !r.givesWay(m)
 	})
 	admitted := r.admissible(joiners, len(stay), r.electorateWith(active))
 	next.Members = append(next.Members, admitted...)
@@ -94,7 +94,7 @@
 	electorate := r.electorateWith(append(active, admitted...))
 	electorate.mayGrow = !r.someoneIsInDoubt(stay)
 	next.Voters = electorate.next()
-	next.Displaced = electorate.stillDisplaced(r.isVolatile)
+	next.Displaced = electorate.stillDisplaced(r.givesWay)
 	r.describe(next.Voters)
 	return next
 }
@@ -208,7 +208,7 @@
 	case len(voters):
 		return true
 	case 0:
-		return waited
+		return waited || r.isDiskless()
 	}
 	copies := lo.CountBy(r.control.View.Members, func(m message.Member) bool { return !r.mayBeVolatile(m) })
 	return len(onDisk)-r.options.Tolerance >= r.majority() && copies > r.options.Tolerance
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -135,6 +135,7 @@
 type Join struct {
 	DiskStalled bool `msg:"d"`
 	Observer    bool `msg:"o"` // the sender only wants to know the newest view
+	Volatile    bool `msg:"v"` // it has no disk, and becomes a member only where none has one
 	Withdrawn   bool `msg:"w"` // the sender was told to stop: what it asked for before is void
 }
 
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -4461,6 +4461,12 @@
 				err = msgp.WrapError(err, "Observer")
 				return
 			}
+		case "v":
+			z.Volatile, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Volatile")
+				return
+			}
 		case "w":
 			z.Withdrawn, err = dc.ReadBool()
 			if err != nil {
@@ -4479,10 +4485,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Join) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *Join) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "d"
-	err = en.Append(0x83, 0xa1, 0x64)
+	err = en.Append(0x84, 0xa1, 0x64)
 	if err != nil {
 		return
 	}
@@ -4501,6 +4507,16 @@
 		err = msgp.WrapError(err, "Observer")
 		return
 	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Volatile)
+	if err != nil {
+		err = msgp.WrapError(err, "Volatile")
+		return
+	}
 	// write "w"
 	err = en.Append(0xa1, 0x77)
 	if err != nil {
@@ -4515,15 +4531,18 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Join) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Join) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "d"
-	o = append(o, 0x83, 0xa1, 0x64)
+	o = append(o, 0x84, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.DiskStalled)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendBool(o, z.Observer)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendBool(o, z.Volatile)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendBool(o, z.Withdrawn)
@@ -4560,6 +4579,12 @@
 				err = msgp.WrapError(err, "Observer")
 				return
 			}
+		case "v":
+			z.Volatile, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Volatile")
+				return
+			}
 		case "w":
 			z.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -4579,8 +4604,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Join) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+func (z *Join) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -5637,46 +5662,11 @@
 				if z.Join == nil {
 					z.Join = new(Join)
 				}
-				var zb0002 uint32
-				zb0002, err = dc.ReadMapHeader()
+				err = z.Join.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Join")
 					return
 				}
-				for zb0002 > 0 {
-					zb0002--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Join")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.Join.DiskStalled, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "Join", "DiskStalled")
-							return
-						}
-					case "o":
-						z.Join.Observer, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "Join", "Observer")
-							return
-						}
-					case "w":
-						z.Join.Withdrawn, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "Join", "Withdrawn")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Join")
-							return
-						}
-					}
-				}
 			}
 		case "an":
 			if dc.IsNil() {
@@ -5690,14 +5680,14 @@
 				if z.Announcement == nil {
 					z.Announcement = new(Announcement)
 				}
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				var zb0002 uint32
+				zb0002, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Announcement")
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0002 > 0 {
+					zb0002--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Announcement")
@@ -5731,14 +5721,14 @@
 				if z.Prepare == nil {
 					z.Prepare = new(Prepare)
 				}
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Prepare")
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+				for zb0003 > 0 {
+					zb0003--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Prepare")
@@ -5746,14 +5736,14 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "b":
-						var zb0005 uint32
-						zb0005, err = dc.ReadMapHeader()
+						var zb0004 uint32
+						zb0004, err = dc.ReadMapHeader()
 						if err != nil {
 							err = msgp.WrapError(err, "Prepare", "Ballot")
 							return
 						}
-						for zb0005 > 0 {
-							zb0005--
+						for zb0004 > 0 {
+							zb0004--
 							field, err = dc.ReadMapKeyPtr()
 							if err != nil {
 								err = msgp.WrapError(err, "Prepare", "Ballot")
@@ -5873,14 +5863,14 @@
 				if z.Committed == nil {
 					z.Committed = new(Committed)
 				}
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Committed")
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0005 > 0 {
+					zb0005--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Committed")
@@ -5920,14 +5910,14 @@
 				if z.SnapshotRequest == nil {
 					z.SnapshotRequest = new(SnapshotRequest)
 				}
-				var zb0007 uint32
-				zb0007, err = dc.ReadMapHeader()
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "SnapshotRequest")
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0006 > 0 {
+					zb0006--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "SnapshotRequest")
@@ -5961,14 +5951,14 @@
 				if z.CatchUpRequest == nil {
 					z.CatchUpRequest = new(CatchUpRequest)
 				}
-				var zb0008 uint32
-				zb0008, err = dc.ReadMapHeader()
+				var zb0007 uint32
+				zb0007, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "CatchUpRequest")
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
+				for zb0007 > 0 {
+					zb0007--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "CatchUpRequest")
@@ -6002,14 +5992,14 @@
 				if z.CatchUp == nil {
 					z.CatchUp = new(CatchUp)
 				}
-				var zb0009 uint32
-				zb0009, err = dc.ReadMapHeader()
+				var zb0008 uint32
+				zb0008, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "CatchUp")
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
+				for zb0008 > 0 {
+					zb0008--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "CatchUp")
@@ -6061,14 +6051,14 @@
 				if z.Confirm == nil {
 					z.Confirm = new(Confirm)
 				}
-				var zb0010 uint32
-				zb0010, err = dc.ReadMapHeader()
+				var zb0009 uint32
+				zb0009, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Confirm")
 					return
 				}
-				for zb0010 > 0 {
-					zb0010--
+				for zb0009 > 0 {
+					zb0009--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Confirm")
@@ -6102,14 +6092,14 @@
 				if z.Confirmed == nil {
 					z.Confirmed = new(Confirmed)
 				}
-				var zb0011 uint32
-				zb0011, err = dc.ReadMapHeader()
+				var zb0010 uint32
+				zb0010, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Confirmed")
 					return
 				}
-				for zb0011 > 0 {
-					zb0011--
+				for zb0010 > 0 {
+					zb0010--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Confirmed")
@@ -6149,14 +6139,14 @@
 				if z.LeaseRequest == nil {
 					z.LeaseRequest = new(LeaseRequest)
 				}
-				var zb0012 uint32
-				zb0012, err = dc.ReadMapHeader()
+				var zb0011 uint32
+				zb0011, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "LeaseRequest")
 					return
 				}
-				for zb0012 > 0 {
-					zb0012--
+				for zb0011 > 0 {
+					zb0011--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "LeaseRequest")
@@ -6202,14 +6192,14 @@
 				if z.LeaseGrant == nil {
 					z.LeaseGrant = new(LeaseGrant)
 				}
-				var zb0013 uint32
-				zb0013, err = dc.ReadMapHeader()
+				var zb0012 uint32
+				zb0012, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "LeaseGrant")
 					return
 				}
-				for zb0013 > 0 {
-					zb0013--
+				for zb0012 > 0 {
+					zb0012--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "LeaseGrant")
@@ -6255,14 +6245,14 @@
 				if z.LeaseRelease == nil {
 					z.LeaseRelease = new(LeaseRelease)
 				}
-				var zb0014 uint32
-				zb0014, err = dc.ReadMapHeader()
+				var zb0013 uint32
+				zb0013, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "LeaseRelease")
 					return
 				}
-				for zb0014 > 0 {
-					zb0014--
+				for zb0013 > 0 {
+					zb0013--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "LeaseRelease")
@@ -6314,14 +6304,14 @@
 				if z.ConfigResult == nil {
 					z.ConfigResult = new(ConfigResult)
 				}
-				var zb0015 uint32
-				zb0015, err = dc.ReadMapHeader()
+				var zb0014 uint32
+				zb0014, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "ConfigResult")
 					return
 				}
-				for zb0015 > 0 {
-					zb0015--
+				for zb0014 > 0 {
+					zb0014--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "ConfigResult")
@@ -6604,35 +6594,9 @@
 					return
 				}
 			} else {
-				// map header, size 3
-				// write "d"
-				err = en.Append(0x83, 0xa1, 0x64)
-				if err != nil {
-					return
-				}
-				err = en.WriteBool(z.Join.DiskStalled)
-				if err != nil {
-					err = msgp.WrapError(err, "Join", "DiskStalled")
-					return
-				}
-				// write "o"
-				err = en.Append(0xa1, 0x6f)
+				err = z.Join.EncodeMsg(en)
 				if err != nil {
-					return
-				}
-				err = en.WriteBool(z.Join.Observer)
-				if err != nil {
-					err = msgp.WrapError(err, "Join", "Observer")
-					return
-				}
-				// write "w"
-				err = en.Append(0xa1, 0x77)
-				if err != nil {
-					return
-				}
-				err = en.WriteBool(z.Join.Withdrawn)
-				if err != nil {
-					err = msgp.WrapError(err, "Join", "Withdrawn")
+					err = msgp.WrapError(err, "Join")
 					return
 				}
 			}
@@ -6877,21 +6841,21 @@
 				}
 			} else {
 				// check for omitted fields
-				zb0009Len := uint32(2)
-				var zb0009Mask uint8 /* 2 bits */
-				_ = zb0009Mask
+				zb0008Len := uint32(2)
+				var zb0008Mask uint8 /* 2 bits */
+				_ = zb0008Mask
 				if z.CatchUp.State == nil {
-					zb0009Len--
-					zb0009Mask |= 0x2
+					zb0008Len--
+					zb0008Mask |= 0x2
 				}
-				// variable map header, size zb0009Len
-				err = en.Append(0x80 | uint8(zb0009Len))
+				// variable map header, size zb0008Len
+				err = en.Append(0x80 | uint8(zb0008Len))
 				if err != nil {
 					return
 				}
 
 				// skip if no fields are to be emitted
-				if zb0009Len != 0 {
+				if zb0008Len != 0 {
 					// write "d"
 					err = en.Append(0xa1, 0x64)
 					if err != nil {
@@ -6902,7 +6866,7 @@
 						err = msgp.WrapError(err, "CatchUp", "Digest")
 						return
 					}
-					if (zb0009Mask & 0x2) == 0 { // if not omitted
+					if (zb0008Mask & 0x2) == 0 { // if not omitted
 						// write "s"
 						err = en.Append(0xa1, 0x73)
 						if err != nil {
@@ -7352,16 +7316,11 @@
 			if z.Join == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 3
-				// string "d"
-				o = append(o, 0x83, 0xa1, 0x64)
-				o = msgp.AppendBool(o, z.Join.DiskStalled)
-				// string "o"
-				o = append(o, 0xa1, 0x6f)
-				o = msgp.AppendBool(o, z.Join.Observer)
-				// string "w"
-				o = append(o, 0xa1, 0x77)
-				o = msgp.AppendBool(o, z.Join.Withdrawn)
+				o, err = z.Join.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Join")
+					return
+				}
 			}
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
@@ -7496,22 +7455,22 @@
 				o = msgp.AppendNil(o)
 			} else {
 				// check for omitted fields
-				zb0009Len := uint32(2)
-				var zb0009Mask uint8 /* 2 bits */
-				_ = zb0009Mask
+				zb0008Len := uint32(2)
+				var zb0008Mask uint8 /* 2 bits */
+				_ = zb0008Mask
 				if z.CatchUp.State == nil {
-					zb0009Len--
-					zb0009Mask |= 0x2
+					zb0008Len--
+					zb0008Mask |= 0x2
 				}
-				// variable map header, size zb0009Len
-				o = append(o, 0x80|uint8(zb0009Len))
+				// variable map header, size zb0008Len
+				o = append(o, 0x80|uint8(zb0008Len))
 
 				// skip if no fields are to be emitted
-				if zb0009Len != 0 {
+				if zb0008Len != 0 {
 					// string "d"
 					o = append(o, 0xa1, 0x64)
 					o = msgp.AppendBytes(o, z.CatchUp.Digest)
-					if (zb0009Mask & 0x2) == 0 { // if not omitted
+					if (zb0008Mask & 0x2) == 0 { // if not omitted
 						// string "s"
 						o = append(o, 0xa1, 0x73)
 						if z.CatchUp.State == nil {
@@ -7756,46 +7715,11 @@
 				if z.Join == nil {
 					z.Join = new(Join)
 				}
-				var zb0002 uint32
-				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Join.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Join")
 					return
 				}
-				for zb0002 > 0 {
-					zb0002--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Join")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.Join.DiskStalled, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Join", "DiskStalled")
-							return
-						}
-					case "o":
-						z.Join.Observer, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Join", "Observer")
-							return
-						}
-					case "w":
-						z.Join.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Join", "Withdrawn")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Join")
-							return
-						}
-					}
-				}
 			}
 		case "an":
 			if msgp.IsNil(bts) {
@@ -7808,14 +7732,14 @@
 				if z.Announcement == nil {
 					z.Announcement = new(Announcement)
 				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0002 uint32
+				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Announcement")
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0002 > 0 {
+					zb0002--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Announcement")
@@ -7848,14 +7772,14 @@
 				if z.Prepare == nil {
 					z.Prepare = new(Prepare)
 				}
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Prepare")
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Prepare")
@@ -7863,14 +7787,14 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "b":
-						var zb0005 uint32
-						zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Prepare", "Ballot")
 							return
 						}
-						for zb0005 > 0 {
-							zb0005--
+						for zb0004 > 0 {
+							zb0004--
 							field, bts, err = msgp.ReadMapKeyZC(bts)
 							if err != nil {
 								err = msgp.WrapError(err, "Prepare", "Ballot")
@@ -7985,14 +7909,14 @@
 				if z.Committed == nil {
 					z.Committed = new(Committed)
 				}
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Committed")
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Committed")
@@ -8031,14 +7955,14 @@
 				if z.SnapshotRequest == nil {
 					z.SnapshotRequest = new(SnapshotRequest)
 				}
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "SnapshotRequest")
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0006 > 0 {
+					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "SnapshotRequest")
@@ -8071,14 +7995,14 @@
 				if z.CatchUpRequest == nil {
 					z.CatchUpRequest = new(CatchUpRequest)
 				}
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "CatchUpRequest")
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "CatchUpRequest")
@@ -8111,14 +8035,14 @@
 				if z.CatchUp == nil {
 					z.CatchUp = new(CatchUp)
 				}
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "CatchUp")
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
+				for zb0008 > 0 {
+					zb0008--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "CatchUp")
@@ -8168,14 +8092,14 @@
 				if z.Confirm == nil {
 					z.Confirm = new(Confirm)
 				}
-				var zb0010 uint32
-				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Confirm")
 					return
 				}
-				for zb0010 > 0 {
-					zb0010--
+				for zb0009 > 0 {
+					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Confirm")
@@ -8208,14 +8132,14 @@
 				if z.Confirmed == nil {
 					z.Confirmed = new(Confirmed)
 				}
-				var zb0011 uint32
-				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Confirmed")
 					return
 				}
-				for zb0011 > 0 {
-					zb0011--
+				for zb0010 > 0 {
+					zb0010--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Confirmed")
@@ -8254,14 +8178,14 @@
 				if z.LeaseRequest == nil {
 					z.LeaseRequest = new(LeaseRequest)
 				}
-				var zb0012 uint32
-				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "LeaseRequest")
 					return
 				}
-				for zb0012 > 0 {
-					zb0012--
+				for zb0011 > 0 {
+					zb0011--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "LeaseRequest")
@@ -8306,14 +8230,14 @@
 				if z.LeaseGrant == nil {
 					z.LeaseGrant = new(LeaseGrant)
 				}
-				var zb0013 uint32
-				zb0013, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0012 uint32
+				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "LeaseGrant")
 					return
 				}
-				for zb0013 > 0 {
-					zb0013--
+				for zb0012 > 0 {
+					zb0012--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "LeaseGrant")
@@ -8358,14 +8282,14 @@
 				if z.LeaseRelease == nil {
 					z.LeaseRelease = new(LeaseRelease)
 				}
-				var zb0014 uint32
-				zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0013 uint32
+				zb0013, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "LeaseRelease")
 					return
 				}
-				for zb0014 > 0 {
-					zb0014--
+				for zb0013 > 0 {
+					zb0013--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "LeaseRelease")
@@ -8415,14 +8339,14 @@
 				if z.ConfigResult == nil {
 					z.ConfigResult = new(ConfigResult)
 				}
-				var zb0015 uint32
-				zb0015, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0014 uint32
+				zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "ConfigResult")
 					return
 				}
-				for zb0015 > 0 {
-					zb0015--
+				for zb0014 > 0 {
+					zb0014--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "ConfigResult")
@@ -8520,7 +8444,7 @@
 	if z.Join == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+		s += z.Join.Msgsize()
 	}
 	s += 3
 	if z.Announcement == nil {
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -74,6 +74,34 @@
 	}
 }
 
+// checkVoters finds a machine that is gone for good and votes on though live members could have its vote: one more
+// loss than the system bears then leaves no majority.
+func (c *Cluster) checkVoters() {
+	newest := c.newestView()
+	live := map[string]bool{}
+	for _, n := range c.slots {
+		if n.replica != nil {
+			live[n.replica.Identity()] = true
+		}
+	}
+	gone := lo.Reject(newest.Electorate(), func(m message.Member, _ int) bool { return live[m.Identity] })
+	voting := lo.CountBy(newest.Members, func(m message.Member) bool { return live[m.Identity] })
+	if len(gone) > 0 && voting >= len(newest.Electorate()) {
+		c.violate("VOTERS", fmt.Sprintf("%s is gone and votes in view %d", gone[0].Identity, newest.Number))
+	}
+}
+
+// newestView is the newest view that a live machine has entered.
+func (c *Cluster) newestView() message.View {
+	var newest message.View
+	for _, n := range c.slots {
+		if n.replica != nil && n.replica.View().Number > newest.Number {
+			newest = n.replica.View()
+		}
+	}
+	return newest
+}
+
 // checkEnd compares what the members hold at the end with what the operators were told.
 func (c *Cluster) checkEnd(version uint64) {
 	state, ok := c.newestState()
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -135,6 +135,7 @@
 	c.heal()
 	c.runUntil(options.Length + settleTime)
 	c.checkRecovery()
+	c.checkVoters()
 	for _, o := range c.operators {
 		o.stop()
 	}
--- a/internal/simulation/drawn.go
+++ b/internal/simulation/drawn.go
@@ -14,6 +14,7 @@
 	shapeStream    = 0x73686170
 	volatileOneIn  = 5
 	mostVolatile   = 3
+	disklessOneIn  = 25
 )
 
 // Drawn returns the options of a run whose shape follows from the seed: members, tolerance, how many machines have no
@@ -31,5 +32,8 @@
 		options.Volatile = 1 + random.IntN(mostVolatile)
 		options.Members += options.Volatile
 	}
+	if options.Volatile == 0 && random.IntN(disklessOneIn) == 0 {
+		options.Volatile = options.Members
+	}
 	return options
 }
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -59,6 +59,9 @@
 
 const zonesIn = 4
 
+// isDiskless reports whether no machine has a disk: whoever ends has lost all.
+func (c *Cluster) isDiskless() bool { return c.options.Volatile >= c.options.Members }
+
 func (n *node) isVolatile() bool { return n.slot < n.cluster.options.Volatile }
 
 // seeds are the addresses of the first machines on the operator's list.
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -55,6 +55,22 @@
 	}
 }
 
+// Where no machine has a disk, all that matters is in memory: a machine that restarts is another one, which is admitted
+// and brought up to date, and somebody holds the lease.
+func TestSystemsWithoutAnyDisk(t *testing.T) {
+	for _, shape := range []struct{ members, tolerance int }{{3, 1}, {4, 1}, {5, 2}} {
+		leases := 0
+		for seed := uint64(1); seed <= seedsEach/2; seed++ {
+			options := Options{Seed: seed, Members: shape.members, Volatile: shape.members, Tolerance: shape.tolerance, Length: runLength}
+			result := requireClean(t, options)
+			require.Positive(t, result.Acknowledged, "seed %d of %v", seed, shape)
+			require.Equal(t, shape.members, result.Members, "seed %d of %v", seed, shape)
+			leases += result.Leases
+		}
+		assert.Greater(t, leases, seedsEach/2, "%v", shape)
+	}
+}
+
 // Found on the bench: four members cannot bear two lost disks, so every machine with a disk has to be one.
 func TestEightMembersBearTwoLostDisks(t *testing.T) {
 	for seed := uint64(1); seed <= seedsEach; seed++ {
