--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -9,6 +9,9 @@
 // strike does one kind of harm to a machine.
 func (c *Cluster) strike(n *node, f Fault) {
 	n.countLost(c.now + f.Span)
+	if c.isDiskless() && f.Kind == Leave {
+		n.countDiskLost(c.now + graceTime + f.Span) // it ends within the grace time
+	}
 	switch f.Kind {
 	case Kill:
 		c.restart(n, restartTime, false)
