A restarted member is taken out once; who the first proposer does not hear waits

Change: what was said before is dropped with a request to join and with admission; joiners ask the head themselves, whose address the announced view tells; other proposers leave a joiner to the first for 5 s; the first view that tells the zones is entered at the start; a leaver is not its own evidence. The check on voters looks 3 s later, as the last harm may come after the run's length. The four tests named for it fail before.

--- a/internal/controlplane/replica/detector.go
+++ b/internal/controlplane/replica/detector.go
@@ -100,6 +100,7 @@
 // noteReturn keeps that a member asks to join: it has been started again, or was taken out.
 func (d *detector) noteReturn(identity string, now time.Duration) {
 	delete(d.departing, identity)
+	delete(d.condition, identity)
 	d.cameBack[identity] = now
 }
 
@@ -133,6 +134,9 @@
 			d.heard[member.Identity] = now
 		}
 		delete(d.joiners, member.Identity)
+		if !includes(old.Members, member.Identity) {
+			delete(d.condition, member.Identity) // what it said of itself before it came back
+		}
 	}
 	d.noteSuccessions(old, view, now)
 	for _, member := range everyone(old) {
--- a/internal/controlplane/replica/electorate.go
+++ b/internal/controlplane/replica/electorate.go
@@ -144,9 +144,10 @@
 func (e *electorate) restoreDisplaced() {
 	for _, leaver := range e.leavers() {
 		heir, ok := lo.Find(e.displaced, func(d message.Displaced) bool {
-			by, votes := lo.Find(e.voters, func(m message.Member) bool { return m.Identity == d.By })
+			by, votes := lo.Find(e.voters, func(m message.Member) bool { return m.Identity == d.By && m.Identity != leaver.Identity })
 			_, isNew := e.newcomer(by)
-			return votes && isNew && by.Zone == leaver.Zone && d.Member.Zone != leaver.Zone && !includes(e.voters, d.Member.Identity)
+			isOfAnother := d.Member.Zone != "" && d.Member.Zone != leaver.Zone
+			return votes && isNew && by.Zone == leaver.Zone && isOfAnother && !includes(e.voters, d.Member.Identity)
 		})
 		if ok && len(e.voters) <= e.least {
 			e.succeed(leaver, heir.Member)
--- a/internal/controlplane/replica/electorate_test.go
+++ b/internal/controlplane/replica/electorate_test.go
@@ -103,6 +103,11 @@
 		voters: []string{"a1", "b1", "a2"}, present: []string{"b1", "a2", "a1"}, least: 3, leaving: []string{"a1"},
 		newcomers: map[string]time.Duration{"a2": longAgo}, displaced: map[string]string{"c1": "a2"},
 		want: []string{"c1", "b1", "a2"},
+	}, {
+		name:   "a newcomer that is itself restarted gives its vote back to nobody",
+		voters: []string{"a1", "b1", "c2"}, present: []string{"a1", "b1", "c2"}, least: 3, leaving: []string{"c2"},
+		newcomers: map[string]time.Duration{"c2": longAgo}, displaced: map[string]string{"d1": "c2"},
+		want: []string{"a1", "b1", "c2"},
 	}, {
 		name:   "a member that is only restarted keeps its vote",
 		voters: []string{"a1", "b1", "d1"}, present: []string{"a1", "b1", "d1"}, least: 3, leaving: []string{"a1"},
@@ -130,6 +135,19 @@
 	}
 }
 
+// The zones of the seeds follow from no setting; a member that restarts must know them though it never heard a lost one.
+func TestTheFirstViewsTellTheZones(t *testing.T) {
+	g := newGroup(t, 3)
+	for i, member := range g.members {
+		member.options.Self.Zone = string(rune('a' + i))
+		member.detector.zone[member.Identity()] = member.options.Self.Zone
+	}
+	g.tick(2 * time.Second)
+	zones := lo.Map(g.members[0].View().Members, func(m message.Member, _ int) string { return m.Zone })
+	assert.ElementsMatch(t, []string{"a", "b", "c"}, zones)
+	assert.Equal(t, uint64(2), g.members[0].View().Number, "once is enough")
+}
+
 // A member of a lost disk or of another process at its address is gone for certain.
 func TestAnAddressHasOneVote(t *testing.T) {
 	e := succession{voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1"}, least: 3}.electorate()
@@ -229,3 +247,38 @@
 	assert.False(t, spare.mayStandForLease())
 	assert.Equal(t, g.now, spare.lease.renewalSeen)
 }
+
+// What a member had said before it was started again took it out once more: the monitors went on reporting that it leaves.
+func TestARestartedMemberIsTakenOutOnce(t *testing.T) {
+	g := newGroup(t, 4)
+	g.tick(2 * time.Second)
+	g.members[1].SetLeaving()
+	g.tick(time.Second)
+	require.False(t, g.members[1].IsMember())
+	options := g.members[1].options
+	options.FirstStart = false
+	g.members[1] = New(options, accept, g.now, g.members[1].control, g.members[1].chain)
+	for !g.members[1].IsMember() {
+		g.tick(50 * time.Millisecond)
+	}
+	number := g.members[0].View().Number
+	g.tick(2 * time.Second)
+	assert.Equal(t, number, g.members[0].View().Number)
+}
+
+// A member that the head does not hear was admitted on the word of others, and taken out again, for as long as that lasted.
+func TestAJoinerThatTheHeadDoesNotHearIsNotAdmitted(t *testing.T) {
+	g := newGroup(t, 4)
+	g.tick(2 * time.Second)
+	head := g.members[0].View().Members[0].Address
+	g.absent = []int{3}
+	g.tick(2*time.Second, 3)
+	g.absent = nil
+	g.lost = func(m *message.Message) bool { return m.FromAddress == address(3) && m.ToAddress == head }
+	number := g.members[0].View().Number
+	g.tick(3 * time.Second)
+	assert.Equal(t, number, g.members[0].View().Number)
+	g.lost = nil
+	g.tick(3 * time.Second)
+	assert.True(t, g.members[3].IsSynced())
+}
--- a/internal/controlplane/replica/joining.go
+++ b/internal/controlplane/replica/joining.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -55,9 +56,6 @@
 	known.member, known.view, known.at = r.sender(m), m.View, r.now
 	known.member.Volatile = m.Join.Volatile
 	r.detector.joiners[m.From] = known
-	if m.View >= r.control.View.Number && !r.isProposer() {
-		r.passOnJoin(m)
-	}
 }
 
 // mayAdmit reports whether the sender of a request could become a member of the view.
@@ -77,29 +75,23 @@
 	}
 }
 
-// passOnJoin tells the head of a joiner that may not know its address.
-func (r *Replica) passOnJoin(m *message.Message) {
-	head := r.control.View.Members[0]
-	if head.Identity == r.control.Identity {
-		return
-	}
-	passed := r.addressed(head, message.Message{Join: m.Join})
-	passed.From, passed.FromAddress, passed.FromZone = m.From, m.FromAddress, m.FromZone
-	r.out.Immediate = append(r.out.Immediate, passed)
-}
-
 func (r *Replica) isFresh(j joiner) bool { return r.now-j.at <= joinLifetime }
 
+// firstsPatience is how long the others leave it to the first proposer to admit a joiner: one that it does not hear would
+// be taken out again at once.
+const firstsPatience = 5 * time.Second
+
 // freshJoiners are those that asked a moment ago and know the present view: they hear the members too. One that comes
 // with the address of a member that is still heard is not taken in beside it, as only one process can have the address.
 func (r *Replica) freshJoiners(suspects []string) []message.Member {
 	var out []message.Member
+	isFirst := r.isProposer()
 	for identity, j := range r.detector.joiners {
 		if !r.isFresh(j) {
 			delete(r.detector.joiners, identity)
 			continue
 		}
-		if j.view < r.control.View.Number {
+		if j.view < r.control.View.Number || !isFirst && r.now-j.first < firstsPatience {
 			continue
 		}
 		holder, taken := lo.Find(r.control.View.Members, func(m message.Member) bool { return m.Address == j.member.Address })
--- a/internal/controlplane/replica/membership.go
+++ b/internal/controlplane/replica/membership.go
@@ -35,12 +35,19 @@
 	if len(next.Members) < r.leastChain() {
 		return view, false // nothing may be acknowledged on so few disks
 	}
-	if sameMembers(next.Members, current.Members) && sameMembers(next.Voters, current.Electorate()) {
+	if sameMembers(next.Members, current.Members) && sameMembers(next.Voters, current.Electorate()) && !r.tellsZones(next) {
 		return view, false
 	}
 	return next, true
 }
 
+// tellsZones reports whether a view would be the first that tells the zones of the seeds: who comes to replace one of
+// them is told by its zone, also by members that never heard the lost one.
+func (r *Replica) tellsZones(next message.View) bool {
+	isUnknown := func(m message.Member) bool { return m.Zone == "" }
+	return r.control.View.Number == 1 && lo.EveryBy(r.control.View.Members, isUnknown) && lo.NoneBy(next.Members, isUnknown)
+}
+
 // mayDropSilent reports whether the silent members may be taken out of the chain: when one more of the others than the
 // tolerance holds all that was acknowledged. Members that are still being brought up to date are waited for, though not
 // for long, as nothing is acknowledged meanwhile.
@@ -63,7 +70,7 @@
 	if len(r.detector.reports)+len(r.detector.joiners) > 0 || lo.ContainsBy(current.Members, speaks) {
 		return true
 	}
-	return r.electorateIsUnsettled()
+	return current.Number == 1 || r.electorateIsUnsettled()
 }
 
 // withoutLeavers lets go of the members that were asked to stop, and of those without a disk, which only the first view
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -135,11 +135,11 @@
 	c.heal()
 	c.runUntil(options.Length + settleTime)
 	c.checkRecovery()
-	c.checkVoters()
 	for _, o := range c.operators {
 		o.stop()
 	}
 	c.runUntil(options.Length + settleTime + lastCalls)
+	c.checkVoters()
 	c.finalRead()
 	return c.result()
 }
