--- a/internal/controlplane/replica/membership_test.go
+++ b/internal/controlplane/replica/membership_test.go
@@ -24,6 +24,16 @@
 	return index
 }
 
+// newGroupWithoutThird makes a group of three that has acknowledged a change and then lost its third member for a while.
+func newGroupWithoutThird(t *testing.T) *group {
+	g := newGroup(t, 3)
+	g.tick(2 * time.Second)
+	g.call(0, http.MethodPut, "0", "\x05x")
+	g.absent = []int{2}
+	g.tick(2*time.Second, 2)
+	return g
+}
+
 // wipe starts a member anew with an empty disk at its old address.
 func (g *group) wipe(index int, identity string) {
 	options := g.members[index].options
@@ -63,11 +73,7 @@
 
 // A member that leaves beside a loss kept the replacement out: what was left after it had no majority for good.
 func TestAReplacementIsAdmittedBesideALeavingMember(t *testing.T) {
-	g := newGroup(t, 3)
-	g.tick(2 * time.Second)
-	g.call(0, http.MethodPut, "0", "\x05x")
-	g.absent = []int{2}
-	g.tick(2*time.Second, 2)
+	g := newGroupWithoutThird(t)
 	g.members[0].SetLeaving()
 	g.tick(200*time.Millisecond, 2)
 	fresh := g.add(0, 1)
@@ -143,11 +149,7 @@
 
 // An incomplete member becomes complete by any member that is, also when its predecessor says nothing.
 func TestAMemberCatchesUpFromAnyCompleteOne(t *testing.T) {
-	g := newGroup(t, 3)
-	g.tick(2 * time.Second)
-	g.call(0, http.MethodPut, "0", "\x05x")
-	g.absent = []int{2}
-	g.tick(2*time.Second, 2)
+	g := newGroupWithoutThird(t)
 	g.wipe(2, "second-m2")
 	g.absent = nil
 	g.lost = func(m *message.Message) bool { return m.Replicate != nil && m.ToAddress == address(2) }
@@ -161,11 +163,7 @@
 
 // An answer that a member got in an earlier life does not make its state complete.
 func TestCatchingUpComparesTheState(t *testing.T) {
-	g := newGroup(t, 3)
-	g.tick(2 * time.Second)
-	g.call(0, http.MethodPut, "0", "\x05x")
-	g.absent = []int{2}
-	g.tick(2*time.Second, 2)
+	g := newGroupWithoutThird(t)
 	g.wipe(2, "second-m2")
 	g.absent = nil
 	g.lost = func(m *message.Message) bool {
--- a/internal/controlplane/storage/ring_test.go
+++ b/internal/controlplane/storage/ring_test.go
@@ -64,6 +64,18 @@
 	assert.Nil(t, again.Newest(3))
 }
 
+// copyWith returns copies of the files as a loss of power leaves them, with other bytes at an offset of one of them.
+func copyWith(memory []*memoryFile, changed int, offset int64, text []byte) []File {
+	copies := make([]File, FileCount)
+	for i, file := range memory {
+		contents := newMemoryFile()
+		copy(contents.written, file.written)
+		copies[i] = contents
+	}
+	copy(copies[changed].(*memoryFile).written[offset:], text)
+	return copies
+}
+
 // Every cut of a write that was not synced leaves the records before it, and the next write is kept.
 func TestEveryTornWriteLeavesWhatWasSynced(t *testing.T) {
 	files, memory := newFiles()
@@ -72,13 +84,7 @@
 	current, offset := ring.current, ring.offset
 	torn := appendRecord(nil, 1, ring.sequence+1, []byte("second"))
 	for cut := 0; cut < len(torn); cut++ {
-		copies := make([]File, FileCount)
-		for i, file := range memory {
-			contents := newMemoryFile()
-			copy(contents.written, file.written)
-			copies[i] = contents
-		}
-		copy(copies[current].(*memoryFile).written[offset:], torn[:cut])
+		copies := copyWith(memory, current, offset, torn[:cut])
 		restarted := open(t, copies)
 		require.Equal(t, "first", string(restarted.Newest(1)), "cut at %d", cut)
 		require.Equal(t, "other", string(restarted.Newest(2)), "cut at %d", cut)
@@ -98,13 +104,7 @@
 	require.NoError(t, ring.Write(map[Kind][]byte{1: []byte("complete"), 2: []byte("new")}))
 	end := ring.offset
 	for cut := offset; cut <= end; cut++ {
-		copies := make([]File, FileCount)
-		for i, file := range memory {
-			contents := newMemoryFile()
-			copy(contents.written, file.written)
-			copies[i] = contents
-		}
-		copy(copies[current].(*memoryFile).written[cut:], before[cut:])
+		copies := copyWith(memory, current, cut, before[cut:])
 		restarted := open(t, copies)
 		if string(restarted.Newest(1)) == "complete" {
 			require.Equal(t, "new", string(restarted.Newest(2)), "cut at %d", cut)
@@ -193,13 +193,7 @@
 	current, offset := ring.current, ring.offset
 	torn := appendRecord(nil, Kind(2).additions(), ring.sequence+1, []byte("two"))
 	for cut := 0; cut < len(torn); cut++ {
-		copies := make([]File, FileCount)
-		for i, file := range memory {
-			contents := newMemoryFile()
-			copy(contents.written, file.written)
-			copies[i] = contents
-		}
-		copy(copies[current].(*memoryFile).written[offset:], torn[:cut])
+		copies := copyWith(memory, current, offset, torn[:cut])
 		require.Equal(t, [][]byte{[]byte("one")}, open(t, copies).Added(2), "cut at %d", cut)
 	}
 	memory[current].refuse = true
