--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -42,6 +42,15 @@
 	Address    string
 	RetryAfter time.Duration
 	Reason     string
+	Choice     Choice
+}
+
+// Choice is what the balancer saw when it granted or refused a request, for the log.
+type Choice struct {
+	Candidates int           // backends that could have taken it
+	Running    int           // requests of all proxies at the chosen backend, as known here, without this one
+	Queued     time.Duration // prompts that waited there
+	Waited     WaitReason
 }
 
 // WaitReason says why a request waits.
@@ -54,6 +63,11 @@
 	WaitPlace
 )
 
+// String names the reason as the log has it.
+func (r WaitReason) String() string {
+	return [...]string{"none", "model", "place"}[r]
+}
+
 // Outcome is how an attempt ended.
 type Outcome int
 
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -79,7 +79,12 @@
 		b.refuse(request, refusedPause, "no retries left")
 		return true
 	}
-	b.grantTo(request, b.choose(request, candidates, now), now)
+	chosen := b.choose(request, candidates, now)
+	choice := Choice{
+		Candidates: len(candidates), Running: chosen.running + chosen.others,
+		Queued: time.Duration((chosen.queued + chosen.queuedOut) * float64(time.Millisecond)), Waited: request.reason,
+	}
+	b.grantTo(request, chosen, choice, now)
 	return true
 }
 
@@ -193,7 +198,7 @@
 
 func milliseconds(span time.Duration) float64 { return span.Seconds() * 1000 }
 
-func (b *Balancer) grantTo(request *Request, backend *Backend, now time.Time) {
+func (b *Balancer) grantTo(request *Request, backend *Backend, choice Choice, now time.Time) {
 	if request.sends == 0 {
 		b.budget.Request(now)
 	}
@@ -211,7 +216,7 @@
 	if request.Model != "" {
 		b.countDemand(request).running++
 	}
-	request.grant <- Grant{Backend: backend, ID: backend.ID, Address: backend.Address}
+	request.grant <- Grant{Backend: backend, ID: backend.ID, Address: backend.Address, Choice: choice}
 }
 
 // Times after which refused clients are told to come back, and of waiting.
@@ -291,7 +296,7 @@
 }
 
 func (b *Balancer) refuse(request *Request, after time.Duration, reason string) {
-	request.grant <- Grant{RetryAfter: after, Reason: reason}
+	request.grant <- Grant{RetryAfter: after, Reason: reason, Choice: Choice{Waited: request.reason}}
 }
 
 // Finish takes the outcome of an attempt.
--- a/internal/dataplane/ingress/exchange.go
+++ b/internal/dataplane/ingress/exchange.go
@@ -57,6 +57,7 @@
 			return
 		}
 		if grant.Backend == nil {
+			x.timing.choice = grant.Choice
 			x.refuse(grant.RetryAfter, grant.Reason)
 			return
 		}
@@ -65,7 +66,7 @@
 			x.refuse(departurePause, "this proxy is stopping")
 			return
 		}
-		x.timing.granted(x.request.Arrived)
+		x.timing.granted(x.request.Arrived, grant.Choice)
 		switch x.attempt(grant) {
 		case finished:
 			return
@@ -90,6 +91,7 @@
 
 // refuse ends the exchange: with a promise that it has not run, or, where it may have run, without one.
 func (x *exchange) refuse(after time.Duration, reason string) {
+	x.timing.refusal = reason
 	switch {
 	case x.begun:
 		panic(http.ErrAbortHandler)
@@ -208,6 +210,7 @@
 			return again, outcome
 		}
 	}
+	x.timing.whole = outcome == balancer.Answered
 	x.writeHead(answer)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(answer.Status)
@@ -258,6 +261,7 @@
 			if len(pending) > 0 && !x.passEvents(pending) {
 				return finished, balancer.Abandoned
 			}
+			x.timing.whole = true
 			return finished, balancer.Answered
 		case err != nil && x.ctx.Err() != nil:
 			panic(http.ErrAbortHandler)
--- a/internal/dataplane/ingress/timing.go
+++ b/internal/dataplane/ingress/timing.go
@@ -4,22 +4,29 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"pumiceline/internal/dataplane/balancer"
 )
 
 // timing is where the time of a request went, for the log at debug level.
 type timing struct {
 	waited    time.Duration // until its first backend was chosen
+	sent      time.Duration // until its last attempt began
 	first     time.Duration // until its first event
 	last      time.Duration
 	longest   time.Duration // pause between events
 	attempts  int
 	hasEvents bool
+	choice    balancer.Choice // of the last attempt
+	refusal   string          // why it was refused; empty: it was not
+	whole     bool            // a whole answer was passed on
 }
 
-func (t *timing) granted(arrived time.Time) {
+func (t *timing) granted(arrived time.Time, choice balancer.Choice) {
 	t.attempts++
+	t.sent, t.choice = time.Since(arrived), choice
 	if t.attempts == 1 {
-		t.waited = time.Since(arrived)
+		t.waited = t.sent
 	}
 }
 
@@ -33,19 +40,20 @@
 	t.last = at
 }
 
-// logTiming tells of a request that was late by its route's aims.
+// logTiming tells where the time of a request went. tools/account reads these lines.
 func (x *exchange) logTiming() {
 	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
 		return
 	}
 	t := &x.timing
-	total := time.Since(x.request.Arrived)
-	if t.first <= x.route.Aim && t.longest <= x.route.MaxPause && (t.hasEvents || total <= x.route.Aim) {
-		return
-	}
 	logrus.WithFields(logrus.Fields{
-		"route": x.route.Name, "model": x.request.Model, "backend": x.outgoing.Backend, "waited": t.waited.Milliseconds(),
-		"first": t.first.Milliseconds(), "longest": t.longest.Milliseconds(), "total": total.Milliseconds(),
-		"attempts": t.attempts, "prompt": x.request.PromptTokens, "events": t.hasEvents,
-	}).Debug("late request")
+		"id": x.outgoing.ID, "route": x.route.Name, "priority": x.route.Priority, "model": x.request.Model,
+		"prompt": x.request.PromptTokens, "output": x.request.OutputTokens,
+		"aim": x.route.Aim.Milliseconds(), "pause": x.route.MaxPause.Milliseconds(),
+		"waited": t.waited.Milliseconds(), "for": t.choice.Waited, "sent": t.sent.Milliseconds(),
+		"first": t.first.Milliseconds(), "longest": t.longest.Milliseconds(), "total": time.Since(x.request.Arrived).Milliseconds(),
+		"attempts": t.attempts, "backend": x.outgoing.Backend, "candidates": t.choice.Candidates,
+		"running": t.choice.Running, "queued": t.choice.Queued.Milliseconds(),
+		"events": t.hasEvents, "whole": t.whole, "refusal": t.refusal,
+	}).Debug("request done")
 }
