Proxies ask a coordinator for the others' loads before each choice

Each of 79 proxies sees a 79th of the traffic, and what it pulls is 0.4 s old. Changed: a ledger of present values at the coordinator that rendezvous of the view's members names; each change is told at once, each choice asks, answers later than 30 ms are not waited for and the choice is as before then. With fresh loads all holders are compared, else the next four due.

--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -81,6 +81,10 @@
 			o.hub.HandlePull(m.From, *m.Pull, reply)
 			return
 		}
+		if m.LoadReport != nil {
+			o.hub.HandleLoads(m.From, m.LoadReport, reply)
+			return
+		}
 		o.deliver(m)
 	}
 	o.sender = transport.NewSender(handle)
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -51,6 +51,8 @@
 	proxies  int                   // how many proxies there are, from the lease holder; 0: not known
 	orders   []message.LoadOrder
 	ordersAt time.Time
+	ledger   *Ledger
+	holders  holderIndex
 }
 
 type source struct {
@@ -79,7 +81,7 @@
 
 // Run works through the commands until ctx ends.
 func (h *Hub) Run(ctx context.Context) {
-	s := &state{sources: map[string]*source{}, demand: map[demandKey]*message.ModelDemand{}}
+	s := &state{sources: map[string]*source{}, demand: map[demandKey]*message.ModelDemand{}, ledger: NewLedger()}
 	ticker := time.NewTicker(hubTick)
 	defer ticker.Stop()
 	for {
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -94,6 +94,7 @@
 	tokens    int                 // of these requests
 	others    int                 // requests of other proxies, as last heard
 	heardAt   time.Time           // when the backend itself told its load last
+	freshAt   time.Time           // when the others' load was asked for last
 	queued    float64             // milliseconds of this proxy's prompts that have not brought their first event
 	queuedOut float64             // the same of other proxies, as last heard
 	reported  message.BackendLoad // what this proxy last told of itself
@@ -131,7 +132,8 @@
 	orders   []expectedLoad
 	pace     paceTable
 	leaving  bool
-	urgent   bool // a model is missing that the coordinators have not been told of
+	urgent   bool                // a model is missing that the coordinators have not been told of
+	changed  map[string]*Backend // whose load by this proxy has changed since TakeChanged
 }
 
 type service struct {
@@ -156,6 +158,7 @@
 	return &Balancer{
 		zone: zone, budget: budget,
 		pace: paceTable{}, backends: map[string]*Backend{}, services: map[string]*service{}, demand: map[demandKey]*demandCount{},
+		changed: map[string]*Backend{},
 	}
 }
 
@@ -260,6 +263,9 @@
 		totals[load.Backend] = load
 	}
 	for id, backend := range b.backends {
+		if now.Sub(backend.freshAt) <= ownWordLifetime {
+			continue
+		}
 		if now.Sub(backend.heardAt) > ownWordLifetime {
 			backend.others = max(0, totals[id].Running-backend.reported.Running)
 		}
@@ -272,8 +278,54 @@
 	b.serveWaiting(now)
 }
 
+// Refresh takes what the other proxies carry at the holders of a model at this moment; where nothing is named they carry
+// nothing.
+func (b *Balancer) Refresh(service, model string, loads []message.BackendLoad, now time.Time) {
+	s := b.services[service]
+	if s == nil {
+		return
+	}
+	others := map[string]message.BackendLoad{}
+	for _, load := range loads {
+		others[load.Backend] = load
+	}
+	for _, backend := range s.backends {
+		if !backend.has(model, now) {
+			continue
+		}
+		backend.others, backend.queuedOut, backend.freshAt = others[backend.ID].Running, float64(others[backend.ID].Queued), now
+	}
+	b.serveWaiting(now)
+}
+
+// TakeChanged returns what this proxy carries at the backends where that has changed since the last call.
+func (b *Balancer) TakeChanged() []message.BackendLoad {
+	if len(b.changed) == 0 {
+		return nil
+	}
+	loads := make([]message.BackendLoad, 0, len(b.changed))
+	for id, backend := range b.changed {
+		loads = append(loads, message.BackendLoad{Backend: id, Running: backend.running, Queued: int(backend.queued)})
+	}
+	clear(b.changed)
+	return loads
+}
+
+// FirstWaiting returns what the first request that waits for a place asks for.
+func (b *Balancer) FirstWaiting() (service, model string, waits bool) {
+	for _, request := range b.waiting {
+		if request.reason == WaitPlace && request.Model != "" {
+			return request.Service, request.Model, true
+		}
+	}
+	return "", "", false
+}
+
 // Observe takes what a backend tells of its load with an answer.
 func (b *Balancer) Observe(backend *Backend, running, waiting int, now time.Time) {
+	if now.Sub(backend.freshAt) <= ownWordLifetime {
+		return // what the others told is as new, and knows of requests on their way
+	}
 	backend.others = max(0, running+waiting-backend.running)
 	backend.heardAt = now
 }
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -157,7 +157,8 @@
 	return b.config.Services[name].Runtime
 }
 
-// choose takes the least loaded of the backends whose turns are due next, and gives the turn away.
+// choose takes the least loaded of the backends whose turns are due next, and gives the turn away. Where the others'
+// loads are fresh, the turns of all count as due: by older ones many proxies would choose the same backend.
 func (b *Balancer) choose(request *Request, candidates []*Backend, now time.Time) *Backend {
 	s := b.services[request.Service]
 	sort.Slice(candidates, func(i, j int) bool {
@@ -167,7 +168,11 @@
 		return candidates[i].ID < candidates[j].ID
 	})
 	best := candidates[0]
-	for _, backend := range candidates[1:min(lookAhead, len(candidates))] {
+	compared := lookAhead
+	if now.Sub(best.freshAt) <= freshLifetime {
+		compared = len(candidates)
+	}
+	for _, backend := range candidates[1:min(compared, len(candidates))] {
 		if backend.cost(request, now) < best.cost(request, now) {
 			best = backend
 		}
@@ -193,6 +198,9 @@
 // runningCost is what one running request counts beside prompts that wait, in milliseconds.
 const runningCost = 4.0
 
+// freshLifetime is how long the word of others on their loads is fresh: shorter than a prompt takes to be read.
+const freshLifetime = 50 * time.Millisecond
+
 // queueShare is the part of a client's patience that prompts before its own may take.
 const queueShare = 0.6
 
@@ -215,6 +223,7 @@
 	}
 	if request.Model != "" {
 		b.countDemand(request).running++
+		b.changed[backend.ID] = backend
 	}
 	request.grant <- Grant{Backend: backend, ID: backend.ID, Address: backend.Address, Choice: choice}
 }
@@ -307,6 +316,7 @@
 	backend.trialOut = false
 	if request.Model != "" {
 		b.countDemand(request).running--
+		b.changed[backend.ID] = backend
 	}
 	switch outcome {
 	case Answered:
@@ -337,6 +347,7 @@
 
 func (b *Balancer) dequeue(request *Request, backend *Backend) {
 	if request.queued {
+		b.changed[backend.ID] = backend
 		request.queued = false
 		backend.queued = max(0, backend.queued-request.work)
 	}
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -17,12 +17,21 @@
 type Dispatcher struct {
 	commands chan func(*Balancer)
 	onUrgent func()
+	loads    LoadSource
+}
+
+// LoadSource knows what other proxies carry, and is told what this one does.
+type LoadSource interface {
+	// Ask returns what the other proxies carry at the holders of a model; ok is false where that is not known.
+	Ask(ctx context.Context, service, model string) (loads []message.BackendLoad, ok bool)
+	// Tell takes what this proxy carries now where that has changed. It does not wait.
+	Tell(loads []message.BackendLoad)
 }
 
 // NewDispatcher starts the owner of a balancer; it ends with ctx. onUrgent is called when a model is missing, once
-// until the next report; it must not wait.
-func NewDispatcher(ctx context.Context, b *Balancer, onUrgent func()) *Dispatcher {
-	d := &Dispatcher{commands: make(chan func(*Balancer), dispatchQueue), onUrgent: onUrgent}
+// until the next report; it must not wait. loads may be nil: then the choice goes by what is pulled.
+func NewDispatcher(ctx context.Context, b *Balancer, onUrgent func(), loads LoadSource) *Dispatcher {
+	d := &Dispatcher{commands: make(chan func(*Balancer), dispatchQueue), onUrgent: onUrgent, loads: loads}
 	go d.run(ctx, b)
 	return d
 }
@@ -41,16 +50,44 @@
 			}
 		case now := <-ticker.C:
 			b.Tick(now)
+			d.refreshForWaiting(ctx, b)
+		}
+		if changed := b.TakeChanged(); d.loads != nil && len(changed) > 0 {
+			d.loads.Tell(changed)
 		}
 	}
 }
 
+// refreshForWaiting asks anew for the first request that waits for a place.
+func (d *Dispatcher) refreshForWaiting(ctx context.Context, b *Balancer) {
+	service, model, waits := b.FirstWaiting()
+	if !waits || d.loads == nil {
+		return
+	}
+	go func() {
+		if loads, ok := d.loads.Ask(ctx, service, model); ok {
+			d.commands <- func(b *Balancer) { b.Refresh(service, model, loads, time.Now()) }
+		}
+	}()
+}
+
 // Acquire asks for a backend and waits for the answer. An error means that ctx ended first.
 func (d *Dispatcher) Acquire(ctx context.Context, request *Request) (Grant, error) {
 	if request.grant == nil {
 		request.grant = make(chan Grant, 1)
 	}
-	d.commands <- func(b *Balancer) { b.Arrive(request, time.Now()) }
+	var loads []message.BackendLoad
+	fresh := false
+	if request.Model != "" && d.loads != nil {
+		loads, fresh = d.loads.Ask(ctx, request.Service, request.Model)
+	}
+	d.commands <- func(b *Balancer) {
+		now := time.Now()
+		if fresh {
+			b.Refresh(request.Service, request.Model, loads, now)
+		}
+		b.Arrive(request, now)
+	}
 	select {
 	case grant := <-request.grant:
 		return grant, nil
--- a/internal/dataplane/ingress/ingress_test.go
+++ b/internal/dataplane/ingress/ingress_test.go
@@ -130,7 +130,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	budget := balancer.NewRetryBudget(time.Minute, 1, 1000, time.Now().Add(-time.Hour))
-	dispatcher := balancer.NewDispatcher(ctx, balancer.New("z", budget), func() {})
+	dispatcher := balancer.NewDispatcher(ctx, balancer.New("z", budget), func() {}, nil)
 	config, err := configuration.Parse([]byte(routes))
 	require.NoError(t, err)
 	var list []message.Backend
@@ -255,7 +255,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	budget := balancer.NewRetryBudget(time.Minute, 1, 1, time.Now())
-	handler := New(balancer.NewDispatcher(ctx, balancer.New("z", budget), func() {}), backend.NewPool())
+	handler := New(balancer.NewDispatcher(ctx, balancer.New("z", budget), func() {}, nil), backend.NewPool())
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	p := &proxy{handler: handler, server: server}
--- a/internal/dataplane/proxy/feed.go
+++ b/internal/dataplane/proxy/feed.go
@@ -18,6 +18,7 @@
 	"pumiceline/internal/dataplane/backend"
 	"pumiceline/internal/dataplane/balancer"
 	"pumiceline/internal/dataplane/ingress"
+	"pumiceline/internal/dataplane/loads"
 	"pumiceline/internal/message"
 )
 
@@ -34,6 +35,7 @@
 	dispatcher *balancer.Dispatcher
 	handler    *ingress.Handler
 	pool       *backend.Pool
+	exchange   *loads.Exchange
 	reader     *discovery.Reader
 	seeds      []string
 
@@ -41,16 +43,16 @@
 	members  []string
 	config   distribution.ConfigCopy
 	digest   uint64
-	loads    distribution.Loads
+	totals   distribution.Loads
 	table    *discovery.Table // as pulled last
 	observed time.Time
 	proxies  int
 	ready    atomic.Bool
 }
 
-func newFeed(settings *bootstrap.Settings, dispatcher *balancer.Dispatcher, handler *ingress.Handler, pool *backend.Pool, seeds []string) *feed {
+func newFeed(settings *bootstrap.Settings, dispatcher *balancer.Dispatcher, handler *ingress.Handler, pool *backend.Pool, exchange *loads.Exchange, seeds []string) *feed {
 	return &feed{
-		settings: settings, dispatcher: dispatcher, handler: handler, pool: pool, seeds: seeds,
+		settings: settings, dispatcher: dispatcher, handler: handler, pool: pool, exchange: exchange, seeds: seeds,
 		reader: discovery.NewReader(settings.Platform.Address), proxies: 1,
 	}
 }
@@ -77,6 +79,7 @@
 	shuffled := append([]message.Member{}, members...)
 	mutable.Shuffle(shuffled)
 	near, far := lo.FilterReject(shuffled, func(m message.Member, _ int) bool { return m.Zone == f.settings.Zone })
+	f.exchange.SetMembers(members)
 	f.members = lo.Map(append(near, far...), func(m message.Member, _ int) string { return m.Address })
 }
 
@@ -89,7 +92,7 @@
 	demand, loads := f.dispatcher.Report()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return message.Pull{ConfigSequence: f.config.Known(), BackendDigest: f.digest, Demand: demand, Loads: loads, Proxies: 1, LoadVersion: f.loads.Version()}
+	return message.Pull{ConfigSequence: f.config.Known(), BackendDigest: f.digest, Demand: demand, Loads: loads, Proxies: 1, LoadVersion: f.totals.Version()}
 }
 
 // Apply takes an answer of a coordinator. Nothing ever goes backward within the life of the process.
@@ -111,7 +114,7 @@
 		}
 	}
 	f.proxies = max(1, reply.Proxies)
-	f.dispatcher.Update(config, backends, newer, reply, f.loads.Take(reply), f.forget)
+	f.dispatcher.Update(config, backends, newer, reply, f.totals.Take(reply), f.forget)
 	if config != nil {
 		f.handler.SetConfig(config)
 	}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"pumiceline/internal/dataplane/backend"
 	"pumiceline/internal/dataplane/balancer"
 	"pumiceline/internal/dataplane/ingress"
+	"pumiceline/internal/dataplane/loads"
 )
 
 // Times of a proxy.
@@ -48,13 +49,15 @@
 	defer stop()
 	budget := balancer.NewRetryBudget(settings.Bounds.RetryWindow, settings.Bounds.RetryRatio, settings.Bounds.RetryExtra, time.Now())
 	urgent := newUrgency()
-	dispatcher := balancer.NewDispatcher(running, balancer.New(settings.Zone, budget), urgent.raise)
+	exchange := loads.New(settings.Node + "/" + settings.IP)
+	dispatcher := balancer.NewDispatcher(running, balancer.New(settings.Zone, budget), urgent.raise, exchange)
 	pool := backend.NewPool()
 	handler := ingress.New(dispatcher, pool)
-	feed := newFeed(settings, dispatcher, handler, pool, coordinator.SeedAddresses(settings))
+	feed := newFeed(settings, dispatcher, handler, pool, exchange, coordinator.SeedAddresses(settings))
 	p := &Proxy{settings: settings, handler: handler, feed: feed}
 	puller := distribution.NewPuller(settings.Node+"/"+settings.IP, feed, pullHold)
 	go puller.Run(running)
+	go exchange.Run(running)
 	go urgent.run(running, puller)
 	go feed.watch(running)
 	go p.sweep(running, pool)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -113,6 +113,8 @@
 	ConfigResult    *ConfigResult    `msg:"cr,omitempty"`
 	Pull            *Pull            `msg:"pu,omitempty"`
 	PullReply       *PullReply       `msg:"pl,omitempty"`
+	LoadReport      *LoadReport      `msg:"ld,omitempty"`
+	LoadReply       *LoadReply       `msg:"lq,omitempty"`
 }
 
 // Heartbeat tells a monitor that the sender is alive.
@@ -264,6 +266,24 @@
 	Queued  int    `msg:"q"` // milliseconds of prompts that have not brought their first event yet
 }
 
+// LoadReport tells what the sender carries at some backends, as it has just changed, and may ask for what the other
+// proxies carry at the holders of a model.
+type LoadReport struct {
+	ID      uint64        `msg:"i"` // of the question; 0: nothing is asked
+	Service string        `msg:"s"`
+	Model   string        `msg:"m"` // with its adapter after a slash
+	Loads   []BackendLoad `msg:"l"` // present values, not differences
+	Whole   bool          `msg:"w"` // the sender carries nothing at any other backend
+}
+
+// LoadReply answers a question of LoadReport: what all proxies but the asking one carry. Backends where they carry
+// nothing are left out.
+type LoadReply struct {
+	ID      uint64        `msg:"i"`
+	Unknown bool          `msg:"u"` // the member has no list of backends
+	Loads   []BackendLoad `msg:"l"`
+}
+
 // Pull asks for what the sender lacks: it tells the versions that it has.
 type Pull struct {
 	ID             uint64        `msg:"i"`
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -5196,6 +5196,651 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "u":
+			z.Unknown, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]BackendLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "b":
+						z.Loads[za0001].Backend, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Backend")
+							return
+						}
+					case "r":
+						z.Loads[za0001].Running, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Running")
+							return
+						}
+					case "q":
+						z.Loads[za0001].Queued, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Queued")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	// write "u"
+	err = en.Append(0xa1, 0x75)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	for za0001 := range z.Loads {
+		// map header, size 3
+		// write "b"
+		err = en.Append(0x83, 0xa1, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Loads[za0001].Backend)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Backend")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Loads[za0001].Running)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Running")
+			return
+		}
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Loads[za0001].Queued)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Queued")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unknown)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0001 := range z.Loads {
+		// map header, size 3
+		// string "b"
+		o = append(o, 0x83, 0xa1, 0x62)
+		o = msgp.AppendString(o, z.Loads[za0001].Backend)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt(o, z.Loads[za0001].Running)
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendInt(o, z.Loads[za0001].Queued)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "u":
+			z.Unknown, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]BackendLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "b":
+						z.Loads[za0001].Backend, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Backend")
+							return
+						}
+					case "r":
+						z.Loads[za0001].Running, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Running")
+							return
+						}
+					case "q":
+						z.Loads[za0001].Queued, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Queued")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Loads[za0001].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "s":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			z.Model, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Model")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]BackendLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "b":
+						z.Loads[za0001].Backend, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Backend")
+							return
+						}
+					case "r":
+						z.Loads[za0001].Running, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Running")
+							return
+						}
+					case "q":
+						z.Loads[za0001].Queued, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Queued")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			z.Whole, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "i"
+	err = en.Append(0x85, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Model)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	for za0001 := range z.Loads {
+		// map header, size 3
+		// write "b"
+		err = en.Append(0x83, 0xa1, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Loads[za0001].Backend)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Backend")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Loads[za0001].Running)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Running")
+			return
+		}
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Loads[za0001].Queued)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001, "Queued")
+			return
+		}
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Whole)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "i"
+	o = append(o, 0x85, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, z.Model)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0001 := range z.Loads {
+		// map header, size 3
+		// string "b"
+		o = append(o, 0x83, 0xa1, 0x62)
+		o = msgp.AppendString(o, z.Loads[za0001].Backend)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt(o, z.Loads[za0001].Running)
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendInt(o, z.Loads[za0001].Queued)
+	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Model")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]BackendLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "b":
+						z.Loads[za0001].Backend, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Backend")
+							return
+						}
+					case "r":
+						z.Loads[za0001].Running, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Running")
+							return
+						}
+					case "q":
+						z.Loads[za0001].Queued, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001, "Queued")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Loads", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Loads[za0001].Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	}
+	s += 2 + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *LoadedModel) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -6381,6 +7026,42 @@
 					return
 				}
 			}
+		case "ld":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+				z.LoadReport = nil
+			} else {
+				if z.LoadReport == nil {
+					z.LoadReport = new(LoadReport)
+				}
+				err = z.LoadReport.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		case "lq":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReply")
+					return
+				}
+				z.LoadReply = nil
+			} else {
+				if z.LoadReply == nil {
+					z.LoadReply = new(LoadReply)
+				}
+				err = z.LoadReply.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReply")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -6395,8 +7076,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(27)
-	var zb0001Mask uint32 /* 27 bits */
+	zb0001Len := uint32(29)
+	var zb0001Mask uint32 /* 29 bits */
 	_ = zb0001Mask
 	if z.Heartbeat == nil {
 		zb0001Len--
@@ -6486,6 +7167,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x4000000
 	}
+	if z.LoadReport == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000000
+	}
+	if z.LoadReply == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -7165,6 +7854,44 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+			// write "ld"
+			err = en.Append(0xa2, 0x6c, 0x64)
+			if err != nil {
+				return
+			}
+			if z.LoadReport == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.LoadReport.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
+			// write "lq"
+			err = en.Append(0xa2, 0x6c, 0x71)
+			if err != nil {
+				return
+			}
+			if z.LoadReply == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.LoadReply.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReply")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -7173,8 +7900,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(27)
-	var zb0001Mask uint32 /* 27 bits */
+	zb0001Len := uint32(29)
+	var zb0001Mask uint32 /* 29 bits */
 	_ = zb0001Mask
 	if z.Heartbeat == nil {
 		zb0001Len--
@@ -7264,6 +7991,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x4000000
 	}
+	if z.LoadReport == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000000
+	}
+	if z.LoadReply == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -7618,6 +8353,32 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+			// string "ld"
+			o = append(o, 0xa2, 0x6c, 0x64)
+			if z.LoadReport == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.LoadReport.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
+			// string "lq"
+			o = append(o, 0xa2, 0x6c, 0x71)
+			if z.LoadReply == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.LoadReply.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReply")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -8414,6 +9175,40 @@
 					return
 				}
 			}
+		case "ld":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LoadReport = nil
+			} else {
+				if z.LoadReport == nil {
+					z.LoadReport = new(LoadReport)
+				}
+				bts, err = z.LoadReport.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		case "lq":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LoadReply = nil
+			} else {
+				if z.LoadReply == nil {
+					z.LoadReply = new(LoadReply)
+				}
+				bts, err = z.LoadReply.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReply")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -8565,6 +9360,18 @@
 	} else {
 		s += z.PullReply.Msgsize()
 	}
+	s += 3
+	if z.LoadReport == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.LoadReport.Msgsize()
+	}
+	s += 3
+	if z.LoadReply == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.LoadReply.Msgsize()
+	}
 	return
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -27,7 +27,7 @@
 // ErrDisconnected ends the calls on a connection that broke.
 var ErrDisconnected = errors.New("the connection broke")
 
-// Pull asks the peer at address and waits for its answer until ctx ends.
+// Pull asks the peer at address and waits for its answer until ctx ends, which ends the connection, too.
 func (c *Client) Pull(ctx context.Context, address string, from string, pull message.Pull) (*message.PullReply, error) {
 	conn, err := c.connect(address)
 	if err != nil {
@@ -36,7 +36,108 @@
 	id, answer := c.register()
 	defer c.forget(id)
 	pull.ID = id
-	frame, err := Encode(&message.Message{From: from, Pull: &pull})
+	m, err := c.call(ctx, conn, &message.Message{From: from, Pull: &pull}, answer)
+	switch {
+	case ctx.Err() != nil:
+		c.drop(conn)
+		return nil, ctx.Err()
+	case err != nil:
+		return nil, err
+	case m.PullReply == nil:
+		return nil, ErrDisconnected
+	}
+	return m.PullReply, nil
+}
+
+// IsConnected reports whether a connection to the peer at address is open.
+func (c *Client) IsConnected(address string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.conn != nil && c.address == address
+}
+
+// Connect opens a connection to the peer at address, in place of one to another.
+func (c *Client) Connect(address string) error {
+	_, err := c.connect(address)
+	return err
+}
+
+// Disconnect closes the connection; calls under way end.
+func (c *Client) Disconnect() {
+	c.mutex.Lock()
+	conn := c.conn
+	c.mutex.Unlock()
+	if conn != nil {
+		c.drop(conn)
+	}
+}
+
+// current returns the open connection to the peer at address.
+func (c *Client) current(address string) (net.Conn, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.conn == nil || c.address != address {
+		return nil, ErrDisconnected
+	}
+	return c.conn, nil
+}
+
+// TellLoads writes a report that asks nothing. It opens no connection.
+func (c *Client) TellLoads(address string, from string, report message.LoadReport) error {
+	conn, err := c.current(address)
+	if err != nil {
+		return err
+	}
+	frame, err := Encode(&message.Message{From: from, LoadReport: &report})
+	if err != nil {
+		return err
+	}
+	return c.write(conn, frame)
+}
+
+// Question is a report that asks, on its way.
+type Question struct {
+	client *Client
+	id     uint64
+	answer chan *message.Message
+}
+
+// AskLoads writes a report that asks; the answer is waited for apart. It opens no connection.
+func (c *Client) AskLoads(address string, from string, report message.LoadReport) (*Question, error) {
+	conn, err := c.current(address)
+	if err != nil {
+		return nil, err
+	}
+	id, answer := c.register()
+	report.ID = id
+	frame, err := Encode(&message.Message{From: from, LoadReport: &report})
+	if err == nil {
+		err = c.write(conn, frame)
+	}
+	if err != nil {
+		c.forget(id)
+		return nil, err
+	}
+	return &Question{client: c, id: id, answer: answer}, nil
+}
+
+// Wait returns the answer, or an error when ctx ends before it; the connection stays.
+func (q *Question) Wait(ctx context.Context) (*message.LoadReply, error) {
+	defer q.client.forget(q.id)
+	select {
+	case m, ok := <-q.answer:
+		if !ok || m.LoadReply == nil {
+			return nil, ErrDisconnected
+		}
+		return m.LoadReply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// call writes a message and waits for the answer to it.
+func (c *Client) call(ctx context.Context, conn net.Conn, m *message.Message, answer <-chan *message.Message) (*message.Message, error) {
+	frame, err := Encode(m)
 	if err != nil {
 		return nil, err
 	}
@@ -45,12 +146,11 @@
 	}
 	select {
 	case m, ok := <-answer:
-		if !ok || m.PullReply == nil {
+		if !ok {
 			return nil, ErrDisconnected
 		}
-		return m.PullReply, nil
+		return m, nil
 	case <-ctx.Done():
-		c.drop(conn)
 		return nil, ctx.Err()
 	}
 }
@@ -126,14 +226,26 @@
 			c.drop(conn)
 			return
 		}
-		if m.PullReply == nil {
+		id, ok := answerTo(m)
+		if !ok {
 			continue
 		}
 		c.mutex.Lock()
-		if answer, ok := c.waiting[m.PullReply.ID]; ok {
+		if answer, ok := c.waiting[id]; ok {
 			answer <- m
-			delete(c.waiting, m.PullReply.ID)
+			delete(c.waiting, id)
 		}
 		c.mutex.Unlock()
 	}
 }
+
+// answerTo is the number of the call that a message answers.
+func answerTo(m *message.Message) (id uint64, ok bool) {
+	switch {
+	case m.PullReply != nil:
+		return m.PullReply.ID, true
+	case m.LoadReply != nil:
+		return m.LoadReply.ID, true
+	}
+	return 0, false
+}
