--- a/internal/controlplane/placement/demand.go
+++ b/internal/controlplane/placement/demand.go
@@ -27,6 +27,7 @@
 	Fast      float64 // requests a second, over the last seconds
 	Slow      float64 // requests a second, over the last half minute
 	Running   float64 // requests under way, smoothed
+	InUse     int     // requests under way, as last told
 	Waiting   int     // requests that wait for it now
 	Missed    float64 // requests refused for want of it, fading
 	LastAsked time.Time
@@ -140,6 +141,7 @@
 	d.Running = blend(d.Running, float64(s.running), span, fastMemory)
 	d.Missed = d.Missed*math.Exp(-span/fastMemory.Seconds()) + s.missed
 	d.Waiting = s.waiting
+	d.InUse = s.running
 	d.durations = blend(d.durations, float64(s.running), span, durationMemory)
 	d.rates = blend(d.rates, s.arrivals/span, span, durationMemory)
 	if s.arrivals > 0 || s.waiting > 0 || s.missed > 0 {
--- a/internal/controlplane/placement/planner.go
+++ b/internal/controlplane/placement/planner.go
@@ -197,7 +197,8 @@
 	if copies > 1 {
 		return p.expectedRate(model) / float64(copies)
 	}
-	worth := p.expectedRate(model) + waitingWorth*(float64(demand.Waiting)+demand.Missed) + soleWorth
+	// What has waited for it and was sent there a moment ago would be turned away, not having begun.
+	worth := p.expectedRate(model) + waitingWorth*(float64(demand.Waiting+demand.InUse)+demand.Missed) + soleWorth
 	if !demand.LastAsked.IsZero() && p.in.Now.Sub(demand.LastAsked) < recentlyAsked {
 		worth += recentWorth
 	}
--- a/internal/controlplane/placement/planner_test.go
+++ b/internal/controlplane/placement/planner_test.go
@@ -180,3 +180,24 @@
 		assert.LessOrEqual(t, float64(len(held))*100, f.runtime.WeightsMB, "%+v", task)
 	}
 }
+
+// Found on the bench: a model was loaded for requests that waited, they were sent to it, and in the next plan a busy
+// model took its place; the backend turned away what had not begun.
+func TestAModelInUseStays(t *testing.T) {
+	f := newFleet([]string{"m0", "m1"}, []string{"m4", "m7"})
+	f.ask(20*time.Second, map[string]float64{"m0": 12, "m4": 0.9})
+	f.now = f.now.Add(100 * time.Millisecond)
+	report := []message.ModelDemand{
+		{Service: "s", Model: "m0", Arrivals: 1.2, Running: 6}, {Service: "s", Model: "m4", Arrivals: 0.1},
+		{Service: "s", Model: "m7", Running: 1},
+	}
+	f.demand.Update(f.now, report)
+	for _, task := range f.plan(10) {
+		assert.NotContains(t, task.Unload, "m7")
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.demand.Update(f.now, report[:2])
+	tasks := f.plan(10)
+	assert.Equal(t, "b1", loads(tasks)["m0"])
+	assert.Equal(t, []string{"m7"}, tasks[0].Unload, "once it is idle it goes first")
+}
