--- a/internal/controlplane/placement/planner_test.go
+++ b/internal/controlplane/placement/planner_test.go
@@ -186,6 +186,7 @@
 func TestAModelInUseStays(t *testing.T) {
 	f := newFleet([]string{"m0", "m1"}, []string{"m4", "m7"})
 	f.ask(20*time.Second, map[string]float64{"m0": 12, "m4": 0.9})
+	f.wait("m7", 1)
 	f.now = f.now.Add(100 * time.Millisecond)
 	report := []message.ModelDemand{
 		{Service: "s", Model: "m0", Arrivals: 1.2, Running: 6}, {Service: "s", Model: "m4", Arrivals: 0.1},
