--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -51,6 +51,7 @@
 	RetryExtra               float64
 	CapWindow                time.Duration // window of the rule on loads
 	CapExcess                float64
+	ChecksFence              bool // backends refuse orders with a lower fencing token than they have seen
 	Quiet                    time.Duration
 	ReuseAfter               time.Duration
 }
@@ -167,6 +168,7 @@
 		RetryExtra:  node.Get("retryExtra").Number(0),
 		CapWindow:   seconds(node.Get("capWindowS"), defaultCapWindow),
 		CapExcess:   node.Get("capExcess").Number(1),
+		ChecksFence: node.Get("checksFence").Bool(false),
 		Quiet:       milliseconds(node.Get("quietMs"), defaultDrain),
 		ReuseAfter:  seconds(node.Get("reuseAfterS"), 2*time.Second),
 	}
--- a/internal/controlplane/coordinator/controller.go
+++ b/internal/controlplane/coordinator/controller.go
@@ -37,17 +37,17 @@
 	reading  bool
 	lastRead time.Time
 
-	table    *discovery.Table
-	overlays map[string]overlay
-	running  map[string]*runningTask
-	resting  map[string]time.Time // backends that are left alone until then
-	demand   *placement.DemandTable
-	starts   map[string][]time.Time // loads that began, by service
-	warm     warmHistory
-	began    time.Time // of the lease
-	token    uint64    // of the lease under which the tables were filled
-	config   *configuration.Config
-	sequence uint64
+	table      *discovery.Table
+	overlays   map[string]overlay
+	running    map[string]*runningTask
+	resting    map[string]time.Time // backends that are left alone until then
+	demand     *placement.DemandTable
+	allowances map[string]*placement.LoadAllowance // by service
+	warm       warmHistory
+	began      time.Time // of the lease
+	token      uint64    // of the lease under which the tables were filled
+	config     *configuration.Config
+	sequence   uint64
 }
 
 // overlay is what is known of a backend beyond the list, which lags.
@@ -68,7 +68,7 @@
 		owner: o, settings: settings, reader: discovery.NewReader(settings.Platform.Address),
 		caller: placement.NewCaller(), events: make(chan func(time.Time), resultQueue),
 		overlays: map[string]overlay{}, running: map[string]*runningTask{}, resting: map[string]time.Time{},
-		demand: placement.NewDemandTable(), starts: map[string][]time.Time{},
+		demand: placement.NewDemandTable(), allowances: map[string]*placement.LoadAllowance{},
 	}
 }
 
@@ -129,12 +129,22 @@
 	}
 	c.read(ctx, now, readInterval)
 	c.owner.hub.SetHolder(c.loadOrders(now))
-	if now.Sub(s.leaseSince) < c.settings.Bounds.Lease+c.settings.Bounds.Thaw {
-		return // the predecessor's last order may be on its way
+	if now.Sub(s.leaseSince) < c.handoverPause() {
+		return
 	}
 	c.place(ctx, now)
 }
 
+// handoverPause is how long a new holder gives no order. All orders of its predecessor have ended when its lease began.
+// Where backends check fencing tokens nothing of it can count any more, once what was thawed has been given its time; else
+// holders must not take turns within the span that the rule names.
+func (c *controller) handoverPause() time.Duration {
+	if c.settings.Bounds.ChecksFence {
+		return placement.OrderTimeout + c.settings.Bounds.Thaw
+	}
+	return c.settings.Bounds.Lease + c.settings.Bounds.Thaw
+}
+
 // resign ends all tasks: their orders would be fenced.
 func (c *controller) resign() {
 	if c.token == 0 {
@@ -154,7 +164,7 @@
 	c.demand = placement.NewDemandTable()
 	clear(c.overlays)
 	clear(c.resting)
-	c.starts = map[string][]time.Time{}
+	clear(c.allowances)
 	c.began = s.leaseSince
 	logrus.WithField("token", s.token).Info("holding the controller lease")
 }
@@ -269,34 +279,28 @@
 	return lo.ContainsBy(known.models, func(m message.LoadedModel) bool { return m.Name == t.task.Load })
 }
 
-// loadsLeft says how many loads from the weight store may begin now within the rule's sliding window. Those of tasks
-// whose load has not begun yet count, and so do all that the predecessor may have begun.
+// loadsLeft says how many loads from the weight store may begin now, by service.
 func (c *controller) loadsLeft(now time.Time) map[string]int {
 	left := map[string]int{}
-	window := c.settings.Bounds.CapWindow + loadStartSlack
 	for name, service := range c.config.Services {
 		if service.Runtime == nil {
 			continue
 		}
-		rated := service.Runtime.LoadsPerS * c.settings.Bounds.CapWindow.Seconds()
-		most := max(1, int(rated*c.settings.Bounds.CapExcess)+loadsBeyond)
-		c.starts[name] = lo.Filter(c.starts[name], func(at time.Time, _ int) bool { return now.Sub(at) <= window })
 		pending := lo.CountBy(lo.Values(c.running), func(t *runningTask) bool {
 			return t.task.Service == name && t.task.Load != "" && !t.task.Warm && !t.started
 		})
-		left[name] = most - len(c.starts[name]) - pending
-		if now.Sub(c.began) <= window {
-			left[name] = 0
-		}
+		bounds := c.settings.Bounds
+		left[name] = c.allowance(name).Left(now, service.Runtime.LoadsPerS, bounds.CapExcess, bounds.CapWindow, pending)
 	}
 	return left
 }
 
-// The rule on loads allows three beyond the rate; one is left as a margin for loads taken for warm that are not.
-const (
-	loadStartSlack = 300 * time.Millisecond // from an order until its load begins, at the most
-	loadsBeyond    = 1
-)
+func (c *controller) allowance(service string) *placement.LoadAllowance {
+	if c.allowances[service] == nil {
+		c.allowances[service] = placement.NewLoadAllowance(c.began)
+	}
+	return c.allowances[service]
+}
 
 func (c *controller) begin(ctx context.Context, task placement.Task, now time.Time) {
 	id := task.Backend.ID
@@ -337,7 +341,7 @@
 	running.started = true
 	running.expected = now.Add(running.task.LoadTime)
 	if !running.task.Warm {
-		c.starts[running.task.Service] = append(c.starts[running.task.Service], now)
+		c.allowance(running.task.Service).Start(now)
 	}
 }
 
