Backends to which an idle connection is kept are preferred

Changed: a missing connection counts as 60 ms of prompts that wait, as the loads compared are fresh now.

--- a/internal/dataplane/backend/pool.go
+++ b/internal/dataplane/backend/pool.go
@@ -107,6 +107,15 @@
 	p.idle[id] = append(p.idle[id], c)
 }
 
+// HasIdle reports whether a connection to the backend is kept that may be used now.
+func (p *Pool) HasIdle(id string) bool {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[id]
+	return len(list) > 0 && now.Before(list[len(list)-1].expires)
+}
+
 // Forget closes the idle connections to a backend that is gone.
 func (p *Pool) Forget(id string) {
 	p.mutex.Lock()
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -122,18 +122,19 @@
 
 // Balancer has one owner and no locks.
 type Balancer struct {
-	zone     string
-	config   *configuration.Config
-	backends map[string]*Backend
-	services map[string]*service
-	waiting  []*Request
-	budget   *RetryBudget
-	demand   map[demandKey]*demandCount
-	orders   []expectedLoad
-	pace     paceTable
-	leaving  bool
-	urgent   bool                // a model is missing that the coordinators have not been told of
-	changed  map[string]*Backend // whose load by this proxy has changed since TakeChanged
+	zone          string
+	config        *configuration.Config
+	backends      map[string]*Backend
+	services      map[string]*service
+	waiting       []*Request
+	budget        *RetryBudget
+	demand        map[demandKey]*demandCount
+	orders        []expectedLoad
+	pace          paceTable
+	leaving       bool
+	hasConnection func(backend string) bool // whether an idle connection is kept; nil: not known
+	urgent        bool                      // a model is missing that the coordinators have not been told of
+	changed       map[string]*Backend       // whose load by this proxy has changed since TakeChanged
 }
 
 type service struct {
@@ -162,6 +163,9 @@
 	}
 }
 
+// SetConnections tells how to find out whether an idle connection to a backend is kept. It is called by the owner alone.
+func (b *Balancer) SetConnections(hasIdle func(backend string) bool) { b.hasConnection = hasIdle }
+
 // SetConfig takes the configuration in force.
 func (b *Balancer) SetConfig(config *configuration.Config, now time.Time) {
 	b.config = config
--- a/internal/dataplane/balancer/choose.go
+++ b/internal/dataplane/balancer/choose.go
@@ -172,9 +172,10 @@
 	if now.Sub(best.freshAt) <= freshLifetime {
 		compared = len(candidates)
 	}
+	least := b.cost(best, request, now)
 	for _, backend := range candidates[1:min(compared, len(candidates))] {
-		if backend.cost(request, now) < best.cost(request, now) {
-			best = backend
+		if cost := b.cost(backend, request, now); cost < least {
+			best, least = backend, cost
 		}
 	}
 	s.time = max(s.time, min(candidates[0].due, best.due))
@@ -182,11 +183,15 @@
 	return best
 }
 
-// cost ranks backends among the due turns: what runs there against what it can do. Equals keep the order of their
-// turns, so that without load the shares are those of the weights.
-func (backend *Backend) cost(request *Request, now time.Time) float64 {
+// cost ranks backends among the due turns: what runs there against what it can do, and whether a connection would have to
+// be made. Equals keep the order of their turns, so that without load the shares are those of the weights.
+func (b *Balancer) cost(backend *Backend, request *Request, now time.Time) float64 {
 	running := float64(backend.running + backend.others)
-	return (running*runningCost + backend.queued + backend.queuedOut) / backend.weightFor(request, now)
+	waiting := running*runningCost + backend.queued + backend.queuedOut
+	if b.hasConnection != nil && !b.hasConnection(backend.ID) {
+		waiting += connectionCost
+	}
+	return waiting / backend.weightFor(request, now)
 }
 
 // weightFor is the backend's weight for a request: slow start counts from when it first showed what is requested, too.
@@ -195,6 +200,9 @@
 	return max(minWeight, backend.weight*factor)
 }
 
+// connectionCost is what a new connection counts beside prompts that wait, in milliseconds.
+const connectionCost = 60.0
+
 // runningCost is what one running request counts beside prompts that wait, in milliseconds.
 const runningCost = 4.0
 
--- a/internal/dataplane/balancer/refresh_test.go
+++ b/internal/dataplane/balancer/refresh_test.go
@@ -68,3 +68,18 @@
 	b.Finish(r, grant.Backend, Answered, time.Second, start)
 	assert.Equal(t, []message.BackendLoad{{Backend: "b1"}}, b.TakeChanged())
 }
+
+func TestABackendWithAConnectionIsPreferredUntilItIsBusier(t *testing.T) {
+	b, _ := holders(t, 20)
+	b.SetConnections(func(id string) bool { return id == "b07" })
+	arriveAt := func(queued int) string {
+		b.Refresh("llm", "m", []message.BackendLoad{{Backend: "b07", Queued: queued}}, start)
+		grant, waiting := arrive(b, request("llm", "m", start), start)
+		require.False(t, waiting)
+		b.Finish(&Request{Service: "llm", Model: "m"}, grant.Backend, Answered, time.Millisecond, start)
+		return grant.ID
+	}
+	assert.Equal(t, "b07", arriveAt(0))
+	assert.Equal(t, "b07", arriveAt(connectionCost-10))
+	assert.NotEqual(t, "b07", arriveAt(connectionCost+10))
+}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -50,8 +50,10 @@
 	budget := balancer.NewRetryBudget(settings.Bounds.RetryWindow, settings.Bounds.RetryRatio, settings.Bounds.RetryExtra, time.Now())
 	urgent := newUrgency()
 	exchange := loads.New(settings.Node + "/" + settings.IP)
-	dispatcher := balancer.NewDispatcher(running, balancer.New(settings.Zone, budget), urgent.raise, exchange)
 	pool := backend.NewPool()
+	chooser := balancer.New(settings.Zone, budget)
+	chooser.SetConnections(pool.HasIdle)
+	dispatcher := balancer.NewDispatcher(running, chooser, urgent.raise, exchange)
 	handler := ingress.New(dispatcher, pool)
 	feed := newFeed(settings, dispatcher, handler, pool, exchange, coordinator.SeedAddresses(settings))
 	p := &Proxy{settings: settings, handler: handler, feed: feed}
