--- a/internal/bootstrap/bootstrap_test.go
+++ b/internal/bootstrap/bootstrap_test.go
@@ -17,7 +17,7 @@
 portRange: [7000, 7015]
 seedNodes: ["10.1.0.1:90"]
 stateDir: null
-bounds: {drainMs: 2500, retryRatio: 0.25}
+bounds: {drainMs: 2500, retryRatio: 0.25, checksFence: true}
 cloud: {address: "10.9.0.1:80", ratePerS: 3.5}
 unknown: {x: 1}
 `
@@ -28,6 +28,7 @@
 	assert.Equal(t, 7000, settings.FirstPort)
 	assert.Equal(t, 2500*time.Millisecond, settings.Bounds.Drain)
 	assert.Equal(t, 0.25, settings.Bounds.RetryRatio)
+	assert.True(t, settings.Bounds.ChecksFence)
 	assert.Equal(t, 3.5, settings.Platform.RatePerS)
 	assert.Empty(t, settings.StateDir, "a machine without a disk has null there")
 	assert.Equal(t, defaultGrace, settings.Bounds.Grace)
