--- a/internal/controlplane/placement/planner.go
+++ b/internal/controlplane/placement/planner.go
@@ -18,7 +18,7 @@
 	ahead            = 2                // places by which demand is expected to move on in the operator's list
 	mostCopiesShare  = 0.6              // of the service's backends, for one model
 	recentlyAsked    = 3 * time.Second
-	gainOverVictim   = 1.3 // hysteresis: so much more a new copy must be worth than the one that goes
+	gainOverVictim   = 2.0 // hysteresis: so much more a new copy must be worth than the one that goes, as rates of seconds waver
 	anticipation     = 0.3 // part of the rate of the models before it that a model is expected to get
 	soleWorth        = 0.03
 	surplusShare     = 0.1
--- a/internal/controlplane/placement/planner_test.go
+++ b/internal/controlplane/placement/planner_test.go
@@ -202,3 +202,13 @@
 	assert.Equal(t, "b1", loads(tasks)["m0"])
 	assert.Equal(t, []string{"m7"}, tasks[0].Unload, "once it is idle it goes first")
 }
+
+// Found on the bench: copies of busy models took each other's place again and again, as rates over some seconds waver by a
+// third; each swap costs a load and both copies meanwhile.
+func TestCopiesOfSimilarWorthDoNotTakeEachOthersPlace(t *testing.T) {
+	f := newFleet([]string{"m0", "m4"}, []string{"m0", "m7"})
+	f.ask(20*time.Second, map[string]float64{"m0": 4, "m4": 6.6, "m7": 4})
+	for _, task := range f.plan(10) {
+		assert.Empty(t, task.Unload, "%s for %v", task.Load, task.Unload)
+	}
+}
