--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -64,3 +64,39 @@
 	_, err = NewClient().Pull(context.Background(), listener.Addr().String(), "p", message.Pull{})
 	assert.ErrorIs(t, err, ErrDisconnected)
 }
+
+// TestALateAnswerToAQuestionReachesNobody has a peer that answers the first question only when it has read the second.
+func TestALateAnswerToAQuestionReachesNobody(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	var first *message.LoadReport
+	go Serve(listener, func(m *message.Message, reply func(*message.Message)) {
+		if first == nil {
+			first = m.LoadReport
+			return
+		}
+		for _, report := range []*message.LoadReport{first, m.LoadReport} {
+			reply(&message.Message{LoadReply: &message.LoadReply{ID: report.ID, Loads: []message.BackendLoad{{Backend: report.Model}}}})
+		}
+	})
+	address := listener.Addr().String()
+	client := NewClient()
+	_, err = client.AskLoads(address, "p", message.LoadReport{})
+	require.ErrorIs(t, err, ErrDisconnected, "it opens no connection")
+	require.NoError(t, client.Connect(address))
+	early, err := client.AskLoads(address, "p", message.LoadReport{Model: "m1"})
+	require.NoError(t, err)
+	given, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = early.Wait(given)
+	require.ErrorIs(t, err, context.Canceled)
+	later, err := client.AskLoads(address, "p", message.LoadReport{Model: "m2"})
+	require.NoError(t, err)
+	reply, err := later.Wait(context.Background())
+	require.NoError(t, err)
+	assert.Equal(t, "m2", reply.Loads[0].Backend)
+	assert.True(t, client.IsConnected(address))
+	client.Disconnect()
+	assert.False(t, client.IsConnected(address))
+}
