Ring: no sequence of failed writes and crashes loses a synced record

Cause: the next segment was taken whatever it held, so after five failed writes in a row the newest synced records were overwritten.

--- a/internal/controlplane/coordinator/state.go
+++ b/internal/controlplane/coordinator/state.go
@@ -1,7 +1,10 @@
 package coordinator
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"pumiceline/internal/controlplane/replica"
 	"pumiceline/internal/controlplane/storage"
@@ -31,6 +34,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open the state folder")
 	}
+	syncUntilDurable(ring)
 	stored := &storedState{ring: ring}
 	if err := stored.readControl(); err != nil {
 		return nil, err
@@ -41,6 +45,21 @@
 	return stored, nil
 }
 
+// syncUntilDurable returns once what the ring holds is durable. A disk that fails or stalls just then delays the start: a
+// member must not speak of state that a loss of power could still take from it.
+func syncUntilDurable(ring *storage.Ring) {
+	for attempt := 1; ; attempt++ {
+		err := ring.SyncFound()
+		if err == nil {
+			return
+		}
+		if attempt == 1 {
+			logrus.WithError(err).Warn("state sync failed, retrying")
+		}
+		time.Sleep(writeRetryDelay)
+	}
+}
+
 func (s *storedState) readControl() error {
 	record := s.ring.Newest(controlRecord)
 	if record == nil {
--- a/internal/controlplane/storage/recovery.go
+++ b/internal/controlplane/storage/recovery.go
@@ -1,11 +1,20 @@
 package storage
 
-import "github.com/pkg/errors"
+import (
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+)
+
+// maxSequenceGap bounds the gap in the sequence after each opening. A crash may leave parts of frames that are not read, and
+// a later frame of the same place, kind and size with the same sequence could be completed by them: its checksum would
+// be right. The gap is random, as openings that find the same newest frame would else give the same sequences again.
+const maxSequenceGap = 1 << 40
 
 // OpenFiles opens a ring on segments of SegmentBytes each and reads what they hold. An error means that a segment
 // cannot be read; what a crash left is none.
 func OpenFiles(files []File) (*Ring, error) {
-	ring := &Ring{files: files, newest: map[Kind][]byte{}, appended: map[Kind][][]byte{}}
+	ring := &Ring{files: files, newest: map[Kind][]byte{}, appended: map[Kind][][]byte{}, synced: map[Kind]int{}}
 	found := map[Kind]uint64{} // sequence of the newest record by kind
 	last := len(files) - 1
 	for i, file := range files {
@@ -20,11 +29,13 @@
 			if record.sequence > found[kind] {
 				found[kind] = record.sequence
 				ring.newest[kind], ring.appended[kind] = record.payload, contents.appended[kind]
+				ring.synced[kind] = i
 			}
 		}
 	}
 	// What follows the last frame may be torn, so writing goes on in the next segment.
 	ring.current, ring.mustRotate = last, true
+	ring.skipSequences = 1 + rand.Uint64N(maxSequenceGap)
 	return ring, nil
 }
 
@@ -40,8 +51,9 @@
 	payload  []byte
 }
 
-// readSegment reads a segment up to the first frame that does not count. A sequence that does not rise shows a frame
-// of the segment's earlier use, which stands behind the end of the present one.
+// readSegment reads a segment up to the first frame that does not count. Frames of one use of a segment have consecutive
+// sequences. Any other sequence shows a frame of another use: one that stands behind the end of the present one, or one
+// whose successor became durable while it did not itself, as a disk may write sectors in any order.
 func readSegment(file File) (*segmentContents, error) {
 	contents := &segmentContents{newest: map[Kind]record{}, appended: map[Kind][][]byte{}}
 	encoded := make([]byte, headerBytes)
@@ -51,7 +63,7 @@
 		}
 		header := decodeHeader(encoded)
 		end := offset + headerBytes + header.length
-		if header.magic != magic || header.sequence <= contents.lastSequence || end > SegmentBytes {
+		if header.magic != magic || !contents.continuesWith(header.sequence) || end > SegmentBytes {
 			break
 		}
 		payload := make([]byte, header.length)
@@ -67,6 +79,14 @@
 	return contents, nil
 }
 
+// continuesWith reports whether a frame with that sequence can be the next one. Any sequence can begin a segment.
+func (c *segmentContents) continuesWith(sequence uint64) bool {
+	if c.lastSequence == 0 {
+		return sequence > 0
+	}
+	return sequence == c.lastSequence+1
+}
+
 func (c *segmentContents) add(kind Kind, found record) {
 	c.lastSequence = found.sequence
 	if kind.isAppended() {
--- a/internal/controlplane/storage/ring.go
+++ b/internal/controlplane/storage/ring.go
@@ -7,9 +7,8 @@
 //
 // What a crash leaves: every write that returned without an error, and a prefix of the frames of the write that was under
 // way, which may be none or all of them. The order of frames within a write is fixed (see Ring.Write), so that a record
-// can rely on another of the same write. There is a limit: each failed write is followed by one in the next segment, so
-// after SegmentCount failures in a row the next write goes to the segment with the newest synced records, and one that
-// is torn there can lose them.
+// can rely on another of the same write. A failed write is followed by one in another segment, never in one that holds the
+// newest synced record of some kind (see Ring.nextSegment), so no number of failures in a row loses a synced record.
 //
 // What recovery does: OpenFiles reads each segment up to its first frame that does not count, and of all segments takes
 // the record of each kind with the highest sequence, together with what was appended to it there. Whatever follows such
@@ -54,8 +53,12 @@
 	current  int    // index of the segment that is written to
 	offset   int64  // end of the last frame in it
 	sequence uint64 // of the last frame
-	newest   map[Kind][]byte
-	appended map[Kind][][]byte // by the kind that they were appended to; they stand in the segment of its newest record
+	// skipSequences is added to the sequence before the first write after the opening (see maxSequenceGap).
+	skipSequences uint64
+	newest        map[Kind][]byte
+	appended      map[Kind][][]byte // by the kind that they were appended to; they stand in the segment of its newest record
+	// synced names the segment with the newest synced record of each kind. A write that failed does not change it.
+	synced map[Kind]int
 	// mustRotate is set when the end of the current segment is unknown: after a failed write, and after a start.
 	mustRotate bool
 }
@@ -63,6 +66,25 @@
 // ErrTooLarge is returned by Ring.Write when the newest records of all kinds do not fit into one segment.
 var ErrTooLarge = errors.New("the records are larger than a segment of the ring")
 
+// errNoFreeSegment cannot occur while there are fewer kinds of records than segments.
+var errNoFreeSegment = errors.New("each segment of the ring holds a newest record")
+
+// SyncFound syncs the segments that hold the records found at the opening. A process that was killed leaves writes in the
+// operating system's cache that it had not synced: they are found, and a loss of power would still lose them. So nothing
+// that was found may be relied on before SyncFound has returned without an error.
+func (r *Ring) SyncFound() error {
+	segments := map[int]bool{}
+	for _, segment := range r.synced {
+		segments[segment] = true
+	}
+	for segment := range segments {
+		if err := r.files[segment].Sync(); err != nil {
+			return errors.Wrapf(err, "sync segment %d of the ring", segment)
+		}
+	}
+	return nil
+}
+
 // Newest returns the newest record of a kind, nil where there is none.
 func (r *Ring) Newest(kind Kind) []byte { return r.newest[kind] }
 
@@ -111,11 +133,15 @@
 // rotate makes the next segment the current one and writes the newest record of every kind to its beginning.
 func (r *Ring) rotate() error {
 	r.mustRotate = true
-	r.current = (r.current + 1) % len(r.files)
-	r.offset = 0
-	if !r.fits(framesBytes(r.newest)) {
+	if framesBytes(r.newest) > SegmentBytes {
 		return ErrTooLarge
 	}
+	next, err := r.nextSegment()
+	if err != nil {
+		return err
+	}
+	r.current = next
+	r.offset = 0
 	clear(r.appended)
 	if err := r.writeFrames(orderFrames(r.newest, 0, nil)); err != nil {
 		return err
@@ -124,6 +150,22 @@
 	return nil
 }
 
+// nextSegment returns the first segment after the current one that holds no newest synced record of any kind. While there
+// are fewer kinds than segments there is one.
+func (r *Ring) nextSegment() (int, error) {
+	inUse := map[int]bool{}
+	for _, segment := range r.synced {
+		inUse[segment] = true
+	}
+	for step := 1; step <= len(r.files); step++ {
+		segment := (r.current + step) % len(r.files)
+		if !inUse[segment] {
+			return segment, nil
+		}
+	}
+	return 0, errNoFreeSegment
+}
+
 // orderFrames returns the frames of a write: records appended to the kind base first, and replaced records after them in
 // falling order of their kinds. base counts only where there are appended records.
 func orderFrames(records map[Kind][]byte, base Kind, appended [][]byte) []frame {
@@ -140,6 +182,8 @@
 
 // writeFrames writes and syncs frames at the end of the current segment.
 func (r *Ring) writeFrames(frames []frame) error {
+	r.sequence += r.skipSequences
+	r.skipSequences = 0
 	var encoded []byte
 	for _, f := range frames {
 		r.sequence++
@@ -154,5 +198,8 @@
 		return errors.Wrapf(err, "sync segment %d of the ring", r.current)
 	}
 	r.offset += int64(len(encoded))
+	for _, f := range frames {
+		r.synced[f.kind&^appendedBit] = r.current
+	}
 	return nil
 }
