--- a/internal/standalone/policy/subscription.go
+++ b/internal/standalone/policy/subscription.go
@@ -8,6 +8,7 @@
 	pending       bool // a call is in flight
 	nextCallAt    Time // timers that fire before it belong to plans that were replaced
 	active        bool // discovery has answered, and the subscription has not broken since
+	started       bool // discovery has answered once
 	changesMissed bool // the subscription timed out, so that changes may have been missed
 	failures      int  // calls that failed in a row
 }
@@ -17,7 +18,9 @@
 //
 //	SubscribeWithin/firstCallDivisor * groupFactor * 2^failures, at most maxCallSpread*SubscribeWithin
 //
-// with at least one failure, and groupFactor = GroupSize/baseGroupSize from 1 to maxGroupSpread.
+// with groupFactor = GroupSize/baseGroupSize from 1 to maxGroupSpread. At the start it is the spread after one failure. A
+// subscription that broke counts as none: it may have broken in place of sending a change, which then counts as known
+// about 2 s after it was made, whether or not this balancer has called by then.
 const (
 	firstCallDivisor      = 8
 	baseGroupSize         = 100
@@ -36,7 +39,11 @@
 	allowed := float64(b.settings.Rules.SubscribeWithin)
 	groups := float64(b.settings.GroupSize) / baseGroupSize
 	spread := allowed / firstCallDivisor * max(1, min(maxGroupSpread, groups))
-	spread = min(spread*math.Exp2(float64(max(1, b.discovery.failures))), maxCallSpread*allowed)
+	failures := b.discovery.failures
+	if !b.discovery.started {
+		failures = max(1, failures)
+	}
+	spread = min(spread*math.Exp2(float64(failures)), maxCallSpread*allowed)
 	if b.discovery.changesMissed {
 		spread = min(spread, maxSpreadAfterTimeout)
 	}
@@ -63,6 +70,7 @@
 func (b *Balancer) onSubscribed() {
 	if b.discovery.pending {
 		b.discovery.pending, b.discovery.active, b.discovery.failures = false, true, 0
+		b.discovery.started = true
 	}
 }
 
@@ -72,8 +80,10 @@
 	if !b.discovery.pending && !b.discovery.active {
 		return
 	}
+	if b.discovery.pending {
+		b.discovery.failures++
+	}
 	b.discovery.active, b.discovery.pending = false, false
 	b.discovery.changesMissed = ev.Kind == DiscoveryTimedOut
-	b.discovery.failures++
 	b.scheduleSubscribe()
 }
--- a/internal/standalone/policy/subscription_test.go
+++ b/internal/standalone/policy/subscription_test.go
@@ -182,3 +182,34 @@
 		}
 	}
 }
+
+// A subscription may break in place of sending a change, so the next call must not wait as long as one after a failed call.
+func TestBrokenSubscriptionIsRenewedSoon(t *testing.T) {
+	for _, c := range []struct {
+		group  int
+		within Time // the latest next call
+	}{{group: 6, within: 1_250_000}, {group: 300, within: 2_500_000}} {
+		settings := testSettings()
+		settings.SubscribeDiscovery, settings.GroupSize, settings.Rules.SubscribeWithin = true, c.group, 10e6
+		latest := Time(0)
+		for seed := range uint64(200) {
+			b, err := New(settings, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := Time(1e9)
+			b.Handle(now, &Event{Kind: MembershipCached, Members: testMembers(2)}, nil)
+			now += 30e6
+			b.Handle(now, &Event{Kind: TimerFired, ID: timerSubscribe}, nil)
+			b.Handle(now, &Event{Kind: MembershipFull, Members: testMembers(2)}, nil)
+			for _, a := range b.Handle(now+1e6, &Event{Kind: DiscoveryFailed}, nil) {
+				if a.Kind == SetTimer && a.ID == timerSubscribe {
+					latest = max(latest, a.After)
+				}
+			}
+		}
+		if latest > c.within || latest < c.within*9/10 {
+			t.Errorf("group of %d: the latest of 200 calls comes after %d us, the spread is %d", c.group, latest, c.within)
+		}
+	}
+}
