--- a/internal/faulttest/clustertest/cluster.go
+++ b/internal/faulttest/clustertest/cluster.go
@@ -231,7 +231,9 @@
 func (c *cluster) memberDir(i int) string { return filepath.Join(c.dir, fmt.Sprint("disk-", i+1)) }
 
 // volatileDir stands for the folder in memory of a member's machine, with the mark of the member's store.
-func (c *cluster) volatileDir(i int) string { return filepath.Join(c.dir, fmt.Sprint("volatile-", i+1)) }
+func (c *cluster) volatileDir(i int) string {
+	return filepath.Join(c.dir, fmt.Sprint("volatile-", i+1))
+}
 
 // historyFile is where an instance writes the history of its effects.
 func (c *cluster) historyFile(party string) string { return c.fleetFile(party) + ".history" }
