--- a/internal/standalone/policy/subscription.go
+++ b/internal/standalone/policy/subscription.go
@@ -18,9 +18,9 @@
 //
 //	SubscribeWithin/firstCallDivisor * groupFactor * 2^failures, at most maxCallSpread*SubscribeWithin
 //
-// with groupFactor = GroupSize/baseGroupSize from 1 to maxGroupSpread. At the start it is the spread after one
-// failure. A subscription that broke counts as none: it may have broken in place of sending a change, which then
-// counts as known about 2 s after it was made, whether or not this balancer has called by then.
+// with groupFactor = GroupSize/baseGroupSize from 1 to maxGroupSpread. At the start it is the spread after
+// one failure. A subscription that broke counts as none: it may have broken in place of sending a change,
+// which then counts as known about 2 s after it was made, whether or not this balancer has called by then.
 const (
 	firstCallDivisor      = 8
 	baseGroupSize         = 100
