--- a/cmd/pumiceline/singleton.go
+++ b/cmd/pumiceline/singleton.go
@@ -54,7 +54,7 @@
 	Dir    string `help:"Folder of its store: vote, log and snapshots." type:"existingdir" required:""`
 	Listen string `help:"Where to listen, where that is not the address in the file."`
 
-	VolatileDir string `help:"Folder in memory for the mark that proves the store to be the newest after a restart of the process." default:"/dev/shm"`
+	VolatileDir string `help:"Folder in memory for the mark that proves the store to be the newest after a restart of the process, such as a tmpfs. Without one every other member has to accept each start." type:"existingdir"`
 	TrustDisk   bool   `help:"Start though not every other member can accept the store: it is known to be the newest one."`
 }
 
