--- a/internal/standalone/latencybaseline/baseline.go
+++ b/internal/standalone/latencybaseline/baseline.go
@@ -2,13 +2,14 @@
 // all responses. It is pure: the caller's clock is the only one that it knows.
 package latencybaseline
 
+import "slices"
+
 // A running quantile follows the latencies, and its recent minimum is the estimate: queues come and go, and while they
 // last they only add to latencies.
 const (
 	quantile        = 0.8
 	step            = 0.03      // share of its value by which the running quantile follows one response
-	warmupSamples   = 20        // responses before there is an estimate
-	fastSamples     = 10        // response n of the first ones moves the quantile fastSamples/n times as far, rounded down
+	warmupSamples   = 20        // responses before there is an estimate: the running quantile begins with theirs
 	samplePeriod    = 1_000_000 // microseconds between two samples of the running quantile for the minimum
 	growthPerSecond = 0.01      // by which the minimum grows: so a latency that rose and stays is the estimate in the end
 )
@@ -33,9 +34,10 @@
 // safe for concurrent use.
 type Estimator struct {
 	samples   int
-	running   float64 // quantile of the latencies
-	minimum   float64 // recent minimum of running: the estimate
-	sampledAt int64   // when running was sampled last for the minimum, in microseconds
+	first     [warmupSamples]float64 // the first latencies
+	running   float64                // quantile of the latencies; the latest one until the first ones are there
+	minimum   float64                // recent minimum of running: the estimate
+	sampledAt int64                  // when running was sampled last for the minimum, in microseconds
 }
 
 // Observe takes the latency of a response, in any unit, at now, in microseconds. Values that are not positive are
@@ -44,19 +46,30 @@
 	if !(latency > 0) {
 		return
 	}
-	if e.samples++; e.samples == 1 {
-		e.running = latency
+	if e.samples < warmupSamples {
+		e.warmUp(now, latency)
+		return
 	}
-	running := Quantile{Share: quantile, Step: step * float64(max(1, fastSamples/e.samples))}
-	e.running = running.Next(e.running, latency)
-	switch elapsed := now - e.sampledAt; {
-	case e.samples == warmupSamples:
-		e.minimum, e.sampledAt = e.running, now
-	case e.samples > warmupSamples && elapsed >= samplePeriod:
+	e.running = Quantile{Share: quantile, Step: step}.Next(e.running, latency)
+	if elapsed := now - e.sampledAt; elapsed >= samplePeriod {
 		e.minimum, e.sampledAt = min(e.minimum*(1+growthPerSecond*float64(elapsed)/1e6), e.running), now
 	}
 }
 
+// warmUp takes one of the first latencies. The estimate begins with their quantile as a whole: a running one that began
+// with the very first of them would leave it only step by step.
+func (e *Estimator) warmUp(now int64, latency float64) {
+	e.first[e.samples], e.running = latency, latency
+	e.samples++
+	if e.samples < warmupSamples {
+		return
+	}
+	sorted := e.first
+	slices.Sort(sorted[:])
+	e.running = sorted[int(quantile*warmupSamples)]
+	e.minimum, e.sampledAt = e.running, now
+}
+
 // Restore returns an Estimator with an estimate that another one has come to, or without one if baseline is not
 // positive.
 func Restore(baseline float64) Estimator {
--- a/internal/standalone/policy/admission.go
+++ b/internal/standalone/policy/admission.go
@@ -34,10 +34,16 @@
 	if a.server.relativeLatency >= slowFactor || a.server.warmingUp {
 		return // slow by itself, not because of congestion
 	}
-	congested, known := b.signalsCongestion(r, a, ev)
-	if !known {
-		return
+	if a.overdue {
+		return // it has signalled congestion while it was in flight
 	}
+	if congested, known := b.signalsCongestion(r, a, ev); known {
+		b.applySignal(congested)
+	}
+}
+
+// applySignal moves the concurrency limit by one signal.
+func (b *Balancer) applySignal(congested bool) {
 	signal := 0.0
 	if congested {
 		signal = 1
@@ -61,7 +67,7 @@
 	case Rejected:
 		return true, true
 	case OK:
-		b.unloadedLatency[r.classIndex].Observe(b.now, float64(ev.Elapsed)/timeFactor(a.cost))
+		b.observeUnloadedLatency(r.classIndex, float64(ev.Elapsed)/timeFactor(a.cost))
 		return b.isCongested(r, ev.Elapsed), true
 	case TimedOut:
 		congested = b.isCongested(r, ev.Elapsed)
--- a/internal/standalone/policy/balancer.go
+++ b/internal/standalone/policy/balancer.go
@@ -44,7 +44,7 @@
 	members             []*server // the same in the order of listing, for iteration
 	affinity            affinity.Table
 	zoneConnectFailures [256]int // attempts in a row that could not connect, by zone
-	ejectedOrStalled    int      // servers that are ejected or stalled; one that is both counts twice
+	ejectedOrStalled    int      // servers that are ejected or stalled
 	remoteZoneShare     float64  // fraction of their weight that servers of other zones keep
 	instanceTypes       []capacityStats
 	overall             capacityStats // over all instance types
@@ -59,6 +59,8 @@
 	concurrencyLimit  float64 // the most attempts in flight
 	inFlight          int     // attempts in flight at servers that are not stalled
 	congestion        float64 // moving average: share of recent responses that signalled congestion
+	startedAt         Time    // when the limit was first set, see limitStart
+	startArrivals     float64 // requests since, until a class's unloaded latency is known
 	lastAttemptEnd    Time
 	limitFrozenUntil  Time                        // before it LimitToUsage is not applied
 	medianAttemptTime float64                     // microseconds, of attempts with a cost of 1; 0: unknown
@@ -202,4 +204,5 @@
 		b.examineServer(s)
 		b.refreshWeight(s)
 	}
+	b.detectOverdue()
 }
--- a/internal/standalone/policy/dispatch.go
+++ b/internal/standalone/policy/dispatch.go
@@ -59,7 +59,7 @@
 // server's.
 func (b *Balancer) countInFlight(a *attempt) {
 	s := a.server
-	a.bodyPending = false
+	a.bodyPending, a.countedAt = false, b.now
 	s.uploading--
 	if s.inFlight == 0 {
 		s.waitingSince = b.now
--- a/internal/standalone/policy/locality.go
+++ b/internal/standalone/policy/locality.go
@@ -62,6 +62,9 @@
 			load = &loads.remote
 		}
 		weight := b.baseWeight(s)
+		if s.reportWeight == 0 {
+			continue // baseWeight has found its reports expired
+		}
 		load.utilization += weight * s.utilizationSum / s.reportWeight
 		load.weight += weight
 	}
--- a/internal/standalone/policy/locality_test.go
+++ b/internal/standalone/policy/locality_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 func TestRemoteZonesAreUsedOnlyWithoutHeadroom(t *testing.T) {
 	members := testMembers(4)
@@ -53,3 +56,22 @@
 		t.Errorf("%d attempts were spent on an unreachable zone of 10 servers", wasted)
 	}
 }
+
+// A scheduled server whose reports have expired says nothing about its zone.
+func TestExpiredReportsLeaveZoneShareANumber(t *testing.T) {
+	b := newBalancer(t, testSettings(), testMembers(2))
+	for _, s := range b.members {
+		b.addReport(s, loadReport(50, 0.5, 0))
+		b.Handle(b.now+blackoutPeriod+1, &Event{Kind: MembershipDelta}, nil)
+		b.addReport(s, loadReport(50, 0.5, 0))
+	}
+	b.advance(weightExpiration + 1)
+	if math.IsNaN(b.remoteZoneShare) {
+		t.Error("the share of other zones is not a number")
+	}
+	for _, s := range b.members {
+		if math.IsNaN(s.weight) || s.reportWeight != 0 {
+			t.Errorf("weight %v, weight of reports %v", s.weight, s.reportWeight)
+		}
+	}
+}
--- a/internal/standalone/policy/membership.go
+++ b/internal/standalone/policy/membership.go
@@ -22,6 +22,7 @@
 		b.onSubscribed()
 	}
 	b.updateMeans()
+	b.limitStart()
 }
 
 // applyMember applies one entry. A server that is draining or gone is removed from the schedule at once. A
--- a/internal/standalone/policy/outlier.go
+++ b/internal/standalone/policy/outlier.go
@@ -71,7 +71,9 @@
 	if s.ejected {
 		return
 	}
-	b.ejectedOrStalled++
+	if !s.stalled {
+		b.ejectedOrStalled++
+	}
 	s.ejectionTime = min(max(first, 2*s.ejectionTime), longest)
 	s.ejected, s.onProbation = true, false
 	s.ejectedUntil = b.now + b.jitter(s.ejectionTime)
@@ -122,7 +124,9 @@
 	s.waitingSince = b.now
 	if s.stalled {
 		s.stalled = false
-		b.ejectedOrStalled--
+		if !s.ejected {
+			b.ejectedOrStalled--
+		}
 		// One more, as examineServer took out this attempt as well, and b.inFlight-- did again.
 		b.inFlight += s.inFlight + 1
 	}
@@ -198,7 +202,9 @@
 	if !s.stalled && s.inFlight > 0 && b.medianAttemptTime > 0 && b.mayEject() &&
 		float64(b.now-s.waitingSince) > slowFactor*b.medianAttemptTime {
 		s.stalled = true
-		b.ejectedOrStalled++
+		if !s.ejected {
+			b.ejectedOrStalled++
+		}
 		b.inFlight -= s.inFlight // its attempts must not fill the concurrency limit
 	}
 	if s.openConns > s.inFlight && b.now-s.lastSentAt > idleConnTimeout {
@@ -207,6 +213,8 @@
 	}
 	if s.ejected && b.now >= s.ejectedUntil {
 		s.ejected, s.onProbation = false, true
-		b.ejectedOrStalled--
+		if !s.stalled {
+			b.ejectedOrStalled--
+		}
 	}
 }
--- a/internal/standalone/policy/outlier_test.go
+++ b/internal/standalone/policy/outlier_test.go
@@ -149,3 +149,38 @@
 		t.Error("no slow start after the successful probation")
 	}
 }
+
+// A server that is ejected while it is stalled, or the other way round, counts once against the bound of mayEject.
+func TestEjectedAndStalledServerCountsOnce(t *testing.T) {
+	for _, stalledFirst := range []bool{true, false} {
+		b := newBalancer(t, testSettings(), testMembers(4))
+		s := b.members[0]
+		b.requests[1] = b.newRequest(&Event{ID: 1, ClientTimeout: 60e6})
+		b.send(b.requests[1], s)
+		b.Handle(b.now, &Event{Kind: BodySent, ID: 1}, nil)
+		b.medianAttemptTime = 1000
+		stall := func() {
+			b.now += slowFactor*1000 + 1
+			b.examineServer(s)
+		}
+		if stalledFirst {
+			stall()
+		}
+		b.eject(s, 60e6, 60e6)
+		if !stalledFirst {
+			stall()
+		}
+		if !s.stalled || !s.ejected || b.ejectedOrStalled != 1 {
+			t.Fatalf("stalled %v, ejected %v, counted %d times", s.stalled, s.ejected, b.ejectedOrStalled)
+		}
+		b.countEnded(s)
+		if s.stalled || b.ejectedOrStalled != 1 {
+			t.Errorf("still ejected, counted %d times", b.ejectedOrStalled)
+		}
+		b.now = s.ejectedUntil
+		b.examineServer(s)
+		if b.ejectedOrStalled != 0 {
+			t.Errorf("neither, counted %d times", b.ejectedOrStalled)
+		}
+	}
+}
--- a/internal/standalone/policy/request.go
+++ b/internal/standalone/policy/request.go
@@ -31,7 +31,9 @@
 	inFlight        bool
 	mayHaveExecuted bool // true until an outcome proves the opposite, so also while it is in flight
 	bodyPending     bool // its client is still sending the body: it counts in no load or limit yet
+	overdue         bool // it has signalled congestion while in flight, see detectOverdue
 	sentAt          Time
+	countedAt       Time // when its server had all of it
 	cost            float64
 }
 
@@ -41,6 +43,9 @@
 		return // a repeated ID or an unknown class: there is no sensible action
 	}
 	b.arrivals++
+	if b.isStarting() {
+		b.startArrivals++
+	}
 	b.retryTokens = min(retryBurst, b.retryTokens+retryRatio)
 	r := b.newRequest(ev)
 	b.requests[r.id] = r
--- /dev/null
+++ b/internal/standalone/policy/startlimit.go
@@ -0,0 +1,41 @@
+package policy
+
+import "math"
+
+// startPerServer is how many attempts all balancers together may have in flight at each server before any
+// of them has had a response. A server that takes tens of requests at a time is not slowed down by that.
+const startPerServer = 9.0
+
+// limitStart gives a balancer that starts its part of what the servers may be sent before their latency is
+// known. From there the limit follows the responses.
+func (b *Balancer) limitStart() {
+	if math.IsInf(b.concurrencyLimit, 1) && len(b.members) > 0 {
+		b.concurrencyLimit = max(1, startPerServer*float64(len(b.members))/float64(b.settings.GroupSize))
+		b.startedAt = b.now
+	}
+}
+
+// isStarting reports whether no class's unloaded latency is known yet.
+func (b *Balancer) isStarting() bool {
+	for i := range b.unloadedLatency {
+		if _, known := b.unloadedLatency[i].Baseline(); known {
+			return false
+		}
+	}
+	return true
+}
+
+// observeUnloadedLatency takes a response's time. When the first class comes to be known the start is
+// over, and the limit has room for what arrives while a request takes that time (Little's law).
+func (b *Balancer) observeUnloadedLatency(class uint8, elapsed float64) {
+	estimator := &b.unloadedLatency[class]
+	_, wasKnown := estimator.Baseline()
+	estimator.Observe(b.now, elapsed)
+	latency, isKnown := estimator.Baseline()
+	if wasKnown || !isKnown || b.startArrivals == 0 {
+		return
+	}
+	perMicrosecond := b.startArrivals / float64(max(1, b.now-b.startedAt))
+	b.concurrencyLimit = max(b.concurrencyLimit, perMicrosecond*latency)
+	b.startArrivals = 0
+}
--- a/internal/standalone/policy/weights.go
+++ b/internal/standalone/policy/weights.go
@@ -62,6 +62,9 @@
 	s.qpsSum, s.utilizationSum, s.epsSum, s.reportWeight, s.nonEmptySince = 0, 0, 0, 0, 0
 }
 
+// weightPeriods has its times in microseconds.
+var weightPeriods = wrr.Periods{Expiration: weightExpiration, Blackout: blackoutPeriod}
+
 // baseWeight is the A58 weight of s in requests per second at full utilization, or the mean weight in the
 // blackout period and after expiration. A single report is a noisy sample of a short time, so the weight is
 // that of the decaying sums, with a little of the mean mixed in, m being meanReportWeight:
@@ -72,11 +75,11 @@
 	if s.nonEmptySince == 0 || s.reportWeight == 0 {
 		return mean
 	}
-	if b.now-s.lastReportAt >= weightExpiration {
+	switch weightPeriods.Check(float64(b.now-s.lastReportAt), float64(b.now-s.nonEmptySince)) {
+	case wrr.Expired:
 		s.discardReports()
 		return mean
-	}
-	if b.now-s.nonEmptySince < blackoutPeriod {
+	case wrr.InBlackout:
 		return mean
 	}
 	qps, utilization := s.qpsSum/s.reportWeight, s.utilizationSum/s.reportWeight
--- a/internal/wrr/wrr.go
+++ b/internal/wrr/wrr.go
@@ -40,3 +40,28 @@
 //
 //	exp(-elapsed / timeConstant)
 func Decay(elapsed, timeConstant float64) float64 { return math.Exp(-elapsed / timeConstant) }
+
+// Validity says whether a weight can be used.
+type Validity int
+
+// The states of a weight.
+const (
+	Usable     Validity = iota
+	InBlackout          // too little is known yet: the mean weight is used
+	Expired             // nothing was heard for long: the mean weight is used, and another blackout period follows
+)
+
+// Periods are A58's weight_expiration_period and blackout_period.
+type Periods struct{ Expiration, Blackout float64 }
+
+// Check returns the state of a weight by the time since its last update and since the first one after it was empty, which
+// must be known. Expiration goes first, as in A58: a weight that has expired begins another blackout period.
+func (p Periods) Check(sinceUpdate, sinceNonEmpty float64) Validity {
+	switch {
+	case sinceUpdate >= p.Expiration:
+		return Expired
+	case sinceNonEmpty < p.Blackout:
+		return InBlackout
+	}
+	return Usable
+}
--- a/internal/wrr/wrr_test.go
+++ b/internal/wrr/wrr_test.go
@@ -44,3 +44,21 @@
 	assert.InDelta(t, 1/math.E, Decay(15, 15), 1e-12)
 	assert.InDelta(t, Decay(5, 15), Decay(2, 15)*Decay(3, 15), 1e-12, "in one step or in two")
 }
+
+func TestPeriods_Check(t *testing.T) {
+	periods := Periods{Expiration: 60, Blackout: 10}
+	for _, c := range []struct {
+		name                       string
+		sinceUpdate, sinceNonEmpty float64
+		want                       Validity
+	}{
+		{"just begun", 0, 0, InBlackout},
+		{"end of the blackout period", 0, 10, Usable},
+		{"before the end of the blackout period", 0, 9.9, InBlackout},
+		{"before expiration", 59.9, 100, Usable},
+		{"at expiration", 60, 100, Expired},
+		{"expired within the blackout period", 60, 5, Expired},
+	} {
+		assert.Equal(t, c.want, periods.Check(c.sinceUpdate, c.sinceNonEmpty), c.name)
+	}
+}
