The platform's list is polled by its pages, and not before a configuration is known

The interval is now 150 ms a page, from 400 ms to a quarter of the drain notice; other members take theirs from the lists that they get.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -49,7 +49,7 @@
 	DiskMB    int
 }
 
-// Bounds are the figures of the deployment's rules. Ack, Apply, Drain, Quiet and ReuseAfter are read so that their keys are
+// Bounds are the figures of the deployment's rules. Ack, Apply, Quiet and ReuseAfter are read so that their keys are
 // checked, but nothing uses them.
 type Bounds struct {
 	Ack         time.Duration // within which a change is acknowledged
--- a/internal/controlplane/coordinator/backends.go
+++ b/internal/controlplane/coordinator/backends.go
@@ -45,7 +45,7 @@
 	if c.listed == nil {
 		return
 	}
-	discoveryLag := c.settings.Platform.MaxLag + leaseHolderPollInterval
+	discoveryLag := c.settings.Platform.MaxLag + c.pollInterval()
 	merged := &discovery.BackendList{ObservedAt: c.listed.ObservedAt, Revision: c.nextRevision()}
 	for _, backend := range c.listed.Backends {
 		seen, ok := c.observed[backend.ID]
--- a/internal/controlplane/coordinator/controller.go
+++ b/internal/controlplane/coordinator/controller.go
@@ -20,11 +20,16 @@
 	controllerTick   = 100 * time.Millisecond
 	eventQueueLength = 64
 
-	// leaseHolderPollInterval is how often the lease holder polls discovery.
+	// leaseHolderPollInterval is how often the lease holder polls discovery at most, see pollInterval.
 	leaseHolderPollInterval = 400 * time.Millisecond
-	// backendsStaleAfter is how old the lease holder's backends may be until another member polls discovery itself, every
-	// memberPollInterval.
-	backendsStaleAfter = 1300 * time.Millisecond
+	// pollIntervalPerPage is the interval for each page of the list: its calls are priced, and share the platform's limit.
+	pollIntervalPerPage = 150 * time.Millisecond
+	// maxPollDrainShare bounds the interval by a share of Bounds.Drain, within which proxies have to know that a backend
+	// leaves: the reading, and the way to the proxies, have to fit in beside it.
+	maxPollDrainShare = 0.25
+	// staleMargin is how long after the time for the lease holder's next backends another member polls discovery itself,
+	// every memberPollInterval.
+	staleMargin        = 900 * time.Millisecond
 	memberPollInterval = 1 * time.Second
 
 	// leaseHolderPollWait is how long the lease holder may keep a poll of another member open.
@@ -47,6 +52,7 @@
 	reader   *discovery.Reader
 	polling  bool // a poll of discovery is in progress
 	lastPoll time.Time
+	cadence  pollCadence
 	listed   *discovery.BackendList               // as discovery listed it last; nil: never
 	observed map[message.BackendID]observedModels // what tasks saw at backends since
 	revision uint64                               // of the list that was published last under leaseToken
@@ -123,7 +129,7 @@
 	if c.leaseToken != s.leaseToken {
 		c.onLeaseAcquired(s)
 	}
-	c.pollBackends(ctx, now, leaseHolderPollInterval)
+	c.pollBackends(ctx, now, c.pollInterval())
 	c.loop.hub.UseOwnTotals(c.pendingModelLoads(now))
 	if now.Sub(s.leaseStart) >= c.handoverDelay() {
 		c.placeModels(ctx, now)
@@ -138,11 +144,45 @@
 	if !s.isMember {
 		return
 	}
-	if !list.IsKnown() || now.Sub(list.ObservedAt) >= backendsStaleAfter {
+	if c.cadence.observe(list); !list.IsKnown() || now.Sub(list.ObservedAt) >= c.cadence.interval()+staleMargin {
 		c.pollBackends(ctx, now, memberPollInterval)
 	}
 }
 
+// pollInterval is how often the lease holder polls discovery:
+//
+//	pollIntervalPerPage * pages, from leaseHolderPollInterval to maxPollDrainShare * Drain
+func (c *controller) pollInterval() time.Duration {
+	if c.listed == nil {
+		return leaseHolderPollInterval
+	}
+	longest := time.Duration(maxPollDrainShare * float64(c.settings.Bounds.Drain))
+	return max(leaseHolderPollInterval, min(longest, time.Duration(c.listed.Pages)*pollIntervalPerPage))
+}
+
+// pollCadence is how often the lease holder has polled discovery of late, as another member sees it.
+type pollCadence struct {
+	newest time.Time // when the newest list was read
+	last   time.Duration
+}
+
+// observe takes the newest list that is known here; nil: none is. The same reading, received again, seems to be some
+// milliseconds younger or older (see distribution.ObservedAt): it is not another one.
+func (p *pollCadence) observe(list *discovery.BackendList) {
+	if !list.IsKnown() || list.ObservedAt.Sub(p.newest) < leaseHolderPollInterval/2 {
+		return
+	}
+	if !p.newest.IsZero() {
+		p.last = list.ObservedAt.Sub(p.newest)
+	}
+	p.newest = list.ObservedAt
+}
+
+// interval is the time between the last two lists, from leaseHolderPollInterval to memberPollInterval: a longer one is a gap.
+func (p *pollCadence) interval() time.Duration {
+	return max(leaseHolderPollInterval, min(p.last, memberPollInterval))
+}
+
 // handoverDelay is how long a new lease holder sends no placement commands. A predecessor sends none after its lease (see
 // commandToken), but a process that is frozen while it sends one may send it when it resumes; the deployment tolerates
 // that for Bounds.Thaw. Where backends check fencing tokens, only the predecessor's last command has to end before.
--- a/internal/controlplane/coordinator/controller_test.go
+++ b/internal/controlplane/coordinator/controller_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/controlplane/discovery"
 	"pumiceline/internal/controlplane/placement/executor"
 	"pumiceline/internal/message"
 )
@@ -47,3 +48,41 @@
 		})
 	}
 }
+
+// A longer list costs more calls, so it is polled less often, as far as the drain notice allows.
+func TestController_PollIntervalFollowsPages(t *testing.T) {
+	for _, c := range []struct {
+		pages int
+		drain time.Duration
+		want  time.Duration
+	}{
+		{1, 3 * time.Second, 400 * time.Millisecond},
+		{2, 3 * time.Second, 400 * time.Millisecond},
+		{4, 4 * time.Second, 600 * time.Millisecond},
+		{7, 4 * time.Second, time.Second},
+		{200, 4 * time.Second, time.Second},
+		{200, time.Second, 400 * time.Millisecond},
+	} {
+		controller := newController(&replicaLoop{}, &bootstrap.Settings{Bounds: bootstrap.Bounds{Drain: c.drain}})
+		assert.Equal(t, leaseHolderPollInterval, controller.pollInterval(), "no list yet")
+		controller.listed = &discovery.BackendList{Pages: c.pages}
+		assert.Equal(t, c.want, controller.pollInterval(), "%d pages, drain notice of %v", c.pages, c.drain)
+	}
+}
+
+// Another member learns from the lists how often the lease holder polls.
+func TestPollCadence(t *testing.T) {
+	read := time.Now()
+	var cadence pollCadence
+	cadence.observe(nil)
+	assert.Equal(t, leaseHolderPollInterval, cadence.interval(), "nothing known")
+	for range 2 {
+		cadence.observe(&discovery.BackendList{ObservedAt: read})
+		cadence.observe(&discovery.BackendList{ObservedAt: read.Add(3 * time.Millisecond)})
+		assert.LessOrEqual(t, cadence.interval(), 800*time.Millisecond)
+		read = read.Add(800 * time.Millisecond)
+	}
+	assert.Equal(t, 800*time.Millisecond, cadence.interval())
+	cadence.observe(&discovery.BackendList{ObservedAt: read.Add(time.Minute)})
+	assert.Equal(t, memberPollInterval, cadence.interval(), "a gap is no cadence")
+}
--- a/internal/controlplane/discovery/discovery.go
+++ b/internal/controlplane/discovery/discovery.go
@@ -14,6 +14,7 @@
 	Digest     uint64            // of the backends; see SetDigest
 	ObservedAt time.Time         // when the reading began
 	Revision   message.BackendsRevision
+	Pages      int // calls to the platform that the reading took; 0 where another process read it
 }
 
 // IsNewerThan reports whether the list is to replace other, which may be nil. Lists of one lease holder are ordered by their
--- a/internal/controlplane/discovery/reader.go
+++ b/internal/controlplane/discovery/reader.go
@@ -69,6 +69,7 @@
 		if err != nil {
 			return nil, err
 		}
+		list.Pages++
 		for _, entry := range *next.Backends {
 			list.Backends = append(list.Backends, entry.backend())
 		}
--- a/internal/dataplane/proxy/discoveryfallback.go
+++ b/internal/dataplane/proxy/discoveryfallback.go
@@ -27,7 +27,8 @@
 	}
 }
 
-// readIfStale reads the list where it is stale. To keep to the rate limit, each proxy reads with a probability by which
+// readIfStale reads the list where it is stale. Before a configuration is known nothing can be served, and it comes with a
+// list: after a start of all proxies none reads. To keep to the rate limit, each proxy reads with a probability by which
 // all together stay below it. A failed read is ignored: another one follows.
 func (s *subscription) readIfStale(ctx context.Context) {
 	isStale, probability := s.fallbackState()
@@ -52,7 +53,7 @@
 func (s *subscription) fallbackState() (isStale bool, probability float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	isStale = time.Since(s.newest.ObservedAt) > staleAfter
+	isStale = s.config.Sequence() > 0 && time.Since(s.newest.ObservedAt) > staleAfter
 	callsPerSecond := s.settings.Platform.MaxCallsPerSecond * fallbackRateShare // of all proxies together
 	probability = callsPerSecond * fallbackInterval.Seconds() / float64(s.proxies)
 	return isStale, probability
--- a/internal/dataplane/proxy/subscription_test.go
+++ b/internal/dataplane/proxy/subscription_test.go
@@ -75,3 +75,32 @@
 	s.Apply(&message.PollResponse{BackendsKnown: true, Backends: complete}, now.Add(2*time.Second))
 	assert.Equal(t, uint64(5), s.PollRequest().BackendDigest)
 }
+
+// Without a configuration nothing can be served, so the list is not worth a call to the platform.
+func TestSubscription_NoFallbackBeforeConfiguration(t *testing.T) {
+	s := newTestSubscription(t)
+	isStale, _ := s.fallbackState()
+	assert.False(t, isStale)
+	config := &message.ConfigUpdate{Sequence: 7, Document: []byte(`{"version":3,"services":[],"routes":[]}`)}
+	s.Apply(&message.PollResponse{Config: config}, time.Now())
+	isStale, _ = s.fallbackState()
+	assert.True(t, isStale, "a configuration is in force, and no list is known")
+}
+
+// Lists of one reading replace each other by their revisions, whatever the time on the way seems to say of their age.
+func TestSubscription_LaterRevisionOfOneReadingIsTaken(t *testing.T) {
+	s := newTestSubscription(t)
+	now := time.Now()
+	list := func(digest, number uint64, age int64) *message.PollResponse {
+		return &message.PollResponse{
+			BackendsKnown: true, BackendsAgeMs: age,
+			Backends:         &message.BackendUpdate{Digest: digest, Backends: []message.Backend{{ID: "b1", Service: "s"}}},
+			BackendsRevision: message.BackendsRevision{Token: 7, Number: number},
+		}
+	}
+	s.Apply(list(5, 1, 100), now)
+	s.Apply(list(6, 2, 103), now)
+	assert.Equal(t, uint64(6), s.PollRequest().BackendDigest, "it seems to be older, and is newer")
+	s.Apply(list(5, 1, 90), now)
+	assert.Equal(t, uint64(6), s.PollRequest().BackendDigest, "it seems to be newer, and is older")
+}
