Only models that requests wait for are published between two polls of discovery

Cause: each list makes all proxies and coordinators poll anew with their demand and loads. An unload reaches proxies with the next poll again; the backend rejects with Not-Run what comes meanwhile.

--- a/internal/controlplane/coordinator/backends.go
+++ b/internal/controlplane/coordinator/backends.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"pumiceline/internal/controlplane/discovery"
@@ -77,8 +78,29 @@
 	if c.leaseToken == 0 {
 		return
 	}
+	before := c.observed[backend]
 	c.observed[backend] = observedModels{models: models, at: now}
-	c.publishBackends()
+	if c.isAwaited(backend, before.models, models) {
+		c.publishBackends()
+	}
+}
+
+// isAwaited reports whether a backend has got a model that requests wait for. Only that is published at once: each list makes
+// all proxies and coordinators poll anew, with their demand and loads, and the next poll of discovery is never far. An unload may
+// so reach proxies after its command; the backend then rejects what they send (Not-Run), and they send it elsewhere.
+func (c *controller) isAwaited(id message.BackendID, before, after []message.LoadedModel) bool {
+	if c.listed == nil {
+		return false
+	}
+	entry, ok := lo.Find(c.listed.Backends, func(b message.Backend) bool { return b.ID == id })
+	if !ok {
+		return false
+	}
+	earlier := message.Backend{Models: before}
+	return lo.ContainsBy(after, func(m message.LoadedModel) bool {
+		demand := c.demand.Of(entry.Service, m.Name)
+		return !earlier.Holds(m.Name) && !entry.Holds(m.Name) && demand.Waiting > 0
+	})
 }
 
 // placementBackends returns the backends as the planner needs them.
