--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -40,4 +40,17 @@
 	PollResponse     *PollResponse     `msg:"pl,omitempty"`
 	LoadReport       *LoadReport       `msg:"ld,omitempty"`
 	LoadResponse     *LoadResponse     `msg:"lq,omitempty"`
+
+	// Coordination of applications.
+	CallRequest          *CallRequest          `msg:"kc,omitempty"`
+	CallResponse         *CallResponse         `msg:"kr,omitempty"`
+	EpochQuery           *EpochQuery           `msg:"eq,omitempty"`
+	EpochQueryResponse   *EpochQueryResponse   `msg:"er,omitempty"`
+	EpochPrepare         *EpochPrepare         `msg:"ep,omitempty"`
+	EpochPrepareResponse *EpochPrepareResponse `msg:"ea,omitempty"`
+	StateRequest         *StateRequest         `msg:"ks,omitempty"`
+	StateResponse        *StateResponse        `msg:"kt,omitempty"`
+	StateWrite           *StateWrite           `msg:"kw,omitempty"`
+	StateWriteResponse   *StateWriteResponse   `msg:"ka,omitempty"`
+	IssuerHandOver       *IssuerHandOver       `msg:"kh,omitempty"`
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -556,7 +556,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Backend) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *AcceptorGroup) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -573,68 +573,38 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
+		case "n":
+			z.Number, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "v":
 			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "ID")
+					err = msgp.WrapError(err, "View")
 					return
 				}
-				z.ID = BackendID(zb0002)
-			}
-		case "s":
-			z.Service, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
+				z.View = ViewNumber(zb0002)
 			}
 		case "a":
-			z.Address, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "c":
-			z.Capacity, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Capacity")
-				return
-			}
-		case "d":
-			z.Draining, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Draining")
-				return
-			}
-		case "t":
-			z.TimeLeftMs, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "TimeLeftMs")
-				return
-			}
-		case "m":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Models")
+				err = msgp.WrapError(err, "Acceptors")
 				return
 			}
-			if cap(z.Models) >= int(zb0003) {
-				z.Models = (z.Models)[:zb0003]
+			if cap(z.Acceptors) >= int(zb0003) {
+				z.Acceptors = (z.Acceptors)[:zb0003]
 			} else {
-				z.Models = make([]LoadedModel, zb0003)
+				z.Acceptors = make([]Member, zb0003)
 			}
-			for za0001 := range z.Models {
-				err = z.Models[za0001].DecodeMsg(dc)
+			for za0001 := range z.Acceptors {
+				err = z.Acceptors[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Models", za0001)
+					err = msgp.WrapError(err, "Acceptors", za0001)
 					return
 				}
 			}
@@ -650,26 +620,26 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Backend) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "i"
-	err = en.Append(0x88, 0xa1, 0x69)
+func (z *AcceptorGroup) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "n"
+	err = en.Append(0x83, 0xa1, 0x6e)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(string(z.ID))
+	err = en.WriteUint64(z.Number)
 	if err != nil {
-		err = msgp.WrapError(err, "ID")
+		err = msgp.WrapError(err, "Number")
 		return
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
+	// write "v"
+	err = en.Append(0xa1, 0x76)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Service)
+	err = en.WriteUint64(uint64(z.View))
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "View")
 		return
 	}
 	// write "a"
@@ -677,65 +647,15 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Capacity)
-	if err != nil {
-		err = msgp.WrapError(err, "Capacity")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Draining)
-	if err != nil {
-		err = msgp.WrapError(err, "Draining")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.TimeLeftMs)
-	if err != nil {
-		err = msgp.WrapError(err, "TimeLeftMs")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Models)))
+	err = en.WriteArrayHeader(uint32(len(z.Acceptors)))
 	if err != nil {
-		err = msgp.WrapError(err, "Models")
+		err = msgp.WrapError(err, "Acceptors")
 		return
 	}
-	for za0001 := range z.Models {
-		err = z.Models[za0001].EncodeMsg(en)
+	for za0001 := range z.Acceptors {
+		err = z.Acceptors[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001)
+			err = msgp.WrapError(err, "Acceptors", za0001)
 			return
 		}
 	}
@@ -743,37 +663,22 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Backend) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *AcceptorGroup) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "i"
-	o = append(o, 0x88, 0xa1, 0x69)
-	o = msgp.AppendString(o, string(z.ID))
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Service)
+	// map header, size 3
+	// string "n"
+	o = append(o, 0x83, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, uint64(z.View))
 	// string "a"
 	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt(o, z.Capacity)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.Draining)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt(o, z.TimeLeftMs)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
-	for za0001 := range z.Models {
-		o, err = z.Models[za0001].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Acceptors)))
+	for za0001 := range z.Acceptors {
+		o, err = z.Acceptors[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001)
+			err = msgp.WrapError(err, "Acceptors", za0001)
 			return
 		}
 	}
@@ -781,7 +686,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Backend) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *AcceptorGroup) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -798,68 +703,38 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "v":
 			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "ID")
+					err = msgp.WrapError(err, "View")
 					return
 				}
-				z.ID = BackendID(zb0002)
-			}
-		case "s":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
+				z.View = ViewNumber(zb0002)
 			}
 		case "a":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "c":
-			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Capacity")
-				return
-			}
-		case "d":
-			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Draining")
-				return
-			}
-		case "t":
-			z.TimeLeftMs, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TimeLeftMs")
-				return
-			}
-		case "m":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Models")
+				err = msgp.WrapError(err, "Acceptors")
 				return
 			}
-			if cap(z.Models) >= int(zb0003) {
-				z.Models = (z.Models)[:zb0003]
+			if cap(z.Acceptors) >= int(zb0003) {
+				z.Acceptors = (z.Acceptors)[:zb0003]
 			} else {
-				z.Models = make([]LoadedModel, zb0003)
+				z.Acceptors = make([]Member, zb0003)
 			}
-			for za0001 := range z.Models {
-				bts, err = z.Models[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Acceptors {
+				bts, err = z.Acceptors[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Models", za0001)
+					err = msgp.WrapError(err, "Acceptors", za0001)
 					return
 				}
 			}
@@ -876,72 +751,20 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Backend) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.ID)) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Models {
-		s += z.Models[za0001].Msgsize()
+func (z *AcceptorGroup) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Acceptors {
+		s += z.Acceptors[za0001].Msgsize()
 	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *BackendID) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 string
-		zb0001, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = BackendID(zb0001)
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z BackendID) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteString(string(z))
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z BackendID) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *BackendID) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = BackendID(zb0001)
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z BackendID) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *BackendLoad) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+func (z *Answer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
@@ -954,28 +777,67 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
+		case "s":
 			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
+				var zb0002 int
+				zb0002, err = dc.ReadInt()
 				if err != nil {
-					err = msgp.WrapError(err, "Backend")
+					err = msgp.WrapError(err, "Status")
 					return
 				}
-				z.Backend = BackendID(zb0002)
+				z.Status = CallStatus(zb0002)
 			}
-		case "r":
-			z.InFlight, err = dc.ReadInt()
+		case "t":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0003)
+			}
+		case "u":
+			z.Number, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "InFlight")
+				err = msgp.WrapError(err, "Number")
 				return
 			}
-		case "q":
-			z.QueuedPrefillMs, err = dc.ReadInt()
+		case "v":
+			z.Value, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "QueuedPrefillMs")
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		case "r":
+			{
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				z.Revision = Revision(zb0004)
+			}
+		case "e":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Events")
 				return
 			}
+			if cap(z.Events) >= int(zb0005) {
+				z.Events = (z.Events)[:zb0005]
+			} else {
+				z.Events = make([]KeyEvent, zb0005)
+			}
+			for za0001 := range z.Events {
+				err = z.Events[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Events", za0001)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -988,59 +850,193 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z BackendLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "b"
-	err = en.Append(0x83, 0xa1, 0x62)
-	if err != nil {
-		return
+func (z *Answer) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Token == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteString(string(z.Backend))
-	if err != nil {
-		err = msgp.WrapError(err, "Backend")
-		return
+	if z.Number == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
+	if z.Value == "" {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteInt(z.InFlight)
-	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
-		return
+	if z.Revision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
+	if z.Events == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteInt(z.QueuedPrefillMs)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "QueuedPrefillMs")
 		return
 	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(int(z.Status))
+		if err != nil {
+			err = msgp.WrapError(err, "Status")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(uint64(z.Token))
+			if err != nil {
+				err = msgp.WrapError(err, "Token")
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Number)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "v"
+			err = en.Append(0xa1, 0x76)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Value)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(uint64(z.Revision))
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "e"
+			err = en.Append(0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Events)))
+			if err != nil {
+				err = msgp.WrapError(err, "Events")
+				return
+			}
+			for za0001 := range z.Events {
+				err = z.Events[za0001].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Events", za0001)
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z BackendLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "b"
-	o = append(o, 0x83, 0xa1, 0x62)
-	o = msgp.AppendString(o, string(z.Backend))
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.InFlight)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt(o, z.QueuedPrefillMs)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Token == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Number == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Value == "" {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Revision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Events == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendInt(o, int(z.Status))
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, uint64(z.Token))
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendUint64(o, z.Number)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o = msgp.AppendString(o, z.Value)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendUint64(o, uint64(z.Revision))
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Events)))
+			for za0001 := range z.Events {
+				o, err = z.Events[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Events", za0001)
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *BackendLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Answer) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1057,28 +1053,67 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
+		case "s":
 			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				var zb0002 int
+				zb0002, bts, err = msgp.ReadIntBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Backend")
+					err = msgp.WrapError(err, "Status")
 					return
 				}
-				z.Backend = BackendID(zb0002)
+				z.Status = CallStatus(zb0002)
 			}
-		case "r":
-			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+		case "t":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0003)
+			}
+		case "u":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "InFlight")
+				err = msgp.WrapError(err, "Number")
 				return
 			}
-		case "q":
-			z.QueuedPrefillMs, bts, err = msgp.ReadIntBytes(bts)
+		case "v":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "QueuedPrefillMs")
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		case "r":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				z.Revision = Revision(zb0004)
+			}
+		case "e":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Events")
 				return
 			}
+			if cap(z.Events) >= int(zb0005) {
+				z.Events = (z.Events)[:zb0005]
+			} else {
+				z.Events = make([]KeyEvent, zb0005)
+			}
+			for za0001 := range z.Events {
+				bts, err = z.Events[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Events", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1092,13 +1127,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z BackendLoad) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Backend)) + 2 + msgp.IntSize + 2 + msgp.IntSize
+func (z *Answer) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Value) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Events {
+		s += z.Events[za0001].Msgsize()
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *BackendUpdate) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Backend) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1115,58 +1153,69 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, err = dc.ReadUint64()
+		case "i":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "ID")
+					return
+				}
+				z.ID = BackendID(zb0002)
+			}
+		case "s":
+			z.Service, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "s":
-			z.Base, err = dc.ReadUint64()
+		case "a":
+			z.Address, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Base")
+				err = msgp.WrapError(err, "Address")
 				return
 			}
-		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+		case "z":
+			z.Zone, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Backends")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-			if cap(z.Backends) >= int(zb0002) {
-				z.Backends = (z.Backends)[:zb0002]
-			} else {
-				z.Backends = make([]Backend, zb0002)
+		case "c":
+			z.Capacity, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
 			}
-			for za0001 := range z.Backends {
-				err = z.Backends[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Backends", za0001)
-					return
-				}
+		case "d":
+			z.Draining, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
 			}
-		case "g":
+		case "t":
+			z.TimeLeftMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "TimeLeftMs")
+				return
+			}
+		case "m":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Removed")
+				err = msgp.WrapError(err, "Models")
 				return
 			}
-			if cap(z.Removed) >= int(zb0003) {
-				z.Removed = (z.Removed)[:zb0003]
+			if cap(z.Models) >= int(zb0003) {
+				z.Models = (z.Models)[:zb0003]
 			} else {
-				z.Removed = make([]BackendID, zb0003)
+				z.Models = make([]LoadedModel, zb0003)
 			}
-			for za0002 := range z.Removed {
-				{
-					var zb0004 string
-					zb0004, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "Removed", za0002)
-						return
-					}
-					z.Removed[za0002] = BackendID(zb0004)
+			for za0001 := range z.Models {
+				err = z.Models[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001)
+					return
 				}
 			}
 		default:
@@ -1181,16 +1230,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *BackendUpdate) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "d"
-	err = en.Append(0x84, 0xa1, 0x64)
+func (z *Backend) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 8
+	// write "i"
+	err = en.Append(0x88, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Digest)
+	err = en.WriteString(string(z.ID))
 	if err != nil {
-		err = msgp.WrapError(err, "Digest")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
 	// write "s"
@@ -1198,42 +1247,75 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Base)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "Base")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+	// write "a"
+	err = en.Append(0xa1, 0x61)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Backends)))
+	err = en.WriteString(z.Address)
 	if err != nil {
-		err = msgp.WrapError(err, "Backends")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	for za0001 := range z.Backends {
-		err = z.Backends[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0001)
-			return
-		}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
 	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
+	err = en.WriteString(z.Zone)
 	if err != nil {
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Removed)))
+	// write "c"
+	err = en.Append(0xa1, 0x63)
 	if err != nil {
-		err = msgp.WrapError(err, "Removed")
 		return
 	}
-	for za0002 := range z.Removed {
-		err = en.WriteString(string(z.Removed[za0002]))
+	err = en.WriteInt(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Draining)
+	if err != nil {
+		err = msgp.WrapError(err, "Draining")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.TimeLeftMs)
+	if err != nil {
+		err = msgp.WrapError(err, "TimeLeftMs")
+		return
+	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Models)))
+	if err != nil {
+		err = msgp.WrapError(err, "Models")
+		return
+	}
+	for za0001 := range z.Models {
+		err = z.Models[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Removed", za0002)
+			err = msgp.WrapError(err, "Models", za0001)
 			return
 		}
 	}
@@ -1241,36 +1323,45 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *BackendUpdate) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Backend) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "d"
-	o = append(o, 0x84, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.Digest)
+	// map header, size 8
+	// string "i"
+	o = append(o, 0x88, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.ID))
 	// string "s"
 	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Base)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
-	for za0001 := range z.Backends {
-		o, err = z.Backends[za0001].MarshalMsg(o)
+	o = msgp.AppendString(o, z.Service)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt(o, z.Capacity)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Draining)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.TimeLeftMs)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
+	for za0001 := range z.Models {
+		o, err = z.Models[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0001)
+			err = msgp.WrapError(err, "Models", za0001)
 			return
 		}
 	}
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0002 := range z.Removed {
-		o = msgp.AppendString(o, string(z.Removed[za0002]))
-	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *BackendUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Backend) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1287,58 +1378,69 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
+		case "i":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ID")
+					return
+				}
+				z.ID = BackendID(zb0002)
 			}
 		case "s":
-			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Base")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Backends")
+				err = msgp.WrapError(err, "Address")
 				return
 			}
-			if cap(z.Backends) >= int(zb0002) {
-				z.Backends = (z.Backends)[:zb0002]
-			} else {
-				z.Backends = make([]Backend, zb0002)
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
 			}
-			for za0001 := range z.Backends {
-				bts, err = z.Backends[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Backends", za0001)
-					return
-				}
+		case "c":
+			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
 			}
-		case "g":
+		case "d":
+			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
+			}
+		case "t":
+			z.TimeLeftMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeLeftMs")
+				return
+			}
+		case "m":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Removed")
+				err = msgp.WrapError(err, "Models")
 				return
 			}
-			if cap(z.Removed) >= int(zb0003) {
-				z.Removed = (z.Removed)[:zb0003]
+			if cap(z.Models) >= int(zb0003) {
+				z.Models = (z.Models)[:zb0003]
 			} else {
-				z.Removed = make([]BackendID, zb0003)
+				z.Models = make([]LoadedModel, zb0003)
 			}
-			for za0002 := range z.Removed {
-				{
-					var zb0004 string
-					zb0004, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Removed", za0002)
-						return
-					}
-					z.Removed[za0002] = BackendID(zb0004)
+			for za0001 := range z.Models {
+				bts, err = z.Models[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001)
+					return
 				}
 			}
 		default:
@@ -1354,20 +1456,68 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *BackendUpdate) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Backends {
-		s += z.Backends[za0001].Msgsize()
+func (z *Backend) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.ID)) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Models {
+		s += z.Models[za0001].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Removed {
-		s += msgp.StringPrefixSize + len(string(z.Removed[za0002]))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *BackendID) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = BackendID(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z BackendID) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
 	}
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z BackendID) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *BackendID) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = BackendID(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z BackendID) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
-func (z *BackendsRevision) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *BackendLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1384,20 +1534,26 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "t":
+		case "b":
 			{
-				var zb0002 uint64
-				zb0002, err = dc.ReadUint64()
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Token")
+					err = msgp.WrapError(err, "Backend")
 					return
 				}
-				z.Token = FencingToken(zb0002)
+				z.Backend = BackendID(zb0002)
 			}
-		case "n":
-			z.Number, err = dc.ReadUint64()
+		case "r":
+			z.InFlight, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Number")
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "q":
+			z.QueuedPrefillMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "QueuedPrefillMs")
 				return
 			}
 		default:
@@ -1412,46 +1568,59 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z BackendsRevision) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "t"
-	err = en.Append(0x82, 0xa1, 0x74)
+func (z BackendLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "b"
+	err = en.Append(0x83, 0xa1, 0x62)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(uint64(z.Token))
+	err = en.WriteString(string(z.Backend))
 	if err != nil {
-		err = msgp.WrapError(err, "Token")
+		err = msgp.WrapError(err, "Backend")
 		return
 	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
+	// write "r"
+	err = en.Append(0xa1, 0x72)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Number)
+	err = en.WriteInt(z.InFlight)
 	if err != nil {
-		err = msgp.WrapError(err, "Number")
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	// write "q"
+	err = en.Append(0xa1, 0x71)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.QueuedPrefillMs)
+	if err != nil {
+		err = msgp.WrapError(err, "QueuedPrefillMs")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z BackendsRevision) MarshalMsg(b []byte) (o []byte, err error) {
+func (z BackendLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "t"
-	o = append(o, 0x82, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, uint64(z.Token))
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Number)
+	// map header, size 3
+	// string "b"
+	o = append(o, 0x83, 0xa1, 0x62)
+	o = msgp.AppendString(o, string(z.Backend))
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendInt(o, z.InFlight)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt(o, z.QueuedPrefillMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *BackendsRevision) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *BackendLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1468,20 +1637,26 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "t":
+		case "b":
 			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Token")
+					err = msgp.WrapError(err, "Backend")
 					return
 				}
-				z.Token = FencingToken(zb0002)
+				z.Backend = BackendID(zb0002)
 			}
-		case "n":
-			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+		case "r":
+			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Number")
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "q":
+			z.QueuedPrefillMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "QueuedPrefillMs")
 				return
 			}
 		default:
@@ -1497,13 +1672,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z BackendsRevision) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+func (z BackendLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Backend)) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *CatchUp) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *BackendUpdate) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1521,33 +1696,63 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+			z.Digest, err = dc.ReadUint64()
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		case "s":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = nil
-			} else {
-				if z.State == nil {
-					z.State = new(ChainState)
-				}
-				err = z.State.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
+			z.Base, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
 			}
-		default:
-			err = dc.Skip()
+		case "b":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Backends")
+				return
+			}
+			if cap(z.Backends) >= int(zb0002) {
+				z.Backends = (z.Backends)[:zb0002]
+			} else {
+				z.Backends = make([]Backend, zb0002)
+			}
+			for za0001 := range z.Backends {
+				err = z.Backends[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends", za0001)
+					return
+				}
+			}
+		case "g":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if cap(z.Removed) >= int(zb0003) {
+				z.Removed = (z.Removed)[:zb0003]
+			} else {
+				z.Removed = make([]BackendID, zb0003)
+			}
+			for za0002 := range z.Removed {
+				{
+					var zb0004 string
+					zb0004, err = dc.ReadString()
+					if err != nil {
+						err = msgp.WrapError(err, "Removed", za0002)
+						return
+					}
+					z.Removed[za0002] = BackendID(zb0004)
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
 		}
@@ -1556,94 +1761,96 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *CatchUp) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
-	_ = zb0001Mask
-	if z.State == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
+func (z *BackendUpdate) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "d"
+	err = en.Append(0x84, 0xa1, 0x64)
+	if err != nil {
+		return
 	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
+	err = en.WriteUint64(z.Digest)
 	if err != nil {
+		err = msgp.WrapError(err, "Digest")
 		return
 	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "d"
-		err = en.Append(0xa1, 0x64)
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Base)
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Backends)))
+	if err != nil {
+		err = msgp.WrapError(err, "Backends")
+		return
+	}
+	for za0001 := range z.Backends {
+		err = z.Backends[za0001].EncodeMsg(en)
 		if err != nil {
+			err = msgp.WrapError(err, "Backends", za0001)
 			return
 		}
-		err = en.WriteBytes(z.Digest)
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Removed)))
+	if err != nil {
+		err = msgp.WrapError(err, "Removed")
+		return
+	}
+	for za0002 := range z.Removed {
+		err = en.WriteString(string(z.Removed[za0002]))
 		if err != nil {
-			err = msgp.WrapError(err, "Digest")
+			err = msgp.WrapError(err, "Removed", za0002)
 			return
 		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// write "s"
-			err = en.Append(0xa1, 0x73)
-			if err != nil {
-				return
-			}
-			if z.State == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.State.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-			}
-		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *CatchUp) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *BackendUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
-	_ = zb0001Mask
-	if z.State == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "d"
-		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.Digest)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "s"
-			o = append(o, 0xa1, 0x73)
-			if z.State == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.State.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-			}
+	// map header, size 4
+	// string "d"
+	o = append(o, 0x84, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Base)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
+	for za0001 := range z.Backends {
+		o, err = z.Backends[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Backends", za0001)
+			return
 		}
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+	for za0002 := range z.Removed {
+		o = msgp.AppendString(o, string(z.Removed[za0002]))
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *CatchUp) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *BackendUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1661,26 +1868,57 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		case "s":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Backends")
+				return
+			}
+			if cap(z.Backends) >= int(zb0002) {
+				z.Backends = (z.Backends)[:zb0002]
+			} else {
+				z.Backends = make([]Backend, zb0002)
+			}
+			for za0001 := range z.Backends {
+				bts, err = z.Backends[za0001].UnmarshalMsg(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Backends", za0001)
 					return
 				}
-				z.State = nil
+			}
+		case "g":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if cap(z.Removed) >= int(zb0003) {
+				z.Removed = (z.Removed)[:zb0003]
 			} else {
-				if z.State == nil {
-					z.State = new(ChainState)
-				}
-				bts, err = z.State.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
+				z.Removed = make([]BackendID, zb0003)
+			}
+			for za0002 := range z.Removed {
+				{
+					var zb0004 string
+					zb0004, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Removed", za0002)
+						return
+					}
+					z.Removed[za0002] = BackendID(zb0004)
 				}
 			}
 		default:
@@ -1696,18 +1934,20 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *CatchUp) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2
-	if z.State == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.State.Msgsize()
+func (z *BackendUpdate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Backends {
+		s += z.Backends[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Removed {
+		s += msgp.StringPrefixSize + len(string(z.Removed[za0002]))
 	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *CatchUpRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *BackendsRevision) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1724,51 +1964,74 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0002)
+			}
+		case "n":
+			z.Number, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *CatchUpRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "d"
-	err = en.Append(0x81, 0xa1, 0x64)
+func (z BackendsRevision) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "t"
+	err = en.Append(0x82, 0xa1, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.Digest)
+	err = en.WriteUint64(uint64(z.Token))
 	if err != nil {
-		err = msgp.WrapError(err, "Digest")
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Number)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *CatchUpRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z BackendsRevision) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "d"
-	o = append(o, 0x81, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Digest)
+	// map header, size 2
+	// string "t"
+	o = append(o, 0x82, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Token))
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *CatchUpRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *BackendsRevision) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1785,10 +2048,20 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0002)
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Number")
 				return
 			}
 		default:
@@ -1804,13 +2077,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *CatchUpRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest)
+func (z BackendsRevision) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ChainState) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Call) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1827,98 +2100,102 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "w":
+		case "k":
 			{
-				var zb0002 uint64
-				zb0002, err = dc.ReadUint64()
+				var zb0002 uint8
+				zb0002, err = dc.ReadUint8()
 				if err != nil {
-					err = msgp.WrapError(err, "View")
+					err = msgp.WrapError(err, "Kind")
 					return
 				}
-				z.View = ViewNumber(zb0002)
+				z.Kind = CallKind(zb0002)
 			}
-		case "s":
-			z.Sequence, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
+		case "l":
+			{
+				var zb0003 string
+				zb0003, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Lock")
+					return
+				}
+				z.Lock = LockName(zb0003)
 			}
-		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
+		case "o":
+			{
+				var zb0004 string
+				zb0004, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Owner")
+					return
+				}
+				z.Owner = OwnerName(zb0004)
 			}
-		case "v":
-			z.Version, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
+		case "t":
+			{
+				var zb0005 uint64
+				zb0005, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0005)
 			}
-		case "c":
-			z.Document, err = dc.ReadBytes(z.Document)
+		case "h":
+			z.HoldMs, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
+				err = msgp.WrapError(err, "HoldMs")
 				return
 			}
-		case "h":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "n":
+			{
+				var zb0006 string
+				zb0006, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Key")
+					return
+				}
+				z.Key = KeyName(zb0006)
+			}
+		case "v":
+			z.Value, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "History")
+				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if cap(z.History) >= int(zb0003) {
-				z.History = (z.History)[:zb0003]
-			} else {
-				z.History = make([]Change, zb0003)
+		case "r":
+			{
+				var zb0007 uint64
+				zb0007, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "IfRevision")
+					return
+				}
+				z.IfRevision = Revision(zb0007)
 			}
-			for za0001 := range z.History {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
+		case "g":
+			{
+				var zb0008 string
+				zb0008, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "History", za0001)
+					err = msgp.WrapError(err, "Group")
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "History", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						z.History[za0001].Version, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001, "Version")
-							return
-						}
-					case "b":
-						z.History[za0001].Base, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001, "Base")
-							return
-						}
-					case "d":
-						z.History[za0001].Digest, err = dc.ReadBytes(z.History[za0001].Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001, "Digest")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001)
-							return
-						}
-					}
+				z.Group = KeyGroup(zb0008)
+			}
+		case "a":
+			{
+				var zb0009 uint64
+				zb0009, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "After")
+					return
 				}
+				z.After = Revision(zb0009)
 			}
-		case "o":
-			z.Horizon, err = dc.ReadUint64()
+		case "w":
+			z.WaitMs, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Horizon")
+				err = msgp.WrapError(err, "WaitMs")
 				return
 			}
 		default:
@@ -1933,156 +2210,304 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ChainState) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "w"
-	err = en.Append(0x87, 0xa1, 0x77)
-	if err != nil {
-		return
+func (z *Call) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Lock == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteUint64(uint64(z.View))
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
+	if z.Owner == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
+	if z.Token == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteUint64(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
+	if z.HoldMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
+	if z.Key == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteBytes(z.Digest)
-	if err != nil {
-		err = msgp.WrapError(err, "Digest")
-		return
+	if z.Value == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
+	if z.IfRevision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	err = en.WriteUint64(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
+	if z.Group == "" {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
+	if z.After == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.WaitMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.Document)
-	if err != nil {
-		err = msgp.WrapError(err, "Document")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.History)))
-	if err != nil {
-		err = msgp.WrapError(err, "History")
-		return
-	}
-	for za0001 := range z.History {
-		// map header, size 3
-		// write "v"
-		err = en.Append(0x83, 0xa1, 0x76)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "k"
+		err = en.Append(0xa1, 0x6b)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.History[za0001].Version)
+		err = en.WriteUint8(uint8(z.Kind))
 		if err != nil {
-			err = msgp.WrapError(err, "History", za0001, "Version")
+			err = msgp.WrapError(err, "Kind")
 			return
 		}
-		// write "b"
-		err = en.Append(0xa1, 0x62)
-		if err != nil {
-			return
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "l"
+			err = en.Append(0xa1, 0x6c)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(string(z.Lock))
+			if err != nil {
+				err = msgp.WrapError(err, "Lock")
+				return
+			}
 		}
-		err = en.WriteUint64(z.History[za0001].Base)
-		if err != nil {
-			err = msgp.WrapError(err, "History", za0001, "Base")
-			return
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "o"
+			err = en.Append(0xa1, 0x6f)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(string(z.Owner))
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
 		}
-		// write "d"
-		err = en.Append(0xa1, 0x64)
-		if err != nil {
-			return
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(uint64(z.Token))
+			if err != nil {
+				err = msgp.WrapError(err, "Token")
+				return
+			}
 		}
-		err = en.WriteBytes(z.History[za0001].Digest)
-		if err != nil {
-			err = msgp.WrapError(err, "History", za0001, "Digest")
-			return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "h"
+			err = en.Append(0xa1, 0x68)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.HoldMs)
+			if err != nil {
+				err = msgp.WrapError(err, "HoldMs")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(string(z.Key))
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "v"
+			err = en.Append(0xa1, 0x76)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Value)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(uint64(z.IfRevision))
+			if err != nil {
+				err = msgp.WrapError(err, "IfRevision")
+				return
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(string(z.Group))
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(uint64(z.After))
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "w"
+			err = en.Append(0xa1, 0x77)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.WaitMs)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
 		}
-	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Horizon)
-	if err != nil {
-		err = msgp.WrapError(err, "Horizon")
-		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ChainState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Call) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "w"
-	o = append(o, 0x87, 0xa1, 0x77)
-	o = msgp.AppendUint64(o, uint64(z.View))
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Digest)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendBytes(o, z.Document)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
-	for za0001 := range z.History {
-		// map header, size 3
-		// string "v"
-		o = append(o, 0x83, 0xa1, 0x76)
-		o = msgp.AppendUint64(o, z.History[za0001].Version)
-		// string "b"
-		o = append(o, 0xa1, 0x62)
-		o = msgp.AppendUint64(o, z.History[za0001].Base)
-		// string "d"
-		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.History[za0001].Digest)
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Lock == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Owner == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Token == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.HoldMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Key == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Value == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.IfRevision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Group == "" {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.After == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.WaitMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendUint8(o, uint8(z.Kind))
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendString(o, string(z.Lock))
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendString(o, string(z.Owner))
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, uint64(z.Token))
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			o = msgp.AppendInt64(o, z.HoldMs)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendString(o, string(z.Key))
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o = msgp.AppendString(o, z.Value)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendUint64(o, uint64(z.IfRevision))
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendString(o, string(z.Group))
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendUint64(o, uint64(z.After))
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendInt64(o, z.WaitMs)
+		}
 	}
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendUint64(o, z.Horizon)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ChainState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Call) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2099,98 +2524,102 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "w":
+		case "k":
 			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "View")
+					err = msgp.WrapError(err, "Kind")
 					return
 				}
-				z.View = ViewNumber(zb0002)
+				z.Kind = CallKind(zb0002)
 			}
-		case "s":
-			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
+		case "l":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Lock")
+					return
+				}
+				z.Lock = LockName(zb0003)
 			}
-		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
+		case "o":
+			{
+				var zb0004 string
+				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Owner")
+					return
+				}
+				z.Owner = OwnerName(zb0004)
 			}
-		case "v":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
+		case "t":
+			{
+				var zb0005 uint64
+				zb0005, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0005)
 			}
-		case "c":
-			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
+		case "h":
+			z.HoldMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
+				err = msgp.WrapError(err, "HoldMs")
 				return
 			}
-		case "h":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "n":
+			{
+				var zb0006 string
+				zb0006, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Key")
+					return
+				}
+				z.Key = KeyName(zb0006)
+			}
+		case "v":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "History")
+				err = msgp.WrapError(err, "Value")
 				return
 			}
-			if cap(z.History) >= int(zb0003) {
-				z.History = (z.History)[:zb0003]
-			} else {
-				z.History = make([]Change, zb0003)
+		case "r":
+			{
+				var zb0007 uint64
+				zb0007, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "IfRevision")
+					return
+				}
+				z.IfRevision = Revision(zb0007)
 			}
-			for za0001 := range z.History {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "g":
+			{
+				var zb0008 string
+				zb0008, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "History", za0001)
+					err = msgp.WrapError(err, "Group")
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "History", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						z.History[za0001].Version, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001, "Version")
-							return
-						}
-					case "b":
-						z.History[za0001].Base, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001, "Base")
-							return
-						}
-					case "d":
-						z.History[za0001].Digest, bts, err = msgp.ReadBytesBytes(bts, z.History[za0001].Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001, "Digest")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "History", za0001)
-							return
-						}
-					}
+				z.Group = KeyGroup(zb0008)
+			}
+		case "a":
+			{
+				var zb0009 uint64
+				zb0009, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "After")
+					return
 				}
+				z.After = Revision(zb0009)
 			}
-		case "o":
-			z.Horizon, bts, err = msgp.ReadUint64Bytes(bts)
+		case "w":
+			z.WaitMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Horizon")
+				err = msgp.WrapError(err, "WaitMs")
 				return
 			}
 		default:
@@ -2206,17 +2635,65 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ChainState) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.History {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.History[za0001].Digest)
+func (z *Call) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Lock)) + 2 + msgp.StringPrefixSize + len(string(z.Owner)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(string(z.Key)) + 2 + msgp.StringPrefixSize + len(z.Value) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Group)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *CallKind) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 uint8
+		zb0001, err = dc.ReadUint8()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = CallKind(zb0001)
 	}
-	s += 2 + msgp.Uint64Size
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z CallKind) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteUint8(uint8(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CallKind) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CallKind) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = CallKind(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CallKind) Msgsize() (s int) {
+	s = msgp.Uint8Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Change) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CallRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2233,22 +2710,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "v":
-			z.Version, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "b":
-			z.Base, err = dc.ReadUint64()
+		case "i":
+			z.ID, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Base")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+		case "c":
+			err = z.Call.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Call")
 				return
 			}
 		default:
@@ -2263,59 +2734,50 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Change) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "v"
-	err = en.Append(0x83, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+func (z *CallRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "i"
+	err = en.Append(0x82, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Base)
+	err = en.WriteUint64(z.ID)
 	if err != nil {
-		err = msgp.WrapError(err, "Base")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
+	// write "c"
+	err = en.Append(0xa1, 0x63)
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.Digest)
+	err = z.Call.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Digest")
+		err = msgp.WrapError(err, "Call")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CallRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "v"
-	o = append(o, 0x83, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.Base)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Digest)
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o, err = z.Call.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Change) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CallRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2332,22 +2794,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "v":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "b":
-			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Base")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+		case "c":
+			bts, err = z.Call.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Call")
 				return
 			}
 		default:
@@ -2363,13 +2819,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Change) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest)
+func (z *CallRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + z.Call.Msgsize()
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ChangeRecord) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CallResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2386,79 +2842,40 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "w":
-			{
-				var zb0002 uint64
-				zb0002, err = dc.ReadUint64()
+		case "i":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "a":
+			if dc.IsNil() {
+				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "View")
+					err = msgp.WrapError(err, "Answer")
+					return
+				}
+				z.Answer = nil
+			} else {
+				if z.Answer == nil {
+					z.Answer = new(Answer)
+				}
+				err = z.Answer.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Answer")
 					return
 				}
-				z.View = ViewNumber(zb0002)
 			}
-		case "p":
-			z.Previous, err = dc.ReadBytes(z.Previous)
+		case "m":
+			err = z.Issuer.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Previous")
+				err = msgp.WrapError(err, "Issuer")
 				return
 			}
-		case "c":
-			var zb0003 uint32
-			zb0003, err = dc.ReadMapHeader()
+		default:
+			err = dc.Skip()
 			if err != nil {
-				err = msgp.WrapError(err, "Change")
-				return
-			}
-			for zb0003 > 0 {
-				zb0003--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Change")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "v":
-					z.Change.Version, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Change", "Version")
-						return
-					}
-				case "b":
-					z.Change.Base, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Change", "Base")
-						return
-					}
-				case "d":
-					z.Change.Digest, err = dc.ReadBytes(z.Change.Digest)
-					if err != nil {
-						err = msgp.WrapError(err, "Change", "Digest")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Change")
-						return
-					}
-				}
-			}
-		case "x":
-			z.Delta, err = dc.ReadBytes(z.Delta)
-			if err != nil {
-				err = msgp.WrapError(err, "Delta")
-				return
-			}
-		case "o":
-			z.DocumentDigest, err = dc.ReadBytes(z.DocumentDigest)
-			if err != nil {
-				err = msgp.WrapError(err, "DocumentDigest")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err)
 				return
 			}
 		}
@@ -2467,120 +2884,111 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ChangeRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "w"
-	err = en.Append(0x85, 0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(uint64(z.View))
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Previous)
-	if err != nil {
-		err = msgp.WrapError(err, "Previous")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "v"
-	err = en.Append(0x83, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Change.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Change", "Version")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Change.Base)
-	if err != nil {
-		err = msgp.WrapError(err, "Change", "Base")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Change.Digest)
-	if err != nil {
-		err = msgp.WrapError(err, "Change", "Digest")
-		return
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Delta)
-	if err != nil {
-		err = msgp.WrapError(err, "Delta")
-		return
+func (z *CallResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Answer == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.DocumentDigest)
-	if err != nil {
-		err = msgp.WrapError(err, "DocumentDigest")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "i"
+		err = en.Append(0xa1, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.ID)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			if z.Answer == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Answer.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Answer")
+					return
+				}
+			}
+		}
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
+		if err != nil {
+			return
+		}
+		err = z.Issuer.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Issuer")
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ChangeRecord) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CallResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "w"
-	o = append(o, 0x85, 0xa1, 0x77)
-	o = msgp.AppendUint64(o, uint64(z.View))
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendBytes(o, z.Previous)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	// map header, size 3
-	// string "v"
-	o = append(o, 0x83, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Change.Version)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.Change.Base)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Change.Digest)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendBytes(o, z.Delta)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBytes(o, z.DocumentDigest)
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Answer == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.ID)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			if z.Answer == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Answer.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Answer")
+					return
+				}
+			}
+		}
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o, err = z.Issuer.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Issuer")
+			return
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ChangeRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CallResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2597,79 +3005,39 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "w":
-			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "a":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "View")
 					return
 				}
-				z.View = ViewNumber(zb0002)
+				z.Answer = nil
+			} else {
+				if z.Answer == nil {
+					z.Answer = new(Answer)
+				}
+				bts, err = z.Answer.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Answer")
+					return
+				}
 			}
-		case "p":
-			z.Previous, bts, err = msgp.ReadBytesBytes(bts, z.Previous)
+		case "m":
+			bts, err = z.Issuer.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Previous")
+				err = msgp.WrapError(err, "Issuer")
 				return
 			}
-		case "c":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Change")
-				return
-			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Change")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "v":
-					z.Change.Version, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Change", "Version")
-						return
-					}
-				case "b":
-					z.Change.Base, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Change", "Base")
-						return
-					}
-				case "d":
-					z.Change.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Change.Digest)
-					if err != nil {
-						err = msgp.WrapError(err, "Change", "Digest")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Change")
-						return
-					}
-				}
-			}
-		case "x":
-			z.Delta, bts, err = msgp.ReadBytesBytes(bts, z.Delta)
-			if err != nil {
-				err = msgp.WrapError(err, "Delta")
-				return
-			}
-		case "o":
-			z.DocumentDigest, bts, err = msgp.ReadBytesBytes(bts, z.DocumentDigest)
-			if err != nil {
-				err = msgp.WrapError(err, "DocumentDigest")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err)
 				return
 			}
 		}
@@ -2679,13 +3047,71 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ChangeRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Previous) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Change.Digest) + 2 + msgp.BytesPrefixSize + len(z.Delta) + 2 + msgp.BytesPrefixSize + len(z.DocumentDigest)
+func (z *CallResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2
+	if z.Answer == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Answer.Msgsize()
+	}
+	s += 2 + z.Issuer.Msgsize()
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Committed) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CallStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 int
+		zb0001, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = CallStatus(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z CallStatus) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteInt(int(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CallStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendInt(o, int(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CallStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 int
+		zb0001, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = CallStatus(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CallStatus) Msgsize() (s int) {
+	s = msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *CatchUp) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2702,18 +3128,30 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Sequence, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
 		case "d":
 			z.Digest, err = dc.ReadBytes(z.Digest)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "s":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = nil
+			} else {
+				if z.State == nil {
+					z.State = new(ChainState)
+				}
+				err = z.State.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2726,46 +3164,94 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Committed) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "s"
-	err = en.Append(0x82, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
+func (z *CatchUp) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.State == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.Digest)
-	if err != nil {
-		err = msgp.WrapError(err, "Digest")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Digest)
+		if err != nil {
+			err = msgp.WrapError(err, "Digest")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "s"
+			err = en.Append(0xa1, 0x73)
+			if err != nil {
+				return
+			}
+			if z.State == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.State.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Committed) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CatchUp) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "s"
-	o = append(o, 0x82, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Digest)
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.State == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.Digest)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			if z.State == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.State.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Committed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CatchUp) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2782,18 +3268,29 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
 		case "d":
 			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "s":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.State = nil
+			} else {
+				if z.State == nil {
+					z.State = new(ChainState)
+				}
+				bts, err = z.State.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2807,13 +3304,18 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Committed) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest)
+func (z *CatchUp) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2
+	if z.State == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.State.Msgsize()
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ConfigRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CatchUpRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2830,34 +3332,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadUint64()
+		case "d":
+			z.Digest, err = dc.ReadBytes(z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "m":
-			z.Method, err = dc.ReadString()
+		default:
+			err = dc.Skip()
 			if err != nil {
-				err = msgp.WrapError(err, "Method")
-				return
-			}
-		case "f":
-			z.IfMatch, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "IfMatch")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err)
 				return
 			}
 		}
@@ -2866,72 +3350,33 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ConfigRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "i"
-	err = en.Append(0x84, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Method)
-	if err != nil {
-		err = msgp.WrapError(err, "Method")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.IfMatch)
-	if err != nil {
-		err = msgp.WrapError(err, "IfMatch")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+func (z *CatchUpRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "d"
+	err = en.Append(0x81, 0xa1, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.Body)
+	err = en.WriteBytes(z.Digest)
 	if err != nil {
-		err = msgp.WrapError(err, "Body")
+		err = msgp.WrapError(err, "Digest")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ConfigRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CatchUpRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "i"
-	o = append(o, 0x84, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Method)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.IfMatch)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
+	// map header, size 1
+	// string "d"
+	o = append(o, 0x81, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CatchUpRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2948,28 +3393,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "m":
-			z.Method, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Method")
-				return
-			}
-		case "f":
-			z.IfMatch, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "IfMatch")
-				return
-			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+		case "d":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		default:
@@ -2985,13 +3412,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConfigRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.IfMatch) + 2 + msgp.BytesPrefixSize + len(z.Body)
+func (z *CatchUpRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ConfigResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ChainState) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3008,22 +3435,98 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadUint64()
+		case "w":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "View")
+					return
+				}
+				z.View = ViewNumber(zb0002)
+			}
+		case "s":
+			z.Sequence, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Sequence")
 				return
 			}
-		case "s":
-			z.Status, err = dc.ReadInt()
+		case "d":
+			z.Digest, err = dc.ReadBytes(z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Status")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
+		case "v":
+			z.Version, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "c":
+			z.Document, err = dc.ReadBytes(z.Document)
+			if err != nil {
+				err = msgp.WrapError(err, "Document")
+				return
+			}
+		case "h":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "History")
+				return
+			}
+			if cap(z.History) >= int(zb0003) {
+				z.History = (z.History)[:zb0003]
+			} else {
+				z.History = make([]Change, zb0003)
+			}
+			for za0001 := range z.History {
+				var zb0004 uint32
+				zb0004, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "History", za0001)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "History", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "v":
+						z.History[za0001].Version, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001, "Version")
+							return
+						}
+					case "b":
+						z.History[za0001].Base, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001, "Base")
+							return
+						}
+					case "d":
+						z.History[za0001].Digest, err = dc.ReadBytes(z.History[za0001].Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001, "Digest")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "o":
+			z.Horizon, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Horizon")
 				return
 			}
 		default:
@@ -3038,16 +3541,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ConfigResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
+func (z *ChainState) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 7
+	// write "w"
+	err = en.Append(0x87, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.ID)
+	err = en.WriteUint64(uint64(z.View))
 	if err != nil {
-		err = msgp.WrapError(err, "ID")
+		err = msgp.WrapError(err, "View")
 		return
 	}
 	// write "s"
@@ -3055,74 +3558,247 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Status)
+	err = en.WriteUint64(z.Sequence)
 	if err != nil {
-		err = msgp.WrapError(err, "Status")
+		err = msgp.WrapError(err, "Sequence")
 		return
 	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+	// write "d"
+	err = en.Append(0xa1, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.Body)
+	err = en.WriteBytes(z.Digest)
 	if err != nil {
-		err = msgp.WrapError(err, "Body")
+		err = msgp.WrapError(err, "Digest")
 		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ConfigResponse) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt(o, z.Status)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	// write "v"
+	err = en.Append(0xa1, 0x76)
 	if err != nil {
-		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Document)
+	if err != nil {
+		err = msgp.WrapError(err, "Document")
+		return
+	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.History)))
+	if err != nil {
+		err = msgp.WrapError(err, "History")
+		return
+	}
+	for za0001 := range z.History {
+		// map header, size 3
+		// write "v"
+		err = en.Append(0x83, 0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.History[za0001].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "History", za0001, "Version")
+			return
+		}
+		// write "b"
+		err = en.Append(0xa1, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.History[za0001].Base)
+		if err != nil {
+			err = msgp.WrapError(err, "History", za0001, "Base")
+			return
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.History[za0001].Digest)
+		if err != nil {
+			err = msgp.WrapError(err, "History", za0001, "Digest")
+			return
+		}
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Horizon)
+	if err != nil {
+		err = msgp.WrapError(err, "Horizon")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ChainState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "w"
+	o = append(o, 0x87, 0xa1, 0x77)
+	o = msgp.AppendUint64(o, uint64(z.View))
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Sequence)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Digest)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBytes(o, z.Document)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
+	for za0001 := range z.History {
+		// map header, size 3
+		// string "v"
+		o = append(o, 0x83, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.History[za0001].Version)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendUint64(o, z.History[za0001].Base)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.History[za0001].Digest)
+	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendUint64(o, z.Horizon)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChainState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+		case "w":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "View")
+					return
+				}
+				z.View = ViewNumber(zb0002)
+			}
+		case "s":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Sequence")
 				return
 			}
-		case "s":
-			z.Status, bts, err = msgp.ReadIntBytes(bts)
+		case "d":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Status")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "c":
+			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
+			if err != nil {
+				err = msgp.WrapError(err, "Document")
+				return
+			}
+		case "h":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "History")
+				return
+			}
+			if cap(z.History) >= int(zb0003) {
+				z.History = (z.History)[:zb0003]
+			} else {
+				z.History = make([]Change, zb0003)
+			}
+			for za0001 := range z.History {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "History", za0001)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "History", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "v":
+						z.History[za0001].Version, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001, "Version")
+							return
+						}
+					case "b":
+						z.History[za0001].Base, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001, "Base")
+							return
+						}
+					case "d":
+						z.History[za0001].Digest, bts, err = msgp.ReadBytesBytes(bts, z.History[za0001].Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001, "Digest")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "History", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "o":
+			z.Horizon, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Horizon")
 				return
 			}
 		default:
@@ -3138,13 +3814,17 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConfigResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+func (z *ChainState) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.History {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.History[za0001].Digest)
+	}
+	s += 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ConfigUpdate) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Change) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3161,16 +3841,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Sequence, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
-		case "d":
-			z.Document, err = dc.ReadBytes(z.Document)
+		case "v":
+			z.Version, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "b":
@@ -3179,13 +3853,7 @@
 				err = msgp.WrapError(err, "Base")
 				return
 			}
-		case "x":
-			z.Delta, err = dc.ReadBytes(z.Delta)
-			if err != nil {
-				err = msgp.WrapError(err, "Delta")
-				return
-			}
-		case "g":
+		case "d":
 			z.Digest, err = dc.ReadBytes(z.Digest)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
@@ -3203,26 +3871,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ConfigUpdate) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "s"
-	err = en.Append(0x85, 0xa1, 0x73)
+func (z *Change) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "v"
+	err = en.Append(0x83, 0xa1, 0x76)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Document)
+	err = en.WriteUint64(z.Version)
 	if err != nil {
-		err = msgp.WrapError(err, "Document")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	// write "b"
@@ -3235,18 +3893,8 @@
 		err = msgp.WrapError(err, "Base")
 		return
 	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Delta)
-	if err != nil {
-		err = msgp.WrapError(err, "Delta")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
+	// write "d"
+	err = en.Append(0xa1, 0x64)
 	if err != nil {
 		return
 	}
@@ -3259,29 +3907,23 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ConfigUpdate) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "s"
-	o = append(o, 0x85, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Document)
+	// map header, size 3
+	// string "v"
+	o = append(o, 0x83, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint64(o, z.Base)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendBytes(o, z.Delta)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Change) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3298,16 +3940,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
-		case "d":
-			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "b":
@@ -3316,13 +3952,7 @@
 				err = msgp.WrapError(err, "Base")
 				return
 			}
-		case "x":
-			z.Delta, bts, err = msgp.ReadBytesBytes(bts, z.Delta)
-			if err != nil {
-				err = msgp.WrapError(err, "Delta")
-				return
-			}
-		case "g":
+		case "d":
 			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
@@ -3341,13 +3971,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConfigUpdate) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Delta) + 2 + msgp.BytesPrefixSize + len(z.Digest)
+func (z *Change) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ConfirmRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ChangeRecord) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3364,10 +3994,73 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "r":
-			z.RequestID, err = dc.ReadUint64()
+		case "w":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "View")
+					return
+				}
+				z.View = ViewNumber(zb0002)
+			}
+		case "p":
+			z.Previous, err = dc.ReadBytes(z.Previous)
 			if err != nil {
-				err = msgp.WrapError(err, "RequestID")
+				err = msgp.WrapError(err, "Previous")
+				return
+			}
+		case "c":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Change")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					z.Change.Version, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Version")
+						return
+					}
+				case "b":
+					z.Change.Base, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Base")
+						return
+					}
+				case "d":
+					z.Change.Digest, err = dc.ReadBytes(z.Change.Digest)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Digest")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Change")
+						return
+					}
+				}
+			}
+		case "x":
+			z.Delta, err = dc.ReadBytes(z.Delta)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
+		case "o":
+			z.DocumentDigest, err = dc.ReadBytes(z.DocumentDigest)
+			if err != nil {
+				err = msgp.WrapError(err, "DocumentDigest")
 				return
 			}
 		default:
@@ -3382,33 +4075,120 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ConfirmRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "r"
-	err = en.Append(0x81, 0xa1, 0x72)
+func (z *ChangeRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "w"
+	err = en.Append(0x85, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.RequestID)
+	err = en.WriteUint64(uint64(z.View))
+	if err != nil {
+		err = msgp.WrapError(err, "View")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Previous)
+	if err != nil {
+		err = msgp.WrapError(err, "Previous")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "v"
+	err = en.Append(0x83, 0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Change.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Change", "Version")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Change.Base)
+	if err != nil {
+		err = msgp.WrapError(err, "Change", "Base")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Change.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Change", "Digest")
+		return
+	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
 	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	err = en.WriteBytes(z.Delta)
+	if err != nil {
+		err = msgp.WrapError(err, "Delta")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.DocumentDigest)
+	if err != nil {
+		err = msgp.WrapError(err, "DocumentDigest")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ConfirmRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ChangeRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "r"
-	o = append(o, 0x81, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.RequestID)
+	// map header, size 5
+	// string "w"
+	o = append(o, 0x85, 0xa1, 0x77)
+	o = msgp.AppendUint64(o, uint64(z.View))
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBytes(o, z.Previous)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	// map header, size 3
+	// string "v"
+	o = append(o, 0x83, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Change.Version)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Change.Base)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Change.Digest)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.Delta)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBytes(o, z.DocumentDigest)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfirmRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ChangeRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3425,10 +4205,73 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "r":
-			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+		case "w":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "View")
+					return
+				}
+				z.View = ViewNumber(zb0002)
+			}
+		case "p":
+			z.Previous, bts, err = msgp.ReadBytesBytes(bts, z.Previous)
 			if err != nil {
-				err = msgp.WrapError(err, "RequestID")
+				err = msgp.WrapError(err, "Previous")
+				return
+			}
+		case "c":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Change")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					z.Change.Version, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Version")
+						return
+					}
+				case "b":
+					z.Change.Base, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Base")
+						return
+					}
+				case "d":
+					z.Change.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Change.Digest)
+					if err != nil {
+						err = msgp.WrapError(err, "Change", "Digest")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Change")
+						return
+					}
+				}
+			}
+		case "x":
+			z.Delta, bts, err = msgp.ReadBytesBytes(bts, z.Delta)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
+		case "o":
+			z.DocumentDigest, bts, err = msgp.ReadBytesBytes(bts, z.DocumentDigest)
+			if err != nil {
+				err = msgp.WrapError(err, "DocumentDigest")
 				return
 			}
 		default:
@@ -3444,13 +4287,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ConfirmRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size
+func (z *ChangeRecord) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Previous) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Change.Digest) + 2 + msgp.BytesPrefixSize + len(z.Delta) + 2 + msgp.BytesPrefixSize + len(z.DocumentDigest)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ConfirmResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Committed) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3467,16 +4310,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "r":
-			z.RequestID, err = dc.ReadUint64()
+		case "s":
+			z.Sequence, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "RequestID")
+				err = msgp.WrapError(err, "Sequence")
 				return
 			}
-		case "f":
-			z.Rejected, err = dc.ReadBool()
+		case "d":
+			z.Digest, err = dc.ReadBytes(z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Rejected")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		default:
@@ -3491,46 +4334,46 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ConfirmResponse) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Committed) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
+	// write "s"
+	err = en.Append(0x82, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.RequestID)
+	err = en.WriteUint64(z.Sequence)
 	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
+		err = msgp.WrapError(err, "Sequence")
 		return
 	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
+	// write "d"
+	err = en.Append(0xa1, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Rejected)
+	err = en.WriteBytes(z.Digest)
 	if err != nil {
-		err = msgp.WrapError(err, "Rejected")
+		err = msgp.WrapError(err, "Digest")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ConfirmResponse) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Committed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.RequestID)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendBool(o, z.Rejected)
+	// string "s"
+	o = append(o, 0x82, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Sequence)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfirmResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Committed) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3547,16 +4390,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "r":
-			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+		case "s":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "RequestID")
+				err = msgp.WrapError(err, "Sequence")
 				return
 			}
-		case "f":
-			z.Rejected, bts, err = msgp.ReadBoolBytes(bts)
+		case "d":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Rejected")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		default:
@@ -3572,13 +4415,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ConfirmResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+func (z *Committed) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ControlState) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ConfigRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3596,121 +4439,29 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "i":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Identity")
-					return
-				}
-				z.Identity = MemberID(zb0002)
-			}
-		case "v":
-			err = z.View.DecodeMsg(dc)
+			z.ID, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "View")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "c":
-			z.Complete, err = dc.ReadBool()
+		case "m":
+			z.Method, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Complete")
+				err = msgp.WrapError(err, "Method")
 				return
 			}
-		case "p":
-			var zb0003 uint32
-			zb0003, err = dc.ReadMapHeader()
+		case "f":
+			z.IfMatch, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "HighestProposal")
+				err = msgp.WrapError(err, "IfMatch")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "HighestProposal")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.HighestProposal.Counter, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0004 string
-						zb0004, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "HighestProposal", "Proposer")
-							return
-						}
-						z.HighestProposal.Proposer = MemberID(zb0004)
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal")
-						return
-					}
-				}
-			}
 		case "b":
-			var zb0005 uint32
-			zb0005, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "AcceptedProposal")
-				return
-			}
-			for zb0005 > 0 {
-				zb0005--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "AcceptedProposal")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.AcceptedProposal.Counter, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0006 string
-						zb0006, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
-							return
-						}
-						z.AcceptedProposal.Proposer = MemberID(zb0006)
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal")
-						return
-					}
-				}
-			}
-		case "a":
-			err = z.AcceptedView.DecodeMsg(dc)
+			z.Body, err = dc.ReadBytes(z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "AcceptedView")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-		case "t":
-			{
-				var zb0007 uint64
-				zb0007, err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseToken")
-					return
-				}
-				z.LeaseToken = FencingToken(zb0007)
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3723,62 +4474,36 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ControlState) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+func (z *ConfigRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "i"
-	err = en.Append(0x87, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.Identity))
-	if err != nil {
-		err = msgp.WrapError(err, "Identity")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Complete)
+	err = en.Append(0x84, 0xa1, 0x69)
 	if err != nil {
-		err = msgp.WrapError(err, "Complete")
 		return
 	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
+	err = en.WriteUint64(z.ID)
 	if err != nil {
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.HighestProposal.Counter)
+	err = en.WriteString(z.Method)
 	if err != nil {
-		err = msgp.WrapError(err, "HighestProposal", "Counter")
+		err = msgp.WrapError(err, "Method")
 		return
 	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
+	// write "f"
+	err = en.Append(0xa1, 0x66)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(string(z.HighestProposal.Proposer))
+	err = en.WriteString(z.IfMatch)
 	if err != nil {
-		err = msgp.WrapError(err, "HighestProposal", "Proposer")
+		err = msgp.WrapError(err, "IfMatch")
 		return
 	}
 	// write "b"
@@ -3786,100 +4511,35 @@
 	if err != nil {
 		return
 	}
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.AcceptedProposal.Counter)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedProposal", "Counter")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.AcceptedProposal.Proposer))
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = z.AcceptedView.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedView")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(uint64(z.LeaseToken))
+	err = en.WriteBytes(z.Body)
 	if err != nil {
-		err = msgp.WrapError(err, "LeaseToken")
+		err = msgp.WrapError(err, "Body")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ControlState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConfigRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 4
 	// string "i"
-	o = append(o, 0x87, 0xa1, 0x69)
-	o = msgp.AppendString(o, string(z.Identity))
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.View.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendBool(o, z.Complete)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.HighestProposal.Counter)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, string(z.HighestProposal.Proposer))
+	o = append(o, 0x84, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, z.Method)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.IfMatch)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.AcceptedProposal.Counter)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, string(z.AcceptedProposal.Proposer))
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o, err = z.AcceptedView.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedView")
-		return
-	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, uint64(z.LeaseToken))
+	o = msgp.AppendBytes(o, z.Body)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ControlState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConfigRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3897,121 +4557,29 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "i":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Identity")
-					return
-				}
-				z.Identity = MemberID(zb0002)
-			}
-		case "v":
-			bts, err = z.View.UnmarshalMsg(bts)
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "View")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "c":
-			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+		case "m":
+			z.Method, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Complete")
+				err = msgp.WrapError(err, "Method")
 				return
 			}
-		case "p":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "f":
+			z.IfMatch, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "HighestProposal")
+				err = msgp.WrapError(err, "IfMatch")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "HighestProposal")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.HighestProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0004 string
-						zb0004, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "HighestProposal", "Proposer")
-							return
-						}
-						z.HighestProposal.Proposer = MemberID(zb0004)
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal")
-						return
-					}
-				}
-			}
 		case "b":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AcceptedProposal")
-				return
-			}
-			for zb0005 > 0 {
-				zb0005--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "AcceptedProposal")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.AcceptedProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0006 string
-						zb0006, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
-							return
-						}
-						z.AcceptedProposal.Proposer = MemberID(zb0006)
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal")
-						return
-					}
-				}
-			}
-		case "a":
-			bts, err = z.AcceptedView.UnmarshalMsg(bts)
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "AcceptedView")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-		case "t":
-			{
-				var zb0007 uint64
-				zb0007, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseToken")
-					return
-				}
-				z.LeaseToken = FencingToken(zb0007)
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4025,65 +4593,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ControlState) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Identity)) + 2 + z.View.Msgsize() + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.HighestProposal.Proposer)) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.AcceptedProposal.Proposer)) + 2 + z.AcceptedView.Msgsize() + 2 + msgp.Uint64Size
+func (z *ConfigRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.IfMatch) + 2 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *FencingToken) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 uint64
-		zb0001, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = FencingToken(zb0001)
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z FencingToken) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteUint64(uint64(z))
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z FencingToken) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendUint64(o, uint64(z))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *FencingToken) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 uint64
-		zb0001, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = FencingToken(zb0001)
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z FencingToken) Msgsize() (s int) {
-	s = msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ConfigResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4100,34 +4616,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "c":
-			z.Complete, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Complete")
-				return
-			}
-		case "d":
-			z.DiskStalled, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "DiskStalled")
-				return
-			}
-		case "l":
-			z.Leaving, err = dc.ReadBool()
+		case "i":
+			z.ID, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "v":
-			z.Diskless, err = dc.ReadBool()
+		case "s":
+			z.Status, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Diskless")
+				err = msgp.WrapError(err, "Status")
 				return
 			}
-		case "i":
-			z.Isolated, err = dc.ReadBool()
+		case "b":
+			z.Body, err = dc.ReadBytes(z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Isolated")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
 		default:
@@ -4142,85 +4646,59 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "c"
-	err = en.Append(0x85, 0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Complete)
-	if err != nil {
-		err = msgp.WrapError(err, "Complete")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.DiskStalled)
-	if err != nil {
-		err = msgp.WrapError(err, "DiskStalled")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
+func (z *ConfigResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Leaving)
+	err = en.WriteUint64(z.ID)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
+	// write "s"
+	err = en.Append(0xa1, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Diskless)
+	err = en.WriteInt(z.Status)
 	if err != nil {
-		err = msgp.WrapError(err, "Diskless")
+		err = msgp.WrapError(err, "Status")
 		return
 	}
-	// write "i"
-	err = en.Append(0xa1, 0x69)
+	// write "b"
+	err = en.Append(0xa1, 0x62)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Isolated)
+	err = en.WriteBytes(z.Body)
 	if err != nil {
-		err = msgp.WrapError(err, "Isolated")
+		err = msgp.WrapError(err, "Body")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConfigResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "c"
-	o = append(o, 0x85, 0xa1, 0x63)
-	o = msgp.AppendBool(o, z.Complete)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.DiskStalled)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendBool(o, z.Diskless)
+	// map header, size 3
 	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendBool(o, z.Isolated)
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Status)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConfigResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4237,34 +4715,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "c":
-			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Complete")
-				return
-			}
-		case "d":
-			z.DiskStalled, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DiskStalled")
-				return
-			}
-		case "l":
-			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "v":
-			z.Diskless, bts, err = msgp.ReadBoolBytes(bts)
+		case "s":
+			z.Status, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Diskless")
+				err = msgp.WrapError(err, "Status")
 				return
 			}
-		case "i":
-			z.Isolated, bts, err = msgp.ReadBoolBytes(bts)
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Isolated")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
 		default:
@@ -4280,13 +4746,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+func (z *ConfigResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *JoinRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ConfigUpdate) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4303,28 +4769,34 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Sequence, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		case "d":
-			z.DiskStalled, err = dc.ReadBool()
+			z.Document, err = dc.ReadBytes(z.Document)
 			if err != nil {
-				err = msgp.WrapError(err, "DiskStalled")
+				err = msgp.WrapError(err, "Document")
 				return
 			}
-		case "o":
-			z.Observer, err = dc.ReadBool()
+		case "b":
+			z.Base, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Observer")
+				err = msgp.WrapError(err, "Base")
 				return
 			}
-		case "v":
-			z.Diskless, err = dc.ReadBool()
+		case "x":
+			z.Delta, err = dc.ReadBytes(z.Delta)
 			if err != nil {
-				err = msgp.WrapError(err, "Diskless")
+				err = msgp.WrapError(err, "Delta")
 				return
 			}
-		case "w":
-			z.Withdrawn, err = dc.ReadBool()
+		case "g":
+			z.Digest, err = dc.ReadBytes(z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Withdrawn")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		default:
@@ -4339,72 +4811,85 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *JoinRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "d"
-	err = en.Append(0x84, 0xa1, 0x64)
+func (z *ConfigUpdate) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "s"
+	err = en.Append(0x85, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.DiskStalled)
+	err = en.WriteUint64(z.Sequence)
 	if err != nil {
-		err = msgp.WrapError(err, "DiskStalled")
+		err = msgp.WrapError(err, "Sequence")
 		return
 	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
+	// write "d"
+	err = en.Append(0xa1, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Observer)
+	err = en.WriteBytes(z.Document)
 	if err != nil {
-		err = msgp.WrapError(err, "Observer")
+		err = msgp.WrapError(err, "Document")
 		return
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
+	// write "b"
+	err = en.Append(0xa1, 0x62)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Diskless)
+	err = en.WriteUint64(z.Base)
 	if err != nil {
-		err = msgp.WrapError(err, "Diskless")
+		err = msgp.WrapError(err, "Base")
 		return
 	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
+	// write "x"
+	err = en.Append(0xa1, 0x78)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Withdrawn)
+	err = en.WriteBytes(z.Delta)
 	if err != nil {
-		err = msgp.WrapError(err, "Withdrawn")
+		err = msgp.WrapError(err, "Delta")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConfigUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
+	// string "s"
+	o = append(o, 0x85, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Sequence)
 	// string "d"
-	o = append(o, 0x84, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.DiskStalled)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.Observer)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendBool(o, z.Diskless)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Withdrawn)
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Document)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Base)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.Delta)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *JoinRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConfigUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4421,28 +4906,34 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		case "d":
-			z.DiskStalled, bts, err = msgp.ReadBoolBytes(bts)
+			z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
 			if err != nil {
-				err = msgp.WrapError(err, "DiskStalled")
+				err = msgp.WrapError(err, "Document")
 				return
 			}
-		case "o":
-			z.Observer, bts, err = msgp.ReadBoolBytes(bts)
+		case "b":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Observer")
+				err = msgp.WrapError(err, "Base")
 				return
 			}
-		case "v":
-			z.Diskless, bts, err = msgp.ReadBoolBytes(bts)
+		case "x":
+			z.Delta, bts, err = msgp.ReadBytesBytes(bts, z.Delta)
 			if err != nil {
-				err = msgp.WrapError(err, "Diskless")
+				err = msgp.WrapError(err, "Delta")
 				return
 			}
-		case "w":
-			z.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
+		case "g":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Withdrawn")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		default:
@@ -4458,13 +4949,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *JoinRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+func (z *ConfigUpdate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Delta) + 2 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LeaseGrant) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ConfirmRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4487,22 +4978,6 @@
 				err = msgp.WrapError(err, "RequestID")
 				return
 			}
-		case "g":
-			z.Granted, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Granted")
-				return
-			}
-		case "t":
-			{
-				var zb0002 uint64
-				zb0002, err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "Token")
-					return
-				}
-				z.Token = FencingToken(zb0002)
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4515,10 +4990,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z LeaseGrant) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z ConfirmRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
 	// write "r"
-	err = en.Append(0x83, 0xa1, 0x72)
+	err = en.Append(0x81, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
@@ -4527,47 +5002,21 @@
 		err = msgp.WrapError(err, "RequestID")
 		return
 	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Granted)
-	if err != nil {
-		err = msgp.WrapError(err, "Granted")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(uint64(z.Token))
-	if err != nil {
-		err = msgp.WrapError(err, "Token")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z LeaseGrant) MarshalMsg(b []byte) (o []byte, err error) {
+func (z ConfirmRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 1
 	// string "r"
-	o = append(o, 0x83, 0xa1, 0x72)
+	o = append(o, 0x81, 0xa1, 0x72)
 	o = msgp.AppendUint64(o, z.RequestID)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendBool(o, z.Granted)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, uint64(z.Token))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LeaseGrant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConfirmRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4590,22 +5039,6 @@
 				err = msgp.WrapError(err, "RequestID")
 				return
 			}
-		case "g":
-			z.Granted, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Granted")
-				return
-			}
-		case "t":
-			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Token")
-					return
-				}
-				z.Token = FencingToken(zb0002)
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4619,13 +5052,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z LeaseGrant) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+func (z ConfirmRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LeaseRelease) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ConfirmResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4642,15 +5075,17 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "t":
-			{
-				var zb0002 uint64
-				zb0002, err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "Token")
-					return
-				}
-				z.Token = FencingToken(zb0002)
+		case "r":
+			z.RequestID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "f":
+			z.Rejected, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Rejected")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -4664,33 +5099,46 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z LeaseRelease) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "t"
-	err = en.Append(0x81, 0xa1, 0x74)
+func (z ConfirmResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "r"
+	err = en.Append(0x82, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(uint64(z.Token))
+	err = en.WriteUint64(z.RequestID)
 	if err != nil {
-		err = msgp.WrapError(err, "Token")
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Rejected)
+	if err != nil {
+		err = msgp.WrapError(err, "Rejected")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z LeaseRelease) MarshalMsg(b []byte) (o []byte, err error) {
+func (z ConfirmResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "t"
-	o = append(o, 0x81, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, uint64(z.Token))
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.RequestID)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Rejected)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LeaseRelease) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConfirmResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4707,15 +5155,17 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "t":
-			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Token")
-					return
-				}
-				z.Token = FencingToken(zb0002)
+		case "r":
+			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "f":
+			z.Rejected, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rejected")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -4730,13 +5180,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z LeaseRelease) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size
+func (z ConfirmResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LeaseRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ControlState) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4753,28 +5203,122 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "t":
+		case "i":
 			{
-				var zb0002 uint64
-				zb0002, err = dc.ReadUint64()
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Token")
+					err = msgp.WrapError(err, "Identity")
 					return
 				}
-				z.Token = FencingToken(zb0002)
+				z.Identity = MemberID(zb0002)
 			}
-		case "r":
-			z.RequestID, err = dc.ReadUint64()
+		case "v":
+			err = z.View.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "RequestID")
+				err = msgp.WrapError(err, "View")
 				return
 			}
-		case "n":
-			z.Renewal, err = dc.ReadBool()
+		case "c":
+			z.Complete, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Renewal")
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		case "p":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "HighestProposal")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "HighestProposal")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.HighestProposal.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "HighestProposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0004 string
+						zb0004, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "HighestProposal", "Proposer")
+							return
+						}
+						z.HighestProposal.Proposer = MemberID(zb0004)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "HighestProposal")
+						return
+					}
+				}
+			}
+		case "b":
+			var zb0005 uint32
+			zb0005, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedProposal")
+				return
+			}
+			for zb0005 > 0 {
+				zb0005--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptedProposal")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.AcceptedProposal.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0006 string
+						zb0006, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
+							return
+						}
+						z.AcceptedProposal.Proposer = MemberID(zb0006)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal")
+						return
+					}
+				}
+			}
+		case "a":
+			err = z.AcceptedView.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedView")
 				return
 			}
+		case "t":
+			{
+				var zb0007 uint64
+				zb0007, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseToken")
+					return
+				}
+				z.LeaseToken = FencingToken(zb0007)
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4787,59 +5331,163 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z LeaseRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "t"
-	err = en.Append(0x83, 0xa1, 0x74)
+func (z *ControlState) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 7
+	// write "i"
+	err = en.Append(0x87, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(uint64(z.Token))
+	err = en.WriteString(string(z.Identity))
+	if err != nil {
+		err = msgp.WrapError(err, "Identity")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = z.View.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "View")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Complete)
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
-		err = msgp.WrapError(err, "Token")
 		return
 	}
+	// map header, size 2
 	// write "r"
-	err = en.Append(0xa1, 0x72)
+	err = en.Append(0x82, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.RequestID)
+	err = en.WriteUint64(z.HighestProposal.Counter)
 	if err != nil {
-		err = msgp.WrapError(err, "RequestID")
+		err = msgp.WrapError(err, "HighestProposal", "Counter")
 		return
 	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
+	// write "p"
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Renewal)
+	err = en.WriteString(string(z.HighestProposal.Proposer))
 	if err != nil {
-		err = msgp.WrapError(err, "Renewal")
+		err = msgp.WrapError(err, "HighestProposal", "Proposer")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "r"
+	err = en.Append(0x82, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.AcceptedProposal.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedProposal", "Counter")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.AcceptedProposal.Proposer))
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = z.AcceptedView.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedView")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.LeaseToken))
+	if err != nil {
+		err = msgp.WrapError(err, "LeaseToken")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z LeaseRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ControlState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "t"
-	o = append(o, 0x83, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, uint64(z.Token))
+	// map header, size 7
+	// string "i"
+	o = append(o, 0x87, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Identity))
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o, err = z.View.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "View")
+		return
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBool(o, z.Complete)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	// map header, size 2
 	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.RequestID)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendBool(o, z.Renewal)
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.HighestProposal.Counter)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, string(z.HighestProposal.Proposer))
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.AcceptedProposal.Counter)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, string(z.AcceptedProposal.Proposer))
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o, err = z.AcceptedView.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedView")
+		return
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.LeaseToken))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LeaseRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ControlState) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4856,28 +5504,122 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "t":
+		case "i":
 			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Token")
+					err = msgp.WrapError(err, "Identity")
 					return
 				}
-				z.Token = FencingToken(zb0002)
+				z.Identity = MemberID(zb0002)
 			}
-		case "r":
-			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+		case "v":
+			bts, err = z.View.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "RequestID")
+				err = msgp.WrapError(err, "View")
 				return
 			}
-		case "n":
-			z.Renewal, bts, err = msgp.ReadBoolBytes(bts)
+		case "c":
+			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Renewal")
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		case "p":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HighestProposal")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "HighestProposal")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.HighestProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "HighestProposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0004 string
+						zb0004, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "HighestProposal", "Proposer")
+							return
+						}
+						z.HighestProposal.Proposer = MemberID(zb0004)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "HighestProposal")
+						return
+					}
+				}
+			}
+		case "b":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedProposal")
 				return
 			}
+			for zb0005 > 0 {
+				zb0005--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptedProposal")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.AcceptedProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0006 string
+						zb0006, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
+							return
+						}
+						z.AcceptedProposal.Proposer = MemberID(zb0006)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal")
+						return
+					}
+				}
+			}
+		case "a":
+			bts, err = z.AcceptedView.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedView")
+				return
+			}
+		case "t":
+			{
+				var zb0007 uint64
+				zb0007, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseToken")
+					return
+				}
+				z.LeaseToken = FencingToken(zb0007)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4891,13 +5633,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z LeaseRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+func (z *ControlState) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Identity)) + 2 + z.View.Msgsize() + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.HighestProposal.Proposer)) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.AcceptedProposal.Proposer)) + 2 + z.AcceptedView.Msgsize() + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CoordinationChange) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4914,52 +5656,101 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "s":
-			z.Service, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
+		case "h":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Hold")
+					return
+				}
+				z.Hold = nil
+			} else {
+				if z.Hold == nil {
+					z.Hold = new(LockHold)
+				}
+				err = z.Hold.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Hold")
+					return
+				}
 			}
-		case "m":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
+		case "r":
+			if dc.IsNil() {
+				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Model")
+					err = msgp.WrapError(err, "Release")
+					return
+				}
+				z.Release = nil
+			} else {
+				if z.Release == nil {
+					z.Release = new(LockRelease)
+				}
+				err = z.Release.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Release")
 					return
 				}
-				z.Model = ModelName(zb0002)
 			}
-		case "l":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "u":
+			z.Number, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Loads")
+				err = msgp.WrapError(err, "Number")
 				return
 			}
-			if cap(z.Loads) >= int(zb0003) {
-				z.Loads = (z.Loads)[:zb0003]
+		case "p":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Put")
+					return
+				}
+				z.Put = nil
 			} else {
-				z.Loads = make([]BackendLoad, zb0003)
+				if z.Put == nil {
+					z.Put = new(KeyEvent)
+				}
+				err = z.Put.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Put")
+					return
+				}
 			}
-			for za0001 := range z.Loads {
-				err = z.Loads[za0001].DecodeMsg(dc)
+		case "t":
+			if dc.IsNil() {
+				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0001)
+					err = msgp.WrapError(err, "Trim")
+					return
+				}
+				z.Trim = nil
+			} else {
+				if z.Trim == nil {
+					z.Trim = new(HistoryTrim)
+				}
+				err = z.Trim.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Trim")
 					return
 				}
 			}
-		case "w":
-			z.Complete, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Complete")
-				return
+		case "x":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "NextGroup")
+					return
+				}
+				z.NextGroup = nil
+			} else {
+				if z.NextGroup == nil {
+					z.NextGroup = new(AcceptorGroup)
+				}
+				err = z.NextGroup.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "NextGroup")
+					return
+				}
 			}
 		default:
 			err = dc.Skip()
@@ -4973,356 +5764,370 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "i"
-	err = en.Append(0x85, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+func (z *CoordinationChange) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Hold == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
+	if z.Release == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
+	if z.Number == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
+	if z.Put == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteString(string(z.Model))
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
+	if z.Trim == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
+	if z.NextGroup == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Loads")
 		return
 	}
-	for za0001 := range z.Loads {
-		err = z.Loads[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0001)
-			return
-		}
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Complete)
-	if err != nil {
-		err = msgp.WrapError(err, "Complete")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "i"
-	o = append(o, 0x85, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Service)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, string(z.Model))
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0001 := range z.Loads {
-		o, err = z.Loads[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0001)
-			return
-		}
-	}
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Complete)
-	return
-}
 
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// write "h"
+			err = en.Append(0xa1, 0x68)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "s":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if z.Hold == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Hold.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Hold")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "m":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+			if z.Release == nil {
+				err = en.WriteNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Model")
 					return
 				}
-				z.Model = ModelName(zb0002)
+			} else {
+				err = z.Release.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Release")
+					return
+				}
 			}
-		case "l":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
 			if err != nil {
-				err = msgp.WrapError(err, "Loads")
 				return
 			}
-			if cap(z.Loads) >= int(zb0003) {
-				z.Loads = (z.Loads)[:zb0003]
-			} else {
-				z.Loads = make([]BackendLoad, zb0003)
+			err = en.WriteUint64(z.Number)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
 			}
-			for za0001 := range z.Loads {
-				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "p"
+			err = en.Append(0xa1, 0x70)
+			if err != nil {
+				return
+			}
+			if z.Put == nil {
+				err = en.WriteNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+			} else {
+				err = z.Put.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Put")
 					return
 				}
 			}
-		case "w":
-			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
 			if err != nil {
-				err = msgp.WrapError(err, "Complete")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+			if z.Trim == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Trim.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Trim")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "x"
+			err = en.Append(0xa1, 0x78)
 			if err != nil {
-				err = msgp.WrapError(err)
 				return
 			}
+			if z.NextGroup == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.NextGroup.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "NextGroup")
+					return
+				}
+			}
 		}
 	}
-	o = bts
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LoadReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(string(z.Model)) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Loads {
-		s += z.Loads[za0001].Msgsize()
+// MarshalMsg implements msgp.Marshaler
+func (z *CoordinationChange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Hold == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Release == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Number == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Put == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Trim == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.NextGroup == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			if z.Hold == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Hold.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Hold")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			if z.Release == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Release.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Release")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendUint64(o, z.Number)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			if z.Put == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Put.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Put")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			if z.Trim == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Trim.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Trim")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "x"
+			o = append(o, 0xa1, 0x78)
+			if z.NextGroup == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.NextGroup.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "NextGroup")
+					return
+				}
+			}
+		}
 	}
-	s += 2 + msgp.BoolSize
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *LoadResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CoordinationChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "u":
-			z.Unknown, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Unknown")
-				return
-			}
-		case "l":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Loads")
-				return
-			}
-			if cap(z.Loads) >= int(zb0002) {
-				z.Loads = (z.Loads)[:zb0002]
-			} else {
-				z.Loads = make([]BackendLoad, zb0002)
-			}
-			for za0001 := range z.Loads {
-				err = z.Loads[za0001].DecodeMsg(dc)
+		case "h":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+				z.Hold = nil
+			} else {
+				if z.Hold == nil {
+					z.Hold = new(LockHold)
+				}
+				bts, err = z.Hold.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Hold")
 					return
 				}
 			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *LoadResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "u"
-	err = en.Append(0xa1, 0x75)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Unknown)
-	if err != nil {
-		err = msgp.WrapError(err, "Unknown")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Loads)))
-	if err != nil {
-		err = msgp.WrapError(err, "Loads")
-		return
-	}
-	for za0001 := range z.Loads {
-		err = z.Loads[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0001)
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *LoadResponse) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendBool(o, z.Unknown)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0001 := range z.Loads {
-		o, err = z.Loads[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0001)
-			return
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *LoadResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
+		case "r":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Release = nil
+			} else {
+				if z.Release == nil {
+					z.Release = new(LockRelease)
+				}
+				bts, err = z.Release.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Release")
+					return
+				}
 			}
 		case "u":
-			z.Unknown, bts, err = msgp.ReadBoolBytes(bts)
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Unknown")
+				err = msgp.WrapError(err, "Number")
 				return
 			}
-		case "l":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Loads")
-				return
+		case "p":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Put = nil
+			} else {
+				if z.Put == nil {
+					z.Put = new(KeyEvent)
+				}
+				bts, err = z.Put.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Put")
+					return
+				}
 			}
-			if cap(z.Loads) >= int(zb0002) {
-				z.Loads = (z.Loads)[:zb0002]
+		case "t":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Trim = nil
 			} else {
-				z.Loads = make([]BackendLoad, zb0002)
+				if z.Trim == nil {
+					z.Trim = new(HistoryTrim)
+				}
+				bts, err = z.Trim.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Trim")
+					return
+				}
 			}
-			for za0001 := range z.Loads {
-				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+		case "x":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+				z.NextGroup = nil
+			} else {
+				if z.NextGroup == nil {
+					z.NextGroup = new(AcceptorGroup)
+				}
+				bts, err = z.NextGroup.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NextGroup")
 					return
 				}
 			}
@@ -5339,16 +6144,42 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LoadResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Loads {
-		s += z.Loads[za0001].Msgsize()
+func (z *CoordinationChange) Msgsize() (s int) {
+	s = 1 + 2
+	if z.Hold == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Hold.Msgsize()
+	}
+	s += 2
+	if z.Release == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Release.Msgsize()
+	}
+	s += 2 + msgp.Uint64Size + 2
+	if z.Put == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Put.Msgsize()
+	}
+	s += 2
+	if z.Trim == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Trim.Msgsize()
+	}
+	s += 2
+	if z.NextGroup == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.NextGroup.Msgsize()
 	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LoadedModel) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CoordinationPosition) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5365,34 +6196,56 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "n":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Name")
-					return
-				}
-				z.Name = ModelName(zb0002)
-			}
-		case "a":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "g":
+			z.Group, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Adapters")
+				err = msgp.WrapError(err, "Group")
 				return
 			}
-			if cap(z.Adapters) >= int(zb0003) {
-				z.Adapters = (z.Adapters)[:zb0003]
-			} else {
-				z.Adapters = make([]string, zb0003)
+		case "e":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
 			}
-			for za0001 := range z.Adapters {
-				z.Adapters[za0001], err = dc.ReadString()
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Adapters", za0001)
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
+				}
+			}
+		case "s":
+			z.Sequence, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -5406,56 +6259,81 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *LoadedModel) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
+func (z *CoordinationPosition) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "g"
+	err = en.Append(0x83, 0xa1, 0x67)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(string(z.Name))
+	err = en.WriteUint64(z.Group)
 	if err != nil {
-		err = msgp.WrapError(err, "Name")
+		err = msgp.WrapError(err, "Group")
 		return
 	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
+	// write "e"
+	err = en.Append(0xa1, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Adapters)))
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
 	if err != nil {
-		err = msgp.WrapError(err, "Adapters")
 		return
 	}
-	for za0001 := range z.Adapters {
-		err = en.WriteString(z.Adapters[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "Adapters", za0001)
-			return
-		}
+	err = en.WriteUint64(z.Epoch.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Counter")
+		return
+	}
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Epoch.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Issuer")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *LoadedModel) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CoordinationPosition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "g"
+	o = append(o, 0x83, 0xa1, 0x67)
+	o = msgp.AppendUint64(o, z.Group)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendString(o, string(z.Name))
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Adapters)))
-	for za0001 := range z.Adapters {
-		o = msgp.AppendString(o, z.Adapters[za0001])
-	}
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Epoch.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Epoch.Issuer))
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Sequence)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LoadedModel) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CoordinationPosition) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5472,34 +6350,56 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "n":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Name")
-					return
-				}
-				z.Name = ModelName(zb0002)
-			}
-		case "a":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "g":
+			z.Group, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Adapters")
+				err = msgp.WrapError(err, "Group")
 				return
 			}
-			if cap(z.Adapters) >= int(zb0003) {
-				z.Adapters = (z.Adapters)[:zb0003]
-			} else {
-				z.Adapters = make([]string, zb0003)
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
 			}
-			for za0001 := range z.Adapters {
-				z.Adapters[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Adapters", za0001)
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
+				}
+			}
+		case "s":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -5514,16 +6414,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LoadedModel) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Name)) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Adapters {
-		s += msgp.StringPrefixSize + len(z.Adapters[za0001])
-	}
+func (z *CoordinationPosition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CoordinationRecord) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5550,33 +6447,44 @@
 				}
 				z.Identity = MemberID(zb0002)
 			}
-		case "a":
-			z.Address, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "v":
-			z.Diskless, err = dc.ReadBool()
+		case "p":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Diskless")
+				err = msgp.WrapError(err, "Promised")
 				return
 			}
-		case "s":
-			{
-				var zb0003 uint64
-				zb0003, err = dc.ReadUint64()
+			for zb0003 > 0 {
+				zb0003--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "SinceView")
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
-				z.SinceView = ViewNumber(zb0003)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0004 string
+						zb0004, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
+							return
+						}
+						z.Promised.Issuer = MemberID(zb0004)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
+				}
 			}
 		default:
 			err = dc.Skip()
@@ -5590,10 +6498,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+func (z *CoordinationRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
 	// write "i"
-	err = en.Append(0x85, 0xa1, 0x69)
+	err = en.Append(0x82, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -5602,73 +6510,56 @@
 		err = msgp.WrapError(err, "Identity")
 		return
 	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
+	// write "p"
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
-		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Diskless)
+	err = en.WriteUint64(z.Promised.Counter)
 	if err != nil {
-		err = msgp.WrapError(err, "Diskless")
+		err = msgp.WrapError(err, "Promised", "Counter")
 		return
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
+	// write "i"
+	err = en.Append(0xa1, 0x69)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(uint64(z.SinceView))
+	err = en.WriteString(string(z.Promised.Issuer))
 	if err != nil {
-		err = msgp.WrapError(err, "SinceView")
+		err = msgp.WrapError(err, "Promised", "Issuer")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CoordinationRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 2
 	// string "i"
-	o = append(o, 0x85, 0xa1, 0x69)
+	o = append(o, 0x82, 0xa1, 0x69)
 	o = msgp.AppendString(o, string(z.Identity))
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendBool(o, z.Diskless)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, uint64(z.SinceView))
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Promised.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Promised.Issuer))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CoordinationRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5695,33 +6586,44 @@
 				}
 				z.Identity = MemberID(zb0002)
 			}
-		case "a":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "v":
-			z.Diskless, bts, err = msgp.ReadBoolBytes(bts)
+		case "p":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Diskless")
+				err = msgp.WrapError(err, "Promised")
 				return
 			}
-		case "s":
-			{
-				var zb0003 uint64
-				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+			for zb0003 > 0 {
+				zb0003--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "SinceView")
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
-				z.SinceView = ViewNumber(zb0003)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0004 string
+						zb0004, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
+							return
+						}
+						z.Promised.Issuer = MemberID(zb0004)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
+				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
