@@ -5736,65 +6638,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Identity)) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+func (z *CoordinationRecord) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Identity)) + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Promised.Issuer))
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *MemberID) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 string
-		zb0001, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = MemberID(zb0001)
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z MemberID) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteString(string(z))
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z MemberID) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *MemberID) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = MemberID(zb0001)
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z MemberID) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Message) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CoordinationState) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5811,733 +6661,1199 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "From")
-					return
-				}
-				z.From = MemberID(zb0002)
-			}
-		case "fa":
-			z.FromAddress, err = dc.ReadString()
+		case "p":
+			err = z.Position.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "FromAddress")
+				err = msgp.WrapError(err, "Position")
 				return
 			}
-		case "fz":
-			z.FromZone, err = dc.ReadString()
+		case "g":
+			err = z.Group.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "FromZone")
+				err = msgp.WrapError(err, "Group")
 				return
 			}
-		case "t":
-			{
-				var zb0003 string
-				zb0003, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "To")
-					return
-				}
-				z.To = MemberID(zb0003)
-			}
-		case "v":
-			{
-				var zb0004 uint64
-				zb0004, err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "View")
-					return
-				}
-				z.View = ViewNumber(zb0004)
-			}
-		case "hb":
+		case "x":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Heartbeat")
+					err = msgp.WrapError(err, "NextGroup")
 					return
 				}
-				z.Heartbeat = nil
+				z.NextGroup = nil
 			} else {
-				if z.Heartbeat == nil {
-					z.Heartbeat = new(Heartbeat)
+				if z.NextGroup == nil {
+					z.NextGroup = new(AcceptorGroup)
 				}
-				err = z.Heartbeat.DecodeMsg(dc)
+				err = z.NextGroup.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Heartbeat")
+					err = msgp.WrapError(err, "NextGroup")
 					return
 				}
 			}
-		case "su":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "SuspicionReport")
-					return
-				}
-				z.SuspicionReport = nil
-			} else {
-				if z.SuspicionReport == nil {
-					z.SuspicionReport = new(SuspicionReport)
-				}
-				err = z.SuspicionReport.DecodeMsg(dc)
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "SuspicionReport")
+					err = msgp.WrapError(err, "LastToken")
 					return
 				}
+				z.LastToken = FencingToken(zb0002)
 			}
-		case "jo":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "JoinRequest")
-					return
-				}
-				z.JoinRequest = nil
-			} else {
-				if z.JoinRequest == nil {
-					z.JoinRequest = new(JoinRequest)
-				}
-				err = z.JoinRequest.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "JoinRequest")
-					return
-				}
+		case "u":
+			z.LastNumber, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "LastNumber")
+				return
 			}
-		case "an":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "ViewAnnouncement")
-					return
-				}
-				z.ViewAnnouncement = nil
+		case "h":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Holds")
+				return
+			}
+			if cap(z.Holds) >= int(zb0003) {
+				z.Holds = (z.Holds)[:zb0003]
 			} else {
-				if z.ViewAnnouncement == nil {
-					z.ViewAnnouncement = new(ViewAnnouncement)
-				}
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "ViewAnnouncement")
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "ViewAnnouncement")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						err = z.ViewAnnouncement.View.DecodeMsg(dc)
-						if err != nil {
-							err = msgp.WrapError(err, "ViewAnnouncement", "View")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "ViewAnnouncement")
-							return
-						}
-					}
-				}
+				z.Holds = make([]LockHold, zb0003)
 			}
-		case "pr":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+			for za0001 := range z.Holds {
+				err = z.Holds[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Prepare")
+					err = msgp.WrapError(err, "Holds", za0001)
 					return
 				}
-				z.Prepare = nil
+			}
+		case "k":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "KeyGroups")
+				return
+			}
+			if cap(z.KeyGroups) >= int(zb0004) {
+				z.KeyGroups = (z.KeyGroups)[:zb0004]
 			} else {
-				if z.Prepare == nil {
-					z.Prepare = new(Prepare)
-				}
-				err = z.Prepare.DecodeMsg(dc)
+				z.KeyGroups = make([]KeyGroupState, zb0004)
+			}
+			for za0002 := range z.KeyGroups {
+				err = z.KeyGroups[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Prepare")
+					err = msgp.WrapError(err, "KeyGroups", za0002)
 					return
 				}
 			}
-		case "pm":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *CoordinationState) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.NextGroup == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
+	if err != nil {
+		return
+	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = z.Position.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
+		}
+		// write "g"
+		err = en.Append(0xa1, 0x67)
+		if err != nil {
+			return
+		}
+		err = z.Group.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Group")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "x"
+			err = en.Append(0xa1, 0x78)
+			if err != nil {
+				return
+			}
+			if z.NextGroup == nil {
+				err = en.WriteNil()
 				if err != nil {
-					err = msgp.WrapError(err, "PrepareResponse")
 					return
 				}
-				z.PrepareResponse = nil
 			} else {
-				if z.PrepareResponse == nil {
-					z.PrepareResponse = new(PrepareResponse)
-				}
-				err = z.PrepareResponse.DecodeMsg(dc)
+				err = z.NextGroup.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "PrepareResponse")
+					err = msgp.WrapError(err, "NextGroup")
 					return
 				}
 			}
-		case "ac":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Accept")
-					return
-				}
-				z.Accept = nil
-			} else {
-				if z.Accept == nil {
-					z.Accept = new(Accept)
-				}
-				err = z.Accept.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Accept")
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(uint64(z.LastToken))
+		if err != nil {
+			err = msgp.WrapError(err, "LastToken")
+			return
+		}
+		// write "u"
+		err = en.Append(0xa1, 0x75)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.LastNumber)
+		if err != nil {
+			err = msgp.WrapError(err, "LastNumber")
+			return
+		}
+		// write "h"
+		err = en.Append(0xa1, 0x68)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Holds)))
+		if err != nil {
+			err = msgp.WrapError(err, "Holds")
+			return
+		}
+		for za0001 := range z.Holds {
+			err = z.Holds[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Holds", za0001)
+				return
+			}
+		}
+		// write "k"
+		err = en.Append(0xa1, 0x6b)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.KeyGroups)))
+		if err != nil {
+			err = msgp.WrapError(err, "KeyGroups")
+			return
+		}
+		for za0002 := range z.KeyGroups {
+			err = z.KeyGroups[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "KeyGroups", za0002)
+				return
+			}
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *CoordinationState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.NextGroup == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o, err = z.Position.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
+		}
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o, err = z.Group.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Group")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "x"
+			o = append(o, 0xa1, 0x78)
+			if z.NextGroup == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.NextGroup.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "NextGroup")
 					return
 				}
 			}
-		case "ad":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+		}
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, uint64(z.LastToken))
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendUint64(o, z.LastNumber)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Holds)))
+		for za0001 := range z.Holds {
+			o, err = z.Holds[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Holds", za0001)
+				return
+			}
+		}
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.KeyGroups)))
+		for za0002 := range z.KeyGroups {
+			o, err = z.KeyGroups[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "KeyGroups", za0002)
+				return
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CoordinationState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			bts, err = z.Position.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "g":
+			bts, err = z.Group.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+		case "x":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "AcceptResponse")
 					return
 				}
-				z.AcceptResponse = nil
+				z.NextGroup = nil
 			} else {
-				if z.AcceptResponse == nil {
-					z.AcceptResponse = new(AcceptResponse)
+				if z.NextGroup == nil {
+					z.NextGroup = new(AcceptorGroup)
 				}
-				err = z.AcceptResponse.DecodeMsg(dc)
+				bts, err = z.NextGroup.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "AcceptResponse")
+					err = msgp.WrapError(err, "NextGroup")
 					return
 				}
 			}
-		case "re":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replicate")
+					err = msgp.WrapError(err, "LastToken")
 					return
 				}
-				z.Replicate = nil
+				z.LastToken = FencingToken(zb0002)
+			}
+		case "u":
+			z.LastNumber, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LastNumber")
+				return
+			}
+		case "h":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holds")
+				return
+			}
+			if cap(z.Holds) >= int(zb0003) {
+				z.Holds = (z.Holds)[:zb0003]
 			} else {
-				if z.Replicate == nil {
-					z.Replicate = new(Replicate)
-				}
-				err = z.Replicate.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Replicate")
-					return
-				}
+				z.Holds = make([]LockHold, zb0003)
 			}
-		case "co":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+			for za0001 := range z.Holds {
+				bts, err = z.Holds[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Committed")
+					err = msgp.WrapError(err, "Holds", za0001)
 					return
 				}
-				z.Committed = nil
+			}
+		case "k":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeyGroups")
+				return
+			}
+			if cap(z.KeyGroups) >= int(zb0004) {
+				z.KeyGroups = (z.KeyGroups)[:zb0004]
 			} else {
-				if z.Committed == nil {
-					z.Committed = new(Committed)
-				}
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+				z.KeyGroups = make([]KeyGroupState, zb0004)
+			}
+			for za0002 := range z.KeyGroups {
+				bts, err = z.KeyGroups[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Committed")
+					err = msgp.WrapError(err, "KeyGroups", za0002)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Committed")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Committed.Sequence, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Committed", "Sequence")
-							return
-						}
-					case "d":
-						z.Committed.Digest, err = dc.ReadBytes(z.Committed.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "Committed", "Digest")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Committed")
-							return
-						}
-					}
-				}
 			}
-		case "sr":
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CoordinationState) Msgsize() (s int) {
+	s = 1 + 2 + z.Position.Msgsize() + 2 + z.Group.Msgsize() + 2
+	if z.NextGroup == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.NextGroup.Msgsize()
+	}
+	s += 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Holds {
+		s += z.Holds[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.KeyGroups {
+		s += z.KeyGroups[za0002].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *CoordinationWrite) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			err = z.Previous.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Previous")
+				return
+			}
+		case "p":
+			err = z.Position.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "g":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "SnapshotRequest")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
-				z.SnapshotRequest = nil
+				z.Group = nil
 			} else {
-				if z.SnapshotRequest == nil {
-					z.SnapshotRequest = new(SnapshotRequest)
+				if z.Group == nil {
+					z.Group = new(AcceptorGroup)
 				}
-				var zb0007 uint32
-				zb0007, err = dc.ReadMapHeader()
+				err = z.Group.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "SnapshotRequest")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "SnapshotRequest")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "w":
-						z.SnapshotRequest.Full, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "SnapshotRequest", "Full")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "SnapshotRequest")
-							return
-						}
-					}
-				}
 			}
-		case "cq":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "CatchUpRequest")
-					return
-				}
-				z.CatchUpRequest = nil
+		case "c":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Changes")
+				return
+			}
+			if cap(z.Changes) >= int(zb0002) {
+				z.Changes = (z.Changes)[:zb0002]
 			} else {
-				if z.CatchUpRequest == nil {
-					z.CatchUpRequest = new(CatchUpRequest)
-				}
-				var zb0008 uint32
-				zb0008, err = dc.ReadMapHeader()
+				z.Changes = make([]CoordinationChange, zb0002)
+			}
+			for za0001 := range z.Changes {
+				err = z.Changes[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "CatchUpRequest")
+					err = msgp.WrapError(err, "Changes", za0001)
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "CatchUpRequest")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.CatchUpRequest.Digest, err = dc.ReadBytes(z.CatchUpRequest.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUpRequest", "Digest")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUpRequest")
-							return
-						}
-					}
-				}
 			}
-		case "cu":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *CoordinationWrite) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Group == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
+	if err != nil {
+		return
+	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = z.Previous.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Previous")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = z.Position.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			if z.Group == nil {
+				err = en.WriteNil()
 				if err != nil {
-					err = msgp.WrapError(err, "CatchUp")
 					return
 				}
-				z.CatchUp = nil
 			} else {
-				if z.CatchUp == nil {
-					z.CatchUp = new(CatchUp)
-				}
-				var zb0009 uint32
-				zb0009, err = dc.ReadMapHeader()
+				err = z.Group.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "CatchUp")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "CatchUp")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.CatchUp.Digest, err = dc.ReadBytes(z.CatchUp.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUp", "Digest")
-							return
-						}
-					case "s":
-						if dc.IsNil() {
-							err = dc.ReadNil()
-							if err != nil {
-								err = msgp.WrapError(err, "CatchUp", "State")
-								return
-							}
-							z.CatchUp.State = nil
-						} else {
-							if z.CatchUp.State == nil {
-								z.CatchUp.State = new(ChainState)
-							}
-							err = z.CatchUp.State.DecodeMsg(dc)
-							if err != nil {
-								err = msgp.WrapError(err, "CatchUp", "State")
-								return
-							}
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUp")
-							return
-						}
-					}
+			}
+		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Changes)))
+		if err != nil {
+			err = msgp.WrapError(err, "Changes")
+			return
+		}
+		for za0001 := range z.Changes {
+			err = z.Changes[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes", za0001)
+				return
+			}
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *CoordinationWrite) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Group == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o, err = z.Previous.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Previous")
+			return
+		}
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o, err = z.Position.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			if z.Group == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Group.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Group")
+					return
 				}
 			}
-		case "cf":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+		}
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
+		for za0001 := range z.Changes {
+			o, err = z.Changes[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes", za0001)
+				return
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CoordinationWrite) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			bts, err = z.Previous.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Previous")
+				return
+			}
+		case "p":
+			bts, err = z.Position.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "g":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "ConfirmRequest")
 					return
 				}
-				z.ConfirmRequest = nil
+				z.Group = nil
 			} else {
-				if z.ConfirmRequest == nil {
-					z.ConfirmRequest = new(ConfirmRequest)
+				if z.Group == nil {
+					z.Group = new(AcceptorGroup)
 				}
-				var zb0010 uint32
-				zb0010, err = dc.ReadMapHeader()
+				bts, err = z.Group.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "ConfirmRequest")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
-				for zb0010 > 0 {
-					zb0010--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "ConfirmRequest")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "r":
-						z.ConfirmRequest.RequestID, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmRequest", "RequestID")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmRequest")
-							return
-						}
-					}
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes")
+				return
+			}
+			if cap(z.Changes) >= int(zb0002) {
+				z.Changes = (z.Changes)[:zb0002]
+			} else {
+				z.Changes = make([]CoordinationChange, zb0002)
+			}
+			for za0001 := range z.Changes {
+				bts, err = z.Changes[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Changes", za0001)
+					return
 				}
 			}
-		case "cd":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CoordinationWrite) Msgsize() (s int) {
+	s = 1 + 2 + z.Previous.Msgsize() + 2 + z.Position.Msgsize() + 2
+	if z.Group == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Group.Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Changes {
+		s += z.Changes[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Epoch) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Counter, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Counter")
+				return
+			}
+		case "i":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "ConfirmResponse")
+					err = msgp.WrapError(err, "Issuer")
 					return
 				}
-				z.ConfirmResponse = nil
-			} else {
-				if z.ConfirmResponse == nil {
-					z.ConfirmResponse = new(ConfirmResponse)
+				z.Issuer = MemberID(zb0002)
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Epoch) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Counter")
+		return
+	}
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Issuer")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Epoch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Issuer))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Epoch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counter")
+				return
+			}
+		case "i":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Issuer")
+					return
 				}
-				var zb0011 uint32
-				zb0011, err = dc.ReadMapHeader()
+				z.Issuer = MemberID(zb0002)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Epoch) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Issuer))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EpochPrepare) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "ConfirmResponse")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				for zb0011 > 0 {
-					zb0011--
-					field, err = dc.ReadMapKeyPtr()
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "ConfirmResponse")
+						err = msgp.WrapError(err, "Epoch", "Counter")
 						return
 					}
-					switch msgp.UnsafeString(field) {
-					case "r":
-						z.ConfirmResponse.RequestID, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmResponse", "RequestID")
-							return
-						}
-					case "f":
-						z.ConfirmResponse.Rejected, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmResponse", "Rejected")
-							return
-						}
-					default:
-						err = dc.Skip()
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "ConfirmResponse")
+							err = msgp.WrapError(err, "Epoch", "Issuer")
 							return
 						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
 					}
 				}
 			}
-		case "lr":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRequest")
-					return
-				}
-				z.LeaseRequest = nil
-			} else {
-				if z.LeaseRequest == nil {
-					z.LeaseRequest = new(LeaseRequest)
-				}
-				err = z.LeaseRequest.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRequest")
-					return
-				}
-			}
-		case "lg":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseGrant")
-					return
-				}
-				z.LeaseGrant = nil
-			} else {
-				if z.LeaseGrant == nil {
-					z.LeaseGrant = new(LeaseGrant)
-				}
-				err = z.LeaseGrant.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseGrant")
-					return
-				}
+		case "g":
+			z.Group, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
 			}
-		case "ll":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRelease")
-					return
-				}
-				z.LeaseRelease = nil
-			} else {
-				if z.LeaseRelease == nil {
-					z.LeaseRelease = new(LeaseRelease)
-				}
-				var zb0012 uint32
-				zb0012, err = dc.ReadMapHeader()
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EpochPrepare) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "e"
+	err = en.Append(0x82, 0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Counter")
+		return
+	}
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Epoch.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Issuer")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Group)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EpochPrepare) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "e"
+	o = append(o, 0x82, 0xa1, 0x65)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Epoch.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Epoch.Issuer))
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendUint64(o, z.Group)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EpochPrepare) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "LeaseRelease")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				for zb0012 > 0 {
-					zb0012--
-					field, err = dc.ReadMapKeyPtr()
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "LeaseRelease")
+						err = msgp.WrapError(err, "Epoch", "Counter")
 						return
 					}
-					switch msgp.UnsafeString(field) {
-					case "t":
-						{
-							var zb0013 uint64
-							zb0013, err = dc.ReadUint64()
-							if err != nil {
-								err = msgp.WrapError(err, "LeaseRelease", "Token")
-								return
-							}
-							z.LeaseRelease.Token = FencingToken(zb0013)
-						}
-					default:
-						err = dc.Skip()
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "LeaseRelease")
+							err = msgp.WrapError(err, "Epoch", "Issuer")
 							return
 						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
 					}
 				}
 			}
-		case "cc":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigRequest")
-					return
-				}
-				z.ConfigRequest = nil
-			} else {
-				if z.ConfigRequest == nil {
-					z.ConfigRequest = new(ConfigRequest)
-				}
-				err = z.ConfigRequest.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigRequest")
-					return
-				}
+		case "g":
+			z.Group, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
 			}
-		case "cr":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigResponse")
-					return
-				}
-				z.ConfigResponse = nil
-			} else {
-				if z.ConfigResponse == nil {
-					z.ConfigResponse = new(ConfigResponse)
-				}
-				var zb0014 uint32
-				zb0014, err = dc.ReadMapHeader()
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EpochPrepare) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EpochPrepareResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "ConfigResponse")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				for zb0014 > 0 {
-					zb0014--
-					field, err = dc.ReadMapKeyPtr()
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "ConfigResponse")
+						err = msgp.WrapError(err, "Epoch", "Counter")
 						return
 					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.ConfigResponse.ID, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse", "ID")
-							return
-						}
-					case "s":
-						z.ConfigResponse.Status, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse", "Status")
-							return
-						}
-					case "b":
-						z.ConfigResponse.Body, err = dc.ReadBytes(z.ConfigResponse.Body)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse", "Body")
-							return
-						}
-					default:
-						err = dc.Skip()
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse")
+							err = msgp.WrapError(err, "Epoch", "Issuer")
 							return
 						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
 					}
 				}
 			}
-		case "pu":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "PollRequest")
-					return
-				}
-				z.PollRequest = nil
-			} else {
-				if z.PollRequest == nil {
-					z.PollRequest = new(PollRequest)
-				}
-				err = z.PollRequest.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "PollRequest")
-					return
-				}
+		case "n":
+			z.Group, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
 			}
-		case "pl":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "PollResponse")
-					return
-				}
-				z.PollResponse = nil
-			} else {
-				if z.PollResponse == nil {
-					z.PollResponse = new(PollResponse)
-				}
-				err = z.PollResponse.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "PollResponse")
-					return
-				}
+		case "r":
+			z.Rejected, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Rejected")
+				return
 			}
-		case "ld":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "LoadReport")
-					return
-				}
-				z.LoadReport = nil
-			} else {
-				if z.LoadReport == nil {
-					z.LoadReport = new(LoadReport)
-				}
-				err = z.LoadReport.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "LoadReport")
-					return
-				}
+		case "p":
+			var zb0004 uint32
+			zb0004, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Promised")
+				return
 			}
-		case "lq":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+			for zb0004 > 0 {
+				zb0004--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "LoadResponse")
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
-				z.LoadResponse = nil
-			} else {
-				if z.LoadResponse == nil {
-					z.LoadResponse = new(LoadResponse)
-				}
-				err = z.LoadResponse.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "LoadResponse")
-					return
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0005 string
+						zb0005, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
+							return
+						}
+						z.Promised.Issuer = MemberID(zb0005)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
 				}
 			}
+		case "s":
+			err = z.Position.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "g":
+			err = z.Current.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Current")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -6550,2114 +7866,8616 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(29)
-	var zb0001Mask uint32 /* 29 bits */
-	_ = zb0001Mask
-	if z.Heartbeat == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	if z.SuspicionReport == nil {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	if z.JoinRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x80
-	}
-	if z.ViewAnnouncement == nil {
-		zb0001Len--
-		zb0001Mask |= 0x100
-	}
-	if z.Prepare == nil {
-		zb0001Len--
-		zb0001Mask |= 0x200
-	}
-	if z.PrepareResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x400
-	}
-	if z.Accept == nil {
-		zb0001Len--
-		zb0001Mask |= 0x800
-	}
-	if z.AcceptResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1000
+func (z *EpochPrepareResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "e"
+	err = en.Append(0x86, 0xa1, 0x65)
+	if err != nil {
+		return
 	}
-	if z.Replicate == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2000
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
 	}
-	if z.Committed == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4000
+	err = en.WriteUint64(z.Epoch.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Counter")
+		return
 	}
-	if z.SnapshotRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8000
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
 	}
-	if z.CatchUpRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10000
+	err = en.WriteString(string(z.Epoch.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Issuer")
+		return
 	}
-	if z.CatchUp == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20000
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
 	}
-	if z.ConfirmRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x40000
+	err = en.WriteUint64(z.Group)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
 	}
-	if z.ConfirmResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x80000
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
 	}
-	if z.LeaseRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x100000
+	err = en.WriteBool(z.Rejected)
+	if err != nil {
+		err = msgp.WrapError(err, "Rejected")
+		return
 	}
-	if z.LeaseGrant == nil {
-		zb0001Len--
-		zb0001Mask |= 0x200000
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
 	}
-	if z.LeaseRelease == nil {
-		zb0001Len--
-		zb0001Mask |= 0x400000
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
 	}
-	if z.ConfigRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x800000
+	err = en.WriteUint64(z.Promised.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Promised", "Counter")
+		return
 	}
-	if z.ConfigResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1000000
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
 	}
-	if z.PollRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2000000
+	err = en.WriteString(string(z.Promised.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Promised", "Issuer")
+		return
 	}
-	if z.PollResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4000000
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
 	}
-	if z.LoadReport == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8000000
+	err = z.Position.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Position")
+		return
 	}
-	if z.LoadResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10000000
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
 	}
-	// variable map header, size zb0001Len
-	err = en.WriteMapHeader(zb0001Len)
+	err = z.Current.EncodeMsg(en)
 	if err != nil {
+		err = msgp.WrapError(err, "Current")
 		return
 	}
+	return
+}
 
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(string(z.From))
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// write "fa"
-		err = en.Append(0xa2, 0x66, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.FromAddress)
-		if err != nil {
-			err = msgp.WrapError(err, "FromAddress")
-			return
-		}
-		// write "fz"
-		err = en.Append(0xa2, 0x66, 0x7a)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.FromZone)
-		if err != nil {
-			err = msgp.WrapError(err, "FromZone")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(string(z.To))
-		if err != nil {
-			err = msgp.WrapError(err, "To")
-			return
-		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(uint64(z.View))
+// MarshalMsg implements msgp.Marshaler
+func (z *EpochPrepareResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "e"
+	o = append(o, 0x86, 0xa1, 0x65)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Epoch.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Epoch.Issuer))
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Group)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Rejected)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Promised.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Promised.Issuer))
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o, err = z.Position.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Position")
+		return
+	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o, err = z.Current.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Current")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EpochPrepareResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "View")
+			err = msgp.WrapError(err)
 			return
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// write "hb"
-			err = en.Append(0xa2, 0x68, 0x62)
+		switch msgp.UnsafeString(field) {
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-			if z.Heartbeat == nil {
-				err = en.WriteNil()
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-			} else {
-				err = z.Heartbeat.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Heartbeat")
-					return
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
 				}
 			}
-		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// write "su"
-			err = en.Append(0xa2, 0x73, 0x75)
+		case "n":
+			z.Group, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Group")
 				return
 			}
-			if z.SuspicionReport == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.SuspicionReport.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "SuspicionReport")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// write "jo"
-			err = en.Append(0xa2, 0x6a, 0x6f)
+		case "r":
+			z.Rejected, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Rejected")
 				return
 			}
-			if z.JoinRequest == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.JoinRequest.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "JoinRequest")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// write "an"
-			err = en.Append(0xa2, 0x61, 0x6e)
+		case "p":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Promised")
 				return
 			}
-			if z.ViewAnnouncement == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 1
-				// write "v"
-				err = en.Append(0x81, 0xa1, 0x76)
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
-				err = z.ViewAnnouncement.View.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "ViewAnnouncement", "View")
-					return
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0005 string
+						zb0005, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
+							return
+						}
+						z.Promised.Issuer = MemberID(zb0005)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
 				}
 			}
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// write "pr"
-			err = en.Append(0xa2, 0x70, 0x72)
+		case "s":
+			bts, err = z.Position.UnmarshalMsg(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Position")
 				return
 			}
-			if z.Prepare == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.Prepare.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Prepare")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// write "pm"
-			err = en.Append(0xa2, 0x70, 0x6d)
+		case "g":
+			bts, err = z.Current.UnmarshalMsg(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Current")
 				return
 			}
-			if z.PrepareResponse == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.PrepareResponse.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "PrepareResponse")
-					return
-				}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
-			// write "ac"
-			err = en.Append(0xa2, 0x61, 0x63)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EpochPrepareResponse) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Promised.Issuer)) + 2 + z.Position.Msgsize() + 2 + z.Current.Msgsize()
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EpochQuery) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.RequestID, err = dc.ReadUint64()
 			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
 				return
 			}
-			if z.Accept == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.Accept.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Accept")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
-			// write "ad"
-			err = en.Append(0xa2, 0x61, 0x64)
+		default:
+			err = dc.Skip()
 			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
-			if z.AcceptResponse == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.AcceptResponse.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "AcceptResponse")
-					return
-				}
-			}
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
-			// write "re"
-			err = en.Append(0xa2, 0x72, 0x65)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z EpochQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "r"
+	err = en.Append(0x81, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.RequestID)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EpochQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "r"
+	o = append(o, 0x81, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.RequestID)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EpochQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
 				return
 			}
-			if z.Replicate == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.Replicate.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Replicate")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
-			// write "co"
-			err = en.Append(0xa2, 0x63, 0x6f)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
-			if z.Committed == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 2
-				// write "s"
-				err = en.Append(0x82, 0xa1, 0x73)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Committed.Sequence)
-				if err != nil {
-					err = msgp.WrapError(err, "Committed", "Sequence")
-					return
-				}
-				// write "d"
-				err = en.Append(0xa1, 0x64)
-				if err != nil {
-					return
-				}
-				err = en.WriteBytes(z.Committed.Digest)
-				if err != nil {
-					err = msgp.WrapError(err, "Committed", "Digest")
-					return
-				}
-			}
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
-			// write "sr"
-			err = en.Append(0xa2, 0x73, 0x72)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EpochQuery) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EpochQueryResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.RequestID, err = dc.ReadUint64()
 			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
 				return
 			}
-			if z.SnapshotRequest == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 1
-				// write "w"
-				err = en.Append(0x81, 0xa1, 0x77)
-				if err != nil {
-					return
-				}
-				err = en.WriteBool(z.SnapshotRequest.Full)
-				if err != nil {
-					err = msgp.WrapError(err, "SnapshotRequest", "Full")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
-			// write "cq"
-			err = en.Append(0xa2, 0x63, 0x71)
+		case "h":
+			z.HasIssuer, err = dc.ReadBool()
 			if err != nil {
+				err = msgp.WrapError(err, "HasIssuer")
 				return
 			}
-			if z.CatchUpRequest == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 1
-				// write "d"
-				err = en.Append(0x81, 0xa1, 0x64)
-				if err != nil {
-					return
-				}
-				err = en.WriteBytes(z.CatchUpRequest.Digest)
-				if err != nil {
-					err = msgp.WrapError(err, "CatchUpRequest", "Digest")
-					return
-				}
+		case "m":
+			err = z.Issuer.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Issuer")
+				return
 			}
-		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
-			// write "cu"
-			err = en.Append(0xa2, 0x63, 0x75)
+		case "p":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
+				err = msgp.WrapError(err, "Promised")
 				return
 			}
-			if z.CatchUp == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// check for omitted fields
-				zb0006Len := uint32(2)
-				var zb0006Mask uint8 /* 2 bits */
-				_ = zb0006Mask
-				if z.CatchUp.State == nil {
-					zb0006Len--
-					zb0006Mask |= 0x2
-				}
-				// variable map header, size zb0006Len
-				err = en.Append(0x80 | uint8(zb0006Len))
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
-
-				// skip if no fields are to be emitted
-				if zb0006Len != 0 {
-					// write "d"
-					err = en.Append(0xa1, 0x64)
-					if err != nil {
-						return
-					}
-					err = en.WriteBytes(z.CatchUp.Digest)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "CatchUp", "Digest")
+						err = msgp.WrapError(err, "Promised", "Counter")
 						return
 					}
-					if (zb0006Mask & 0x2) == 0 { // if not omitted
-						// write "s"
-						err = en.Append(0xa1, 0x73)
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
 						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
 							return
 						}
-						if z.CatchUp.State == nil {
-							err = en.WriteNil()
-							if err != nil {
-								return
-							}
-						} else {
-							err = z.CatchUp.State.EncodeMsg(en)
-							if err != nil {
-								err = msgp.WrapError(err, "CatchUp", "State")
-								return
-							}
-						}
+						z.Promised.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
 					}
 				}
 			}
-		}
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
-			// write "cf"
-			err = en.Append(0xa2, 0x63, 0x66)
+		case "g":
+			err = z.Group.DecodeMsg(dc)
 			if err != nil {
+				err = msgp.WrapError(err, "Group")
 				return
 			}
-			if z.ConfirmRequest == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 1
-				// write "r"
-				err = en.Append(0x81, 0xa1, 0x72)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.ConfirmRequest.RequestID)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfirmRequest", "RequestID")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x80000) == 0 { // if not omitted
-			// write "cd"
-			err = en.Append(0xa2, 0x63, 0x64)
+		default:
+			err = dc.Skip()
 			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
-			if z.ConfirmResponse == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 2
-				// write "r"
-				err = en.Append(0x82, 0xa1, 0x72)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.ConfirmResponse.RequestID)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfirmResponse", "RequestID")
-					return
-				}
-				// write "f"
-				err = en.Append(0xa1, 0x66)
-				if err != nil {
-					return
-				}
-				err = en.WriteBool(z.ConfirmResponse.Rejected)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfirmResponse", "Rejected")
-					return
-				}
-			}
 		}
-		if (zb0001Mask & 0x100000) == 0 { // if not omitted
-			// write "lr"
-			err = en.Append(0xa2, 0x6c, 0x72)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EpochQueryResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "r"
+	err = en.Append(0x85, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.RequestID)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.HasIssuer)
+	if err != nil {
+		err = msgp.WrapError(err, "HasIssuer")
+		return
+	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = z.Issuer.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Issuer")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Promised.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Promised", "Counter")
+		return
+	}
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Promised.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Promised", "Issuer")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = z.Group.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EpochQueryResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "r"
+	o = append(o, 0x85, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.RequestID)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendBool(o, z.HasIssuer)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o, err = z.Issuer.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Issuer")
+		return
+	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Promised.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Promised.Issuer))
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o, err = z.Group.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EpochQueryResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
 				return
 			}
-			if z.LeaseRequest == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.LeaseRequest.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRequest")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x200000) == 0 { // if not omitted
-			// write "lg"
-			err = en.Append(0xa2, 0x6c, 0x67)
+		case "h":
+			z.HasIssuer, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "HasIssuer")
 				return
 			}
-			if z.LeaseGrant == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.LeaseGrant.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseGrant")
-					return
-				}
+		case "m":
+			bts, err = z.Issuer.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Issuer")
+				return
 			}
-		}
-		if (zb0001Mask & 0x400000) == 0 { // if not omitted
-			// write "ll"
-			err = en.Append(0xa2, 0x6c, 0x6c)
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Promised")
 				return
 			}
-			if z.LeaseRelease == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 1
-				// write "t"
-				err = en.Append(0x81, 0xa1, 0x74)
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
-				err = en.WriteUint64(uint64(z.LeaseRelease.Token))
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRelease", "Token")
-					return
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
+							return
+						}
+						z.Promised.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
 				}
 			}
-		}
-		if (zb0001Mask & 0x800000) == 0 { // if not omitted
-			// write "cc"
-			err = en.Append(0xa2, 0x63, 0x63)
+		case "g":
+			bts, err = z.Group.UnmarshalMsg(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Group")
 				return
 			}
-			if z.ConfigRequest == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.ConfigRequest.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigRequest")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
-			// write "cr"
-			err = en.Append(0xa2, 0x63, 0x72)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
-			if z.ConfigResponse == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 3
-				// write "i"
-				err = en.Append(0x83, 0xa1, 0x69)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.ConfigResponse.ID)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigResponse", "ID")
-					return
-				}
-				// write "s"
-				err = en.Append(0xa1, 0x73)
-				if err != nil {
-					return
-				}
-				err = en.WriteInt(z.ConfigResponse.Status)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigResponse", "Status")
-					return
-				}
-				// write "b"
-				err = en.Append(0xa1, 0x62)
-				if err != nil {
-					return
-				}
-				err = en.WriteBytes(z.ConfigResponse.Body)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigResponse", "Body")
-					return
-				}
-			}
 		}
-		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
-			// write "pu"
-			err = en.Append(0xa2, 0x70, 0x75)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EpochQueryResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + z.Issuer.Msgsize() + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Promised.Issuer)) + 2 + z.Group.Msgsize()
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *FencingToken) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 uint64
+		zb0001, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = FencingToken(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z FencingToken) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteUint64(uint64(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z FencingToken) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint64(o, uint64(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FencingToken) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint64
+		zb0001, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = FencingToken(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FencingToken) Msgsize() (s int) {
+	s = msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Complete, err = dc.ReadBool()
 			if err != nil {
+				err = msgp.WrapError(err, "Complete")
 				return
 			}
-			if z.PollRequest == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.PollRequest.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "PollRequest")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
-			// write "pl"
-			err = en.Append(0xa2, 0x70, 0x6c)
+		case "d":
+			z.DiskStalled, err = dc.ReadBool()
 			if err != nil {
+				err = msgp.WrapError(err, "DiskStalled")
 				return
 			}
-			if z.PollResponse == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.PollResponse.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "PollResponse")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
-			// write "ld"
-			err = en.Append(0xa2, 0x6c, 0x64)
+		case "l":
+			z.Leaving, err = dc.ReadBool()
 			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			if z.LoadReport == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.LoadReport.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "LoadReport")
-					return
-				}
+		case "v":
+			z.Diskless, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Diskless")
+				return
 			}
-		}
-		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
-			// write "lq"
-			err = en.Append(0xa2, 0x6c, 0x71)
+		case "i":
+			z.Isolated, err = dc.ReadBool()
 			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
 				return
 			}
-			if z.LoadResponse == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.LoadResponse.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "LoadResponse")
-					return
-				}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
 		}
 	}
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(29)
-	var zb0001Mask uint32 /* 29 bits */
-	_ = zb0001Mask
-	if z.Heartbeat == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
+// EncodeMsg implements msgp.Encodable
+func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "c"
+	err = en.Append(0x85, 0xa1, 0x63)
+	if err != nil {
+		return
 	}
-	if z.SuspicionReport == nil {
-		zb0001Len--
-		zb0001Mask |= 0x40
+	err = en.WriteBool(z.Complete)
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
 	}
-	if z.JoinRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x80
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
 	}
-	if z.ViewAnnouncement == nil {
-		zb0001Len--
-		zb0001Mask |= 0x100
+	err = en.WriteBool(z.DiskStalled)
+	if err != nil {
+		err = msgp.WrapError(err, "DiskStalled")
+		return
 	}
-	if z.Prepare == nil {
-		zb0001Len--
-		zb0001Mask |= 0x200
-	}
-	if z.PrepareResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x400
-	}
-	if z.Accept == nil {
-		zb0001Len--
-		zb0001Mask |= 0x800
-	}
-	if z.AcceptResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1000
-	}
-	if z.Replicate == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2000
-	}
-	if z.Committed == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4000
-	}
-	if z.SnapshotRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8000
-	}
-	if z.CatchUpRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10000
-	}
-	if z.CatchUp == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20000
-	}
-	if z.ConfirmRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x40000
-	}
-	if z.ConfirmResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x80000
-	}
-	if z.LeaseRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x100000
-	}
-	if z.LeaseGrant == nil {
-		zb0001Len--
-		zb0001Mask |= 0x200000
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
 	}
-	if z.LeaseRelease == nil {
-		zb0001Len--
-		zb0001Mask |= 0x400000
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
 	}
-	if z.ConfigRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x800000
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
 	}
-	if z.ConfigResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1000000
+	err = en.WriteBool(z.Diskless)
+	if err != nil {
+		err = msgp.WrapError(err, "Diskless")
+		return
 	}
-	if z.PollRequest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2000000
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
 	}
-	if z.PollResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4000000
+	err = en.WriteBool(z.Isolated)
+	if err != nil {
+		err = msgp.WrapError(err, "Isolated")
+		return
 	}
-	if z.LoadReport == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8000000
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "c"
+	o = append(o, 0x85, 0xa1, 0x63)
+	o = msgp.AppendBool(o, z.Complete)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.DiskStalled)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Leaving)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendBool(o, z.Diskless)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendBool(o, z.Isolated)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
 	}
-	if z.LoadResponse == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10000000
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		case "d":
+			z.DiskStalled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DiskStalled")
+				return
+			}
+		case "l":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "v":
+			z.Diskless, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Diskless")
+				return
+			}
+		case "i":
+			z.Isolated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// variable map header, size zb0001Len
-	o = msgp.AppendMapHeader(o, zb0001Len)
+	o = bts
+	return
+}
 
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, string(z.From))
-		// string "fa"
-		o = append(o, 0xa2, 0x66, 0x61)
-		o = msgp.AppendString(o, z.FromAddress)
-		// string "fz"
-		o = append(o, 0xa2, 0x66, 0x7a)
-		o = msgp.AppendString(o, z.FromZone)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendString(o, string(z.To))
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendUint64(o, uint64(z.View))
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "hb"
-			o = append(o, 0xa2, 0x68, 0x62)
-			if z.Heartbeat == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Heartbeat.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Heartbeat")
-					return
-				}
-			}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Heartbeat) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *HistoryTrim) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "su"
-			o = append(o, 0xa2, 0x73, 0x75)
-			if z.SuspicionReport == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.SuspicionReport.MarshalMsg(o)
+		switch msgp.UnsafeString(field) {
+		case "g":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "SuspicionReport")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
+				z.Group = KeyGroup(zb0002)
 			}
-		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// string "jo"
-			o = append(o, 0xa2, 0x6a, 0x6f)
-			if z.JoinRequest == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.JoinRequest.MarshalMsg(o)
+		case "z":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "JoinRequest")
+					err = msgp.WrapError(err, "Horizon")
 					return
 				}
+				z.Horizon = Revision(zb0003)
 			}
-		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// string "an"
-			o = append(o, 0xa2, 0x61, 0x6e)
-			if z.ViewAnnouncement == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 1
-				// string "v"
-				o = append(o, 0x81, 0xa1, 0x76)
-				o, err = z.ViewAnnouncement.View.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "ViewAnnouncement", "View")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "pr"
-			o = append(o, 0xa2, 0x70, 0x72)
-			if z.Prepare == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Prepare.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Prepare")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// string "pm"
-			o = append(o, 0xa2, 0x70, 0x6d)
-			if z.PrepareResponse == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.PrepareResponse.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "PrepareResponse")
-					return
-				}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
-			// string "ac"
-			o = append(o, 0xa2, 0x61, 0x63)
-			if z.Accept == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Accept.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Accept")
-					return
-				}
-			}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z HistoryTrim) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "g"
+	err = en.Append(0x82, 0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Group))
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Horizon))
+	if err != nil {
+		err = msgp.WrapError(err, "Horizon")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z HistoryTrim) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "g"
+	o = append(o, 0x82, 0xa1, 0x67)
+	o = msgp.AppendString(o, string(z.Group))
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendUint64(o, uint64(z.Horizon))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HistoryTrim) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
-			// string "ad"
-			o = append(o, 0xa2, 0x61, 0x64)
-			if z.AcceptResponse == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.AcceptResponse.MarshalMsg(o)
+		switch msgp.UnsafeString(field) {
+		case "g":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "AcceptResponse")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
+				z.Group = KeyGroup(zb0002)
 			}
-		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
-			// string "re"
-			o = append(o, 0xa2, 0x72, 0x65)
-			if z.Replicate == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Replicate.MarshalMsg(o)
+		case "z":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replicate")
+					err = msgp.WrapError(err, "Horizon")
 					return
 				}
+				z.Horizon = Revision(zb0003)
 			}
-		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
-			// string "co"
-			o = append(o, 0xa2, 0x63, 0x6f)
-			if z.Committed == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 2
-				// string "s"
-				o = append(o, 0x82, 0xa1, 0x73)
-				o = msgp.AppendUint64(o, z.Committed.Sequence)
-				// string "d"
-				o = append(o, 0xa1, 0x64)
-				o = msgp.AppendBytes(o, z.Committed.Digest)
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
-			// string "sr"
-			o = append(o, 0xa2, 0x73, 0x72)
-			if z.SnapshotRequest == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 1
-				// string "w"
-				o = append(o, 0x81, 0xa1, 0x77)
-				o = msgp.AppendBool(o, z.SnapshotRequest.Full)
-			}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z HistoryTrim) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Group)) + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *IssuerHandOver) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
-			// string "cq"
-			o = append(o, 0xa2, 0x63, 0x71)
-			if z.CatchUpRequest == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 1
-				// string "d"
-				o = append(o, 0x81, 0xa1, 0x64)
-				o = msgp.AppendBytes(o, z.CatchUpRequest.Digest)
+		switch msgp.UnsafeString(field) {
+		case "e":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
 			}
-		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
-			// string "cu"
-			o = append(o, 0xa2, 0x63, 0x75)
-			if z.CatchUp == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// check for omitted fields
-				zb0006Len := uint32(2)
-				var zb0006Mask uint8 /* 2 bits */
-				_ = zb0006Mask
-				if z.CatchUp.State == nil {
-					zb0006Len--
-					zb0006Mask |= 0x2
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Epoch")
+					return
 				}
-				// variable map header, size zb0006Len
-				o = append(o, 0x80|uint8(zb0006Len))
-
-				// skip if no fields are to be emitted
-				if zb0006Len != 0 {
-					// string "d"
-					o = append(o, 0xa1, 0x64)
-					o = msgp.AppendBytes(o, z.CatchUp.Digest)
-					if (zb0006Mask & 0x2) == 0 { // if not omitted
-						// string "s"
-						o = append(o, 0xa1, 0x73)
-						if z.CatchUp.State == nil {
-							o = msgp.AppendNil(o)
-						} else {
-							o, err = z.CatchUp.State.MarshalMsg(o)
-							if err != nil {
-								err = msgp.WrapError(err, "CatchUp", "State")
-								return
-							}
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
 						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
 					}
 				}
 			}
-		}
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
-			// string "cf"
-			o = append(o, 0xa2, 0x63, 0x66)
-			if z.ConfirmRequest == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 1
-				// string "r"
-				o = append(o, 0x81, 0xa1, 0x72)
-				o = msgp.AppendUint64(o, z.ConfirmRequest.RequestID)
-			}
-		}
-		if (zb0001Mask & 0x80000) == 0 { // if not omitted
-			// string "cd"
-			o = append(o, 0xa2, 0x63, 0x64)
-			if z.ConfirmResponse == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 2
-				// string "r"
-				o = append(o, 0x82, 0xa1, 0x72)
-				o = msgp.AppendUint64(o, z.ConfirmResponse.RequestID)
-				// string "f"
-				o = append(o, 0xa1, 0x66)
-				o = msgp.AppendBool(o, z.ConfirmResponse.Rejected)
-			}
-		}
-		if (zb0001Mask & 0x100000) == 0 { // if not omitted
-			// string "lr"
-			o = append(o, 0xa2, 0x6c, 0x72)
-			if z.LeaseRequest == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.LeaseRequest.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRequest")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x200000) == 0 { // if not omitted
-			// string "lg"
-			o = append(o, 0xa2, 0x6c, 0x67)
-			if z.LeaseGrant == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.LeaseGrant.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseGrant")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x400000) == 0 { // if not omitted
-			// string "ll"
-			o = append(o, 0xa2, 0x6c, 0x6c)
-			if z.LeaseRelease == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 1
-				// string "t"
-				o = append(o, 0x81, 0xa1, 0x74)
-				o = msgp.AppendUint64(o, uint64(z.LeaseRelease.Token))
-			}
-		}
-		if (zb0001Mask & 0x800000) == 0 { // if not omitted
-			// string "cc"
-			o = append(o, 0xa2, 0x63, 0x63)
-			if z.ConfigRequest == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.ConfigRequest.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfigRequest")
-					return
-				}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
 		}
-		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
-			// string "cr"
-			o = append(o, 0xa2, 0x63, 0x72)
-			if z.ConfigResponse == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 3
-				// string "i"
-				o = append(o, 0x83, 0xa1, 0x69)
-				o = msgp.AppendUint64(o, z.ConfigResponse.ID)
-				// string "s"
-				o = append(o, 0xa1, 0x73)
-				o = msgp.AppendInt(o, z.ConfigResponse.Status)
-				// string "b"
-				o = append(o, 0xa1, 0x62)
-				o = msgp.AppendBytes(o, z.ConfigResponse.Body)
-			}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *IssuerHandOver) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "e"
+	err = en.Append(0x81, 0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Counter")
+		return
+	}
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Epoch.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Issuer")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *IssuerHandOver) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "e"
+	o = append(o, 0x81, 0xa1, 0x65)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Epoch.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Epoch.Issuer))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *IssuerHandOver) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
 		}
-		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
-			// string "pu"
-			o = append(o, 0xa2, 0x70, 0x75)
-			if z.PollRequest == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.PollRequest.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "PollRequest")
-					return
-				}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
 			}
-		}
-		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
-			// string "pl"
-			o = append(o, 0xa2, 0x70, 0x6c)
-			if z.PollResponse == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.PollResponse.MarshalMsg(o)
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "PollResponse")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-			}
-		}
-		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
-			// string "ld"
-			o = append(o, 0xa2, 0x6c, 0x64)
-			if z.LoadReport == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.LoadReport.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "LoadReport")
-					return
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
 				}
 			}
-		}
-		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
-			// string "lq"
-			o = append(o, 0xa2, 0x6c, 0x71)
-			if z.LoadResponse == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.LoadResponse.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "LoadResponse")
-					return
-				}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Message) UnmarshalMsg(bts []byte) (o []byte, err error) {
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *IssuerHandOver) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *JoinRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "From")
-					return
-				}
-				z.From = MemberID(zb0002)
-			}
-		case "fa":
-			z.FromAddress, bts, err = msgp.ReadStringBytes(bts)
+		case "d":
+			z.DiskStalled, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "FromAddress")
+				err = msgp.WrapError(err, "DiskStalled")
 				return
 			}
-		case "fz":
-			z.FromZone, bts, err = msgp.ReadStringBytes(bts)
+		case "o":
+			z.Observer, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "FromZone")
+				err = msgp.WrapError(err, "Observer")
 				return
 			}
-		case "t":
-			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "To")
-					return
-				}
-				z.To = MemberID(zb0003)
+		case "v":
+			z.Diskless, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Diskless")
+				return
+			}
+		case "w":
+			z.Withdrawn, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Withdrawn")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *JoinRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "d"
+	err = en.Append(0x84, 0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.DiskStalled)
+	if err != nil {
+		err = msgp.WrapError(err, "DiskStalled")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Observer)
+	if err != nil {
+		err = msgp.WrapError(err, "Observer")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Diskless)
+	if err != nil {
+		err = msgp.WrapError(err, "Diskless")
+		return
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Withdrawn)
+	if err != nil {
+		err = msgp.WrapError(err, "Withdrawn")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "d"
+	o = append(o, 0x84, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.DiskStalled)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBool(o, z.Observer)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendBool(o, z.Diskless)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Withdrawn)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JoinRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.DiskStalled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DiskStalled")
+				return
+			}
+		case "o":
+			z.Observer, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Observer")
+				return
 			}
 		case "v":
+			z.Diskless, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Diskless")
+				return
+			}
+		case "w":
+			z.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Withdrawn")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JoinRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *KeyEvent) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
 			{
-				var zb0004 uint64
-				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "View")
+					err = msgp.WrapError(err, "Key")
 					return
 				}
-				z.View = ViewNumber(zb0004)
+				z.Key = KeyName(zb0002)
 			}
-		case "hb":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Heartbeat = nil
-			} else {
-				if z.Heartbeat == nil {
-					z.Heartbeat = new(Heartbeat)
-				}
-				bts, err = z.Heartbeat.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Heartbeat")
-					return
-				}
+		case "v":
+			z.Value, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
 			}
-		case "su":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.SuspicionReport = nil
-			} else {
-				if z.SuspicionReport == nil {
-					z.SuspicionReport = new(SuspicionReport)
-				}
-				bts, err = z.SuspicionReport.UnmarshalMsg(bts)
+		case "r":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "SuspicionReport")
+					err = msgp.WrapError(err, "Revision")
 					return
 				}
+				z.Revision = Revision(zb0003)
 			}
-		case "jo":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.JoinRequest = nil
-			} else {
-				if z.JoinRequest == nil {
-					z.JoinRequest = new(JoinRequest)
-				}
-				bts, err = z.JoinRequest.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "JoinRequest")
-					return
-				}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
-		case "an":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.ViewAnnouncement = nil
-			} else {
-				if z.ViewAnnouncement == nil {
-					z.ViewAnnouncement = new(ViewAnnouncement)
-				}
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "ViewAnnouncement")
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ViewAnnouncement")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						bts, err = z.ViewAnnouncement.View.UnmarshalMsg(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ViewAnnouncement", "View")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ViewAnnouncement")
-							return
-						}
-					}
-				}
-			}
-		case "pr":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z KeyEvent) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "n"
+	err = en.Append(0x83, 0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Key))
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Revision))
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z KeyEvent) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "n"
+	o = append(o, 0x83, 0xa1, 0x6e)
+	o = msgp.AppendString(o, string(z.Key))
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendString(o, z.Value)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, uint64(z.Revision))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeyEvent) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Key")
 					return
 				}
-				z.Prepare = nil
-			} else {
-				if z.Prepare == nil {
-					z.Prepare = new(Prepare)
-				}
-				bts, err = z.Prepare.UnmarshalMsg(bts)
+				z.Key = KeyName(zb0002)
+			}
+		case "v":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		case "r":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Prepare")
+					err = msgp.WrapError(err, "Revision")
 					return
 				}
+				z.Revision = Revision(zb0003)
 			}
-		case "pm":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z KeyEvent) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Key)) + 2 + msgp.StringPrefixSize + len(z.Value) + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *KeyGroup) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = KeyGroup(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z KeyGroup) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z KeyGroup) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeyGroup) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = KeyGroup(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z KeyGroup) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *KeyGroupState) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
+					err = msgp.WrapError(err, "Name")
 					return
 				}
-				z.PrepareResponse = nil
-			} else {
-				if z.PrepareResponse == nil {
-					z.PrepareResponse = new(PrepareResponse)
-				}
-				bts, err = z.PrepareResponse.UnmarshalMsg(bts)
+				z.Name = KeyGroup(zb0002)
+			}
+		case "r":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "PrepareResponse")
+					err = msgp.WrapError(err, "Revision")
 					return
 				}
+				z.Revision = Revision(zb0003)
 			}
-		case "ac":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		case "z":
+			{
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
 				if err != nil {
+					err = msgp.WrapError(err, "Horizon")
 					return
 				}
-				z.Accept = nil
+				z.Horizon = Revision(zb0004)
+			}
+		case "k":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Keys")
+				return
+			}
+			if cap(z.Keys) >= int(zb0005) {
+				z.Keys = (z.Keys)[:zb0005]
 			} else {
-				if z.Accept == nil {
-					z.Accept = new(Accept)
-				}
-				bts, err = z.Accept.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Accept")
-					return
-				}
+				z.Keys = make([]KeyEvent, zb0005)
 			}
-		case "ad":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+			for za0001 := range z.Keys {
+				err = z.Keys[za0001].DecodeMsg(dc)
 				if err != nil {
+					err = msgp.WrapError(err, "Keys", za0001)
 					return
 				}
-				z.AcceptResponse = nil
+			}
+		case "h":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "History")
+				return
+			}
+			if cap(z.History) >= int(zb0006) {
+				z.History = (z.History)[:zb0006]
 			} else {
-				if z.AcceptResponse == nil {
-					z.AcceptResponse = new(AcceptResponse)
-				}
-				bts, err = z.AcceptResponse.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "AcceptResponse")
-					return
-				}
+				z.History = make([]KeyEvent, zb0006)
 			}
-		case "re":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+			for za0002 := range z.History {
+				err = z.History[za0002].DecodeMsg(dc)
 				if err != nil {
-					return
-				}
-				z.Replicate = nil
-			} else {
-				if z.Replicate == nil {
-					z.Replicate = new(Replicate)
-				}
-				bts, err = z.Replicate.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Replicate")
+					err = msgp.WrapError(err, "History", za0002)
 					return
 				}
 			}
-		case "co":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *KeyGroupState) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "n"
+	err = en.Append(0x85, 0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Name))
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Revision))
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Horizon))
+	if err != nil {
+		err = msgp.WrapError(err, "Horizon")
+		return
+	}
+	// write "k"
+	err = en.Append(0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Keys)))
+	if err != nil {
+		err = msgp.WrapError(err, "Keys")
+		return
+	}
+	for za0001 := range z.Keys {
+		err = z.Keys[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Keys", za0001)
+			return
+		}
+	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.History)))
+	if err != nil {
+		err = msgp.WrapError(err, "History")
+		return
+	}
+	for za0002 := range z.History {
+		err = z.History[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "History", za0002)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *KeyGroupState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "n"
+	o = append(o, 0x85, 0xa1, 0x6e)
+	o = msgp.AppendString(o, string(z.Name))
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, uint64(z.Revision))
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendUint64(o, uint64(z.Horizon))
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Keys)))
+	for za0001 := range z.Keys {
+		o, err = z.Keys[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Keys", za0001)
+			return
+		}
+	}
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
+	for za0002 := range z.History {
+		o, err = z.History[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "History", za0002)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeyGroupState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Name")
 					return
 				}
-				z.Committed = nil
-			} else {
-				if z.Committed == nil {
-					z.Committed = new(Committed)
-				}
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				z.Name = KeyGroup(zb0002)
+			}
+		case "r":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Committed")
+					err = msgp.WrapError(err, "Revision")
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Committed")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Committed.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Committed", "Sequence")
-							return
-						}
-					case "d":
-						z.Committed.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Committed.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "Committed", "Digest")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Committed")
-							return
-						}
-					}
-				}
+				z.Revision = Revision(zb0003)
 			}
-		case "sr":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		case "z":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Horizon")
 					return
 				}
-				z.SnapshotRequest = nil
+				z.Horizon = Revision(zb0004)
+			}
+		case "k":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Keys")
+				return
+			}
+			if cap(z.Keys) >= int(zb0005) {
+				z.Keys = (z.Keys)[:zb0005]
 			} else {
-				if z.SnapshotRequest == nil {
-					z.SnapshotRequest = new(SnapshotRequest)
-				}
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "SnapshotRequest")
-					return
-				}
-				for zb0007 > 0 {
-					zb0007--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "SnapshotRequest")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "w":
-						z.SnapshotRequest.Full, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "SnapshotRequest", "Full")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "SnapshotRequest")
-							return
-						}
-					}
-				}
+				z.Keys = make([]KeyEvent, zb0005)
 			}
-		case "cq":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+			for za0001 := range z.Keys {
+				bts, err = z.Keys[za0001].UnmarshalMsg(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Keys", za0001)
 					return
 				}
-				z.CatchUpRequest = nil
+			}
+		case "h":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "History")
+				return
+			}
+			if cap(z.History) >= int(zb0006) {
+				z.History = (z.History)[:zb0006]
 			} else {
-				if z.CatchUpRequest == nil {
-					z.CatchUpRequest = new(CatchUpRequest)
-				}
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "CatchUpRequest")
-					return
-				}
-				for zb0008 > 0 {
-					zb0008--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "CatchUpRequest")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.CatchUpRequest.Digest, bts, err = msgp.ReadBytesBytes(bts, z.CatchUpRequest.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUpRequest", "Digest")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUpRequest")
-							return
-						}
-					}
-				}
+				z.History = make([]KeyEvent, zb0006)
 			}
-		case "cu":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+			for za0002 := range z.History {
+				bts, err = z.History[za0002].UnmarshalMsg(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "History", za0002)
 					return
 				}
-				z.CatchUp = nil
-			} else {
-				if z.CatchUp == nil {
-					z.CatchUp = new(CatchUp)
-				}
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "CatchUp")
-					return
-				}
-				for zb0009 > 0 {
-					zb0009--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "CatchUp")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.CatchUp.Digest, bts, err = msgp.ReadBytesBytes(bts, z.CatchUp.Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUp", "Digest")
-							return
-						}
-					case "s":
-						if msgp.IsNil(bts) {
-							bts, err = msgp.ReadNilBytes(bts)
-							if err != nil {
-								return
-							}
-							z.CatchUp.State = nil
-						} else {
-							if z.CatchUp.State == nil {
-								z.CatchUp.State = new(ChainState)
-							}
-							bts, err = z.CatchUp.State.UnmarshalMsg(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "CatchUp", "State")
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "CatchUp")
-							return
-						}
-					}
-				}
 			}
-		case "cf":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.ConfirmRequest = nil
-			} else {
-				if z.ConfirmRequest == nil {
-					z.ConfirmRequest = new(ConfirmRequest)
-				}
-				var zb0010 uint32
-				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfirmRequest")
-					return
-				}
-				for zb0010 > 0 {
-					zb0010--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ConfirmRequest")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "r":
-						z.ConfirmRequest.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmRequest", "RequestID")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmRequest")
-							return
-						}
-					}
-				}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
-		case "cd":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.ConfirmResponse = nil
-			} else {
-				if z.ConfirmResponse == nil {
-					z.ConfirmResponse = new(ConfirmResponse)
-				}
-				var zb0011 uint32
-				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "ConfirmResponse")
-					return
-				}
-				for zb0011 > 0 {
-					zb0011--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ConfirmResponse")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "r":
-						z.ConfirmResponse.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmResponse", "RequestID")
-							return
-						}
-					case "f":
-						z.ConfirmResponse.Rejected, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmResponse", "Rejected")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfirmResponse")
-							return
-						}
-					}
-				}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeyGroupState) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Name)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Keys {
+		s += z.Keys[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.History {
+		s += z.History[za0002].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *KeyName) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = KeyName(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z KeyName) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z KeyName) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeyName) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = KeyName(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z KeyName) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LeaseGrant) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.RequestID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
 			}
-		case "lr":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.LeaseRequest = nil
-			} else {
-				if z.LeaseRequest == nil {
-					z.LeaseRequest = new(LeaseRequest)
-				}
-				bts, err = z.LeaseRequest.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRequest")
-					return
-				}
+		case "g":
+			z.Granted, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Granted")
+				return
 			}
-		case "lg":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.LeaseGrant = nil
-			} else {
-				if z.LeaseGrant == nil {
-					z.LeaseGrant = new(LeaseGrant)
-				}
-				bts, err = z.LeaseGrant.UnmarshalMsg(bts)
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "LeaseGrant")
+					err = msgp.WrapError(err, "Token")
 					return
 				}
+				z.Token = FencingToken(zb0002)
 			}
-		case "ll":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.LeaseRelease = nil
-			} else {
-				if z.LeaseRelease == nil {
-					z.LeaseRelease = new(LeaseRelease)
-				}
-				var zb0012 uint32
-				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "LeaseRelease")
-					return
-				}
-				for zb0012 > 0 {
-					zb0012--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "LeaseRelease")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "t":
-						{
-							var zb0013 uint64
-							zb0013, bts, err = msgp.ReadUint64Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "LeaseRelease", "Token")
-								return
-							}
-							z.LeaseRelease.Token = FencingToken(zb0013)
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "LeaseRelease")
-							return
-						}
-					}
-				}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
-		case "cc":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LeaseGrant) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "r"
+	err = en.Append(0x83, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.RequestID)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Granted)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Token))
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LeaseGrant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "r"
+	o = append(o, 0x83, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.RequestID)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBool(o, z.Granted)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Token))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LeaseGrant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "g":
+			z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Granted")
+				return
+			}
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Token")
 					return
 				}
-				z.ConfigRequest = nil
-			} else {
-				if z.ConfigRequest == nil {
-					z.ConfigRequest = new(ConfigRequest)
-				}
-				bts, err = z.ConfigRequest.UnmarshalMsg(bts)
+				z.Token = FencingToken(zb0002)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LeaseGrant) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LeaseRelease) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "ConfigRequest")
+					err = msgp.WrapError(err, "Token")
 					return
 				}
+				z.Token = FencingToken(zb0002)
 			}
-		case "cr":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LeaseRelease) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "t"
+	err = en.Append(0x81, 0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Token))
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LeaseRelease) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "t"
+	o = append(o, 0x81, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Token))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LeaseRelease) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Token")
 					return
 				}
-				z.ConfigResponse = nil
-			} else {
-				if z.ConfigResponse == nil {
-					z.ConfigResponse = new(ConfigResponse)
-				}
-				var zb0014 uint32
-				zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
+				z.Token = FencingToken(zb0002)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LeaseRelease) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LeaseRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "ConfigResponse")
+					err = msgp.WrapError(err, "Token")
 					return
 				}
-				for zb0014 > 0 {
-					zb0014--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ConfigResponse")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.ConfigResponse.ID, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse", "ID")
-							return
-						}
-					case "s":
-						z.ConfigResponse.Status, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse", "Status")
-							return
-						}
-					case "b":
-						z.ConfigResponse.Body, bts, err = msgp.ReadBytesBytes(bts, z.ConfigResponse.Body)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse", "Body")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ConfigResponse")
-							return
-						}
-					}
+				z.Token = FencingToken(zb0002)
+			}
+		case "r":
+			z.RequestID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "n":
+			z.Renewal, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Renewal")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LeaseRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "t"
+	err = en.Append(0x83, 0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Token))
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.RequestID)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Renewal)
+	if err != nil {
+		err = msgp.WrapError(err, "Renewal")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LeaseRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "t"
+	o = append(o, 0x83, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Token))
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.RequestID)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.Renewal)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LeaseRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
 				}
+				z.Token = FencingToken(zb0002)
 			}
-		case "pu":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		case "r":
+			z.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "n":
+			z.Renewal, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Renewal")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LeaseRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "s":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
+					err = msgp.WrapError(err, "Model")
 					return
 				}
-				z.PollRequest = nil
+				z.Model = ModelName(zb0002)
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0003) {
+				z.Loads = (z.Loads)[:zb0003]
 			} else {
-				if z.PollRequest == nil {
-					z.PollRequest = new(PollRequest)
+				z.Loads = make([]BackendLoad, zb0003)
+			}
+			for za0001 := range z.Loads {
+				err = z.Loads[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
 				}
-				bts, err = z.PollRequest.UnmarshalMsg(bts)
+			}
+		case "w":
+			z.Complete, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "i"
+	err = en.Append(0x85, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Model))
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	for za0001 := range z.Loads {
+		err = z.Loads[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Complete)
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "i"
+	o = append(o, 0x85, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, string(z.Model))
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0001 := range z.Loads {
+		o, err = z.Loads[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Complete)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+				z.Model = ModelName(zb0002)
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0003) {
+				z.Loads = (z.Loads)[:zb0003]
+			} else {
+				z.Loads = make([]BackendLoad, zb0003)
+			}
+			for za0001 := range z.Loads {
+				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+			}
+		case "w":
+			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(string(z.Model)) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += z.Loads[za0001].Msgsize()
+	}
+	s += 2 + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "u":
+			z.Unknown, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]BackendLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				err = z.Loads[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	// write "u"
+	err = en.Append(0xa1, 0x75)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	for za0001 := range z.Loads {
+		err = z.Loads[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unknown)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0001 := range z.Loads {
+		o, err = z.Loads[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "u":
+			z.Unknown, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]BackendLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += z.Loads[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadedModel) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Name")
+					return
+				}
+				z.Name = ModelName(zb0002)
+			}
+		case "a":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Adapters")
+				return
+			}
+			if cap(z.Adapters) >= int(zb0003) {
+				z.Adapters = (z.Adapters)[:zb0003]
+			} else {
+				z.Adapters = make([]string, zb0003)
+			}
+			for za0001 := range z.Adapters {
+				z.Adapters[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Adapters", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadedModel) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "n"
+	err = en.Append(0x82, 0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Name))
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Adapters)))
+	if err != nil {
+		err = msgp.WrapError(err, "Adapters")
+		return
+	}
+	for za0001 := range z.Adapters {
+		err = en.WriteString(z.Adapters[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadedModel) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, string(z.Name))
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Adapters)))
+	for za0001 := range z.Adapters {
+		o = msgp.AppendString(o, z.Adapters[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadedModel) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Name")
+					return
+				}
+				z.Name = ModelName(zb0002)
+			}
+		case "a":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Adapters")
+				return
+			}
+			if cap(z.Adapters) >= int(zb0003) {
+				z.Adapters = (z.Adapters)[:zb0003]
+			} else {
+				z.Adapters = make([]string, zb0003)
+			}
+			for za0001 := range z.Adapters {
+				z.Adapters[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Adapters", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadedModel) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Name)) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Adapters {
+		s += msgp.StringPrefixSize + len(z.Adapters[za0001])
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LockHold) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "l":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Lock")
+					return
+				}
+				z.Lock = LockName(zb0002)
+			}
+		case "o":
+			{
+				var zb0003 string
+				zb0003, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Owner")
+					return
+				}
+				z.Owner = OwnerName(zb0003)
+			}
+		case "f":
+			{
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "FirstToken")
+					return
+				}
+				z.FirstToken = FencingToken(zb0004)
+			}
+		case "t":
+			{
+				var zb0005 uint64
+				zb0005, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0005)
+			}
+		case "d":
+			z.HoldMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "HoldMs")
+				return
+			}
+		case "m":
+			z.LeftMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LockHold) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "l"
+	err = en.Append(0x86, 0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Lock))
+	if err != nil {
+		err = msgp.WrapError(err, "Lock")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Owner))
+	if err != nil {
+		err = msgp.WrapError(err, "Owner")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.FirstToken))
+	if err != nil {
+		err = msgp.WrapError(err, "FirstToken")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Token))
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.HoldMs)
+	if err != nil {
+		err = msgp.WrapError(err, "HoldMs")
+		return
+	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.LeftMs)
+	if err != nil {
+		err = msgp.WrapError(err, "LeftMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LockHold) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "l"
+	o = append(o, 0x86, 0xa1, 0x6c)
+	o = msgp.AppendString(o, string(z.Lock))
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, string(z.Owner))
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendUint64(o, uint64(z.FirstToken))
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Token))
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendInt64(o, z.HoldMs)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt64(o, z.LeftMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LockHold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "l":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Lock")
+					return
+				}
+				z.Lock = LockName(zb0002)
+			}
+		case "o":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Owner")
+					return
+				}
+				z.Owner = OwnerName(zb0003)
+			}
+		case "f":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FirstToken")
+					return
+				}
+				z.FirstToken = FencingToken(zb0004)
+			}
+		case "t":
+			{
+				var zb0005 uint64
+				zb0005, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0005)
+			}
+		case "d":
+			z.HoldMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HoldMs")
+				return
+			}
+		case "m":
+			z.LeftMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LockHold) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Lock)) + 2 + msgp.StringPrefixSize + len(string(z.Owner)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LockName) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = LockName(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LockName) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LockName) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LockName) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = LockName(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LockName) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LockRelease) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "l":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Lock")
+					return
+				}
+				z.Lock = LockName(zb0002)
+			}
+		case "t":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0003)
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LockRelease) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "l"
+	err = en.Append(0x82, 0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Lock))
+	if err != nil {
+		err = msgp.WrapError(err, "Lock")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Token))
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LockRelease) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "l"
+	o = append(o, 0x82, 0xa1, 0x6c)
+	o = msgp.AppendString(o, string(z.Lock))
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Token))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LockRelease) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "l":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Lock")
+					return
+				}
+				z.Lock = LockName(zb0002)
+			}
+		case "t":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Token")
+					return
+				}
+				z.Token = FencingToken(zb0003)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LockRelease) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Lock)) + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Identity")
+					return
+				}
+				z.Identity = MemberID(zb0002)
+			}
+		case "a":
+			z.Address, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "z":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "v":
+			z.Diskless, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Diskless")
+				return
+			}
+		case "s":
+			{
+				var zb0003 uint64
+				zb0003, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "SinceView")
+					return
+				}
+				z.SinceView = ViewNumber(zb0003)
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "i"
+	err = en.Append(0x85, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Identity))
+	if err != nil {
+		err = msgp.WrapError(err, "Identity")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Diskless)
+	if err != nil {
+		err = msgp.WrapError(err, "Diskless")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.SinceView))
+	if err != nil {
+		err = msgp.WrapError(err, "SinceView")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "i"
+	o = append(o, 0x85, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Identity))
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendBool(o, z.Diskless)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, uint64(z.SinceView))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Identity")
+					return
+				}
+				z.Identity = MemberID(zb0002)
+			}
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "v":
+			z.Diskless, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Diskless")
+				return
+			}
+		case "s":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "SinceView")
+					return
+				}
+				z.SinceView = ViewNumber(zb0003)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Identity)) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *MemberID) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = MemberID(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z MemberID) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z MemberID) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MemberID) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = MemberID(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MemberID) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Message) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "From")
+					return
+				}
+				z.From = MemberID(zb0002)
+			}
+		case "fa":
+			z.FromAddress, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "FromAddress")
+				return
+			}
+		case "fz":
+			z.FromZone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "FromZone")
+				return
+			}
+		case "t":
+			{
+				var zb0003 string
+				zb0003, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "To")
+					return
+				}
+				z.To = MemberID(zb0003)
+			}
+		case "v":
+			{
+				var zb0004 uint64
+				zb0004, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "View")
+					return
+				}
+				z.View = ViewNumber(zb0004)
+			}
+		case "hb":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Heartbeat")
+					return
+				}
+				z.Heartbeat = nil
+			} else {
+				if z.Heartbeat == nil {
+					z.Heartbeat = new(Heartbeat)
+				}
+				err = z.Heartbeat.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Heartbeat")
+					return
+				}
+			}
+		case "su":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "SuspicionReport")
+					return
+				}
+				z.SuspicionReport = nil
+			} else {
+				if z.SuspicionReport == nil {
+					z.SuspicionReport = new(SuspicionReport)
+				}
+				err = z.SuspicionReport.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "SuspicionReport")
+					return
+				}
+			}
+		case "jo":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "JoinRequest")
+					return
+				}
+				z.JoinRequest = nil
+			} else {
+				if z.JoinRequest == nil {
+					z.JoinRequest = new(JoinRequest)
+				}
+				err = z.JoinRequest.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "JoinRequest")
+					return
+				}
+			}
+		case "an":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "ViewAnnouncement")
+					return
+				}
+				z.ViewAnnouncement = nil
+			} else {
+				if z.ViewAnnouncement == nil {
+					z.ViewAnnouncement = new(ViewAnnouncement)
+				}
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "ViewAnnouncement")
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "ViewAnnouncement")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "v":
+						err = z.ViewAnnouncement.View.DecodeMsg(dc)
+						if err != nil {
+							err = msgp.WrapError(err, "ViewAnnouncement", "View")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "ViewAnnouncement")
+							return
+						}
+					}
+				}
+			}
+		case "pr":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Prepare")
+					return
+				}
+				z.Prepare = nil
+			} else {
+				if z.Prepare == nil {
+					z.Prepare = new(Prepare)
+				}
+				err = z.Prepare.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Prepare")
+					return
+				}
+			}
+		case "pm":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "PrepareResponse")
+					return
+				}
+				z.PrepareResponse = nil
+			} else {
+				if z.PrepareResponse == nil {
+					z.PrepareResponse = new(PrepareResponse)
+				}
+				err = z.PrepareResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "PrepareResponse")
+					return
+				}
+			}
+		case "ac":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Accept")
+					return
+				}
+				z.Accept = nil
+			} else {
+				if z.Accept == nil {
+					z.Accept = new(Accept)
+				}
+				err = z.Accept.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Accept")
+					return
+				}
+			}
+		case "ad":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptResponse")
+					return
+				}
+				z.AcceptResponse = nil
+			} else {
+				if z.AcceptResponse == nil {
+					z.AcceptResponse = new(AcceptResponse)
+				}
+				err = z.AcceptResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptResponse")
+					return
+				}
+			}
+		case "re":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Replicate")
+					return
+				}
+				z.Replicate = nil
+			} else {
+				if z.Replicate == nil {
+					z.Replicate = new(Replicate)
+				}
+				err = z.Replicate.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicate")
+					return
+				}
+			}
+		case "co":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Committed")
+					return
+				}
+				z.Committed = nil
+			} else {
+				if z.Committed == nil {
+					z.Committed = new(Committed)
+				}
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Committed")
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Committed")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Committed.Sequence, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "Committed", "Sequence")
+							return
+						}
+					case "d":
+						z.Committed.Digest, err = dc.ReadBytes(z.Committed.Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "Committed", "Digest")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Committed")
+							return
+						}
+					}
+				}
+			}
+		case "sr":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "SnapshotRequest")
+					return
+				}
+				z.SnapshotRequest = nil
+			} else {
+				if z.SnapshotRequest == nil {
+					z.SnapshotRequest = new(SnapshotRequest)
+				}
+				var zb0007 uint32
+				zb0007, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "SnapshotRequest")
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "SnapshotRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "w":
+						z.SnapshotRequest.Full, err = dc.ReadBool()
+						if err != nil {
+							err = msgp.WrapError(err, "SnapshotRequest", "Full")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "SnapshotRequest")
+							return
+						}
+					}
+				}
+			}
+		case "cq":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "CatchUpRequest")
+					return
+				}
+				z.CatchUpRequest = nil
+			} else {
+				if z.CatchUpRequest == nil {
+					z.CatchUpRequest = new(CatchUpRequest)
+				}
+				var zb0008 uint32
+				zb0008, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "CatchUpRequest")
+					return
+				}
+				for zb0008 > 0 {
+					zb0008--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "CatchUpRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.CatchUpRequest.Digest, err = dc.ReadBytes(z.CatchUpRequest.Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUpRequest", "Digest")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUpRequest")
+							return
+						}
+					}
+				}
+			}
+		case "cu":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "CatchUp")
+					return
+				}
+				z.CatchUp = nil
+			} else {
+				if z.CatchUp == nil {
+					z.CatchUp = new(CatchUp)
+				}
+				var zb0009 uint32
+				zb0009, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "CatchUp")
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "CatchUp")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.CatchUp.Digest, err = dc.ReadBytes(z.CatchUp.Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUp", "Digest")
+							return
+						}
+					case "s":
+						if dc.IsNil() {
+							err = dc.ReadNil()
+							if err != nil {
+								err = msgp.WrapError(err, "CatchUp", "State")
+								return
+							}
+							z.CatchUp.State = nil
+						} else {
+							if z.CatchUp.State == nil {
+								z.CatchUp.State = new(ChainState)
+							}
+							err = z.CatchUp.State.DecodeMsg(dc)
+							if err != nil {
+								err = msgp.WrapError(err, "CatchUp", "State")
+								return
+							}
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUp")
+							return
+						}
+					}
+				}
+			}
+		case "cf":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmRequest")
+					return
+				}
+				z.ConfirmRequest = nil
+			} else {
+				if z.ConfirmRequest == nil {
+					z.ConfirmRequest = new(ConfirmRequest)
+				}
+				var zb0010 uint32
+				zb0010, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmRequest")
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "ConfirmRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.ConfirmRequest.RequestID, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmRequest", "RequestID")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmRequest")
+							return
+						}
+					}
+				}
+			}
+		case "cd":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmResponse")
+					return
+				}
+				z.ConfirmResponse = nil
+			} else {
+				if z.ConfirmResponse == nil {
+					z.ConfirmResponse = new(ConfirmResponse)
+				}
+				var zb0011 uint32
+				zb0011, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmResponse")
+					return
+				}
+				for zb0011 > 0 {
+					zb0011--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "ConfirmResponse")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.ConfirmResponse.RequestID, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmResponse", "RequestID")
+							return
+						}
+					case "f":
+						z.ConfirmResponse.Rejected, err = dc.ReadBool()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmResponse", "Rejected")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmResponse")
+							return
+						}
+					}
+				}
+			}
+		case "lr":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRequest")
+					return
+				}
+				z.LeaseRequest = nil
+			} else {
+				if z.LeaseRequest == nil {
+					z.LeaseRequest = new(LeaseRequest)
+				}
+				err = z.LeaseRequest.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRequest")
+					return
+				}
+			}
+		case "lg":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseGrant")
+					return
+				}
+				z.LeaseGrant = nil
+			} else {
+				if z.LeaseGrant == nil {
+					z.LeaseGrant = new(LeaseGrant)
+				}
+				err = z.LeaseGrant.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseGrant")
+					return
+				}
+			}
+		case "ll":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRelease")
+					return
+				}
+				z.LeaseRelease = nil
+			} else {
+				if z.LeaseRelease == nil {
+					z.LeaseRelease = new(LeaseRelease)
+				}
+				var zb0012 uint32
+				zb0012, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRelease")
+					return
+				}
+				for zb0012 > 0 {
+					zb0012--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "LeaseRelease")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "t":
+						{
+							var zb0013 uint64
+							zb0013, err = dc.ReadUint64()
+							if err != nil {
+								err = msgp.WrapError(err, "LeaseRelease", "Token")
+								return
+							}
+							z.LeaseRelease.Token = FencingToken(zb0013)
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "LeaseRelease")
+							return
+						}
+					}
+				}
+			}
+		case "cc":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigRequest")
+					return
+				}
+				z.ConfigRequest = nil
+			} else {
+				if z.ConfigRequest == nil {
+					z.ConfigRequest = new(ConfigRequest)
+				}
+				err = z.ConfigRequest.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigRequest")
+					return
+				}
+			}
+		case "cr":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigResponse")
+					return
+				}
+				z.ConfigResponse = nil
+			} else {
+				if z.ConfigResponse == nil {
+					z.ConfigResponse = new(ConfigResponse)
+				}
+				var zb0014 uint32
+				zb0014, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigResponse")
+					return
+				}
+				for zb0014 > 0 {
+					zb0014--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "ConfigResponse")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.ConfigResponse.ID, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse", "ID")
+							return
+						}
+					case "s":
+						z.ConfigResponse.Status, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse", "Status")
+							return
+						}
+					case "b":
+						z.ConfigResponse.Body, err = dc.ReadBytes(z.ConfigResponse.Body)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse", "Body")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse")
+							return
+						}
+					}
+				}
+			}
+		case "pu":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "PollRequest")
+					return
+				}
+				z.PollRequest = nil
+			} else {
+				if z.PollRequest == nil {
+					z.PollRequest = new(PollRequest)
+				}
+				err = z.PollRequest.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "PollRequest")
+					return
+				}
+			}
+		case "pl":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "PollResponse")
+					return
+				}
+				z.PollResponse = nil
+			} else {
+				if z.PollResponse == nil {
+					z.PollResponse = new(PollResponse)
+				}
+				err = z.PollResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "PollResponse")
+					return
+				}
+			}
+		case "ld":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+				z.LoadReport = nil
+			} else {
+				if z.LoadReport == nil {
+					z.LoadReport = new(LoadReport)
+				}
+				err = z.LoadReport.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		case "lq":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "LoadResponse")
+					return
+				}
+				z.LoadResponse = nil
+			} else {
+				if z.LoadResponse == nil {
+					z.LoadResponse = new(LoadResponse)
+				}
+				err = z.LoadResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadResponse")
+					return
+				}
+			}
+		case "kc":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "CallRequest")
+					return
+				}
+				z.CallRequest = nil
+			} else {
+				if z.CallRequest == nil {
+					z.CallRequest = new(CallRequest)
+				}
+				var zb0015 uint32
+				zb0015, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "CallRequest")
+					return
+				}
+				for zb0015 > 0 {
+					zb0015--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "CallRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.CallRequest.ID, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "CallRequest", "ID")
+							return
+						}
+					case "c":
+						err = z.CallRequest.Call.DecodeMsg(dc)
+						if err != nil {
+							err = msgp.WrapError(err, "CallRequest", "Call")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "CallRequest")
+							return
+						}
+					}
+				}
+			}
+		case "kr":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "CallResponse")
+					return
+				}
+				z.CallResponse = nil
+			} else {
+				if z.CallResponse == nil {
+					z.CallResponse = new(CallResponse)
+				}
+				err = z.CallResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "CallResponse")
+					return
+				}
+			}
+		case "eq":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQuery")
+					return
+				}
+				z.EpochQuery = nil
+			} else {
+				if z.EpochQuery == nil {
+					z.EpochQuery = new(EpochQuery)
+				}
+				var zb0016 uint32
+				zb0016, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQuery")
+					return
+				}
+				for zb0016 > 0 {
+					zb0016--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "EpochQuery")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.EpochQuery.RequestID, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "EpochQuery", "RequestID")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "EpochQuery")
+							return
+						}
+					}
+				}
+			}
+		case "er":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQueryResponse")
+					return
+				}
+				z.EpochQueryResponse = nil
+			} else {
+				if z.EpochQueryResponse == nil {
+					z.EpochQueryResponse = new(EpochQueryResponse)
+				}
+				err = z.EpochQueryResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQueryResponse")
+					return
+				}
+			}
+		case "ep":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepare")
+					return
+				}
+				z.EpochPrepare = nil
+			} else {
+				if z.EpochPrepare == nil {
+					z.EpochPrepare = new(EpochPrepare)
+				}
+				err = z.EpochPrepare.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepare")
+					return
+				}
+			}
+		case "ea":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepareResponse")
+					return
+				}
+				z.EpochPrepareResponse = nil
+			} else {
+				if z.EpochPrepareResponse == nil {
+					z.EpochPrepareResponse = new(EpochPrepareResponse)
+				}
+				err = z.EpochPrepareResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepareResponse")
+					return
+				}
+			}
+		case "ks":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "StateRequest")
+					return
+				}
+				z.StateRequest = nil
+			} else {
+				if z.StateRequest == nil {
+					z.StateRequest = new(StateRequest)
+				}
+				err = z.StateRequest.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "StateRequest")
+					return
+				}
+			}
+		case "kt":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "StateResponse")
+					return
+				}
+				z.StateResponse = nil
+			} else {
+				if z.StateResponse == nil {
+					z.StateResponse = new(StateResponse)
+				}
+				err = z.StateResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "StateResponse")
+					return
+				}
+			}
+		case "kw":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "StateWrite")
+					return
+				}
+				z.StateWrite = nil
+			} else {
+				if z.StateWrite == nil {
+					z.StateWrite = new(StateWrite)
+				}
+				err = z.StateWrite.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWrite")
+					return
+				}
+			}
+		case "ka":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "StateWriteResponse")
+					return
+				}
+				z.StateWriteResponse = nil
+			} else {
+				if z.StateWriteResponse == nil {
+					z.StateWriteResponse = new(StateWriteResponse)
+				}
+				err = z.StateWriteResponse.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWriteResponse")
+					return
+				}
+			}
+		case "kh":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "IssuerHandOver")
+					return
+				}
+				z.IssuerHandOver = nil
+			} else {
+				if z.IssuerHandOver == nil {
+					z.IssuerHandOver = new(IssuerHandOver)
+				}
+				err = z.IssuerHandOver.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "IssuerHandOver")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(40)
+	var zb0001Mask uint64 /* 40 bits */
+	_ = zb0001Mask
+	if z.Heartbeat == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.SuspicionReport == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.JoinRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.ViewAnnouncement == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Prepare == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.PrepareResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Accept == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.AcceptResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	if z.Replicate == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	if z.Committed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
+	if z.SnapshotRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.CatchUpRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
+	if z.CatchUp == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
+	if z.ConfirmRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.ConfirmResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
+	if z.LeaseRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
+	if z.LeaseGrant == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
+	if z.LeaseRelease == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
+	if z.ConfigRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
+	if z.ConfigResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000000
+	}
+	if z.PollRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000000
+	}
+	if z.PollResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000000
+	}
+	if z.LoadReport == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000000
+	}
+	if z.LoadResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000000
+	}
+	if z.CallRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000000
+	}
+	if z.CallResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000000
+	}
+	if z.EpochQuery == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000000
+	}
+	if z.EpochQueryResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100000000
+	}
+	if z.EpochPrepare == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000000
+	}
+	if z.EpochPrepareResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400000000
+	}
+	if z.StateRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800000000
+	}
+	if z.StateResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000000000
+	}
+	if z.StateWrite == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000000000
+	}
+	if z.StateWriteResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000000000
+	}
+	if z.IssuerHandOver == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000000000
+	}
+	// variable map header, size zb0001Len
+	err = en.WriteMapHeader(zb0001Len)
+	if err != nil {
+		return
+	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(string(z.From))
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "fa"
+		err = en.Append(0xa2, 0x66, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.FromAddress)
+		if err != nil {
+			err = msgp.WrapError(err, "FromAddress")
+			return
+		}
+		// write "fz"
+		err = en.Append(0xa2, 0x66, 0x7a)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.FromZone)
+		if err != nil {
+			err = msgp.WrapError(err, "FromZone")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(string(z.To))
+		if err != nil {
+			err = msgp.WrapError(err, "To")
+			return
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(uint64(z.View))
+		if err != nil {
+			err = msgp.WrapError(err, "View")
+			return
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "hb"
+			err = en.Append(0xa2, 0x68, 0x62)
+			if err != nil {
+				return
+			}
+			if z.Heartbeat == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Heartbeat.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Heartbeat")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "su"
+			err = en.Append(0xa2, 0x73, 0x75)
+			if err != nil {
+				return
+			}
+			if z.SuspicionReport == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.SuspicionReport.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "SuspicionReport")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "jo"
+			err = en.Append(0xa2, 0x6a, 0x6f)
+			if err != nil {
+				return
+			}
+			if z.JoinRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.JoinRequest.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "JoinRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "an"
+			err = en.Append(0xa2, 0x61, 0x6e)
+			if err != nil {
+				return
+			}
+			if z.ViewAnnouncement == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 1
+				// write "v"
+				err = en.Append(0x81, 0xa1, 0x76)
+				if err != nil {
+					return
+				}
+				err = z.ViewAnnouncement.View.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "ViewAnnouncement", "View")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "pr"
+			err = en.Append(0xa2, 0x70, 0x72)
+			if err != nil {
+				return
+			}
+			if z.Prepare == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Prepare.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Prepare")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "pm"
+			err = en.Append(0xa2, 0x70, 0x6d)
+			if err != nil {
+				return
+			}
+			if z.PrepareResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.PrepareResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "PrepareResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// write "ac"
+			err = en.Append(0xa2, 0x61, 0x63)
+			if err != nil {
+				return
+			}
+			if z.Accept == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Accept.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Accept")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// write "ad"
+			err = en.Append(0xa2, 0x61, 0x64)
+			if err != nil {
+				return
+			}
+			if z.AcceptResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.AcceptResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// write "re"
+			err = en.Append(0xa2, 0x72, 0x65)
+			if err != nil {
+				return
+			}
+			if z.Replicate == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Replicate.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicate")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// write "co"
+			err = en.Append(0xa2, 0x63, 0x6f)
+			if err != nil {
+				return
+			}
+			if z.Committed == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 2
+				// write "s"
