+				err = en.Append(0x82, 0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Committed.Sequence)
+				if err != nil {
+					err = msgp.WrapError(err, "Committed", "Sequence")
+					return
+				}
+				// write "d"
+				err = en.Append(0xa1, 0x64)
+				if err != nil {
+					return
+				}
+				err = en.WriteBytes(z.Committed.Digest)
+				if err != nil {
+					err = msgp.WrapError(err, "Committed", "Digest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// write "sr"
+			err = en.Append(0xa2, 0x73, 0x72)
+			if err != nil {
+				return
+			}
+			if z.SnapshotRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 1
+				// write "w"
+				err = en.Append(0x81, 0xa1, 0x77)
+				if err != nil {
+					return
+				}
+				err = en.WriteBool(z.SnapshotRequest.Full)
+				if err != nil {
+					err = msgp.WrapError(err, "SnapshotRequest", "Full")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// write "cq"
+			err = en.Append(0xa2, 0x63, 0x71)
+			if err != nil {
+				return
+			}
+			if z.CatchUpRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 1
+				// write "d"
+				err = en.Append(0x81, 0xa1, 0x64)
+				if err != nil {
+					return
+				}
+				err = en.WriteBytes(z.CatchUpRequest.Digest)
+				if err != nil {
+					err = msgp.WrapError(err, "CatchUpRequest", "Digest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// write "cu"
+			err = en.Append(0xa2, 0x63, 0x75)
+			if err != nil {
+				return
+			}
+			if z.CatchUp == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// check for omitted fields
+				zb0006Len := uint32(2)
+				var zb0006Mask uint8 /* 2 bits */
+				_ = zb0006Mask
+				if z.CatchUp.State == nil {
+					zb0006Len--
+					zb0006Mask |= 0x2
+				}
+				// variable map header, size zb0006Len
+				err = en.Append(0x80 | uint8(zb0006Len))
+				if err != nil {
+					return
+				}
+
+				// skip if no fields are to be emitted
+				if zb0006Len != 0 {
+					// write "d"
+					err = en.Append(0xa1, 0x64)
+					if err != nil {
+						return
+					}
+					err = en.WriteBytes(z.CatchUp.Digest)
+					if err != nil {
+						err = msgp.WrapError(err, "CatchUp", "Digest")
+						return
+					}
+					if (zb0006Mask & 0x2) == 0 { // if not omitted
+						// write "s"
+						err = en.Append(0xa1, 0x73)
+						if err != nil {
+							return
+						}
+						if z.CatchUp.State == nil {
+							err = en.WriteNil()
+							if err != nil {
+								return
+							}
+						} else {
+							err = z.CatchUp.State.EncodeMsg(en)
+							if err != nil {
+								err = msgp.WrapError(err, "CatchUp", "State")
+								return
+							}
+						}
+					}
+				}
+			}
+		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+			// write "cf"
+			err = en.Append(0xa2, 0x63, 0x66)
+			if err != nil {
+				return
+			}
+			if z.ConfirmRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 1
+				// write "r"
+				err = en.Append(0x81, 0xa1, 0x72)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.ConfirmRequest.RequestID)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmRequest", "RequestID")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// write "cd"
+			err = en.Append(0xa2, 0x63, 0x64)
+			if err != nil {
+				return
+			}
+			if z.ConfirmResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 2
+				// write "r"
+				err = en.Append(0x82, 0xa1, 0x72)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.ConfirmResponse.RequestID)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmResponse", "RequestID")
+					return
+				}
+				// write "f"
+				err = en.Append(0xa1, 0x66)
+				if err != nil {
+					return
+				}
+				err = en.WriteBool(z.ConfirmResponse.Rejected)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmResponse", "Rejected")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// write "lr"
+			err = en.Append(0xa2, 0x6c, 0x72)
+			if err != nil {
+				return
+			}
+			if z.LeaseRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.LeaseRequest.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+			// write "lg"
+			err = en.Append(0xa2, 0x6c, 0x67)
+			if err != nil {
+				return
+			}
+			if z.LeaseGrant == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.LeaseGrant.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseGrant")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// write "ll"
+			err = en.Append(0xa2, 0x6c, 0x6c)
+			if err != nil {
+				return
+			}
+			if z.LeaseRelease == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 1
+				// write "t"
+				err = en.Append(0x81, 0xa1, 0x74)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(uint64(z.LeaseRelease.Token))
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRelease", "Token")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// write "cc"
+			err = en.Append(0xa2, 0x63, 0x63)
+			if err != nil {
+				return
+			}
+			if z.ConfigRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.ConfigRequest.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+			// write "cr"
+			err = en.Append(0xa2, 0x63, 0x72)
+			if err != nil {
+				return
+			}
+			if z.ConfigResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 3
+				// write "i"
+				err = en.Append(0x83, 0xa1, 0x69)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.ConfigResponse.ID)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigResponse", "ID")
+					return
+				}
+				// write "s"
+				err = en.Append(0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.ConfigResponse.Status)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigResponse", "Status")
+					return
+				}
+				// write "b"
+				err = en.Append(0xa1, 0x62)
+				if err != nil {
+					return
+				}
+				err = en.WriteBytes(z.ConfigResponse.Body)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigResponse", "Body")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+			// write "pu"
+			err = en.Append(0xa2, 0x70, 0x75)
+			if err != nil {
+				return
+			}
+			if z.PollRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.PollRequest.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "PollRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
+			// write "pl"
+			err = en.Append(0xa2, 0x70, 0x6c)
+			if err != nil {
+				return
+			}
+			if z.PollResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.PollResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "PollResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+			// write "ld"
+			err = en.Append(0xa2, 0x6c, 0x64)
+			if err != nil {
+				return
+			}
+			if z.LoadReport == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.LoadReport.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
+			// write "lq"
+			err = en.Append(0xa2, 0x6c, 0x71)
+			if err != nil {
+				return
+			}
+			if z.LoadResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.LoadResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20000000) == 0 { // if not omitted
+			// write "kc"
+			err = en.Append(0xa2, 0x6b, 0x63)
+			if err != nil {
+				return
+			}
+			if z.CallRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 2
+				// write "i"
+				err = en.Append(0x82, 0xa1, 0x69)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.CallRequest.ID)
+				if err != nil {
+					err = msgp.WrapError(err, "CallRequest", "ID")
+					return
+				}
+				// write "c"
+				err = en.Append(0xa1, 0x63)
+				if err != nil {
+					return
+				}
+				err = z.CallRequest.Call.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "CallRequest", "Call")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
+			// write "kr"
+			err = en.Append(0xa2, 0x6b, 0x72)
+			if err != nil {
+				return
+			}
+			if z.CallResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.CallResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "CallResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80000000) == 0 { // if not omitted
+			// write "eq"
+			err = en.Append(0xa2, 0x65, 0x71)
+			if err != nil {
+				return
+			}
+			if z.EpochQuery == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				// map header, size 1
+				// write "r"
+				err = en.Append(0x81, 0xa1, 0x72)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.EpochQuery.RequestID)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQuery", "RequestID")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100000000) == 0 { // if not omitted
+			// write "er"
+			err = en.Append(0xa2, 0x65, 0x72)
+			if err != nil {
+				return
+			}
+			if z.EpochQueryResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.EpochQueryResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQueryResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200000000) == 0 { // if not omitted
+			// write "ep"
+			err = en.Append(0xa2, 0x65, 0x70)
+			if err != nil {
+				return
+			}
+			if z.EpochPrepare == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.EpochPrepare.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepare")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400000000) == 0 { // if not omitted
+			// write "ea"
+			err = en.Append(0xa2, 0x65, 0x61)
+			if err != nil {
+				return
+			}
+			if z.EpochPrepareResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.EpochPrepareResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepareResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800000000) == 0 { // if not omitted
+			// write "ks"
+			err = en.Append(0xa2, 0x6b, 0x73)
+			if err != nil {
+				return
+			}
+			if z.StateRequest == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.StateRequest.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "StateRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000000000) == 0 { // if not omitted
+			// write "kt"
+			err = en.Append(0xa2, 0x6b, 0x74)
+			if err != nil {
+				return
+			}
+			if z.StateResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.StateResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "StateResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x2000000000) == 0 { // if not omitted
+			// write "kw"
+			err = en.Append(0xa2, 0x6b, 0x77)
+			if err != nil {
+				return
+			}
+			if z.StateWrite == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.StateWrite.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWrite")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4000000000) == 0 { // if not omitted
+			// write "ka"
+			err = en.Append(0xa2, 0x6b, 0x61)
+			if err != nil {
+				return
+			}
+			if z.StateWriteResponse == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.StateWriteResponse.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWriteResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8000000000) == 0 { // if not omitted
+			// write "kh"
+			err = en.Append(0xa2, 0x6b, 0x68)
+			if err != nil {
+				return
+			}
+			if z.IssuerHandOver == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.IssuerHandOver.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "IssuerHandOver")
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(40)
+	var zb0001Mask uint64 /* 40 bits */
+	_ = zb0001Mask
+	if z.Heartbeat == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.SuspicionReport == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.JoinRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.ViewAnnouncement == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Prepare == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.PrepareResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Accept == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.AcceptResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	if z.Replicate == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	if z.Committed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
+	if z.SnapshotRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.CatchUpRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
+	if z.CatchUp == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
+	if z.ConfirmRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.ConfirmResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
+	if z.LeaseRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
+	if z.LeaseGrant == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
+	if z.LeaseRelease == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
+	if z.ConfigRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
+	if z.ConfigResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000000
+	}
+	if z.PollRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000000
+	}
+	if z.PollResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000000
+	}
+	if z.LoadReport == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000000
+	}
+	if z.LoadResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000000
+	}
+	if z.CallRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000000
+	}
+	if z.CallResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000000
+	}
+	if z.EpochQuery == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000000
+	}
+	if z.EpochQueryResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100000000
+	}
+	if z.EpochPrepare == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000000
+	}
+	if z.EpochPrepareResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400000000
+	}
+	if z.StateRequest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800000000
+	}
+	if z.StateResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000000000
+	}
+	if z.StateWrite == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000000000
+	}
+	if z.StateWriteResponse == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000000000
+	}
+	if z.IssuerHandOver == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000000000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, string(z.From))
+		// string "fa"
+		o = append(o, 0xa2, 0x66, 0x61)
+		o = msgp.AppendString(o, z.FromAddress)
+		// string "fz"
+		o = append(o, 0xa2, 0x66, 0x7a)
+		o = msgp.AppendString(o, z.FromZone)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendString(o, string(z.To))
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, uint64(z.View))
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "hb"
+			o = append(o, 0xa2, 0x68, 0x62)
+			if z.Heartbeat == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Heartbeat.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Heartbeat")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "su"
+			o = append(o, 0xa2, 0x73, 0x75)
+			if z.SuspicionReport == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.SuspicionReport.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "SuspicionReport")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "jo"
+			o = append(o, 0xa2, 0x6a, 0x6f)
+			if z.JoinRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.JoinRequest.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "JoinRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "an"
+			o = append(o, 0xa2, 0x61, 0x6e)
+			if z.ViewAnnouncement == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "v"
+				o = append(o, 0x81, 0xa1, 0x76)
+				o, err = z.ViewAnnouncement.View.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "ViewAnnouncement", "View")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "pr"
+			o = append(o, 0xa2, 0x70, 0x72)
+			if z.Prepare == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Prepare.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Prepare")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "pm"
+			o = append(o, 0xa2, 0x70, 0x6d)
+			if z.PrepareResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.PrepareResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "PrepareResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "ac"
+			o = append(o, 0xa2, 0x61, 0x63)
+			if z.Accept == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Accept.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Accept")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "ad"
+			o = append(o, 0xa2, 0x61, 0x64)
+			if z.AcceptResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.AcceptResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "re"
+			o = append(o, 0xa2, 0x72, 0x65)
+			if z.Replicate == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Replicate.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicate")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "co"
+			o = append(o, 0xa2, 0x63, 0x6f)
+			if z.Committed == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 2
+				// string "s"
+				o = append(o, 0x82, 0xa1, 0x73)
+				o = msgp.AppendUint64(o, z.Committed.Sequence)
+				// string "d"
+				o = append(o, 0xa1, 0x64)
+				o = msgp.AppendBytes(o, z.Committed.Digest)
+			}
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "sr"
+			o = append(o, 0xa2, 0x73, 0x72)
+			if z.SnapshotRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "w"
+				o = append(o, 0x81, 0xa1, 0x77)
+				o = msgp.AppendBool(o, z.SnapshotRequest.Full)
+			}
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "cq"
+			o = append(o, 0xa2, 0x63, 0x71)
+			if z.CatchUpRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "d"
+				o = append(o, 0x81, 0xa1, 0x64)
+				o = msgp.AppendBytes(o, z.CatchUpRequest.Digest)
+			}
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// string "cu"
+			o = append(o, 0xa2, 0x63, 0x75)
+			if z.CatchUp == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// check for omitted fields
+				zb0006Len := uint32(2)
+				var zb0006Mask uint8 /* 2 bits */
+				_ = zb0006Mask
+				if z.CatchUp.State == nil {
+					zb0006Len--
+					zb0006Mask |= 0x2
+				}
+				// variable map header, size zb0006Len
+				o = append(o, 0x80|uint8(zb0006Len))
+
+				// skip if no fields are to be emitted
+				if zb0006Len != 0 {
+					// string "d"
+					o = append(o, 0xa1, 0x64)
+					o = msgp.AppendBytes(o, z.CatchUp.Digest)
+					if (zb0006Mask & 0x2) == 0 { // if not omitted
+						// string "s"
+						o = append(o, 0xa1, 0x73)
+						if z.CatchUp.State == nil {
+							o = msgp.AppendNil(o)
+						} else {
+							o, err = z.CatchUp.State.MarshalMsg(o)
+							if err != nil {
+								err = msgp.WrapError(err, "CatchUp", "State")
+								return
+							}
+						}
+					}
+				}
+			}
+		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+			// string "cf"
+			o = append(o, 0xa2, 0x63, 0x66)
+			if z.ConfirmRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "r"
+				o = append(o, 0x81, 0xa1, 0x72)
+				o = msgp.AppendUint64(o, z.ConfirmRequest.RequestID)
+			}
+		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// string "cd"
+			o = append(o, 0xa2, 0x63, 0x64)
+			if z.ConfirmResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 2
+				// string "r"
+				o = append(o, 0x82, 0xa1, 0x72)
+				o = msgp.AppendUint64(o, z.ConfirmResponse.RequestID)
+				// string "f"
+				o = append(o, 0xa1, 0x66)
+				o = msgp.AppendBool(o, z.ConfirmResponse.Rejected)
+			}
+		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// string "lr"
+			o = append(o, 0xa2, 0x6c, 0x72)
+			if z.LeaseRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.LeaseRequest.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+			// string "lg"
+			o = append(o, 0xa2, 0x6c, 0x67)
+			if z.LeaseGrant == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.LeaseGrant.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseGrant")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// string "ll"
+			o = append(o, 0xa2, 0x6c, 0x6c)
+			if z.LeaseRelease == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "t"
+				o = append(o, 0x81, 0xa1, 0x74)
+				o = msgp.AppendUint64(o, uint64(z.LeaseRelease.Token))
+			}
+		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// string "cc"
+			o = append(o, 0xa2, 0x63, 0x63)
+			if z.ConfigRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.ConfigRequest.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+			// string "cr"
+			o = append(o, 0xa2, 0x63, 0x72)
+			if z.ConfigResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 3
+				// string "i"
+				o = append(o, 0x83, 0xa1, 0x69)
+				o = msgp.AppendUint64(o, z.ConfigResponse.ID)
+				// string "s"
+				o = append(o, 0xa1, 0x73)
+				o = msgp.AppendInt(o, z.ConfigResponse.Status)
+				// string "b"
+				o = append(o, 0xa1, 0x62)
+				o = msgp.AppendBytes(o, z.ConfigResponse.Body)
+			}
+		}
+		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+			// string "pu"
+			o = append(o, 0xa2, 0x70, 0x75)
+			if z.PollRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.PollRequest.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "PollRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
+			// string "pl"
+			o = append(o, 0xa2, 0x70, 0x6c)
+			if z.PollResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.PollResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "PollResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+			// string "ld"
+			o = append(o, 0xa2, 0x6c, 0x64)
+			if z.LoadReport == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.LoadReport.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
+			// string "lq"
+			o = append(o, 0xa2, 0x6c, 0x71)
+			if z.LoadResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.LoadResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20000000) == 0 { // if not omitted
+			// string "kc"
+			o = append(o, 0xa2, 0x6b, 0x63)
+			if z.CallRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 2
+				// string "i"
+				o = append(o, 0x82, 0xa1, 0x69)
+				o = msgp.AppendUint64(o, z.CallRequest.ID)
+				// string "c"
+				o = append(o, 0xa1, 0x63)
+				o, err = z.CallRequest.Call.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "CallRequest", "Call")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
+			// string "kr"
+			o = append(o, 0xa2, 0x6b, 0x72)
+			if z.CallResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.CallResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "CallResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80000000) == 0 { // if not omitted
+			// string "eq"
+			o = append(o, 0xa2, 0x65, 0x71)
+			if z.EpochQuery == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "r"
+				o = append(o, 0x81, 0xa1, 0x72)
+				o = msgp.AppendUint64(o, z.EpochQuery.RequestID)
+			}
+		}
+		if (zb0001Mask & 0x100000000) == 0 { // if not omitted
+			// string "er"
+			o = append(o, 0xa2, 0x65, 0x72)
+			if z.EpochQueryResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.EpochQueryResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQueryResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200000000) == 0 { // if not omitted
+			// string "ep"
+			o = append(o, 0xa2, 0x65, 0x70)
+			if z.EpochPrepare == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.EpochPrepare.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepare")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400000000) == 0 { // if not omitted
+			// string "ea"
+			o = append(o, 0xa2, 0x65, 0x61)
+			if z.EpochPrepareResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.EpochPrepareResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepareResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800000000) == 0 { // if not omitted
+			// string "ks"
+			o = append(o, 0xa2, 0x6b, 0x73)
+			if z.StateRequest == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.StateRequest.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "StateRequest")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x1000000000) == 0 { // if not omitted
+			// string "kt"
+			o = append(o, 0xa2, 0x6b, 0x74)
+			if z.StateResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.StateResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "StateResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x2000000000) == 0 { // if not omitted
+			// string "kw"
+			o = append(o, 0xa2, 0x6b, 0x77)
+			if z.StateWrite == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.StateWrite.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWrite")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4000000000) == 0 { // if not omitted
+			// string "ka"
+			o = append(o, 0xa2, 0x6b, 0x61)
+			if z.StateWriteResponse == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.StateWriteResponse.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWriteResponse")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8000000000) == 0 { // if not omitted
+			// string "kh"
+			o = append(o, 0xa2, 0x6b, 0x68)
+			if z.IssuerHandOver == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.IssuerHandOver.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "IssuerHandOver")
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Message) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "From")
+					return
+				}
+				z.From = MemberID(zb0002)
+			}
+		case "fa":
+			z.FromAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FromAddress")
+				return
+			}
+		case "fz":
+			z.FromZone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FromZone")
+				return
+			}
+		case "t":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "To")
+					return
+				}
+				z.To = MemberID(zb0003)
+			}
+		case "v":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "View")
+					return
+				}
+				z.View = ViewNumber(zb0004)
+			}
+		case "hb":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Heartbeat = nil
+			} else {
+				if z.Heartbeat == nil {
+					z.Heartbeat = new(Heartbeat)
+				}
+				bts, err = z.Heartbeat.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Heartbeat")
+					return
+				}
+			}
+		case "su":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.SuspicionReport = nil
+			} else {
+				if z.SuspicionReport == nil {
+					z.SuspicionReport = new(SuspicionReport)
+				}
+				bts, err = z.SuspicionReport.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "SuspicionReport")
+					return
+				}
+			}
+		case "jo":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.JoinRequest = nil
+			} else {
+				if z.JoinRequest == nil {
+					z.JoinRequest = new(JoinRequest)
+				}
+				bts, err = z.JoinRequest.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "JoinRequest")
+					return
+				}
+			}
+		case "an":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ViewAnnouncement = nil
+			} else {
+				if z.ViewAnnouncement == nil {
+					z.ViewAnnouncement = new(ViewAnnouncement)
+				}
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ViewAnnouncement")
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ViewAnnouncement")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "v":
+						bts, err = z.ViewAnnouncement.View.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ViewAnnouncement", "View")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ViewAnnouncement")
+							return
+						}
+					}
+				}
+			}
+		case "pr":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Prepare = nil
+			} else {
+				if z.Prepare == nil {
+					z.Prepare = new(Prepare)
+				}
+				bts, err = z.Prepare.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Prepare")
+					return
+				}
+			}
+		case "pm":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.PrepareResponse = nil
+			} else {
+				if z.PrepareResponse == nil {
+					z.PrepareResponse = new(PrepareResponse)
+				}
+				bts, err = z.PrepareResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PrepareResponse")
+					return
+				}
+			}
+		case "ac":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Accept = nil
+			} else {
+				if z.Accept == nil {
+					z.Accept = new(Accept)
+				}
+				bts, err = z.Accept.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accept")
+					return
+				}
+			}
+		case "ad":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.AcceptResponse = nil
+			} else {
+				if z.AcceptResponse == nil {
+					z.AcceptResponse = new(AcceptResponse)
+				}
+				bts, err = z.AcceptResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptResponse")
+					return
+				}
+			}
+		case "re":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Replicate = nil
+			} else {
+				if z.Replicate == nil {
+					z.Replicate = new(Replicate)
+				}
+				bts, err = z.Replicate.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicate")
+					return
+				}
+			}
+		case "co":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Committed = nil
+			} else {
+				if z.Committed == nil {
+					z.Committed = new(Committed)
+				}
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Committed")
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Committed")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Committed.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Committed", "Sequence")
+							return
+						}
+					case "d":
+						z.Committed.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Committed.Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "Committed", "Digest")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Committed")
+							return
+						}
+					}
+				}
+			}
+		case "sr":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.SnapshotRequest = nil
+			} else {
+				if z.SnapshotRequest == nil {
+					z.SnapshotRequest = new(SnapshotRequest)
+				}
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "SnapshotRequest")
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "SnapshotRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "w":
+						z.SnapshotRequest.Full, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "SnapshotRequest", "Full")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "SnapshotRequest")
+							return
+						}
+					}
+				}
+			}
+		case "cq":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.CatchUpRequest = nil
+			} else {
+				if z.CatchUpRequest == nil {
+					z.CatchUpRequest = new(CatchUpRequest)
+				}
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "CatchUpRequest")
+					return
+				}
+				for zb0008 > 0 {
+					zb0008--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "CatchUpRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.CatchUpRequest.Digest, bts, err = msgp.ReadBytesBytes(bts, z.CatchUpRequest.Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUpRequest", "Digest")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUpRequest")
+							return
+						}
+					}
+				}
+			}
+		case "cu":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.CatchUp = nil
+			} else {
+				if z.CatchUp == nil {
+					z.CatchUp = new(CatchUp)
+				}
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "CatchUp")
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "CatchUp")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.CatchUp.Digest, bts, err = msgp.ReadBytesBytes(bts, z.CatchUp.Digest)
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUp", "Digest")
+							return
+						}
+					case "s":
+						if msgp.IsNil(bts) {
+							bts, err = msgp.ReadNilBytes(bts)
+							if err != nil {
+								return
+							}
+							z.CatchUp.State = nil
+						} else {
+							if z.CatchUp.State == nil {
+								z.CatchUp.State = new(ChainState)
+							}
+							bts, err = z.CatchUp.State.UnmarshalMsg(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "CatchUp", "State")
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "CatchUp")
+							return
+						}
+					}
+				}
+			}
+		case "cf":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ConfirmRequest = nil
+			} else {
+				if z.ConfirmRequest == nil {
+					z.ConfirmRequest = new(ConfirmRequest)
+				}
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmRequest")
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ConfirmRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.ConfirmRequest.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmRequest", "RequestID")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmRequest")
+							return
+						}
+					}
+				}
+			}
+		case "cd":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ConfirmResponse = nil
+			} else {
+				if z.ConfirmResponse == nil {
+					z.ConfirmResponse = new(ConfirmResponse)
+				}
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfirmResponse")
+					return
+				}
+				for zb0011 > 0 {
+					zb0011--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ConfirmResponse")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.ConfirmResponse.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmResponse", "RequestID")
+							return
+						}
+					case "f":
+						z.ConfirmResponse.Rejected, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmResponse", "Rejected")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfirmResponse")
+							return
+						}
+					}
+				}
+			}
+		case "lr":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LeaseRequest = nil
+			} else {
+				if z.LeaseRequest == nil {
+					z.LeaseRequest = new(LeaseRequest)
+				}
+				bts, err = z.LeaseRequest.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRequest")
+					return
+				}
+			}
+		case "lg":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LeaseGrant = nil
+			} else {
+				if z.LeaseGrant == nil {
+					z.LeaseGrant = new(LeaseGrant)
+				}
+				bts, err = z.LeaseGrant.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseGrant")
+					return
+				}
+			}
+		case "ll":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LeaseRelease = nil
+			} else {
+				if z.LeaseRelease == nil {
+					z.LeaseRelease = new(LeaseRelease)
+				}
+				var zb0012 uint32
+				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LeaseRelease")
+					return
+				}
+				for zb0012 > 0 {
+					zb0012--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "LeaseRelease")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "t":
+						{
+							var zb0013 uint64
+							zb0013, bts, err = msgp.ReadUint64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "LeaseRelease", "Token")
+								return
+							}
+							z.LeaseRelease.Token = FencingToken(zb0013)
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "LeaseRelease")
+							return
+						}
+					}
+				}
+			}
+		case "cc":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ConfigRequest = nil
+			} else {
+				if z.ConfigRequest == nil {
+					z.ConfigRequest = new(ConfigRequest)
+				}
+				bts, err = z.ConfigRequest.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigRequest")
+					return
+				}
+			}
+		case "cr":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ConfigResponse = nil
+			} else {
+				if z.ConfigResponse == nil {
+					z.ConfigResponse = new(ConfigResponse)
+				}
+				var zb0014 uint32
+				zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigResponse")
+					return
+				}
+				for zb0014 > 0 {
+					zb0014--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ConfigResponse")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.ConfigResponse.ID, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse", "ID")
+							return
+						}
+					case "s":
+						z.ConfigResponse.Status, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse", "Status")
+							return
+						}
+					case "b":
+						z.ConfigResponse.Body, bts, err = msgp.ReadBytesBytes(bts, z.ConfigResponse.Body)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse", "Body")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ConfigResponse")
+							return
+						}
+					}
+				}
+			}
+		case "pu":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.PollRequest = nil
+			} else {
+				if z.PollRequest == nil {
+					z.PollRequest = new(PollRequest)
+				}
+				bts, err = z.PollRequest.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PollRequest")
+					return
+				}
+			}
+		case "pl":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.PollResponse = nil
+			} else {
+				if z.PollResponse == nil {
+					z.PollResponse = new(PollResponse)
+				}
+				bts, err = z.PollResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PollResponse")
+					return
+				}
+			}
+		case "ld":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LoadReport = nil
+			} else {
+				if z.LoadReport == nil {
+					z.LoadReport = new(LoadReport)
+				}
+				bts, err = z.LoadReport.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadReport")
+					return
+				}
+			}
+		case "lq":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.LoadResponse = nil
+			} else {
+				if z.LoadResponse == nil {
+					z.LoadResponse = new(LoadResponse)
+				}
+				bts, err = z.LoadResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "LoadResponse")
+					return
+				}
+			}
+		case "kc":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.CallRequest = nil
+			} else {
+				if z.CallRequest == nil {
+					z.CallRequest = new(CallRequest)
+				}
+				var zb0015 uint32
+				zb0015, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "CallRequest")
+					return
+				}
+				for zb0015 > 0 {
+					zb0015--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "CallRequest")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.CallRequest.ID, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "CallRequest", "ID")
+							return
+						}
+					case "c":
+						bts, err = z.CallRequest.Call.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "CallRequest", "Call")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "CallRequest")
+							return
+						}
+					}
+				}
+			}
+		case "kr":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.CallResponse = nil
+			} else {
+				if z.CallResponse == nil {
+					z.CallResponse = new(CallResponse)
+				}
+				bts, err = z.CallResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "CallResponse")
+					return
+				}
+			}
+		case "eq":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.EpochQuery = nil
+			} else {
+				if z.EpochQuery == nil {
+					z.EpochQuery = new(EpochQuery)
+				}
+				var zb0016 uint32
+				zb0016, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQuery")
+					return
+				}
+				for zb0016 > 0 {
+					zb0016--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "EpochQuery")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "r":
+						z.EpochQuery.RequestID, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "EpochQuery", "RequestID")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "EpochQuery")
+							return
+						}
+					}
+				}
+			}
+		case "er":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.EpochQueryResponse = nil
+			} else {
+				if z.EpochQueryResponse == nil {
+					z.EpochQueryResponse = new(EpochQueryResponse)
+				}
+				bts, err = z.EpochQueryResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochQueryResponse")
+					return
+				}
+			}
+		case "ep":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.EpochPrepare = nil
+			} else {
+				if z.EpochPrepare == nil {
+					z.EpochPrepare = new(EpochPrepare)
+				}
+				bts, err = z.EpochPrepare.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepare")
+					return
+				}
+			}
+		case "ea":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.EpochPrepareResponse = nil
+			} else {
+				if z.EpochPrepareResponse == nil {
+					z.EpochPrepareResponse = new(EpochPrepareResponse)
+				}
+				bts, err = z.EpochPrepareResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EpochPrepareResponse")
+					return
+				}
+			}
+		case "ks":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.StateRequest = nil
+			} else {
+				if z.StateRequest == nil {
+					z.StateRequest = new(StateRequest)
+				}
+				bts, err = z.StateRequest.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "StateRequest")
+					return
+				}
+			}
+		case "kt":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.StateResponse = nil
+			} else {
+				if z.StateResponse == nil {
+					z.StateResponse = new(StateResponse)
+				}
+				bts, err = z.StateResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "StateResponse")
+					return
+				}
+			}
+		case "kw":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.StateWrite = nil
+			} else {
+				if z.StateWrite == nil {
+					z.StateWrite = new(StateWrite)
+				}
+				bts, err = z.StateWrite.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWrite")
+					return
+				}
+			}
+		case "ka":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.StateWriteResponse = nil
+			} else {
+				if z.StateWriteResponse == nil {
+					z.StateWriteResponse = new(StateWriteResponse)
+				}
+				bts, err = z.StateWriteResponse.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "StateWriteResponse")
+					return
+				}
+			}
+		case "kh":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.IssuerHandOver = nil
+			} else {
+				if z.IssuerHandOver == nil {
+					z.IssuerHandOver = new(IssuerHandOver)
+				}
+				bts, err = z.IssuerHandOver.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "IssuerHandOver")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Message) Msgsize() (s int) {
+	s = 3 + 2 + msgp.StringPrefixSize + len(string(z.From)) + 3 + msgp.StringPrefixSize + len(z.FromAddress) + 3 + msgp.StringPrefixSize + len(z.FromZone) + 2 + msgp.StringPrefixSize + len(string(z.To)) + 2 + msgp.Uint64Size + 3
+	if z.Heartbeat == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Heartbeat.Msgsize()
+	}
+	s += 3
+	if z.SuspicionReport == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.SuspicionReport.Msgsize()
+	}
+	s += 3
+	if z.JoinRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.JoinRequest.Msgsize()
+	}
+	s += 3
+	if z.ViewAnnouncement == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + z.ViewAnnouncement.View.Msgsize()
+	}
+	s += 3
+	if z.Prepare == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Prepare.Msgsize()
+	}
+	s += 3
+	if z.PrepareResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.PrepareResponse.Msgsize()
+	}
+	s += 3
+	if z.Accept == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Accept.Msgsize()
+	}
+	s += 3
+	if z.AcceptResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.AcceptResponse.Msgsize()
+	}
+	s += 3
+	if z.Replicate == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Replicate.Msgsize()
+	}
+	s += 3
+	if z.Committed == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Committed.Digest)
+	}
+	s += 3
+	if z.SnapshotRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.BoolSize
+	}
+	s += 3
+	if z.CatchUpRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.CatchUpRequest.Digest)
+	}
+	s += 3
+	if z.CatchUp == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.CatchUp.Digest) + 2
+		if z.CatchUp.State == nil {
+			s += msgp.NilSize
+		} else {
+			s += z.CatchUp.State.Msgsize()
+		}
+	}
+	s += 3
+	if z.ConfirmRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size
+	}
+	s += 3
+	if z.ConfirmResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	}
+	s += 3
+	if z.LeaseRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.LeaseRequest.Msgsize()
+	}
+	s += 3
+	if z.LeaseGrant == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.LeaseGrant.Msgsize()
+	}
+	s += 3
+	if z.LeaseRelease == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size
+	}
+	s += 3
+	if z.ConfigRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.ConfigRequest.Msgsize()
+	}
+	s += 3
+	if z.ConfigResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.ConfigResponse.Body)
+	}
+	s += 3
+	if z.PollRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.PollRequest.Msgsize()
+	}
+	s += 3
+	if z.PollResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.PollResponse.Msgsize()
+	}
+	s += 3
+	if z.LoadReport == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.LoadReport.Msgsize()
+	}
+	s += 3
+	if z.LoadResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.LoadResponse.Msgsize()
+	}
+	s += 3
+	if z.CallRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size + 2 + z.CallRequest.Call.Msgsize()
+	}
+	s += 3
+	if z.CallResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.CallResponse.Msgsize()
+	}
+	s += 3
+	if z.EpochQuery == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.Uint64Size
+	}
+	s += 3
+	if z.EpochQueryResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.EpochQueryResponse.Msgsize()
+	}
+	s += 3
+	if z.EpochPrepare == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.EpochPrepare.Msgsize()
+	}
+	s += 3
+	if z.EpochPrepareResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.EpochPrepareResponse.Msgsize()
+	}
+	s += 3
+	if z.StateRequest == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.StateRequest.Msgsize()
+	}
+	s += 3
+	if z.StateResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.StateResponse.Msgsize()
+	}
+	s += 3
+	if z.StateWrite == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.StateWrite.Msgsize()
+	}
+	s += 3
+	if z.StateWriteResponse == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.StateWriteResponse.Msgsize()
+	}
+	s += 3
+	if z.IssuerHandOver == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.IssuerHandOver.Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ModelDemand) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+				z.Model = ModelName(zb0002)
+			}
+		case "a":
+			z.Arrivals, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "Arrivals")
+				return
+			}
+		case "w":
+			z.Waiting, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "x":
+			z.Unserved, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "Unserved")
+				return
+			}
+		case "r":
+			z.InFlight, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ModelDemand) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "s"
+	err = en.Append(0x86, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Model))
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.Arrivals)
+	if err != nil {
+		err = msgp.WrapError(err, "Arrivals")
+		return
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Waiting)
+	if err != nil {
+		err = msgp.WrapError(err, "Waiting")
+		return
+	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.Unserved)
+	if err != nil {
+		err = msgp.WrapError(err, "Unserved")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ModelDemand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "s"
+	o = append(o, 0x86, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, string(z.Model))
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendFloat64(o, z.Arrivals)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Waiting)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendFloat64(o, z.Unserved)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendInt(o, z.InFlight)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+				z.Model = ModelName(zb0002)
+			}
+		case "a":
+			z.Arrivals, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Arrivals")
+				return
+			}
+		case "w":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "x":
+			z.Unserved, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unserved")
+				return
+			}
+		case "r":
+			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ModelDemand) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(string(z.Model)) + 2 + msgp.Float64Size + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ModelName) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = ModelName(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ModelName) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ModelName) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelName) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = ModelName(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ModelName) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *OwnerName) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = OwnerName(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z OwnerName) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z OwnerName) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OwnerName) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = OwnerName(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z OwnerName) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PendingModelLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "PollRequest")
+					err = msgp.WrapError(err, "Model")
 					return
 				}
+				z.Model = ModelName(zb0002)
 			}
-		case "pl":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		case "b":
+			{
+				var zb0003 string
+				zb0003, err = dc.ReadString()
 				if err != nil {
+					err = msgp.WrapError(err, "Backend")
 					return
 				}
-				z.PollResponse = nil
-			} else {
-				if z.PollResponse == nil {
-					z.PollResponse = new(PollResponse)
-				}
-				bts, err = z.PollResponse.UnmarshalMsg(bts)
+				z.Backend = BackendID(zb0003)
+			}
+		case "d":
+			z.ReadyInMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ReadyInMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PendingModelLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "s"
+	err = en.Append(0x84, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Model))
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Backend))
+	if err != nil {
+		err = msgp.WrapError(err, "Backend")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.ReadyInMs)
+	if err != nil {
+		err = msgp.WrapError(err, "ReadyInMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PendingModelLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, string(z.Model))
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendString(o, string(z.Backend))
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendInt64(o, z.ReadyInMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PendingModelLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "m":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "PollResponse")
+					err = msgp.WrapError(err, "Model")
 					return
 				}
+				z.Model = ModelName(zb0002)
 			}
-		case "ld":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		case "b":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Backend")
 					return
 				}
-				z.LoadReport = nil
+				z.Backend = BackendID(zb0003)
+			}
+		case "d":
+			z.ReadyInMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReadyInMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PendingModelLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(string(z.Model)) + 2 + msgp.StringPrefixSize + len(string(z.Backend)) + 2 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PollRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "c":
+			z.ConfigSequence, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigSequence")
+				return
+			}
+		case "b":
+			z.BackendDigest, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "BackendDigest")
+				return
+			}
+		case "h":
+			z.MaxWaitMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "MaxWaitMs")
+				return
+			}
+		case "d":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+			if cap(z.Demand) >= int(zb0002) {
+				z.Demand = (z.Demand)[:zb0002]
 			} else {
-				if z.LoadReport == nil {
-					z.LoadReport = new(LoadReport)
-				}
-				bts, err = z.LoadReport.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "LoadReport")
-					return
-				}
+				z.Demand = make([]ModelDemand, zb0002)
 			}
-		case "lq":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+			for za0001 := range z.Demand {
+				err = z.Demand[za0001].DecodeMsg(dc)
 				if err != nil {
+					err = msgp.WrapError(err, "Demand", za0001)
 					return
 				}
-				z.LoadResponse = nil
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0003) {
+				z.Loads = (z.Loads)[:zb0003]
 			} else {
-				if z.LoadResponse == nil {
-					z.LoadResponse = new(LoadResponse)
-				}
-				bts, err = z.LoadResponse.UnmarshalMsg(bts)
+				z.Loads = make([]BackendLoad, zb0003)
+			}
+			for za0002 := range z.Loads {
+				err = z.Loads[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "LoadResponse")
+					err = msgp.WrapError(err, "Loads", za0002)
 					return
 				}
 			}
+		case "p":
+			z.Proxies, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Proxies")
+				return
+			}
+		case "v":
+			z.LoadVersion, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "LoadVersion")
+				return
+			}
 		default:
-			bts, err = msgp.Skip(bts)
+			err = dc.Skip()
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
-	o = bts
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Message) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(string(z.From)) + 3 + msgp.StringPrefixSize + len(z.FromAddress) + 3 + msgp.StringPrefixSize + len(z.FromZone) + 2 + msgp.StringPrefixSize + len(string(z.To)) + 2 + msgp.Uint64Size + 3
-	if z.Heartbeat == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Heartbeat.Msgsize()
+// EncodeMsg implements msgp.Encodable
+func (z *PollRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 8
+	// write "i"
+	err = en.Append(0x88, 0xa1, 0x69)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.SuspicionReport == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.SuspicionReport.Msgsize()
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
 	}
-	s += 3
-	if z.JoinRequest == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.JoinRequest.Msgsize()
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.ViewAnnouncement == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + z.ViewAnnouncement.View.Msgsize()
+	err = en.WriteUint64(z.ConfigSequence)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigSequence")
+		return
 	}
-	s += 3
-	if z.Prepare == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Prepare.Msgsize()
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.PrepareResponse == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.PrepareResponse.Msgsize()
+	err = en.WriteUint64(z.BackendDigest)
+	if err != nil {
+		err = msgp.WrapError(err, "BackendDigest")
+		return
 	}
-	s += 3
-	if z.Accept == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Accept.Msgsize()
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.AcceptResponse == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.AcceptResponse.Msgsize()
+	err = en.WriteInt(z.MaxWaitMs)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxWaitMs")
+		return
 	}
-	s += 3
-	if z.Replicate == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Replicate.Msgsize()
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.Committed == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Committed.Digest)
+	err = en.WriteArrayHeader(uint32(len(z.Demand)))
+	if err != nil {
+		err = msgp.WrapError(err, "Demand")
+		return
 	}
-	s += 3
-	if z.SnapshotRequest == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.BoolSize
+	for za0001 := range z.Demand {
+		err = z.Demand[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Demand", za0001)
+			return
+		}
 	}
-	s += 3
-	if z.CatchUpRequest == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.BytesPrefixSize + len(z.CatchUpRequest.Digest)
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.CatchUp == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.BytesPrefixSize + len(z.CatchUp.Digest) + 2
-		if z.CatchUp.State == nil {
-			s += msgp.NilSize
-		} else {
-			s += z.CatchUp.State.Msgsize()
-		}
+	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
 	}
-	s += 3
-	if z.ConfirmRequest == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.Uint64Size
+	for za0002 := range z.Loads {
+		err = z.Loads[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002)
+			return
+		}
 	}
-	s += 3
-	if z.ConfirmResponse == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.LeaseRequest == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.LeaseRequest.Msgsize()
+	err = en.WriteInt(z.Proxies)
+	if err != nil {
+		err = msgp.WrapError(err, "Proxies")
+		return
 	}
-	s += 3
-	if z.LeaseGrant == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.LeaseGrant.Msgsize()
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
 	}
-	s += 3
-	if z.LeaseRelease == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.Uint64Size
+	err = en.WriteUint64(z.LoadVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "LoadVersion")
+		return
 	}
-	s += 3
-	if z.ConfigRequest == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.ConfigRequest.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PollRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "i"
+	o = append(o, 0x88, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.ConfigSequence)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.BackendDigest)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendInt(o, z.MaxWaitMs)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
+	for za0001 := range z.Demand {
+		o, err = z.Demand[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Demand", za0001)
+			return
+		}
 	}
-	s += 3
-	if z.ConfigResponse == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.ConfigResponse.Body)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0002 := range z.Loads {
+		o, err = z.Loads[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002)
+			return
+		}
 	}
-	s += 3
-	if z.PollRequest == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.PollRequest.Msgsize()
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Proxies)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.LoadVersion)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PollRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
 	}
-	s += 3
-	if z.PollResponse == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.PollResponse.Msgsize()
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "c":
+			z.ConfigSequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigSequence")
+				return
+			}
+		case "b":
+			z.BackendDigest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BackendDigest")
+				return
+			}
+		case "h":
+			z.MaxWaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxWaitMs")
+				return
+			}
+		case "d":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+			if cap(z.Demand) >= int(zb0002) {
+				z.Demand = (z.Demand)[:zb0002]
+			} else {
+				z.Demand = make([]ModelDemand, zb0002)
+			}
+			for za0001 := range z.Demand {
+				bts, err = z.Demand[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Demand", za0001)
+					return
+				}
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0003) {
+				z.Loads = (z.Loads)[:zb0003]
+			} else {
+				z.Loads = make([]BackendLoad, zb0003)
+			}
+			for za0002 := range z.Loads {
+				bts, err = z.Loads[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0002)
+					return
+				}
+			}
+		case "p":
+			z.Proxies, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Proxies")
+				return
+			}
+		case "v":
+			z.LoadVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadVersion")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	s += 3
-	if z.LoadReport == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.LoadReport.Msgsize()
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PollRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Demand {
+		s += z.Demand[za0001].Msgsize()
 	}
-	s += 3
-	if z.LoadResponse == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.LoadResponse.Msgsize()
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Loads {
+		s += z.Loads[za0002].Msgsize()
 	}
+	s += 2 + msgp.IntSize + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ModelDemand) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *PollResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8674,46 +16492,186 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Service, err = dc.ReadString()
+		case "i":
+			z.ID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "u":
+			z.Unavailable, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Unavailable")
+				return
+			}
+		case "m":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				err = z.Members[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		case "c":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Config")
+					return
+				}
+				z.Config = nil
+			} else {
+				if z.Config == nil {
+					z.Config = new(ConfigUpdate)
+				}
+				err = z.Config.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Config")
+					return
+				}
+			}
+		case "b":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Backends")
+					return
+				}
+				z.Backends = nil
+			} else {
+				if z.Backends == nil {
+					z.Backends = new(BackendUpdate)
+				}
+				err = z.Backends.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends")
+					return
+				}
+			}
+		case "k":
+			z.BackendsKnown, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "BackendsKnown")
+				return
+			}
+		case "a":
+			z.BackendsAgeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "BackendsAgeMs")
+				return
+			}
+		case "v":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "BackendsRevision")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "BackendsRevision")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "t":
+					{
+						var zb0004 uint64
+						zb0004, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "BackendsRevision", "Token")
+							return
+						}
+						z.BackendsRevision.Token = FencingToken(zb0004)
+					}
+				case "n":
+					z.BackendsRevision.Number, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "BackendsRevision", "Number")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "BackendsRevision")
+						return
+					}
+				}
+			}
+		case "h":
+			z.WaitedMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitedMs")
+				return
+			}
+		case "p":
+			z.Proxies, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "Proxies")
 				return
 			}
-		case "m":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
+		case "l":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "TotalLoads")
+				return
+			}
+			if cap(z.TotalLoads) >= int(zb0005) {
+				z.TotalLoads = (z.TotalLoads)[:zb0005]
+			} else {
+				z.TotalLoads = make([]BackendLoad, zb0005)
+			}
+			for za0002 := range z.TotalLoads {
+				err = z.TotalLoads[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Model")
+					err = msgp.WrapError(err, "TotalLoads", za0002)
 					return
 				}
-				z.Model = ModelName(zb0002)
-			}
-		case "a":
-			z.Arrivals, err = dc.ReadFloat64()
-			if err != nil {
-				err = msgp.WrapError(err, "Arrivals")
-				return
 			}
 		case "w":
-			z.Waiting, err = dc.ReadInt()
+			z.LoadsComplete, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Waiting")
+				err = msgp.WrapError(err, "LoadsComplete")
 				return
 			}
-		case "x":
-			z.Unserved, err = dc.ReadFloat64()
+		case "lv":
+			z.LoadVersion, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Unserved")
+				err = msgp.WrapError(err, "LoadVersion")
 				return
 			}
-		case "r":
-			z.InFlight, err = dc.ReadInt()
+		case "o":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "InFlight")
+				err = msgp.WrapError(err, "PendingModelLoads")
 				return
 			}
+			if cap(z.PendingModelLoads) >= int(zb0006) {
+				z.PendingModelLoads = (z.PendingModelLoads)[:zb0006]
+			} else {
+				z.PendingModelLoads = make([]PendingModelLoad, zb0006)
+			}
+			for za0003 := range z.PendingModelLoads {
+				err = z.PendingModelLoads[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "PendingModelLoads", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -8726,400 +16684,547 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ModelDemand) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "s"
-	err = en.Append(0x86, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.Model))
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.Arrivals)
-	if err != nil {
-		err = msgp.WrapError(err, "Arrivals")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Waiting)
-	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
-		return
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
+func (z *PollResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.Config == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteFloat64(z.Unserved)
-	if err != nil {
-		err = msgp.WrapError(err, "Unserved")
-		return
+	if z.Backends == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
+	if z.BackendsRevision == (BackendsRevision{}) {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	err = en.WriteInt(z.InFlight)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
 		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ModelDemand) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "s"
-	o = append(o, 0x86, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Service)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, string(z.Model))
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendFloat64(o, z.Arrivals)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt(o, z.Waiting)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendFloat64(o, z.Unserved)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.InFlight)
-	return
-}
 
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ModelDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "i"
+		err = en.Append(0xa1, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.ID)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// write "u"
+		err = en.Append(0xa1, 0x75)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Unavailable)
+		if err != nil {
+			err = msgp.WrapError(err, "Unavailable")
+			return
+		}
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Members)))
+		if err != nil {
+			err = msgp.WrapError(err, "Members")
+			return
+		}
+		for za0001 := range z.Members {
+			err = z.Members[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
+			if err != nil {
+				return
+			}
+			if z.Config == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Config.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Config")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "b"
+			err = en.Append(0xa1, 0x62)
+			if err != nil {
+				return
+			}
+			if z.Backends == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Backends.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends")
+					return
+				}
+			}
+		}
+		// write "k"
+		err = en.Append(0xa1, 0x6b)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.BackendsKnown)
+		if err != nil {
+			err = msgp.WrapError(err, "BackendsKnown")
+			return
+		}
+		// write "a"
+		err = en.Append(0xa1, 0x61)
 		if err != nil {
-			err = msgp.WrapError(err)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
+		err = en.WriteInt64(z.BackendsAgeMs)
+		if err != nil {
+			err = msgp.WrapError(err, "BackendsAgeMs")
+			return
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "v"
+			err = en.Append(0xa1, 0x76)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "m":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Model")
-					return
-				}
-				z.Model = ModelName(zb0002)
-			}
-		case "a":
-			z.Arrivals, bts, err = msgp.ReadFloat64Bytes(bts)
+			// map header, size 2
+			// write "t"
+			err = en.Append(0x82, 0xa1, 0x74)
 			if err != nil {
-				err = msgp.WrapError(err, "Arrivals")
 				return
 			}
-		case "w":
-			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			err = en.WriteUint64(uint64(z.BackendsRevision.Token))
 			if err != nil {
-				err = msgp.WrapError(err, "Waiting")
+				err = msgp.WrapError(err, "BackendsRevision", "Token")
 				return
 			}
-		case "x":
-			z.Unserved, bts, err = msgp.ReadFloat64Bytes(bts)
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
 			if err != nil {
-				err = msgp.WrapError(err, "Unserved")
 				return
 			}
-		case "r":
-			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+			err = en.WriteUint64(z.BackendsRevision.Number)
 			if err != nil {
-				err = msgp.WrapError(err, "InFlight")
+				err = msgp.WrapError(err, "BackendsRevision", "Number")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+		}
+		// write "h"
+		err = en.Append(0xa1, 0x68)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.WaitedMs)
+		if err != nil {
+			err = msgp.WrapError(err, "WaitedMs")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Proxies)
+		if err != nil {
+			err = msgp.WrapError(err, "Proxies")
+			return
+		}
+		// write "l"
+		err = en.Append(0xa1, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.TotalLoads)))
+		if err != nil {
+			err = msgp.WrapError(err, "TotalLoads")
+			return
+		}
+		for za0002 := range z.TotalLoads {
+			err = z.TotalLoads[za0002].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "TotalLoads", za0002)
 				return
 			}
 		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ModelDemand) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(string(z.Model)) + 2 + msgp.Float64Size + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.IntSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *ModelName) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 string
-		zb0001, err = dc.ReadString()
+		// write "w"
+		err = en.Append(0xa1, 0x77)
 		if err != nil {
-			err = msgp.WrapError(err)
 			return
 		}
-		(*z) = ModelName(zb0001)
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z ModelName) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteString(string(z))
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
+		err = en.WriteBool(z.LoadsComplete)
+		if err != nil {
+			err = msgp.WrapError(err, "LoadsComplete")
+			return
+		}
+		// write "lv"
+		err = en.Append(0xa2, 0x6c, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.LoadVersion)
+		if err != nil {
+			err = msgp.WrapError(err, "LoadVersion")
+			return
+		}
+		// write "o"
+		err = en.Append(0xa1, 0x6f)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.PendingModelLoads)))
+		if err != nil {
+			err = msgp.WrapError(err, "PendingModelLoads")
+			return
+		}
+		for za0003 := range z.PendingModelLoads {
+			err = z.PendingModelLoads[za0003].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "PendingModelLoads", za0003)
+				return
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ModelName) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PollResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
-	return
-}
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.Config == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Backends == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.BackendsRevision == (BackendsRevision{}) {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
 
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ModelName) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.ID)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendBool(o, z.Unavailable)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0001 := range z.Members {
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			if z.Config == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Config.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Config")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			if z.Backends == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Backends.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends")
+					return
+				}
+			}
+		}
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendBool(o, z.BackendsKnown)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.BackendsAgeMs)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			// map header, size 2
+			// string "t"
+			o = append(o, 0x82, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, uint64(z.BackendsRevision.Token))
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendUint64(o, z.BackendsRevision.Number)
+		}
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendInt64(o, z.WaitedMs)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Proxies)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.TotalLoads)))
+		for za0002 := range z.TotalLoads {
+			o, err = z.TotalLoads[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "TotalLoads", za0002)
+				return
+			}
+		}
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendBool(o, z.LoadsComplete)
+		// string "lv"
+		o = append(o, 0xa2, 0x6c, 0x76)
+		o = msgp.AppendUint64(o, z.LoadVersion)
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.PendingModelLoads)))
+		for za0003 := range z.PendingModelLoads {
+			o, err = z.PendingModelLoads[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "PendingModelLoads", za0003)
+				return
+			}
 		}
-		(*z) = ModelName(zb0001)
 	}
-	o = bts
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ModelName) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *PendingModelLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PollResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Service, err = dc.ReadString()
+		case "i":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "u":
+			z.Unavailable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unavailable")
 				return
 			}
 		case "m":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Model")
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		case "c":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Config = nil
+			} else {
+				if z.Config == nil {
+					z.Config = new(ConfigUpdate)
+				}
+				bts, err = z.Config.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Config")
 					return
 				}
-				z.Model = ModelName(zb0002)
 			}
 		case "b":
-			{
-				var zb0003 string
-				zb0003, err = dc.ReadString()
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Backend")
 					return
 				}
-				z.Backend = BackendID(zb0003)
+				z.Backends = nil
+			} else {
+				if z.Backends == nil {
+					z.Backends = new(BackendUpdate)
+				}
+				bts, err = z.Backends.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends")
+					return
+				}
 			}
-		case "d":
-			z.ReadyInMs, err = dc.ReadInt64()
+		case "k":
+			z.BackendsKnown, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ReadyInMs")
+				err = msgp.WrapError(err, "BackendsKnown")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "a":
+			z.BackendsAgeMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "BackendsAgeMs")
 				return
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *PendingModelLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "s"
-	err = en.Append(0x84, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.Model))
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.Backend))
-	if err != nil {
-		err = msgp.WrapError(err, "Backend")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ReadyInMs)
-	if err != nil {
-		err = msgp.WrapError(err, "ReadyInMs")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *PendingModelLoad) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "s"
-	o = append(o, 0x84, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Service)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, string(z.Model))
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendString(o, string(z.Backend))
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendInt64(o, z.ReadyInMs)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PendingModelLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
+		case "v":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "BackendsRevision")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendsRevision")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "t":
+					{
+						var zb0004 uint64
+						zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "BackendsRevision", "Token")
+							return
+						}
+						z.BackendsRevision.Token = FencingToken(zb0004)
+					}
+				case "n":
+					z.BackendsRevision.Number, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "BackendsRevision", "Number")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "BackendsRevision")
+						return
+					}
+				}
+			}
+		case "h":
+			z.WaitedMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitedMs")
 				return
 			}
-		case "m":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+		case "p":
+			z.Proxies, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Proxies")
+				return
+			}
+		case "l":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TotalLoads")
+				return
+			}
+			if cap(z.TotalLoads) >= int(zb0005) {
+				z.TotalLoads = (z.TotalLoads)[:zb0005]
+			} else {
+				z.TotalLoads = make([]BackendLoad, zb0005)
+			}
+			for za0002 := range z.TotalLoads {
+				bts, err = z.TotalLoads[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Model")
+					err = msgp.WrapError(err, "TotalLoads", za0002)
 					return
 				}
-				z.Model = ModelName(zb0002)
 			}
-		case "b":
-			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Backend")
-					return
-				}
-				z.Backend = BackendID(zb0003)
+		case "w":
+			z.LoadsComplete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadsComplete")
+				return
 			}
-		case "d":
-			z.ReadyInMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "lv":
+			z.LoadVersion, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ReadyInMs")
+				err = msgp.WrapError(err, "LoadVersion")
+				return
+			}
+		case "o":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PendingModelLoads")
 				return
 			}
+			if cap(z.PendingModelLoads) >= int(zb0006) {
+				z.PendingModelLoads = (z.PendingModelLoads)[:zb0006]
+			} else {
+				z.PendingModelLoads = make([]PendingModelLoad, zb0006)
+			}
+			for za0003 := range z.PendingModelLoads {
+				bts, err = z.PendingModelLoads[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PendingModelLoads", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -9133,13 +17238,36 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PendingModelLoad) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(string(z.Model)) + 2 + msgp.StringPrefixSize + len(string(z.Backend)) + 2 + msgp.Int64Size
+func (z *PollResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
+	s += 2
+	if z.Config == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Config.Msgsize()
+	}
+	s += 2
+	if z.Backends == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Backends.Msgsize()
+	}
+	s += 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.TotalLoads {
+		s += z.TotalLoads[za0002].Msgsize()
+	}
+	s += 2 + msgp.BoolSize + 3 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.PendingModelLoads {
+		s += z.PendingModelLoads[za0003].Msgsize()
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *PollRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Prepare) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9156,80 +17284,45 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "c":
-			z.ConfigSequence, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "ConfigSequence")
-				return
-			}
 		case "b":
-			z.BackendDigest, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "BackendDigest")
-				return
-			}
-		case "h":
-			z.MaxWaitMs, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "MaxWaitMs")
-				return
-			}
-		case "d":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Demand")
+				err = msgp.WrapError(err, "Proposal")
 				return
 			}
-			if cap(z.Demand) >= int(zb0002) {
-				z.Demand = (z.Demand)[:zb0002]
-			} else {
-				z.Demand = make([]ModelDemand, zb0002)
-			}
-			for za0001 := range z.Demand {
-				err = z.Demand[za0001].DecodeMsg(dc)
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Demand", za0001)
+					err = msgp.WrapError(err, "Proposal")
 					return
 				}
-			}
-		case "l":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Loads")
-				return
-			}
-			if cap(z.Loads) >= int(zb0003) {
-				z.Loads = (z.Loads)[:zb0003]
-			} else {
-				z.Loads = make([]BackendLoad, zb0003)
-			}
-			for za0002 := range z.Loads {
-				err = z.Loads[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0002)
-					return
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.Proposal.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Proposal", "Proposer")
+							return
+						}
+						z.Proposal.Proposer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal")
+						return
+					}
 				}
 			}
-		case "p":
-			z.Proxies, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Proxies")
-				return
-			}
-		case "v":
-			z.LoadVersion, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "LoadVersion")
-				return
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -9242,152 +17335,55 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *PollRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "i"
-	err = en.Append(0x88, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ConfigSequence)
-	if err != nil {
-		err = msgp.WrapError(err, "ConfigSequence")
-		return
-	}
+func (z *Prepare) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
 	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.BackendDigest)
-	if err != nil {
-		err = msgp.WrapError(err, "BackendDigest")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.MaxWaitMs)
-	if err != nil {
-		err = msgp.WrapError(err, "MaxWaitMs")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Demand)))
-	if err != nil {
-		err = msgp.WrapError(err, "Demand")
-		return
-	}
-	for za0001 := range z.Demand {
-		err = z.Demand[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0001)
-			return
-		}
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	err = en.Append(0x81, 0xa1, 0x62)
 	if err != nil {
-		err = msgp.WrapError(err, "Loads")
 		return
 	}
-	for za0002 := range z.Loads {
-		err = z.Loads[za0002].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0002)
-			return
-		}
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
+	// map header, size 2
+	// write "r"
+	err = en.Append(0x82, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Proxies)
+	err = en.WriteUint64(z.Proposal.Counter)
 	if err != nil {
-		err = msgp.WrapError(err, "Proxies")
+		err = msgp.WrapError(err, "Proposal", "Counter")
 		return
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
+	// write "p"
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.LoadVersion)
+	err = en.WriteString(string(z.Proposal.Proposer))
 	if err != nil {
-		err = msgp.WrapError(err, "LoadVersion")
+		err = msgp.WrapError(err, "Proposal", "Proposer")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PollRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Prepare) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "i"
-	o = append(o, 0x88, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.ConfigSequence)
+	// map header, size 1
 	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.BackendDigest)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendInt(o, z.MaxWaitMs)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
-	for za0001 := range z.Demand {
-		o, err = z.Demand[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0001)
-			return
-		}
-	}
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0002 := range z.Loads {
-		o, err = z.Loads[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0002)
-			return
-		}
-	}
+	o = append(o, 0x81, 0xa1, 0x62)
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Proposal.Counter)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Proxies)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.LoadVersion)
+	o = msgp.AppendString(o, string(z.Proposal.Proposer))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PollRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Prepare) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9404,80 +17400,45 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "c":
-			z.ConfigSequence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ConfigSequence")
-				return
-			}
 		case "b":
-			z.BackendDigest, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "BackendDigest")
-				return
-			}
-		case "h":
-			z.MaxWaitMs, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "MaxWaitMs")
-				return
-			}
-		case "d":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Demand")
+				err = msgp.WrapError(err, "Proposal")
 				return
 			}
-			if cap(z.Demand) >= int(zb0002) {
-				z.Demand = (z.Demand)[:zb0002]
-			} else {
-				z.Demand = make([]ModelDemand, zb0002)
-			}
-			for za0001 := range z.Demand {
-				bts, err = z.Demand[za0001].UnmarshalMsg(bts)
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Demand", za0001)
+					err = msgp.WrapError(err, "Proposal")
 					return
 				}
-			}
-		case "l":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Loads")
-				return
-			}
-			if cap(z.Loads) >= int(zb0003) {
-				z.Loads = (z.Loads)[:zb0003]
-			} else {
-				z.Loads = make([]BackendLoad, zb0003)
-			}
-			for za0002 := range z.Loads {
-				bts, err = z.Loads[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0002)
-					return
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.Proposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Proposal", "Proposer")
+							return
+						}
+						z.Proposal.Proposer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal")
+						return
+					}
 				}
 			}
-		case "p":
-			z.Proxies, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Proxies")
-				return
-			}
-		case "v":
-			z.LoadVersion, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LoadVersion")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -9491,21 +17452,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PollRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Demand {
-		s += z.Demand[za0001].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Loads {
-		s += z.Loads[za0002].Msgsize()
-	}
-	s += 2 + msgp.IntSize + 2 + msgp.Uint64Size
+func (z *Prepare) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Proposal.Proposer))
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *PollResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *PrepareResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -9522,186 +17475,135 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "u":
-			z.Unavailable, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Unavailable")
-				return
-			}
-		case "m":
+		case "b":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "Proposal")
 				return
 			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
-			} else {
-				z.Members = make([]Member, zb0002)
-			}
-			for za0001 := range z.Members {
-				err = z.Members[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
-					return
-				}
-			}
-		case "c":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Config")
-					return
-				}
-				z.Config = nil
-			} else {
-				if z.Config == nil {
-					z.Config = new(ConfigUpdate)
-				}
-				err = z.Config.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Config")
-					return
-				}
-			}
-		case "b":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Backends")
-					return
-				}
-				z.Backends = nil
-			} else {
-				if z.Backends == nil {
-					z.Backends = new(BackendUpdate)
-				}
-				err = z.Backends.DecodeMsg(dc)
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Backends")
+					err = msgp.WrapError(err, "Proposal")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.Proposal.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Proposal", "Proposer")
+							return
+						}
+						z.Proposal.Proposer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal")
+						return
+					}
+				}
 			}
-		case "k":
-			z.BackendsKnown, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "BackendsKnown")
-				return
-			}
-		case "a":
-			z.BackendsAgeMs, err = dc.ReadInt64()
+		case "r":
+			z.Rejected, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "BackendsAgeMs")
+				err = msgp.WrapError(err, "Rejected")
 				return
 			}
-		case "v":
-			var zb0003 uint32
-			zb0003, err = dc.ReadMapHeader()
+		case "p":
+			var zb0004 uint32
+			zb0004, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "BackendsRevision")
+				err = msgp.WrapError(err, "HighestProposal")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
+			for zb0004 > 0 {
+				zb0004--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "BackendsRevision")
+					err = msgp.WrapError(err, "HighestProposal")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "t":
+				case "r":
+					z.HighestProposal.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "HighestProposal", "Counter")
+						return
+					}
+				case "p":
 					{
-						var zb0004 uint64
-						zb0004, err = dc.ReadUint64()
+						var zb0005 string
+						zb0005, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "BackendsRevision", "Token")
+							err = msgp.WrapError(err, "HighestProposal", "Proposer")
 							return
 						}
-						z.BackendsRevision.Token = FencingToken(zb0004)
-					}
-				case "n":
-					z.BackendsRevision.Number, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "BackendsRevision", "Number")
-						return
+						z.HighestProposal.Proposer = MemberID(zb0005)
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "BackendsRevision")
+						err = msgp.WrapError(err, "HighestProposal")
 						return
 					}
 				}
 			}
-		case "h":
-			z.WaitedMs, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "WaitedMs")
-				return
-			}
-		case "p":
-			z.Proxies, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Proxies")
-				return
-			}
-		case "l":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+		case "ab":
+			var zb0006 uint32
+			zb0006, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "TotalLoads")
+				err = msgp.WrapError(err, "AcceptedProposal")
 				return
 			}
-			if cap(z.TotalLoads) >= int(zb0005) {
-				z.TotalLoads = (z.TotalLoads)[:zb0005]
-			} else {
-				z.TotalLoads = make([]BackendLoad, zb0005)
-			}
-			for za0002 := range z.TotalLoads {
-				err = z.TotalLoads[za0002].DecodeMsg(dc)
+			for zb0006 > 0 {
+				zb0006--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "TotalLoads", za0002)
+					err = msgp.WrapError(err, "AcceptedProposal")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.AcceptedProposal.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0007 string
+						zb0007, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
+							return
+						}
+						z.AcceptedProposal.Proposer = MemberID(zb0007)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal")
+						return
+					}
+				}
 			}
-		case "w":
-			z.LoadsComplete, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "LoadsComplete")
-				return
-			}
-		case "lv":
-			z.LoadVersion, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "LoadVersion")
-				return
-			}
-		case "o":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+		case "a":
+			err = z.AcceptedView.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "PendingModelLoads")
+				err = msgp.WrapError(err, "AcceptedView")
 				return
 			}
-			if cap(z.PendingModelLoads) >= int(zb0006) {
-				z.PendingModelLoads = (z.PendingModelLoads)[:zb0006]
-			} else {
-				z.PendingModelLoads = make([]PendingModelLoad, zb0006)
-			}
-			for za0003 := range z.PendingModelLoads {
-				err = z.PendingModelLoads[za0003].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "PendingModelLoads", za0003)
-					return
-				}
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -9713,345 +17615,357 @@
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *PollResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
-	_ = zb0001Mask
-	if z.Config == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Backends == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.BackendsRevision == (BackendsRevision{}) {
-		zb0001Len--
-		zb0001Mask |= 0x80
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
+// EncodeMsg implements msgp.Encodable
+func (z *PrepareResponse) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "b"
+	err = en.Append(0x85, 0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "r"
+	err = en.Append(0x82, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Proposal.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Proposal", "Counter")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Proposal.Proposer))
+	if err != nil {
+		err = msgp.WrapError(err, "Proposal", "Proposer")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Rejected)
+	if err != nil {
+		err = msgp.WrapError(err, "Rejected")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "r"
+	err = en.Append(0x82, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.HighestProposal.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "HighestProposal", "Counter")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.HighestProposal.Proposer))
+	if err != nil {
+		err = msgp.WrapError(err, "HighestProposal", "Proposer")
+		return
+	}
+	// write "ab"
+	err = en.Append(0xa2, 0x61, 0x62)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "r"
+	err = en.Append(0x82, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.AcceptedProposal.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedProposal", "Counter")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.AcceptedProposal.Proposer))
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = z.AcceptedView.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedView")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PrepareResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "b"
+	o = append(o, 0x85, 0xa1, 0x62)
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Proposal.Counter)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, string(z.Proposal.Proposer))
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Rejected)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.HighestProposal.Counter)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, string(z.HighestProposal.Proposer))
+	// string "ab"
+	o = append(o, 0xa2, 0x61, 0x62)
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.AcceptedProposal.Counter)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, string(z.AcceptedProposal.Proposer))
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o, err = z.AcceptedView.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedView")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PrepareResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err)
 		return
 	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "i"
-		err = en.Append(0xa1, 0x69)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.ID)
-		if err != nil {
-			err = msgp.WrapError(err, "ID")
-			return
-		}
-		// write "u"
-		err = en.Append(0xa1, 0x75)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.Unavailable)
-		if err != nil {
-			err = msgp.WrapError(err, "Unavailable")
-			return
-		}
-		// write "m"
-		err = en.Append(0xa1, 0x6d)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.Members)))
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members")
+			err = msgp.WrapError(err)
 			return
 		}
-		for za0001 := range z.Members {
-			err = z.Members[za0001].EncodeMsg(en)
-			if err != nil {
-				err = msgp.WrapError(err, "Members", za0001)
-				return
-			}
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// write "c"
-			err = en.Append(0xa1, 0x63)
+		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Proposal")
 				return
 			}
-			if z.Config == nil {
-				err = en.WriteNil()
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Proposal")
 					return
 				}
-			} else {
-				err = z.Config.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Config")
-					return
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.Proposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Proposal", "Proposer")
+							return
+						}
+						z.Proposal.Proposer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Proposal")
+						return
+					}
 				}
 			}
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "b"
-			err = en.Append(0xa1, 0x62)
+		case "r":
+			z.Rejected, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "Rejected")
 				return
 			}
-			if z.Backends == nil {
-				err = en.WriteNil()
+		case "p":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HighestProposal")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "HighestProposal")
 					return
 				}
-			} else {
-				err = z.Backends.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Backends")
-					return
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.HighestProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "HighestProposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0005 string
+						zb0005, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "HighestProposal", "Proposer")
+							return
+						}
+						z.HighestProposal.Proposer = MemberID(zb0005)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "HighestProposal")
+						return
+					}
 				}
 			}
-		}
-		// write "k"
-		err = en.Append(0xa1, 0x6b)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.BackendsKnown)
-		if err != nil {
-			err = msgp.WrapError(err, "BackendsKnown")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.BackendsAgeMs)
-		if err != nil {
-			err = msgp.WrapError(err, "BackendsAgeMs")
-			return
-		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// write "v"
-			err = en.Append(0xa1, 0x76)
-			if err != nil {
-				return
-			}
-			// map header, size 2
-			// write "t"
-			err = en.Append(0x82, 0xa1, 0x74)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(uint64(z.BackendsRevision.Token))
-			if err != nil {
-				err = msgp.WrapError(err, "BackendsRevision", "Token")
-				return
-			}
-			// write "n"
-			err = en.Append(0xa1, 0x6e)
+		case "ab":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
+				err = msgp.WrapError(err, "AcceptedProposal")
 				return
 			}
-			err = en.WriteUint64(z.BackendsRevision.Number)
-			if err != nil {
-				err = msgp.WrapError(err, "BackendsRevision", "Number")
-				return
+			for zb0006 > 0 {
+				zb0006--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptedProposal")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "r":
+					z.AcceptedProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
+						return
+					}
+				case "p":
+					{
+						var zb0007 string
+						zb0007, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
+							return
+						}
+						z.AcceptedProposal.Proposer = MemberID(zb0007)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedProposal")
+						return
+					}
+				}
 			}
-		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.WaitedMs)
-		if err != nil {
-			err = msgp.WrapError(err, "WaitedMs")
-			return
-		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Proxies)
-		if err != nil {
-			err = msgp.WrapError(err, "Proxies")
-			return
-		}
-		// write "l"
-		err = en.Append(0xa1, 0x6c)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.TotalLoads)))
-		if err != nil {
-			err = msgp.WrapError(err, "TotalLoads")
-			return
-		}
-		for za0002 := range z.TotalLoads {
-			err = z.TotalLoads[za0002].EncodeMsg(en)
+		case "a":
+			bts, err = z.AcceptedView.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "TotalLoads", za0002)
+				err = msgp.WrapError(err, "AcceptedView")
 				return
 			}
-		}
-		// write "w"
-		err = en.Append(0xa1, 0x77)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.LoadsComplete)
-		if err != nil {
-			err = msgp.WrapError(err, "LoadsComplete")
-			return
-		}
-		// write "lv"
-		err = en.Append(0xa2, 0x6c, 0x76)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.LoadVersion)
-		if err != nil {
-			err = msgp.WrapError(err, "LoadVersion")
-			return
-		}
-		// write "o"
-		err = en.Append(0xa1, 0x6f)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.PendingModelLoads)))
-		if err != nil {
-			err = msgp.WrapError(err, "PendingModelLoads")
-			return
-		}
-		for za0003 := range z.PendingModelLoads {
-			err = z.PendingModelLoads[za0003].EncodeMsg(en)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "PendingModelLoads", za0003)
+				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *PollResponse) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
-	_ = zb0001Mask
-	if z.Config == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Backends == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.BackendsRevision == (BackendsRevision{}) {
-		zb0001Len--
-		zb0001Mask |= 0x80
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PrepareResponse) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Proposal.Proposer)) + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.HighestProposal.Proposer)) + 3 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.AcceptedProposal.Proposer)) + 2 + z.AcceptedView.Msgsize()
+	return
+}
 
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "i"
-		o = append(o, 0xa1, 0x69)
-		o = msgp.AppendUint64(o, z.ID)
-		// string "u"
-		o = append(o, 0xa1, 0x75)
-		o = msgp.AppendBool(o, z.Unavailable)
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-		for za0001 := range z.Members {
-			o, err = z.Members[za0001].MarshalMsg(o)
+// DecodeMsg implements msgp.Decodable
+func (z *ProposalNumber) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Counter, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Members", za0001)
+				err = msgp.WrapError(err, "Counter")
 				return
 			}
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "c"
-			o = append(o, 0xa1, 0x63)
-			if z.Config == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Config.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Config")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "b"
-			o = append(o, 0xa1, 0x62)
-			if z.Backends == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Backends.MarshalMsg(o)
+		case "p":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Backends")
+					err = msgp.WrapError(err, "Proposer")
 					return
 				}
+				z.Proposer = MemberID(zb0002)
 			}
-		}
-		// string "k"
-		o = append(o, 0xa1, 0x6b)
-		o = msgp.AppendBool(o, z.BackendsKnown)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.BackendsAgeMs)
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// string "v"
-			o = append(o, 0xa1, 0x76)
-			// map header, size 2
-			// string "t"
-			o = append(o, 0x82, 0xa1, 0x74)
-			o = msgp.AppendUint64(o, uint64(z.BackendsRevision.Token))
-			// string "n"
-			o = append(o, 0xa1, 0x6e)
-			o = msgp.AppendUint64(o, z.BackendsRevision.Number)
-		}
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		o = msgp.AppendInt64(o, z.WaitedMs)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Proxies)
-		// string "l"
-		o = append(o, 0xa1, 0x6c)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.TotalLoads)))
-		for za0002 := range z.TotalLoads {
-			o, err = z.TotalLoads[za0002].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "TotalLoads", za0002)
-				return
-			}
-		}
-		// string "w"
-		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendBool(o, z.LoadsComplete)
-		// string "lv"
-		o = append(o, 0xa2, 0x6c, 0x76)
-		o = msgp.AppendUint64(o, z.LoadVersion)
-		// string "o"
-		o = append(o, 0xa1, 0x6f)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.PendingModelLoads)))
-		for za0003 := range z.PendingModelLoads {
-			o, err = z.PendingModelLoads[za0003].MarshalMsg(o)
+		default:
+			err = dc.Skip()
 			if err != nil {
-				err = msgp.WrapError(err, "PendingModelLoads", za0003)
+				err = msgp.WrapError(err)
 				return
 			}
 		}
@@ -10059,8 +17973,47 @@
 	return
 }
 
+// EncodeMsg implements msgp.Encodable
+func (z ProposalNumber) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "r"
+	err = en.Append(0x82, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Counter")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Proposer))
+	if err != nil {
+		err = msgp.WrapError(err, "Proposer")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ProposalNumber) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Counter)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, string(z.Proposer))
+	return
+}
+
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PollResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ProposalNumber) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -10077,183 +18030,161 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "u":
-			z.Unavailable, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Unavailable")
-				return
-			}
-		case "m":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
-				return
-			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
-			} else {
-				z.Members = make([]Member, zb0002)
-			}
-			for za0001 := range z.Members {
-				bts, err = z.Members[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
-					return
-				}
-			}
-		case "c":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Config = nil
-			} else {
-				if z.Config == nil {
-					z.Config = new(ConfigUpdate)
-				}
-				bts, err = z.Config.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Config")
-					return
-				}
-			}
-		case "b":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Backends = nil
-			} else {
-				if z.Backends == nil {
-					z.Backends = new(BackendUpdate)
-				}
-				bts, err = z.Backends.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Backends")
-					return
-				}
-			}
-		case "k":
-			z.BackendsKnown, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "BackendsKnown")
-				return
-			}
-		case "a":
-			z.BackendsAgeMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "BackendsAgeMs")
-				return
-			}
-		case "v":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "r":
+			z.Counter, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "BackendsRevision")
+				err = msgp.WrapError(err, "Counter")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+		case "p":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "BackendsRevision")
+					err = msgp.WrapError(err, "Proposer")
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "t":
-					{
-						var zb0004 uint64
-						zb0004, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "BackendsRevision", "Token")
-							return
-						}
-						z.BackendsRevision.Token = FencingToken(zb0004)
-					}
-				case "n":
-					z.BackendsRevision.Number, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "BackendsRevision", "Number")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "BackendsRevision")
-						return
-					}
-				}
-			}
-		case "h":
-			z.WaitedMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "WaitedMs")
-				return
+				z.Proposer = MemberID(zb0002)
 			}
-		case "p":
-			z.Proxies, bts, err = msgp.ReadIntBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Proxies")
+				err = msgp.WrapError(err)
 				return
 			}
-		case "l":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ProposalNumber) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Proposer))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ReplacedVoter) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "m":
+			err = z.Member.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "TotalLoads")
+				err = msgp.WrapError(err, "Member")
 				return
 			}
-			if cap(z.TotalLoads) >= int(zb0005) {
-				z.TotalLoads = (z.TotalLoads)[:zb0005]
-			} else {
-				z.TotalLoads = make([]BackendLoad, zb0005)
-			}
-			for za0002 := range z.TotalLoads {
-				bts, err = z.TotalLoads[za0002].UnmarshalMsg(bts)
+		case "b":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "TotalLoads", za0002)
+					err = msgp.WrapError(err, "ReplacedBy")
 					return
 				}
+				z.ReplacedBy = MemberID(zb0002)
 			}
-		case "w":
-			z.LoadsComplete, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LoadsComplete")
-				return
-			}
-		case "lv":
-			z.LoadVersion, bts, err = msgp.ReadUint64Bytes(bts)
+		default:
+			err = dc.Skip()
 			if err != nil {
-				err = msgp.WrapError(err, "LoadVersion")
+				err = msgp.WrapError(err)
 				return
 			}
-		case "o":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ReplacedVoter) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "m"
+	err = en.Append(0x82, 0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = z.Member.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Member")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.ReplacedBy))
+	if err != nil {
+		err = msgp.WrapError(err, "ReplacedBy")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReplacedVoter) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "m"
+	o = append(o, 0x82, 0xa1, 0x6d)
+	o, err = z.Member.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Member")
+		return
+	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendString(o, string(z.ReplacedBy))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplacedVoter) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "m":
+			bts, err = z.Member.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "PendingModelLoads")
+				err = msgp.WrapError(err, "Member")
 				return
 			}
-			if cap(z.PendingModelLoads) >= int(zb0006) {
-				z.PendingModelLoads = (z.PendingModelLoads)[:zb0006]
-			} else {
-				z.PendingModelLoads = make([]PendingModelLoad, zb0006)
-			}
-			for za0003 := range z.PendingModelLoads {
-				bts, err = z.PendingModelLoads[za0003].UnmarshalMsg(bts)
+		case "b":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "PendingModelLoads", za0003)
+					err = msgp.WrapError(err, "ReplacedBy")
 					return
 				}
+				z.ReplacedBy = MemberID(zb0002)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -10268,36 +18199,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PollResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Members {
-		s += z.Members[za0001].Msgsize()
-	}
-	s += 2
-	if z.Config == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Config.Msgsize()
-	}
-	s += 2
-	if z.Backends == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Backends.Msgsize()
-	}
-	s += 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.TotalLoads {
-		s += z.TotalLoads[za0002].Msgsize()
-	}
-	s += 2 + msgp.BoolSize + 3 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.PendingModelLoads {
-		s += z.PendingModelLoads[za0003].Msgsize()
-	}
+func (z *ReplacedVoter) Msgsize() (s int) {
+	s = 1 + 2 + z.Member.Msgsize() + 2 + msgp.StringPrefixSize + len(string(z.ReplacedBy))
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Prepare) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Replicate) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -10314,43 +18222,52 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "s":
+			z.Sequence, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Proposal")
+				err = msgp.WrapError(err, "Sequence")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
+		case "d":
+			z.Digest, err = dc.ReadBytes(z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "c":
+			if dc.IsNil() {
+				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Proposal")
+					err = msgp.WrapError(err, "Change")
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Proposal.Counter, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Proposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0003 string
-						zb0003, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Proposal", "Proposer")
-							return
-						}
-						z.Proposal.Proposer = MemberID(zb0003)
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Proposal")
-						return
-					}
+				z.Change = nil
+			} else {
+				if z.Change == nil {
+					z.Change = new(ChangeRecord)
+				}
+				err = z.Change.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+			}
+		case "n":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot")
+					return
+				}
+				z.Snapshot = nil
+			} else {
+				if z.Snapshot == nil {
+					z.Snapshot = new(ChainState)
+				}
+				err = z.Snapshot.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot")
+					return
 				}
 			}
 		default:
@@ -10365,273 +18282,312 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Prepare) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "b"
-	err = en.Append(0x81, 0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Proposal.Counter)
-	if err != nil {
-		err = msgp.WrapError(err, "Proposal", "Counter")
-		return
+func (z *Replicate) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Change == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
+	if z.Snapshot == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteString(string(z.Proposal.Proposer))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Proposal", "Proposer")
 		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Prepare) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "b"
-	o = append(o, 0x81, 0xa1, 0x62)
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.Proposal.Counter)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, string(z.Proposal.Proposer))
-	return
-}
 
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Prepare) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "s"
+		err = en.Append(0xa1, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Proposal")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Proposal")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Proposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Proposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0003 string
-						zb0003, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Proposal", "Proposer")
-							return
-						}
-						z.Proposal.Proposer = MemberID(zb0003)
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Proposal")
-						return
-					}
+		err = en.WriteUint64(z.Sequence)
+		if err != nil {
+			err = msgp.WrapError(err, "Sequence")
+			return
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Digest)
+		if err != nil {
+			err = msgp.WrapError(err, "Digest")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
+			if err != nil {
+				return
+			}
+			if z.Change == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Change.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
 				}
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
 			if err != nil {
-				err = msgp.WrapError(err)
 				return
 			}
+			if z.Snapshot == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Snapshot.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot")
+					return
+				}
+			}
 		}
 	}
-	o = bts
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Prepare) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Proposal.Proposer))
+// MarshalMsg implements msgp.Marshaler
+func (z *Replicate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Change == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Snapshot == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.Digest)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			if z.Change == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Change.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			if z.Snapshot == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Snapshot.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot")
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *PrepareResponse) DecodeMsg(dc *msgp.Reader) (err error) {
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Replicate) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Proposal")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Proposal")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Proposal.Counter, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Proposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0003 string
-						zb0003, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Proposal", "Proposer")
-							return
-						}
-						z.Proposal.Proposer = MemberID(zb0003)
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Proposal")
-						return
-					}
-				}
-			}
-		case "r":
-			z.Rejected, err = dc.ReadBool()
+		case "s":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Rejected")
+				err = msgp.WrapError(err, "Sequence")
 				return
 			}
-		case "p":
-			var zb0004 uint32
-			zb0004, err = dc.ReadMapHeader()
+		case "d":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "HighestProposal")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, err = dc.ReadMapKeyPtr()
+		case "c":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "HighestProposal")
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.HighestProposal.Counter, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0005 string
-						zb0005, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "HighestProposal", "Proposer")
-							return
-						}
-						z.HighestProposal.Proposer = MemberID(zb0005)
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal")
-						return
-					}
+				z.Change = nil
+			} else {
+				if z.Change == nil {
+					z.Change = new(ChangeRecord)
+				}
+				bts, err = z.Change.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
 				}
 			}
-		case "ab":
-			var zb0006 uint32
-			zb0006, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "AcceptedProposal")
-				return
-			}
-			for zb0006 > 0 {
-				zb0006--
-				field, err = dc.ReadMapKeyPtr()
+		case "n":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "AcceptedProposal")
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.AcceptedProposal.Counter, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0007 string
-						zb0007, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
-							return
-						}
-						z.AcceptedProposal.Proposer = MemberID(zb0007)
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal")
-						return
-					}
+				z.Snapshot = nil
+			} else {
+				if z.Snapshot == nil {
+					z.Snapshot = new(ChainState)
+				}
+				bts, err = z.Snapshot.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot")
+					return
 				}
 			}
-		case "a":
-			err = z.AcceptedView.DecodeMsg(dc)
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Replicate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2
+	if z.Change == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Change.Msgsize()
+	}
+	s += 2
+	if z.Snapshot == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Snapshot.Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Revision) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 uint64
+		zb0001, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Revision(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Revision) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteUint64(uint64(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Revision) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint64(o, uint64(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Revision) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint64
+		zb0001, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Revision(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Revision) Msgsize() (s int) {
+	s = msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *SnapshotRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			z.Full, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "AcceptedView")
+				err = msgp.WrapError(err, "Full")
 				return
 			}
 		default:
@@ -10646,300 +18602,246 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *PrepareResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "b"
-	err = en.Append(0x85, 0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Proposal.Counter)
-	if err != nil {
-		err = msgp.WrapError(err, "Proposal", "Counter")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.Proposal.Proposer))
-	if err != nil {
-		err = msgp.WrapError(err, "Proposal", "Proposer")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Rejected)
-	if err != nil {
-		err = msgp.WrapError(err, "Rejected")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.HighestProposal.Counter)
-	if err != nil {
-		err = msgp.WrapError(err, "HighestProposal", "Counter")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.HighestProposal.Proposer))
-	if err != nil {
-		err = msgp.WrapError(err, "HighestProposal", "Proposer")
-		return
-	}
-	// write "ab"
-	err = en.Append(0xa2, 0x61, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.AcceptedProposal.Counter)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedProposal", "Counter")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.AcceptedProposal.Proposer))
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
+func (z SnapshotRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "w"
+	err = en.Append(0x81, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
-	err = z.AcceptedView.EncodeMsg(en)
+	err = en.WriteBool(z.Full)
 	if err != nil {
-		err = msgp.WrapError(err, "AcceptedView")
+		err = msgp.WrapError(err, "Full")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PrepareResponse) MarshalMsg(b []byte) (o []byte, err error) {
+func (z SnapshotRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "b"
-	o = append(o, 0x85, 0xa1, 0x62)
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.Proposal.Counter)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, string(z.Proposal.Proposer))
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBool(o, z.Rejected)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.HighestProposal.Counter)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, string(z.HighestProposal.Proposer))
-	// string "ab"
-	o = append(o, 0xa2, 0x61, 0x62)
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.AcceptedProposal.Counter)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, string(z.AcceptedProposal.Proposer))
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o, err = z.AcceptedView.MarshalMsg(o)
+	// map header, size 1
+	// string "w"
+	o = append(o, 0x81, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Full)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SnapshotRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AcceptedView")
+		err = msgp.WrapError(err)
 		return
 	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			z.Full, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Full")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SnapshotRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
 	return
 }
 
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PrepareResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+// DecodeMsg implements msgp.Decodable
+func (z *StateRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
+		case "e":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Proposal")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Proposal")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Proposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Proposal", "Counter")
+						err = msgp.WrapError(err, "Epoch", "Counter")
 						return
 					}
-				case "p":
+				case "i":
 					{
 						var zb0003 string
-						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						zb0003, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Proposal", "Proposer")
+							err = msgp.WrapError(err, "Epoch", "Issuer")
 							return
 						}
-						z.Proposal.Proposer = MemberID(zb0003)
+						z.Epoch.Issuer = MemberID(zb0003)
 					}
 				default:
-					bts, err = msgp.Skip(bts)
+					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Proposal")
+						err = msgp.WrapError(err, "Epoch")
 						return
 					}
 				}
 			}
-		case "r":
-			z.Rejected, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Rejected")
-				return
-			}
-		case "p":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+		default:
+			err = dc.Skip()
 			if err != nil {
-				err = msgp.WrapError(err, "HighestProposal")
+				err = msgp.WrapError(err)
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "HighestProposal")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.HighestProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal", "Counter")
-						return
-					}
-				case "p":
-					{
-						var zb0005 string
-						zb0005, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "HighestProposal", "Proposer")
-							return
-						}
-						z.HighestProposal.Proposer = MemberID(zb0005)
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "HighestProposal")
-						return
-					}
-				}
-			}
-		case "ab":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StateRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "e"
+	err = en.Append(0x81, 0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch.Counter)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Counter")
+		return
+	}
+	// write "i"
+	err = en.Append(0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.Epoch.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Issuer")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StateRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "e"
+	o = append(o, 0x81, 0xa1, 0x65)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Epoch.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Epoch.Issuer))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StateRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "AcceptedProposal")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-			for zb0006 > 0 {
-				zb0006--
+			for zb0002 > 0 {
+				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "AcceptedProposal")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "r":
-					z.AcceptedProposal.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal", "Counter")
+						err = msgp.WrapError(err, "Epoch", "Counter")
 						return
 					}
-				case "p":
+				case "i":
 					{
-						var zb0007 string
-						zb0007, bts, err = msgp.ReadStringBytes(bts)
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "AcceptedProposal", "Proposer")
+							err = msgp.WrapError(err, "Epoch", "Issuer")
 							return
 						}
-						z.AcceptedProposal.Proposer = MemberID(zb0007)
+						z.Epoch.Issuer = MemberID(zb0003)
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "AcceptedProposal")
+						err = msgp.WrapError(err, "Epoch")
 						return
 					}
 				}
 			}
-		case "a":
-			bts, err = z.AcceptedView.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AcceptedView")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -10953,13 +18855,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PrepareResponse) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Proposal.Proposer)) + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.HighestProposal.Proposer)) + 3 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.AcceptedProposal.Proposer)) + 2 + z.AcceptedView.Msgsize()
+func (z *StateRequest) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer))
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ProposalNumber) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StateResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -10976,21 +18878,50 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "r":
-			z.Counter, err = dc.ReadUint64()
+		case "e":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Counter")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "p":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Proposer")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				z.Proposer = MemberID(zb0002)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
+				}
+			}
+		case "s":
+			err = z.State.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -11004,46 +18935,72 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ProposalNumber) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *StateResponse) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
+	// write "e"
+	err = en.Append(0x82, 0xa1, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Counter)
+	// map header, size 2
+	// write "c"
+	err = en.Append(0x82, 0xa1, 0x63)
 	if err != nil {
-		err = msgp.WrapError(err, "Counter")
 		return
 	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
+	err = en.WriteUint64(z.Epoch.Counter)
 	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Counter")
 		return
 	}
-	err = en.WriteString(string(z.Proposer))
+	// write "i"
+	err = en.Append(0xa1, 0x69)
 	if err != nil {
-		err = msgp.WrapError(err, "Proposer")
+		return
+	}
+	err = en.WriteString(string(z.Epoch.Issuer))
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch", "Issuer")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = z.State.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ProposalNumber) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StateResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.Counter)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, string(z.Proposer))
+	// string "e"
+	o = append(o, 0x82, 0xa1, 0x65)
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Epoch.Counter)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Epoch.Issuer))
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o, err = z.State.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ProposalNumber) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StateResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -11060,22 +19017,51 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "r":
-			z.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Epoch")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
+				}
+			}
+		case "s":
+			bts, err = z.State.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Counter")
+				err = msgp.WrapError(err, "State")
 				return
 			}
-		case "p":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Proposer")
-					return
-				}
-				z.Proposer = MemberID(zb0002)
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -11089,13 +19075,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ProposalNumber) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Proposer))
+func (z *StateResponse) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + z.State.Msgsize()
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ReplacedVoter) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StateWrite) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -11112,21 +19098,105 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "m":
-			err = z.Member.DecodeMsg(dc)
+		case "e":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Member")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "b":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "ReplacedBy")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				z.ReplacedBy = MemberID(zb0002)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
+				}
+			}
+		case "r":
+			z.Round, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "p":
+			err = z.Position.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "w":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Writes")
+				return
+			}
+			if cap(z.Writes) >= int(zb0004) {
+				z.Writes = (z.Writes)[:zb0004]
+			} else {
+				z.Writes = make([]CoordinationWrite, zb0004)
+			}
+			for za0001 := range z.Writes {
+				err = z.Writes[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Writes", za0001)
+					return
+				}
+			}
+		case "s":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = nil
+			} else {
+				if z.State == nil {
+					z.State = new(CoordinationState)
+				}
+				err = z.State.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
+		case "m":
+			err = z.Issuer.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Issuer")
+				return
+			}
+		case "q":
+			z.Idle, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Idle")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -11140,50 +19210,215 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ReplacedVoter) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "m"
-	err = en.Append(0x82, 0xa1, 0x6d)
-	if err != nil {
-		return
+func (z *StateWrite) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Writes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = z.Member.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Member")
-		return
+	if z.State == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteString(string(z.ReplacedBy))
-	if err != nil {
-		err = msgp.WrapError(err, "ReplacedBy")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "e"
+		err = en.Append(0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		// map header, size 2
+		// write "c"
+		err = en.Append(0x82, 0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Epoch.Counter)
+		if err != nil {
+			err = msgp.WrapError(err, "Epoch", "Counter")
+			return
+		}
+		// write "i"
+		err = en.Append(0xa1, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(string(z.Epoch.Issuer))
+		if err != nil {
+			err = msgp.WrapError(err, "Epoch", "Issuer")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Round)
+		if err != nil {
+			err = msgp.WrapError(err, "Round")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = z.Position.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "w"
+			err = en.Append(0xa1, 0x77)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Writes)))
+			if err != nil {
+				err = msgp.WrapError(err, "Writes")
+				return
+			}
+			for za0001 := range z.Writes {
+				err = z.Writes[za0001].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Writes", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "s"
+			err = en.Append(0xa1, 0x73)
+			if err != nil {
+				return
+			}
+			if z.State == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.State.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
+		}
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
+		if err != nil {
+			return
+		}
+		err = z.Issuer.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Issuer")
+			return
+		}
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Idle)
+		if err != nil {
+			err = msgp.WrapError(err, "Idle")
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ReplacedVoter) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StateWrite) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "m"
-	o = append(o, 0x82, 0xa1, 0x6d)
-	o, err = z.Member.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Member")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Writes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.State == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		// map header, size 2
+		// string "c"
+		o = append(o, 0x82, 0xa1, 0x63)
+		o = msgp.AppendUint64(o, z.Epoch.Counter)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, string(z.Epoch.Issuer))
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.Round)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o, err = z.Position.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Writes)))
+			for za0001 := range z.Writes {
+				o, err = z.Writes[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Writes", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			if z.State == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.State.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
+		}
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o, err = z.Issuer.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Issuer")
+			return
+		}
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendBool(o, z.Idle)
 	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendString(o, string(z.ReplacedBy))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReplacedVoter) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StateWrite) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -11200,21 +19435,104 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "m":
-			bts, err = z.Member.UnmarshalMsg(bts)
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Member")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "b":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "ReplacedBy")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				z.ReplacedBy = MemberID(zb0002)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
+				}
+			}
+		case "r":
+			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "p":
+			bts, err = z.Position.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "w":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Writes")
+				return
+			}
+			if cap(z.Writes) >= int(zb0004) {
+				z.Writes = (z.Writes)[:zb0004]
+			} else {
+				z.Writes = make([]CoordinationWrite, zb0004)
+			}
+			for za0001 := range z.Writes {
+				bts, err = z.Writes[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Writes", za0001)
+					return
+				}
+			}
+		case "s":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.State = nil
+			} else {
+				if z.State == nil {
+					z.State = new(CoordinationState)
+				}
+				bts, err = z.State.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+			}
+		case "m":
+			bts, err = z.Issuer.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Issuer")
+				return
+			}
+		case "q":
+			z.Idle, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Idle")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -11229,13 +19547,23 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ReplacedVoter) Msgsize() (s int) {
-	s = 1 + 2 + z.Member.Msgsize() + 2 + msgp.StringPrefixSize + len(string(z.ReplacedBy))
+func (z *StateWrite) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + msgp.Uint64Size + 2 + z.Position.Msgsize() + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Writes {
+		s += z.Writes[za0001].Msgsize()
+	}
+	s += 2
+	if z.State == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.State.Msgsize()
+	}
+	s += 2 + z.Issuer.Msgsize() + 2 + msgp.BoolSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Replicate) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StateWriteResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
