@@ -11252,51 +19580,117 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Sequence, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
-		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+		case "e":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "c":
-			if dc.IsNil() {
-				err = dc.ReadNil()
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Change")
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				z.Change = nil
-			} else {
-				if z.Change == nil {
-					z.Change = new(ChangeRecord)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
 				}
-				err = z.Change.DecodeMsg(dc)
+			}
+		case "r":
+			z.Round, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "a":
+			z.Accepted, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "p":
+			var zb0004 uint32
+			zb0004, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Promised")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Change")
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0005 string
+						zb0005, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
+							return
+						}
+						z.Promised.Issuer = MemberID(zb0005)
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
+				}
 			}
-		case "n":
+		case "s":
+			err = z.Position.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "g":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
-				z.Snapshot = nil
+				z.Group = nil
 			} else {
-				if z.Snapshot == nil {
-					z.Snapshot = new(ChainState)
+				if z.Group == nil {
+					z.Group = new(AcceptorGroup)
 				}
-				err = z.Snapshot.DecodeMsg(dc)
+				err = z.Group.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
 			}
@@ -11312,18 +19706,14 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Replicate) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *StateWriteResponse) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Change == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Snapshot == nil {
+	if z.Group == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8
+		zb0001Mask |= 0x20
 	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
@@ -11333,60 +19723,103 @@
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// write "s"
-		err = en.Append(0xa1, 0x73)
+		// write "e"
+		err = en.Append(0xa1, 0x65)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Sequence)
+		// map header, size 2
+		// write "c"
+		err = en.Append(0x82, 0xa1, 0x63)
 		if err != nil {
-			err = msgp.WrapError(err, "Sequence")
 			return
 		}
-		// write "d"
-		err = en.Append(0xa1, 0x64)
+		err = en.WriteUint64(z.Epoch.Counter)
 		if err != nil {
+			err = msgp.WrapError(err, "Epoch", "Counter")
 			return
 		}
-		err = en.WriteBytes(z.Digest)
+		// write "i"
+		err = en.Append(0xa1, 0x69)
 		if err != nil {
-			err = msgp.WrapError(err, "Digest")
 			return
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// write "c"
-			err = en.Append(0xa1, 0x63)
-			if err != nil {
-				return
-			}
-			if z.Change == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				err = z.Change.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Change")
-					return
-				}
-			}
+		err = en.WriteString(string(z.Epoch.Issuer))
+		if err != nil {
+			err = msgp.WrapError(err, "Epoch", "Issuer")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Round)
+		if err != nil {
+			err = msgp.WrapError(err, "Round")
+			return
+		}
+		// write "a"
+		err = en.Append(0xa1, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Accepted)
+		if err != nil {
+			err = msgp.WrapError(err, "Accepted")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		// map header, size 2
+		// write "c"
+		err = en.Append(0x82, 0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Promised.Counter)
+		if err != nil {
+			err = msgp.WrapError(err, "Promised", "Counter")
+			return
+		}
+		// write "i"
+		err = en.Append(0xa1, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(string(z.Promised.Issuer))
+		if err != nil {
+			err = msgp.WrapError(err, "Promised", "Issuer")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// write "n"
-			err = en.Append(0xa1, 0x6e)
+		err = z.Position.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
 			if err != nil {
 				return
 			}
-			if z.Snapshot == nil {
+			if z.Group == nil {
 				err = en.WriteNil()
 				if err != nil {
 					return
 				}
 			} else {
-				err = z.Snapshot.EncodeMsg(en)
+				err = z.Group.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
 			}
@@ -11396,53 +19829,61 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Replicate) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StateWriteResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Change == nil {
+	if z.Group == nil {
 		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Snapshot == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8
+		zb0001Mask |= 0x20
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		// map header, size 2
+		// string "c"
+		o = append(o, 0x82, 0xa1, 0x63)
+		o = msgp.AppendUint64(o, z.Epoch.Counter)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, string(z.Epoch.Issuer))
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.Round)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendBool(o, z.Accepted)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		// map header, size 2
+		// string "c"
+		o = append(o, 0x82, 0xa1, 0x63)
+		o = msgp.AppendUint64(o, z.Promised.Counter)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, string(z.Promised.Issuer))
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Sequence)
-		// string "d"
-		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.Digest)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "c"
-			o = append(o, 0xa1, 0x63)
-			if z.Change == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Change.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Change")
-					return
-				}
-			}
+		o, err = z.Position.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Position")
+			return
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "n"
-			o = append(o, 0xa1, 0x6e)
-			if z.Snapshot == nil {
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			if z.Group == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				o, err = z.Snapshot.MarshalMsg(o)
+				o, err = z.Group.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
 			}
@@ -11452,7 +19893,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Replicate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StateWriteResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -11469,49 +19910,116 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
-		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "c":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Epoch")
 					return
 				}
-				z.Change = nil
-			} else {
-				if z.Change == nil {
-					z.Change = new(ChangeRecord)
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Epoch.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Epoch", "Issuer")
+							return
+						}
+						z.Epoch.Issuer = MemberID(zb0003)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Epoch")
+						return
+					}
 				}
-				bts, err = z.Change.UnmarshalMsg(bts)
+			}
+		case "r":
+			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "a":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "p":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Promised")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Change")
+					err = msgp.WrapError(err, "Promised")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "c":
+					z.Promised.Counter, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Counter")
+						return
+					}
+				case "i":
+					{
+						var zb0005 string
+						zb0005, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Promised", "Issuer")
+							return
+						}
+						z.Promised.Issuer = MemberID(zb0005)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
+				}
 			}
-		case "n":
+		case "s":
+			bts, err = z.Position.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
+		case "g":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
 					return
 				}
-				z.Snapshot = nil
+				z.Group = nil
 			} else {
-				if z.Snapshot == nil {
-					z.Snapshot = new(ChainState)
+				if z.Group == nil {
+					z.Group = new(AcceptorGroup)
 				}
-				bts, err = z.Snapshot.UnmarshalMsg(bts)
+				bts, err = z.Group.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
+					err = msgp.WrapError(err, "Group")
 					return
 				}
 			}
@@ -11528,122 +20036,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Replicate) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2
-	if z.Change == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Change.Msgsize()
-	}
-	s += 2
-	if z.Snapshot == nil {
+func (z *StateWriteResponse) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Promised.Issuer)) + 2 + z.Position.Msgsize() + 2
+	if z.Group == nil {
 		s += msgp.NilSize
 	} else {
-		s += z.Snapshot.Msgsize()
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *SnapshotRequest) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "w":
-			z.Full, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Full")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z SnapshotRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "w"
-	err = en.Append(0x81, 0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Full)
-	if err != nil {
-		err = msgp.WrapError(err, "Full")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z SnapshotRequest) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "w"
-	o = append(o, 0x81, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Full)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *SnapshotRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "w":
-			z.Full, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Full")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		s += z.Group.Msgsize()
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z SnapshotRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/message/stored_test.go
+++ b/internal/message/stored_test.go
@@ -18,12 +18,32 @@
 type filler struct {
 	t     *testing.T
 	count int
-	// withAdded also sets the fields that were added after the first samples were stored.
-	withAdded bool
+	// generation is the newest one whose fields are set.
+	generation int
 }
 
+// Generations of fields: of the first samples, and of those that were stored since, each with the fields added meanwhile.
+const (
+	firstGeneration = iota
+	backendsRevisionGeneration
+	coordinationGeneration
+)
+
 // addedFields are the fields that were added after the first samples were stored.
-var addedFields = map[string]bool{"PollResponse.BackendsRevision": true}
+var addedFields = map[string]int{
+	"PollResponse.BackendsRevision": backendsRevisionGeneration,
+	"Message.CallRequest":           coordinationGeneration,
+	"Message.CallResponse":          coordinationGeneration,
+	"Message.EpochQuery":            coordinationGeneration,
+	"Message.EpochQueryResponse":    coordinationGeneration,
+	"Message.EpochPrepare":          coordinationGeneration,
+	"Message.EpochPrepareResponse":  coordinationGeneration,
+	"Message.StateRequest":          coordinationGeneration,
+	"Message.StateResponse":         coordinationGeneration,
+	"Message.StateWrite":            coordinationGeneration,
+	"Message.StateWriteResponse":    coordinationGeneration,
+	"Message.IssuerHandOver":        coordinationGeneration,
+}
 
 func (f *filler) fill(v reflect.Value) {
 	f.t.Helper()
@@ -34,8 +54,8 @@
 	case reflect.Struct:
 		for i := range v.NumField() {
 			field := v.Type().Field(i)
-			isAdded := addedFields[v.Type().Name()+"."+field.Name]
-			if field.Tag.Get("msg") != "-" && (f.withAdded || !isAdded) {
+			generation := addedFields[v.Type().Name()+"."+field.Name]
+			if field.Tag.Get("msg") != "-" && generation <= f.generation {
 				f.fill(v.Field(i))
 			}
 		}
@@ -53,7 +73,7 @@
 		v.SetString("text " + string(rune('a'+f.count%26)) + string(rune('a'+f.count/26%26)))
 	case reflect.Bool:
 		v.SetBool(true)
-	case reflect.Uint64:
+	case reflect.Uint8, reflect.Uint64:
 		f.count++
 		v.SetUint(uint64(f.count))
 	case reflect.Int, reflect.Int64:
@@ -101,18 +121,30 @@
 	}
 }
 
-// addedSamples are samples with the fields that were added later.
-func addedSamples() map[string]encodable {
-	return map[string]encodable{"message-backends-revision.msgp": &Message{}}
+// addedSample is a sample with fields that were added later.
+type addedSample struct {
+	record     encodable
+	generation int
+}
+
+func addedSamples() map[string]addedSample {
+	return map[string]addedSample{
+		"message-backends-revision.msgp": {&Message{}, backendsRevisionGeneration},
+		"message-coordination.msgp":      {&Message{}, coordinationGeneration},
+		"coordination-record.msgp":       {&CoordinationRecord{}, coordinationGeneration},
+		"coordination-state.msgp":        {&CoordinationState{}, coordinationGeneration},
+		"coordination-write.msgp":        {&CoordinationWrite{}, coordinationGeneration},
+	}
 }
 
 func TestReadsAndWritesFieldsAddedLater(t *testing.T) {
-	for name, record := range addedSamples() {
+	for name, sample := range addedSamples() {
 		t.Run(name, func(t *testing.T) {
 			text, err := os.ReadFile(filepath.Join("testdata", name))
 			require.NoError(t, err)
+			record := sample.record
 			value := reflect.New(reflect.TypeOf(record).Elem())
-			(&filler{t: t, withAdded: true}).fill(value.Elem())
+			(&filler{t: t, generation: sample.generation}).fill(value.Elem())
 			written, err := value.Interface().(encodable).MarshalMsg(nil)
 			require.NoError(t, err)
 			assert.True(t, bytes.Equal(text, written), "the encoding differs from the stored one")
@@ -158,5 +190,8 @@
 	for _, record := range storedRecords() {
 		check(reflect.TypeOf(record))
 	}
+	for _, sample := range addedSamples() {
+		check(reflect.TypeOf(sample.record))
+	}
 	assert.GreaterOrEqual(t, len(seen), 40, "a type that no record and no message reaches")
 }
