--- /dev/null
+++ b/internal/controlplane/coordinationapi/request.go
@@ -0,0 +1,247 @@
+package coordinationapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"pumiceline/internal/message"
+)
+
+// Limits of what applications may name and store.
+const (
+	maxNameBytes  = 128
+	maxValueBytes = 4096
+	maxHold       = 10 * time.Minute
+	maxWatchWait  = 30 * time.Second // a longer one is shortened to it
+)
+
+// requestError is a request that is not in order. Nothing was done.
+type requestError struct {
+	status int
+	text   string
+	allow  string // the Allow header; empty: none
+}
+
+func (e *requestError) Error() string { return e.text }
+
+func invalid(format string, arguments ...any) error {
+	return &requestError{status: http.StatusBadRequest, text: fmt.Sprintf(format, arguments...)}
+}
+
+// parseName decodes the rest of a path after the prefix of its resource.
+func parseName(escaped string) (string, error) {
+	if strings.Contains(escaped, "/") {
+		return "", invalid("the name must be one segment of the path; a slash in it is written as %%2F")
+	}
+	name, err := url.PathUnescape(escaped)
+	if err != nil {
+		return "", invalid("the name: %s", err)
+	}
+	return name, checkName("the name", name)
+}
+
+func checkName(what, name string) error {
+	switch {
+	case name == "":
+		return invalid("%s is empty", what)
+	case len(name) > maxNameBytes:
+		return invalid("%s is longer than %d bytes", what, maxNameBytes)
+	case !utf8.ValidString(name):
+		return invalid("%s is not UTF-8", what)
+	case strings.ContainsFunc(name, unicode.IsControl):
+		return invalid("%s has control characters", what)
+	}
+	return nil
+}
+
+func parseAcquire(name string, _ *http.Request, body []byte) (message.Call, error) {
+	fields, err := parseFields(body)
+	if err != nil {
+		return message.Call{}, err
+	}
+	call := message.Call{Kind: message.CallAcquire, Lock: message.LockName(name)}
+	if call.Owner, err = fields.owner(); err != nil {
+		return message.Call{}, err
+	}
+	call.HoldMs, err = fields.holdMs()
+	return call, err
+}
+
+func parseRenew(name string, _ *http.Request, body []byte) (message.Call, error) {
+	fields, err := parseFields(body)
+	if err != nil {
+		return message.Call{}, err
+	}
+	call := message.Call{Kind: message.CallRenew, Lock: message.LockName(name)}
+	if call.Owner, err = fields.owner(); err != nil {
+		return message.Call{}, err
+	}
+	if call.Token, err = fields.token(); err != nil {
+		return message.Call{}, err
+	}
+	call.HoldMs, err = fields.holdMs()
+	return call, err
+}
+
+func parseRelease(name string, _ *http.Request, body []byte) (message.Call, error) {
+	fields, err := parseFields(body)
+	if err != nil {
+		return message.Call{}, err
+	}
+	call := message.Call{Kind: message.CallRelease, Lock: message.LockName(name)}
+	if call.Owner, err = fields.owner(); err != nil {
+		return message.Call{}, err
+	}
+	call.Token, err = fields.token()
+	return call, err
+}
+
+// parseNumber needs nothing from the body, which may be empty.
+func parseNumber(name string, _ *http.Request, body []byte) (message.Call, error) {
+	if len(body) > 0 {
+		if _, err := parseFields(body); err != nil {
+			return message.Call{}, err
+		}
+	}
+	return message.Call{Kind: message.CallNumber, Key: message.KeyName(name)}, nil
+}
+
+func parsePut(name string, _ *http.Request, body []byte) (message.Call, error) {
+	fields, err := parseFields(body)
+	if err != nil {
+		return message.Call{}, err
+	}
+	call := message.Call{Kind: message.CallPut, Key: message.KeyName(name)}
+	if call.Value, err = fields.value(); err != nil {
+		return message.Call{}, err
+	}
+	revision, err := fields.count("ifRevision")
+	call.IfRevision = message.Revision(revision)
+	return call, err
+}
+
+func parseGet(name string, _ *http.Request, _ []byte) (message.Call, error) {
+	return message.Call{Kind: message.CallGet, Key: message.KeyName(name)}, nil
+}
+
+// parseWatch takes the group from the path, and the rest from the query, where a missing parameter stands for 0.
+func parseWatch(name string, r *http.Request, _ []byte) (message.Call, error) {
+	if strings.Index(name, ".") != len(name)-1 {
+		return message.Call{}, invalid("a watch names a group of keys: all up to the first dot of their names, the dot included")
+	}
+	query, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return message.Call{}, invalid("the query: %s", err)
+	}
+	after, err := parseParameter(query, "after", 64)
+	if err != nil {
+		return message.Call{}, err
+	}
+	waitMs, err := parseParameter(query, "waitMs", 63)
+	if err != nil {
+		return message.Call{}, err
+	}
+	call := message.Call{Kind: message.CallWatch, Group: message.KeyGroup(name), After: message.Revision(after)}
+	call.WaitMs = min(int64(waitMs), maxWatchWait.Milliseconds())
+	return call, nil
+}
+
+func parseParameter(query url.Values, name string, bits int) (uint64, error) {
+	text := query.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	number, err := strconv.ParseUint(text, 10, bits)
+	if err != nil {
+		return 0, invalid("%s must be a whole number that is not negative", name)
+	}
+	return number, nil
+}
+
+// fields are the fields of a JSON object. Those that a call does not know are passed over.
+type fields map[string]json.RawMessage
+
+func parseFields(body []byte) (fields, error) {
+	if !utf8.Valid(body) {
+		return nil, invalid("the body is not UTF-8")
+	}
+	var parsed fields
+	if err := json.Unmarshal(body, &parsed); err != nil || parsed == nil {
+		return nil, invalid("the body must be a JSON object")
+	}
+	return parsed, nil
+}
+
+// text returns a field that must be there as a string.
+func (f fields) text(name string) (string, error) {
+	var value *string
+	if err := json.Unmarshal(f.get(name), &value); err != nil {
+		return "", invalid("%s must be a string", name)
+	}
+	if value == nil {
+		return "", invalid("%s is missing", name)
+	}
+	return *value, nil
+}
+
+// count returns a field that must be there as a whole number that is not negative.
+func (f fields) count(name string) (uint64, error) {
+	var value *uint64
+	if err := json.Unmarshal(f.get(name), &value); err != nil {
+		return 0, invalid("%s must be a whole number that is not negative", name)
+	}
+	if value == nil {
+		return 0, invalid("%s is missing", name)
+	}
+	return *value, nil
+}
+
+// get returns a field as JSON; a missing one is null.
+func (f fields) get(name string) json.RawMessage {
+	if raw, ok := f[name]; ok {
+		return raw
+	}
+	return json.RawMessage("null")
+}
+
+func (f fields) owner() (message.OwnerName, error) {
+	owner, err := f.text("owner")
+	if err != nil {
+		return "", err
+	}
+	return message.OwnerName(owner), checkName("owner", owner)
+}
+
+func (f fields) token() (message.FencingToken, error) {
+	token, err := f.count("fenceNo")
+	return message.FencingToken(token), err
+}
+
+func (f fields) holdMs() (int64, error) {
+	hold, err := f.count("holdMs")
+	if err != nil {
+		return 0, err
+	}
+	if hold == 0 || hold > uint64(maxHold.Milliseconds()) {
+		return 0, invalid("holdMs must be between 1 and %d", maxHold.Milliseconds())
+	}
+	return int64(hold), nil
+}
+
+func (f fields) value() (string, error) {
+	value, err := f.text("value")
+	if err != nil {
+		return "", err
+	}
+	if len(value) > maxValueBytes {
+		return "", invalid("value is longer than %d bytes", maxValueBytes)
+	}
+	return value, nil
+}
