Coordination state of locks, numbers, keys and watches as a pure state machine

Cause: the calls of applications had types but nothing that decides them. Change: the store executes a call, applies changes of other members, drops expired holds and old events, and hands its state over. Its history is bounded by bytes too: with values of 4,096 bytes the whole state would be full long before the budget of events is reached, and nothing would ever be dropped.

--- /dev/null
+++ b/internal/controlplane/coordination/bounds.go
@@ -0,0 +1,64 @@
+package coordination
+
+import (
+	"time"
+
+	"pumiceline/internal/message"
+)
+
+// Bounds of calls. A call beyond them is invalid.
+const (
+	MaxNameBytes  = 128              // of the name of a lock, an owner, a key or a group
+	MaxValueBytes = 4096             // of the value of a key
+	MaxHold       = 10 * time.Minute // for which a lock is granted or renewed
+)
+
+// Bounds of the state. A call that would exceed them is answered StatusInsufficientMemory and changes nothing.
+const (
+	// MaxStateBytes bounds the size of the keys: of their present values and of their history, each with its key.
+	MaxStateBytes = 2 << 20
+	// MaxHolds bounds how many locks are held at a time.
+	MaxHolds = 16384
+	// MaxEvents bounds the events in the history of all groups of keys.
+	MaxEvents = 4 * eventBudget
+)
+
+const (
+	// eventBudget and eventBytesBudget are how much history is kept beyond Options.HistoryRetention, so that a repeated put is
+	// recognised long after the first.
+	eventBudget      = 8192
+	eventBytesBudget = MaxStateBytes / 2
+	// eventOverheadBytes is what a key with its value takes in a snapshot beside the two.
+	eventOverheadBytes = 24
+	// maxEventsPerAnswer and maxEventBytesPerAnswer bound the answer to a watch.
+	maxEventsPerAnswer     = 512
+	maxEventBytesPerAnswer = 128 << 10
+)
+
+// isWithinBounds reports whether the fields that a call's kind needs are present and no larger than allowed.
+func isWithinBounds(call *message.Call) bool {
+	switch call.Kind {
+	case message.CallAcquire, message.CallRenew:
+		return isName(call.Lock) && isName(call.Owner) && isHoldTime(call.HoldMs)
+	case message.CallRelease:
+		return isName(call.Lock) && isName(call.Owner)
+	case message.CallNumber:
+		return true
+	case message.CallPut:
+		return isName(call.Key) && len(call.Value) <= MaxValueBytes
+	case message.CallGet:
+		return isName(call.Key)
+	case message.CallWatch:
+		return isName(call.Group) && isGroup(call.Group)
+	}
+	return false
+}
+
+func isName[T ~string](name T) bool { return len(name) > 0 && len(name) <= MaxNameBytes }
+
+func isHoldTime(holdMs int64) bool { return holdMs > 0 && holdMs <= MaxHold.Milliseconds() }
+
+// eventBytes returns the size of a key with one of its values.
+func eventBytes(key message.KeyName, value string) int {
+	return len(key) + len(value) + eventOverheadBytes
+}
--- /dev/null
+++ b/internal/controlplane/coordination/keys.go
@@ -0,0 +1,121 @@
+package coordination
+
+import (
+	"strings"
+	"time"
+
+	"pumiceline/internal/message"
+)
+
+// groupSeparator ends the group in the name of a key.
+const groupSeparator = "."
+
+// keyGroup is a group of keys, which share one count of revisions.
+type keyGroup struct {
+	name     message.KeyGroup
+	revision message.Revision // of the newest put; the puts of a group have the revisions from 1 on, without gaps
+	horizon  message.Revision // events up to it have been dropped from history
+	keys     map[message.KeyName]keyState
+	history  []message.KeyEvent // puts above horizon, in order
+}
+
+// keyState is the newest put of a key.
+type keyState struct {
+	value    string
+	revision message.Revision
+}
+
+// GroupOf returns the group of a key: its name up to and including the first dot. A key without a dot is the only one of a
+// group that has the key's whole name. As that name has no dot, and that of every other group ends in one, the two kinds
+// cannot collide.
+func GroupOf(key message.KeyName) message.KeyGroup {
+	before, _, isDotted := strings.Cut(string(key), groupSeparator)
+	if !isDotted {
+		return message.KeyGroup(key)
+	}
+	return message.KeyGroup(key[:len(before)+len(groupSeparator)])
+}
+
+// isGroup reports whether a name can be that of a group.
+func isGroup(name message.KeyGroup) bool { return GroupOf(message.KeyName(name)) == name }
+
+// group returns a group of keys; the result is empty where no key of it was ever put.
+func (s *Store) group(name message.KeyGroup) *keyGroup {
+	if group := s.groups[name]; group != nil {
+		return group
+	}
+	return &keyGroup{name: name}
+}
+
+// put sets a key whose revision is the one that the call builds on. A value that was put to the key before, as far as the
+// history and the key itself know, is the same put repeated: it gets the revision that it got the first time.
+func (s *Store) put(call *message.Call) Result {
+	group := s.group(GroupOf(call.Key))
+	if revision, isRepeated := s.firstRevision(group, call.Key, call.Value); isRepeated {
+		return Result{Answer: message.Answer{Status: StatusOK, Revision: revision}}
+	}
+	present, exists := group.keys[call.Key]
+	if present.revision != call.IfRevision {
+		return Result{Answer: message.Answer{Status: StatusRevisionMismatch, Revision: present.revision}}
+	}
+	size := eventBytes(call.Key, call.Value)
+	growth := 2 * size // the key's present value and the history
+	if exists {
+		growth -= eventBytes(call.Key, present.value)
+	}
+	if s.events.count >= MaxEvents || s.valueBytes+s.events.bytes+growth > MaxStateBytes {
+		return answerStatus(StatusInsufficientMemory)
+	}
+	event := &message.KeyEvent{Key: call.Key, Value: call.Value, Revision: group.revision + 1}
+	return Result{
+		Answer:  message.Answer{Status: StatusOK, Revision: event.Revision},
+		Changes: []message.CoordinationChange{{Put: event}},
+	}
+}
+
+// firstRevision returns the revision that a value of a key got, where it is known.
+func (s *Store) firstRevision(
+	group *keyGroup, key message.KeyName, value string,
+) (revision message.Revision, isKnown bool) {
+	if present, exists := group.keys[key]; exists && present.value == value {
+		return present.revision, true
+	}
+	revision, isKnown = s.events.revisions[putID{key, value}]
+	return revision, isKnown
+}
+
+// get reads a key.
+func (s *Store) get(key message.KeyName) Result {
+	present, exists := s.group(GroupOf(key)).keys[key]
+	if !exists {
+		return answerStatus(StatusNotFound)
+	}
+	return Result{Answer: message.Answer{Status: StatusOK, Value: present.value, Revision: present.revision}}
+}
+
+// applyPut makes an event the newest one of its key and group.
+func (s *Store) applyPut(now time.Duration, event message.KeyEvent) {
+	group := s.addGroup(GroupOf(event.Key))
+	group.revision = event.Revision
+	s.setKey(group, event)
+	s.addEvent(now, group, event)
+}
+
+// addGroup returns a group, which it makes where there is none.
+func (s *Store) addGroup(name message.KeyGroup) *keyGroup {
+	group := s.groups[name]
+	if group == nil {
+		group = &keyGroup{name: name, keys: map[message.KeyName]keyState{}}
+		s.groups[name] = group
+	}
+	return group
+}
+
+// setKey sets the present value of a key.
+func (s *Store) setKey(group *keyGroup, event message.KeyEvent) {
+	if previous, exists := group.keys[event.Key]; exists {
+		s.valueBytes -= eventBytes(event.Key, previous.value)
+	}
+	group.keys[event.Key] = keyState{value: event.Value, revision: event.Revision}
+	s.valueBytes += eventBytes(event.Key, event.Value)
+}
--- /dev/null
+++ b/internal/controlplane/coordination/locks.go
@@ -0,0 +1,144 @@
+package coordination
+
+import (
+	"time"
+
+	"pumiceline/internal/edf"
+	"pumiceline/internal/message"
+)
+
+// lockTable holds the locks that are held. A lock without a hold is free: its fencing tokens rise all the same, because one
+// counter serves all locks.
+type lockTable struct {
+	lastToken message.FencingToken
+	holds     map[message.LockName]*hold
+	byEnd     edf.Queue[hold]
+}
+
+// hold is a lock that is held, or was until it expired.
+type hold struct {
+	edf.Item[hold]
+	grant  message.LockHold
+	endsAt time.Duration // on this member's clock
+}
+
+func newLockTable() lockTable { return lockTable{holds: map[message.LockName]*hold{}} }
+
+// isExpired reports whether the hold is over.
+func (h *hold) isExpired(now time.Duration) bool { return now >= h.endsAt }
+
+// current returns the hold on a lock, nil where the lock is free.
+func (t *lockTable) current(now time.Duration, lock message.LockName) *hold {
+	if held := t.holds[lock]; held != nil && !held.isExpired(now) {
+		return held
+	}
+	return nil
+}
+
+// acquire grants a lock that is free or that the caller holds already. Each grant has a token of its own, so that what an
+// owner sent under an earlier one cannot end a later one.
+func (t *lockTable) acquire(now time.Duration, call *message.Call) Result {
+	held := t.current(now, call.Lock)
+	if held != nil && held.grant.Owner != call.Owner {
+		return answerStatus(StatusHeld)
+	}
+	if _, hasRecord := t.holds[call.Lock]; !hasRecord && len(t.holds) >= MaxHolds {
+		return answerStatus(StatusInsufficientMemory)
+	}
+	token := t.lastToken + 1
+	firstToken := token
+	if held != nil {
+		firstToken = held.grant.FirstToken
+	}
+	return grantResult(message.LockHold{
+		Lock: call.Lock, Owner: call.Owner, FirstToken: firstToken, Token: token,
+		HoldMs: call.HoldMs, LeftMs: call.HoldMs,
+	})
+}
+
+// renew prolongs the caller's hold, counted from now. A hold that has expired stays so, even where nobody has got the lock
+// since.
+func (t *lockTable) renew(now time.Duration, call *message.Call) Result {
+	held := t.current(now, call.Lock)
+	if held == nil || held.grant.Owner != call.Owner {
+		return answerStatus(StatusHeld)
+	}
+	if call.Token < held.grant.FirstToken || call.Token > held.grant.Token {
+		return answerStatus(StatusHeld)
+	}
+	renewed := held.grant
+	renewed.HoldMs, renewed.LeftMs = call.HoldMs, call.HoldMs
+	return grantResult(renewed)
+}
+
+// release ends the caller's hold. Only the newest token counts: a release that arrives late must not end a hold that its
+// owner got since.
+func (t *lockTable) release(call *message.Call) Result {
+	held := t.holds[call.Lock]
+	if held == nil || held.grant.Owner != call.Owner || held.grant.Token != call.Token {
+		return answerStatus(StatusOK)
+	}
+	return Result{
+		Answer:  message.Answer{Status: StatusOK},
+		Changes: []message.CoordinationChange{releaseChange(held)},
+	}
+}
+
+// releaseExpired ends the holds that are over.
+func (t *lockTable) releaseExpired(now time.Duration) (changes []message.CoordinationChange) {
+	for t.byEnd.Len() > 0 && t.byEnd.Peek().isExpired(now) {
+		change := releaseChange(t.byEnd.Peek())
+		t.applyRelease(*change.Release)
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// applyHold grants or renews a hold, which counts from now.
+func (t *lockTable) applyHold(now time.Duration, grant message.LockHold) {
+	t.setHold(grant, now+milliseconds(grant.HoldMs))
+}
+
+// setHold replaces the hold on a lock.
+func (t *lockTable) setHold(grant message.LockHold, endsAt time.Duration) {
+	t.lastToken = max(t.lastToken, grant.Token)
+	held := t.holds[grant.Lock]
+	if held == nil {
+		held = &hold{}
+		held.Value = held
+		t.holds[grant.Lock] = held
+	}
+	held.grant, held.endsAt = grant, endsAt
+	held.Deadline, held.TieBreaker = float64(endsAt), uint32(grant.Token)
+	if held.IsQueued() {
+		t.byEnd.Fix(&held.Item)
+	} else {
+		t.byEnd.Push(&held.Item)
+	}
+}
+
+// applyRelease ends a hold, unless a newer one has taken its place.
+func (t *lockTable) applyRelease(release message.LockRelease) {
+	held := t.holds[release.Lock]
+	if held == nil || held.grant.Token != release.Token {
+		return
+	}
+	t.byEnd.Remove(&held.Item)
+	delete(t.holds, release.Lock)
+}
+
+// grantResult returns the result of a call that gets or renews a hold.
+func grantResult(grant message.LockHold) Result {
+	return Result{
+		Answer:  message.Answer{Status: StatusOK, Token: grant.Token},
+		Changes: []message.CoordinationChange{{Hold: &grant}},
+	}
+}
+
+func releaseChange(held *hold) message.CoordinationChange {
+	return message.CoordinationChange{
+		Release: &message.LockRelease{Lock: held.grant.Lock, Token: held.grant.Token},
+	}
+}
+
+func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
