--- /dev/null
+++ b/internal/controlplane/epoch/status.go
@@ -0,0 +1,28 @@
+package epoch
+
+import "pumiceline/internal/message"
+
+// Status is how a member sees the coordination group, for operators and tests.
+type Status struct {
+	IsIssuer  bool
+	Issuer    message.Member // as far as this member knows; without an identity: none is known
+	Promised  message.Epoch
+	Position  message.CoordinationPosition
+	Group     message.AcceptorGroup // the newest that it knows
+	IsIdle    bool                  // there have been no calls for a while
+	Takeovers int                   // how often this member became the issuer since its start
+	Waiting   int                   // watches that wait for an event here
+}
+
+// Status returns the present status.
+func (m *Member) Status() Status {
+	status := Status{
+		IsIssuer: m.issuer != nil && m.issuer.established, Issuer: m.follower.issuer, Promised: m.record.Promised,
+		Position: m.position, Group: m.newestGroup, IsIdle: m.follower.idle, Takeovers: m.takeovers,
+		Waiting: len(m.calls.watches),
+	}
+	if m.issuer != nil {
+		status.Issuer, status.IsIdle = m.options.Self, m.issuer.idle
+	}
+	return status
+}
