A ring of files may have segments of another size

The coordination state gets a ring of its own beside the control state's; both have to fit on a disk of 64 MB.

--- a/internal/controlplane/storage/recovery.go
+++ b/internal/controlplane/storage/recovery.go
@@ -13,12 +13,17 @@
 
 // OpenFiles opens a ring on segments of SegmentBytes each and reads what they hold. An error means that a segment
 // cannot be read; what a crash left is none.
-func OpenFiles(files []File) (*Ring, error) {
-	ring := &Ring{files: files, newest: map[Kind][]byte{}, appended: map[Kind][][]byte{}, synced: map[Kind]int{}}
+func OpenFiles(files []File) (*Ring, error) { return openFiles(files, SegmentBytes) }
+
+func openFiles(files []File, segmentBytes int64) (*Ring, error) {
+	ring := &Ring{
+		files: files, segmentBytes: segmentBytes,
+		newest: map[Kind][]byte{}, appended: map[Kind][][]byte{}, synced: map[Kind]int{},
+	}
 	found := map[Kind]uint64{} // sequence of the newest record by kind
 	last := len(files) - 1
 	for i, file := range files {
-		contents, err := readSegment(file)
+		contents, err := readSegment(file, segmentBytes)
 		if err != nil {
 			return nil, errors.Wrapf(err, "read segment %d of the ring", i)
 		}
@@ -54,16 +59,16 @@
 // readSegment reads a segment up to the first frame that does not count. Frames of one use of a segment have consecutive
 // sequences. Any other sequence shows a frame of another use: one that stands behind the end of the present one, or one
 // whose successor became durable while it did not itself, as a disk may write sectors in any order.
-func readSegment(file File) (*segmentContents, error) {
+func readSegment(file File, segmentBytes int64) (*segmentContents, error) {
 	contents := &segmentContents{newest: map[Kind]record{}, appended: map[Kind][][]byte{}}
 	encoded := make([]byte, headerBytes)
-	for offset := int64(0); offset+headerBytes <= SegmentBytes; {
+	for offset := int64(0); offset+headerBytes <= segmentBytes; {
 		if _, err := file.ReadAt(encoded, offset); err != nil {
 			return nil, err
 		}
 		header := decodeHeader(encoded)
 		end := offset + headerBytes + header.length
-		if header.magic != magic || !contents.continuesWith(header.sequence) || end > SegmentBytes {
+		if header.magic != magic || !contents.continuesWith(header.sequence) || end > segmentBytes {
 			break
 		}
 		payload := make([]byte, header.length)
--- a/internal/controlplane/storage/ring.go
+++ b/internal/controlplane/storage/ring.go
@@ -24,7 +24,8 @@
 	"github.com/pkg/errors"
 )
 
-// Size of the ring. All segments together stay under half of the smallest disk known, which has 64 MB.
+// Size of a ring, unless it is opened with another one. All segments together stay under half of the smallest disk known, which
+// has 64 MB.
 const (
 	SegmentCount = 4
 	SegmentBytes = 7 << 20
@@ -49,10 +50,11 @@
 
 // Ring is an open ring. One goroutine owns it; it has no locks.
 type Ring struct {
-	files    []File
-	current  int    // index of the segment that is written to
-	offset   int64  // end of the last frame in it
-	sequence uint64 // of the last frame
+	files        []File
+	segmentBytes int64
+	current      int    // index of the segment that is written to
+	offset       int64  // end of the last frame in it
+	sequence     uint64 // of the last frame
 	// skipSequences is added to the sequence before the first write after the opening (see maxSequenceGap).
 	skipSequences uint64
 	newest        map[Kind][]byte
@@ -128,12 +130,12 @@
 }
 
 // fits reports whether frames of that size fit into the rest of the current segment.
-func (r *Ring) fits(size int64) bool { return r.offset+size <= SegmentBytes }
+func (r *Ring) fits(size int64) bool { return r.offset+size <= r.segmentBytes }
 
 // rotate makes the next segment the current one and writes the newest record of every kind to its beginning.
 func (r *Ring) rotate() error {
 	r.mustRotate = true
-	if framesBytes(r.newest) > SegmentBytes {
+	if framesBytes(r.newest) > r.segmentBytes {
 		return ErrTooLarge
 	}
 	next, err := r.nextSegment()
--- a/internal/controlplane/storage/segment.go
+++ b/internal/controlplane/storage/segment.go
@@ -15,15 +15,19 @@
 // Sync writes the contents to the disk.
 func (f segmentFile) Sync() error { return unix.Fdatasync(int(f.Fd())) }
 
-// Open opens the ring in a folder and reads what it holds. It makes the folder and the segments where they are missing.
-func Open(dir string) (*Ring, error) {
+// Open opens the ring in a folder, with segments of SegmentBytes, and reads what it holds. It makes the folder and the segments
+// where they are missing.
+func Open(dir string) (*Ring, error) { return OpenSized(dir, SegmentBytes) }
+
+// OpenSized opens a ring with segments of another size. The size of a ring must stay the same.
+func OpenSized(dir string, segmentBytes int64) (*Ring, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, errors.Wrap(err, "make the folder of the ring")
 	}
 	files := make([]File, SegmentCount)
 	anyCreated := false
 	for i := range files {
-		file, created, err := openSegment(filepath.Join(dir, fmt.Sprintf("ring-%d", i)))
+		file, created, err := openSegment(filepath.Join(dir, fmt.Sprintf("ring-%d", i)), segmentBytes)
 		if err != nil {
 			return nil, err
 		}
@@ -35,11 +39,11 @@
 			return nil, err
 		}
 	}
-	return OpenFiles(files)
+	return openFiles(files, segmentBytes)
 }
 
 // openSegment opens a segment; one that is missing, or has another size, is preallocated.
-func openSegment(path string) (segment File, created bool, err error) {
+func openSegment(path string, segmentBytes int64) (segment File, created bool, err error) {
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o644)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "open a segment")
@@ -48,10 +52,10 @@
 	if err != nil {
 		return nil, false, errors.Wrap(err, "open a segment")
 	}
-	if info.Size() == SegmentBytes {
+	if info.Size() == segmentBytes {
 		return segmentFile{file}, false, nil
 	}
-	if err := file.Truncate(SegmentBytes); err != nil {
+	if err := file.Truncate(segmentBytes); err != nil {
 		return nil, false, errors.Wrap(err, "preallocate a segment")
 	}
 	return segmentFile{file}, true, errors.Wrap(file.Sync(), "sync a new segment")
