The queue of a state writer stands apart from what is written

The coordination state is synced in the same way: in order, in batches, and again until it succeeds. No change of what is written; the tests of the writer pass unchanged.

--- /dev/null
+++ b/internal/controlplane/coordinator/sync_queue.go
@@ -0,0 +1,80 @@
+package coordinator
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	writeRetryDelay = 50 * time.Millisecond
+	// diskStallThreshold is how long a write may take until the disk counts as stalled, and the member as unhealthy.
+	diskStallThreshold = 600 * time.Millisecond
+)
+
+// syncQueue carries out the outputs of a state machine in order: it syncs their records, and then sends the messages that wait
+// for them. One goroutine (run) writes; outputs that come meanwhile are written together as the next batch.
+type syncQueue[O any] struct {
+	write  func([]O)     // returns once the records of the outputs are synced
+	send   func(*O)      // sends the messages that wait for an output's records
+	signal chan struct{} // holds one signal: the queue is not empty
+
+	mutex sync.Mutex // guards queue
+	queue []O
+
+	started   time.Time
+	busySince atomic.Int64 // start of the present write, in nanoseconds after started; 0: idle
+}
+
+func newSyncQueue[O any](write func([]O), send func(*O)) *syncQueue[O] {
+	return &syncQueue[O]{write: write, send: send, signal: make(chan struct{}, 1), started: time.Now()}
+}
+
+// enqueue adds an output, which is written after all earlier ones.
+func (q *syncQueue[O]) enqueue(out O) {
+	q.mutex.Lock()
+	q.queue = append(q.queue, out)
+	q.mutex.Unlock()
+	select {
+	case q.signal <- struct{}{}:
+	default:
+	}
+}
+
+// isStalled reports whether the present write has taken longer than diskStallThreshold. Any goroutine may call it.
+func (q *syncQueue[O]) isStalled() bool {
+	since := q.busySince.Load()
+	return since != 0 && time.Since(q.started)-time.Duration(since) > diskStallThreshold
+}
+
+// run writes until the process ends.
+func (q *syncQueue[O]) run() {
+	for range q.signal {
+		q.mutex.Lock()
+		outputs := q.queue
+		q.queue = nil
+		q.mutex.Unlock()
+		q.busySince.Store(int64(time.Since(q.started)) + 1) // never 0, which stands for idle
+		q.write(outputs)
+		q.busySince.Store(0)
+		for i := range outputs {
+			q.send(&outputs[i])
+		}
+	}
+}
+
+// retryUntilSynced repeats a write until it succeeds: no output may be skipped.
+func retryUntilSynced(write func() error) {
+	for attempt := 1; ; attempt++ {
+		err := write()
+		if err == nil {
+			return
+		}
+		if attempt == 1 {
+			logrus.WithError(err).Warn("state write failed, retrying")
+		}
+		time.Sleep(writeRetryDelay)
+	}
+}
