--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -65,6 +65,7 @@
 	LoadExcess  float64       // factor by which they may exceed the allowed rate over the window
 	// ChecksFencingTokens says that backends reject commands with a lower fencing token than they have seen.
 	ChecksFencingTokens bool
+	History             time.Duration // for which a watch of keys may be away and miss nothing
 	Quiet               time.Duration // see above
 	ReuseAfter          time.Duration // see above
 }
@@ -118,6 +119,7 @@
 	defaultRetryWindow       = 10 * time.Second
 	defaultLoadWindow        = 5 * time.Second
 	defaultReuseAfter        = 2 * time.Second
+	defaultHistory           = 20 * time.Second
 	defaultMaxCallsPerSecond = 10
 	defaultMaxLag            = 800 * time.Millisecond
 )
@@ -187,6 +189,7 @@
 		LoadWindow:          seconds(node.Field("capWindowS"), defaultLoadWindow),
 		LoadExcess:          node.Field("capExcess").Number(1),
 		ChecksFencingTokens: node.Field("checksFence").Bool(false),
+		History:             seconds(node.Field("historyS"), defaultHistory),
 		Quiet:               milliseconds(node.Field("quietMs"), defaultDrain),
 		ReuseAfter:          seconds(node.Field("reuseAfterS"), defaultReuseAfter),
 	}
--- a/internal/bootstrap/stored_test.go
+++ b/internal/bootstrap/stored_test.go
@@ -21,7 +21,8 @@
 		Limits: Limits{CPUShare: 0.5, MemoryMB: 128, FileLimit: 512, DiskMB: 64}, StateDir: "/state", Tolerance: 2,
 		Bounds: Bounds{Ack: 4100 * time.Millisecond, Apply: 2100 * time.Millisecond, Drain: 3100 * time.Millisecond, GracePeriod: 9 * time.Second,
 			Lease: 3200 * time.Millisecond, Thaw: 310 * time.Millisecond, RetryWindow: 11 * time.Second, RetryRatio: 0.25, RetryExtra: 60,
-			LoadWindow: 6 * time.Second, LoadExcess: 1.5, ChecksFencingTokens: true, Quiet: 3300 * time.Millisecond, ReuseAfter: 3 * time.Second},
+			LoadWindow: 6 * time.Second, LoadExcess: 1.5, ChecksFencingTokens: true, Quiet: 3300 * time.Millisecond, ReuseAfter: 3 * time.Second,
+			History: 20 * time.Second},
 		Platform: Platform{Address: "10.9.0.1:80", MaxCallsPerSecond: 3.5, MaxLag: 810 * time.Millisecond, IsPresent: true},
 	}, settings)
 }
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -25,8 +25,12 @@
 	Coordinator = "coordinator"
 	// DropAdapters is a list of adapters that a placement task unloads.
 	DropAdapters = "drop"
+	// Epoch is the counter of an issuer's epoch in the coordination of applications.
+	Epoch = "epoch"
 	// FirstEventMs is the time from the arrival of a request to the first event of its response.
 	FirstEventMs = "first_event_ms"
+	// Group is the number of an acceptor group in the coordination of applications.
+	Group = "group"
 	// HasEvents says whether the response was a stream of events.
 	HasEvents = "has_events"
 	// InFlight is the number of requests of all proxies in flight at a backend.
