--- a/internal/controlplane/coordination/bounds.go
+++ b/internal/controlplane/coordination/bounds.go
@@ -35,6 +35,25 @@
 	maxEventBytesPerAnswer = 128 << 10
 )
 
+// limits are the bounds of a store's state and of its answers.
+type limits struct {
+	holds            int
+	stateBytes       int
+	events           int
+	eventBudget      int
+	eventBytesBudget int
+	answerEvents     int
+	answerBytes      int
+}
+
+func defaultLimits() limits {
+	return limits{
+		holds: MaxHolds, stateBytes: MaxStateBytes, events: MaxEvents,
+		eventBudget: eventBudget, eventBytesBudget: eventBytesBudget,
+		answerEvents: maxEventsPerAnswer, answerBytes: maxEventBytesPerAnswer,
+	}
+}
+
 // isWithinBounds reports whether the fields that a call's kind needs are present and no larger than allowed.
 func isWithinBounds(call *message.Call) bool {
 	switch call.Kind {
--- a/internal/controlplane/coordination/history.go
+++ b/internal/controlplane/coordination/history.go
@@ -33,9 +33,6 @@
 // isDropped reports whether the event is not in its group's history any more.
 func (e *loggedEvent) isDropped() bool { return e.revision <= e.group.horizon }
 
-// exceedsBudget reports whether more events are kept than what the retention asks for.
-func (l *eventLog) exceedsBudget() bool { return l.count > eventBudget || l.bytes > eventBytesBudget }
-
 // addEvent appends an event to its group's history. Its age counts from now.
 func (s *Store) addEvent(now time.Duration, group *keyGroup, event message.KeyEvent) {
 	group.history = append(group.history, event)
@@ -51,7 +48,7 @@
 	log := &s.events
 	var trimmed []*keyGroup
 	isTrimmed := map[*keyGroup]bool{}
-	for log.exceedsBudget() && len(log.byAge) > 0 {
+	for s.exceedsEventBudget() && len(log.byAge) > 0 {
 		oldest := log.byAge[0]
 		if !oldest.isDropped() {
 			if now-oldest.receivedAt <= s.options.HistoryRetention {
@@ -72,6 +69,11 @@
 	return changes
 }
 
+// exceedsEventBudget reports whether events are to be dropped as soon as they are old enough.
+func (s *Store) exceedsEventBudget() bool {
+	return s.events.count > s.limits.eventBudget || s.events.bytes > s.limits.eventBytesBudget
+}
+
 // applyTrim drops the events of a group up to a horizon.
 func (s *Store) applyTrim(trim message.HistoryTrim) {
 	group := s.groups[trim.Group]
--- a/internal/controlplane/coordination/keys.go
+++ b/internal/controlplane/coordination/keys.go
@@ -63,7 +63,7 @@
 	if exists {
 		growth -= eventBytes(call.Key, present.value)
 	}
-	if s.events.count >= MaxEvents || s.valueBytes+s.events.bytes+growth > MaxStateBytes {
+	if s.events.count >= s.limits.events || s.valueBytes+s.events.bytes+growth > s.limits.stateBytes {
 		return answerStatus(StatusInsufficientMemory)
 	}
 	event := &message.KeyEvent{Key: call.Key, Value: call.Value, Revision: group.revision + 1}
--- a/internal/controlplane/coordination/locks.go
+++ b/internal/controlplane/coordination/locks.go
@@ -37,12 +37,12 @@
 
 // acquire grants a lock that is free or that the caller holds already. Each grant has a token of its own, so that what an
 // owner sent under an earlier one cannot end a later one.
-func (t *lockTable) acquire(now time.Duration, call *message.Call) Result {
+func (t *lockTable) acquire(now time.Duration, call *message.Call, maxHolds int) Result {
 	held := t.current(now, call.Lock)
 	if held != nil && held.grant.Owner != call.Owner {
 		return answerStatus(StatusHeld)
 	}
-	if _, hasRecord := t.holds[call.Lock]; !hasRecord && len(t.holds) >= MaxHolds {
+	if _, hasRecord := t.holds[call.Lock]; !hasRecord && len(t.holds) >= maxHolds {
 		return answerStatus(StatusInsufficientMemory)
 	}
 	token := t.lastToken + 1
--- a/internal/controlplane/coordination/snapshot.go
+++ b/internal/controlplane/coordination/snapshot.go
@@ -62,7 +62,7 @@
 // the state is read from this member's own disk after a restart then, and how long ago it was written is not known. Events
 // begin their age anew.
 func (s *Store) Restore(now time.Duration, state message.CoordinationState, restarted bool) {
-	*s = *New(s.options)
+	*s = *newStore(s.options, s.limits)
 	s.lastNumber = state.LastNumber
 	for _, grant := range state.Holds {
 		left := grant.LeftMs
--- a/internal/controlplane/coordination/store.go
+++ b/internal/controlplane/coordination/store.go
@@ -33,6 +33,7 @@
 // Store is the state. It has one owner and no locks. Times are of the owner's monotonic clock.
 type Store struct {
 	options    Options
+	limits     limits
 	locks      lockTable
 	lastNumber uint64 // the newest number of all names
 	groups     map[message.KeyGroup]*keyGroup
@@ -48,9 +49,11 @@
 }
 
 // New returns an empty store.
-func New(options Options) *Store {
+func New(options Options) *Store { return newStore(options, defaultLimits()) }
+
+func newStore(options Options, limits limits) *Store {
 	return &Store{
-		options: options, locks: newLockTable(),
+		options: options, limits: limits, locks: newLockTable(),
 		groups: map[message.KeyGroup]*keyGroup{}, events: newEventLog(),
 	}
 }
@@ -73,7 +76,7 @@
 func (s *Store) decide(now time.Duration, call *message.Call) Result {
 	switch call.Kind {
 	case message.CallAcquire:
-		return s.locks.acquire(now, call)
+		return s.locks.acquire(now, call, s.limits.holds)
 	case message.CallRenew:
 		return s.locks.renew(now, call)
 	case message.CallRelease:
--- a/internal/controlplane/coordination/watches.go
+++ b/internal/controlplane/coordination/watches.go
@@ -23,24 +23,25 @@
 	}
 	events := group.history[group.firstAbove(call.After):]
 	revision := group.revision
-	if count := countForAnswer(events); count < len(events) {
+	if count := s.countForAnswer(events); count < len(events) {
 		events = events[:count]
 		revision = events[count-1].Revision
 	}
 	return watchResult(slices.Clone(events), revision)
 }
 
-// HasEvents reports whether a waiting watch has something to report now, so that the issuer executes it again.
+// HasEvents reports whether a waiting watch has something to report now, so that the issuer executes it again. It costs one
+// look-up.
 func (s *Store) HasEvents(call message.Call) bool {
-	return !isWithinBounds(&call) || !s.watch(&call).Waits
+	return call.After == 0 || call.After != s.group(call.Group).revision
 }
 
 // countForAnswer returns how many of the events, of which the oldest come first, fit into one answer.
-func countForAnswer(events []message.KeyEvent) int {
+func (s *Store) countForAnswer(events []message.KeyEvent) int {
 	bytes := 0
 	for i, event := range events {
 		bytes += eventBytes(event.Key, event.Value)
-		if i == maxEventsPerAnswer || i > 0 && bytes > maxEventBytesPerAnswer {
+		if i == s.limits.answerEvents || i > 0 && bytes > s.limits.answerBytes {
 			return i
 		}
 	}
