--- /dev/null
+++ b/internal/controlplane/coordination/history_test.go
@@ -0,0 +1,100 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pumiceline/internal/message"
+)
+
+// newFullStore returns a store with one event more than the budget, put one a second from 0 on.
+func newFullStore(t *testing.T) *Store {
+	t.Helper()
+	store := newStore(Options{HistoryRetention: testRetention}, smallLimits())
+	for i := range store.limits.eventBudget + 1 {
+		result := store.Execute(time.Duration(i)*time.Second, put("g.a", fmt.Sprint(i), message.Revision(i)))
+		require.Equal(t, StatusOK, result.Answer.Status)
+	}
+	return store
+}
+
+func TestMaintain_DropsEventsThatAreOldAndBeyondTheBudget(t *testing.T) {
+	store := newFullStore(t)
+	assert.Empty(t, store.Maintain(testRetention), "not older than the retention")
+	want := []message.CoordinationChange{{Trim: &message.HistoryTrim{Group: "g.", Horizon: 1}}}
+	assert.Equal(t, want, store.Maintain(testRetention+1))
+	assert.Empty(t, store.Maintain(time.Hour), "within the budget")
+	assert.Equal(t, StatusOK, store.Execute(time.Hour, watch("g.", 1, 0)).Answer.Status)
+	store.Execute(time.Hour, put("g.b", "next", 0))
+	store.Maintain(time.Hour)
+	assert.Equal(t, answerStatus(StatusHistoryGone), store.Execute(time.Hour, watch("g.", 1, 0)))
+	assert.Equal(t, StatusOK, store.Execute(time.Hour, watch("g.", 2, 0)).Answer.Status)
+	assert.Equal(t, atRevision(StatusOK, 10), store.Execute(time.Hour, watch("g.", 0, 0)).Answer)
+}
+
+func TestMaintain_DropsTheOldestEventsOfAllGroups(t *testing.T) {
+	store := newStore(Options{HistoryRetention: testRetention}, smallLimits())
+	revisions := map[message.KeyName]message.Revision{}
+	for i := range store.limits.eventBudget + 3 {
+		key := message.KeyName(fmt.Sprintf("g%d.a", (i+1)%2))
+		result := store.Execute(time.Duration(i), put(key, fmt.Sprint(i), revisions[key]))
+		revisions[key] = result.Answer.Revision
+	}
+	want := []message.CoordinationChange{
+		{Trim: &message.HistoryTrim{Group: "g1.", Horizon: 2}}, {Trim: &message.HistoryTrim{Group: "g0.", Horizon: 1}},
+	}
+	assert.Equal(t, want, store.Maintain(time.Hour))
+}
+
+func TestTrim_KeepsThePresentValues(t *testing.T) {
+	store := newTestStore()
+	store.Execute(0, put("g.a", "1", 0))
+	store.Execute(0, put("g.b", "2", 0))
+	store.Execute(0, put("g.b", "3", 2))
+	store.Apply(0, message.CoordinationChange{Trim: &message.HistoryTrim{Group: "g.", Horizon: 3}})
+	assert.Equal(t, read("1", 1), store.Execute(0, get("g.a")).Answer)
+	assert.Equal(t, read("3", 3), store.Execute(0, get("g.b")).Answer)
+	assert.Equal(t, atRevision(StatusOK, 1), store.Execute(0, put("g.a", "1", 0)).Answer, "it is still recognised")
+	assert.Equal(t, atRevision(StatusRevisionMismatch, 3), store.Execute(0, put("g.b", "2", 0)).Answer, "it is forgotten")
+	assert.Equal(t, atRevision(StatusOK, 4), store.Execute(0, put("g.a", "4", 1)).Answer)
+	assert.Equal(t, 1, store.events.count)
+}
+
+func TestTrim_BeyondTheGroupOrOfNoneIsHarmless(t *testing.T) {
+	store := newTestStore()
+	store.Execute(0, put("g.a", "1", 0))
+	for _, trim := range []message.HistoryTrim{{Group: "x.", Horizon: 3}, {Group: "g.", Horizon: 3}, {Group: "g.", Horizon: 1}} {
+		store.Apply(0, message.CoordinationChange{Trim: &trim})
+	}
+	assert.Equal(t, message.Revision(1), store.Snapshot(0).KeyGroups[0].Horizon)
+	assert.Equal(t, atRevision(StatusOK, 2), store.Execute(0, put("g.a", "2", 1)).Answer)
+}
+
+// An acceptor that never trims by itself, and whose order of age differs from the issuer's after a restore, does not
+// collect events that are gone.
+func TestTrim_LeavesNoDroppedEventsInTheOrderOfAge(t *testing.T) {
+	issuer := newStore(Options{HistoryRetention: testRetention}, smallLimits())
+	acceptor := newStore(issuer.options, issuer.limits)
+	revisions := map[message.KeyName]message.Revision{}
+	for i := range 2000 {
+		now := time.Duration(i) * testRetention
+		changes := issuer.Maintain(now)
+		key := message.KeyName(fmt.Sprintf("g%d.a", i*i%7))
+		result := issuer.Execute(now, put(key, fmt.Sprint(i), revisions[key]))
+		require.Equal(t, StatusOK, result.Answer.Status)
+		revisions[key] = result.Answer.Revision
+		for _, change := range append(changes, result.Changes...) {
+			acceptor.Apply(now, change)
+		}
+		if i%100 == 50 {
+			acceptor.Restore(now, issuer.Snapshot(now), false)
+		}
+		require.Equal(t, issuer.events.count, acceptor.events.count)
+		require.LessOrEqual(t, len(acceptor.events.byAge), 2*acceptor.events.count+1)
+		require.Len(t, acceptor.events.revisions, acceptor.events.count)
+	}
+}
--- a/internal/controlplane/coordination/store_test.go
+++ b/internal/controlplane/coordination/store_test.go
@@ -38,6 +38,16 @@
 
 func number() message.Call { return message.Call{Kind: message.CallNumber} }
 
+// watchAll asks for all events that a group has had after the first.
+func watchAll(group message.KeyGroup) message.Call { return watch(group, 1, 0) }
+
+// smallLimits are limits that few calls reach.
+func smallLimits() limits {
+	limits := defaultLimits()
+	limits.holds, limits.events, limits.eventBudget, limits.answerEvents = 3, 32, 8, 5
+	return limits
+}
+
 // step is a call at a time with the answer that it must get. The times of a table rise.
 type step struct {
 	at     time.Duration
