Relay that brings the calls of applications to the issuer

Any coordinator receives calls, and one of them issues the answers. The relay finds the issuer by the hints of its own coordinator and of those it asks, repeats what is lost, and ends before an application turns away. A call is reported as not executed only where each of its requests was declined; else its outcome is unknown.

--- /dev/null
+++ b/internal/controlplane/relay/watch_test.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pumiceline/internal/controlplane/coordinationapi"
+	"pumiceline/internal/message"
+)
+
+var watch = message.Call{Kind: message.CallWatch, Group: "g.", After: 5, WaitMs: 2000}
+
+// keepsWatch is an issuer that answers a watch at a time.
+func (n *network) keepsWatch(until time.Duration) respond {
+	return func(r sentRequest) *message.CallResponse {
+		time.AfterFunc(until-r.at, func() { n.relay.HandleResponse(responseTo(r, answers(r))) })
+		return nil
+	}
+}
+
+func TestWatchIsSentAgainWithWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates = Candidates{Issuer: far, Voters: []message.Member{far}, InTouch: true}
+		n.members["far"] = n.keepsWatch(1500 * time.Millisecond)
+		_, err := n.relay.Call(t.Context(), watch)
+		require.NoError(t, err)
+		assert.Equal(t, 1500*time.Millisecond, n.elapsed())
+		for _, r := range n.sent {
+			assert.Equal(t, n.sent[0].id, r.id)
+			assert.Equal(t, watch.WaitMs-r.at.Milliseconds(), r.call.WaitMs)
+			assert.Zero(t, r.at%watchResendInterval)
+		}
+		n.assertNothingWaits(t)
+	})
+}
+
+func TestWatchIsNotTakenFromAnIssuerThatKeepsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.members["near"], n.members["remote"], n.members["self"] = names(far), names(far), names(far)
+		n.members["far"] = n.keepsWatch(2 * time.Second)
+		_, err := n.relay.Call(t.Context(), watch)
+		require.NoError(t, err)
+		assert.Equal(t, 2*time.Second, n.elapsed())
+		assert.Less(t, len(n.sent), 14)
+	})
+}
+
+func TestWatchMovesToTheNewIssuer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates.Issuer = far
+		n.members["near"], n.members["self"] = names(remote), names(remote)
+		n.members["remote"] = n.keepsWatch(1200 * time.Millisecond)
+		_, err := n.relay.Call(t.Context(), watch)
+		require.NoError(t, err)
+		assert.Equal(t, 1200*time.Millisecond, n.elapsed())
+	})
+}
+
+func TestWatchFollowsTheOwnCoordinatorsHint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates.Issuer = far
+		n.members["remote"] = n.keepsWatch(400 * time.Millisecond)
+		time.AfterFunc(200*time.Millisecond, func() { n.setIssuer(remote) })
+		_, err := n.relay.Call(t.Context(), watch)
+		require.NoError(t, err)
+		assert.Equal(t, 400*time.Millisecond, n.elapsed())
+	})
+}
+
+func TestWatchAsksVotersWhenItsIssuerDeclines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates.Issuer = far
+		n.members["far"], n.members["near"] = knowsNone, names(remote)
+		n.members["remote"] = n.keepsWatch(100 * time.Millisecond)
+		_, err := n.relay.Call(t.Context(), watch)
+		require.NoError(t, err)
+		assert.Equal(t, 100*time.Millisecond, n.elapsed())
+	})
+}
+
+func TestWatchWithoutAnAnswerEndsAfterItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates.Issuer = far
+		_, err := n.relay.Call(t.Context(), watch)
+		require.ErrorIs(t, err, coordinationapi.ErrOutcomeUnknown)
+		assert.Equal(t, 2*time.Second+callTimeout, n.elapsed())
+		assert.Zero(t, n.sent[len(n.sent)-1].call.WaitMs)
+		n.assertNothingWaits(t)
+	})
+}
+
+func TestWatchEndsWhenItsClientHasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates.Issuer = far
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		_, err := n.relay.Call(ctx, watch)
+		require.Error(t, err)
+		assert.Equal(t, 700*time.Millisecond, n.elapsed())
+		n.assertNothingWaits(t)
+	})
+}
