--- a/internal/controlplane/coordinationapi/fuzz_test.go
+++ b/internal/controlplane/coordinationapi/fuzz_test.go
@@ -59,11 +59,11 @@
 	}
 	for _, call := range caller.calls {
 		for _, name := range []string{string(call.Lock), string(call.Owner), string(call.Key), string(call.Group)} {
-			if len(name) > maxNameBytes || !utf8.ValidString(name) || strings.ContainsAny(name, "\x00\n\x7f") {
+			if len(name) > coordination.MaxNameBytes || !utf8.ValidString(name) || strings.ContainsAny(name, "\x00\n\x7f") {
 				t.Errorf("name %q", name)
 			}
 		}
-		if call.HoldMs < 0 || call.HoldMs > maxHold.Milliseconds() || len(call.Value) > maxValueBytes {
+		if call.HoldMs < 0 || call.HoldMs > coordination.MaxHold.Milliseconds() || len(call.Value) > coordination.MaxValueBytes {
 			t.Errorf("beyond the limits: %+v", call)
 		}
 		if call.WaitMs < 0 || call.WaitMs > maxWatchWait.Milliseconds() {
--- a/internal/controlplane/coordinationapi/handler_test.go
+++ b/internal/controlplane/coordinationapi/handler_test.go
@@ -95,7 +95,7 @@
 }
 
 func TestRequestsThatAreNotInOrderAreRejected(t *testing.T) {
-	long := strings.Repeat("n", maxNameBytes+1)
+	long := strings.Repeat("n", coordination.MaxNameBytes+1)
 	for _, c := range []struct {
 		name, method, target, body string
 		status                     int
@@ -133,7 +133,7 @@
 		{"number with a broken body", "POST", "/numbers/a", `{`, 400, "JSON object"},
 		{"no value", "PUT", "/cells/a.b", `{"ifRevision":1}`, 400, "value is missing"},
 		{"value not a string", "PUT", "/cells/a.b", `{"value":{},"ifRevision":1}`, 400, "value must be a string"},
-		{"long value", "PUT", "/cells/a.b", `{"value":"` + strings.Repeat("v", maxValueBytes+1) + `","ifRevision":1}`, 400, "value is longer"},
+		{"long value", "PUT", "/cells/a.b", `{"value":"` + strings.Repeat("v", coordination.MaxValueBytes+1) + `","ifRevision":1}`, 400, "value is longer"},
 		{"no ifRevision", "PUT", "/cells/a.b", `{"value":"v"}`, 400, "ifRevision is missing"},
 		{"ifRevision negative", "PUT", "/cells/a.b", `{"value":"v","ifRevision":-1}`, 400, "ifRevision must be"},
 		{"ifRevision fractional", "PUT", "/cells/a.b", `{"value":"v","ifRevision":0.5}`, 400, "ifRevision must be"},
--- a/internal/controlplane/coordinationapi/request.go
+++ b/internal/controlplane/coordinationapi/request.go
@@ -11,16 +11,12 @@
 	"unicode"
 	"unicode/utf8"
 
+	"pumiceline/internal/controlplane/coordination"
 	"pumiceline/internal/message"
 )
 
-// Limits of what applications may name and store.
-const (
-	maxNameBytes  = 128
-	maxValueBytes = 4096
-	maxHold       = 10 * time.Minute
-	maxWatchWait  = 30 * time.Second // a longer one is shortened to it
-)
+// maxWatchWait is how long a watch may wait for an event. A longer one is shortened to it.
+const maxWatchWait = 30 * time.Second
 
 // requestError is a request that is not in order. Nothing was done.
 type requestError struct {
@@ -51,8 +47,8 @@
 	switch {
 	case name == "":
 		return invalid("%s is empty", what)
-	case len(name) > maxNameBytes:
-		return invalid("%s is longer than %d bytes", what, maxNameBytes)
+	case len(name) > coordination.MaxNameBytes:
+		return invalid("%s is longer than %d bytes", what, coordination.MaxNameBytes)
 	case !utf8.ValidString(name):
 		return invalid("%s is not UTF-8", what)
 	case strings.ContainsFunc(name, unicode.IsControl):
@@ -229,8 +225,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if hold == 0 || hold > uint64(maxHold.Milliseconds()) {
-		return 0, invalid("holdMs must be between 1 and %d", maxHold.Milliseconds())
+	if hold == 0 || hold > uint64(coordination.MaxHold.Milliseconds()) {
+		return 0, invalid("holdMs must be between 1 and %d", coordination.MaxHold.Milliseconds())
 	}
 	return int64(hold), nil
 }
@@ -240,8 +236,8 @@
 	if err != nil {
 		return "", err
 	}
-	if len(value) > maxValueBytes {
-		return "", invalid("value is longer than %d bytes", maxValueBytes)
+	if len(value) > coordination.MaxValueBytes {
+		return "", invalid("value is longer than %d bytes", coordination.MaxValueBytes)
 	}
 	return value, nil
 }
