Coordinators log each call at the control address, and what a shutdown cuts

So a page that is not built, a wait for a view (503 after 930 ms) and a cut at the shutdown (500 ms after the removal from the view) looked the same.

Each call is now logged at debug level with method, path, status and time, also one whose connection is cut, and a shutdown warns where calls were in flight. Nothing else changes.

--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -23,6 +23,7 @@
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/controlplane/replica"
+	"pumiceline/internal/logkey"
 	"pumiceline/internal/message"
 	"pumiceline/internal/transport"
 )
@@ -66,7 +67,8 @@
 	go loop.run(background)
 	go transport.Serve(listener, loop.handleMessage)
 	go newController(loop, settings).run(background)
-	server, err := serveOperatorAPI(loop, settings)
+	calls := &callLog{next: &operatorAPI{loop: loop, node: settings.Node}}
+	server, err := serveCalls(calls, settings.ControlAddress)
 	if err != nil {
 		return err
 	}
@@ -74,7 +76,9 @@
 	awaitRemoval(loop, settings.Bounds.GracePeriod)
 	shutdown, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
 	defer cancel()
-	_ = server.Shutdown(shutdown) // connections that are still open then are cut
+	if err := server.Shutdown(shutdown); err != nil {
+		logrus.WithError(err).WithField(logkey.Requests, calls.inFlight.Load()).Warn("shutdown cuts calls in flight")
+	}
 	return nil
 }
 
@@ -96,10 +100,10 @@
 	return l
 }
 
-// serveOperatorAPI starts the HTTP server for the operator. The caller shuts it down.
-func serveOperatorAPI(loop *replicaLoop, settings *bootstrap.Settings) (*http.Server, error) {
-	server := &http.Server{Handler: &operatorAPI{loop: loop, node: settings.Node}, ReadHeaderTimeout: readHeaderTimeout}
-	listener, err := net.Listen("tcp", settings.ControlAddress)
+// serveCalls starts the HTTP server at the control address. The caller shuts it down.
+func serveCalls(calls *callLog, address string) (*http.Server, error) {
+	server := &http.Server{Handler: calls, ReadHeaderTimeout: readHeaderTimeout}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the operator")
 	}
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -47,6 +47,8 @@
 	MaxEventGapMs = "max_event_gap_ms"
 	// Members are the internal addresses of a view's members, the head of the chain first.
 	Members = "members"
+	// Method is the HTTP method of a call to the control address.
+	Method = "method"
 	// Model is a model, with its adapter after a slash.
 	Model = "model"
 	// Name is what a placement command loads or unloads: a model, or an adapter ("model/adapter").
@@ -55,6 +57,8 @@
 	Operation = "operation"
 	// OutputTokens is the number of tokens that a request asks for at most.
 	OutputTokens = "output_tokens"
+	// Path is the path and query of a call to the control address.
+	Path = "path"
 	// Priority is the priority of a route, 0 the highest.
 	Priority = "priority"
 	// Program is the name of a process's command.
@@ -71,7 +75,7 @@
 	Rejection = "rejection"
 	// Request is the ID of a client request.
 	Request = "request"
-	// Requests is a number of client requests in flight.
+	// Requests is a number of requests in flight.
 	Requests = "requests"
 	// Route is the name of a route.
 	Route = "route"
@@ -79,6 +83,8 @@
 	Seed = "seed"
 	// SentMs is the time from the arrival of a request until its last attempt began.
 	SentMs = "sent_ms"
+	// Status is the HTTP status of an answer; 0: none was sent.
+	Status = "status"
 	// Token is the fencing token of the controller lease.
 	Token = "token"
 	// TotalMs is the time from the arrival of a request to its end.
