--- a/internal/controlplane/coordination/keys.go
+++ b/internal/controlplane/coordination/keys.go
@@ -55,7 +55,7 @@
 		return Result{Answer: message.Answer{Status: StatusOK, Revision: revision}}
 	}
 	present, exists := group.keys[call.Key]
-	if present.revision != call.IfRevision {
+	if !call.IfAny && present.revision != call.IfRevision {
 		return Result{Answer: message.Answer{Status: StatusRevisionMismatch, Revision: present.revision}}
 	}
 	size := eventBytes(call.Key, call.Value)
--- a/internal/controlplane/coordinationapi/request.go
+++ b/internal/controlplane/coordinationapi/request.go
@@ -118,6 +118,10 @@
 	if call.Value, err = fields.value(); err != nil {
 		return message.Call{}, err
 	}
+	if !fields.has("ifRevision") {
+		call.IfAny = true
+		return call, nil
+	}
 	revision, err := fields.count("ifRevision")
 	call.IfRevision = message.Revision(revision)
 	return call, err
@@ -187,6 +191,12 @@
 	return *value, nil
 }
 
+// has reports whether a field is there.
+func (f fields) has(name string) bool {
+	_, ok := f[name]
+	return ok
+}
+
 // count returns a field that must be there as a whole number that is not negative.
 func (f fields) count(name string) (uint64, error) {
 	var value *uint64
--- a/internal/message/coordination.go
+++ b/internal/message/coordination.go
@@ -37,6 +37,7 @@
 	Key        KeyName      `msg:"n,omitempty"`
 	Value      string       `msg:"v,omitempty"`
 	IfRevision Revision     `msg:"r,omitempty"` // that the key must have; 0: it must not exist
+	IfAny      bool         `msg:"y,omitempty"` // of CallPut: whatever revision the key has, or none
 	Group      KeyGroup     `msg:"g,omitempty"` // of CallWatch
 	After      Revision     `msg:"a,omitempty"` // of CallWatch: events above it are wanted; 0: only the present revision
 	WaitMs     int64        `msg:"w,omitempty"` // of CallWatch: how long the answer may wait for an event
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -2172,6 +2172,12 @@
 				}
 				z.IfRevision = Revision(zb0007)
 			}
+		case "y":
+			z.IfAny, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "IfAny")
+				return
+			}
 		case "g":
 			{
 				var zb0008 string
@@ -2212,8 +2218,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Call) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Lock == "" {
 		zb0001Len--
@@ -2243,18 +2249,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Group == "" {
+	if z.IfAny == false {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.After == 0 {
+	if z.Group == "" {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.WaitMs == 0 {
+	if z.After == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.WaitMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -2358,6 +2368,18 @@
 			}
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "y"
+			err = en.Append(0xa1, 0x79)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.IfAny)
+			if err != nil {
+				err = msgp.WrapError(err, "IfAny")
+				return
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// write "g"
 			err = en.Append(0xa1, 0x67)
 			if err != nil {
@@ -2369,7 +2391,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// write "a"
 			err = en.Append(0xa1, 0x61)
 			if err != nil {
@@ -2381,7 +2403,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// write "w"
 			err = en.Append(0xa1, 0x77)
 			if err != nil {
@@ -2401,8 +2423,8 @@
 func (z *Call) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Lock == "" {
 		zb0001Len--
@@ -2432,18 +2454,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Group == "" {
+	if z.IfAny == false {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.After == 0 {
+	if z.Group == "" {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.WaitMs == 0 {
+	if z.After == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.WaitMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2488,16 +2514,21 @@
 			o = msgp.AppendUint64(o, uint64(z.IfRevision))
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "y"
+			o = append(o, 0xa1, 0x79)
+			o = msgp.AppendBool(o, z.IfAny)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "g"
 			o = append(o, 0xa1, 0x67)
 			o = msgp.AppendString(o, string(z.Group))
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "a"
 			o = append(o, 0xa1, 0x61)
 			o = msgp.AppendUint64(o, uint64(z.After))
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "w"
 			o = append(o, 0xa1, 0x77)
 			o = msgp.AppendInt64(o, z.WaitMs)
@@ -2596,6 +2627,12 @@
 				}
 				z.IfRevision = Revision(zb0007)
 			}
+		case "y":
+			z.IfAny, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "IfAny")
+				return
+			}
 		case "g":
 			{
 				var zb0008 string
@@ -2636,7 +2673,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Call) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Lock)) + 2 + msgp.StringPrefixSize + len(string(z.Owner)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(string(z.Key)) + 2 + msgp.StringPrefixSize + len(z.Value) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Group)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Lock)) + 2 + msgp.StringPrefixSize + len(string(z.Owner)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(string(z.Key)) + 2 + msgp.StringPrefixSize + len(z.Value) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Group)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
 	return
 }
 
