Coordinators answer applications: locks, numbers, keys and watches

Each coordinator now relays these calls to the issuer of the present epoch, whose state is replicated in a ring of its own (docs/design/coordination.md).

--- a/internal/controlplane/coordinator/api.go
+++ b/internal/controlplane/coordinator/api.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"pumiceline/internal/controlplane/coordinationapi"
 	"pumiceline/internal/message"
 )
 
@@ -24,19 +25,23 @@
 // sends it again unchanged.
 var errNotDecided = errors.New("not decided yet: ask again")
 
-// operatorAPI is the operator's HTTP API: GET, PUT and PATCH on /config, GET on /status.
+// operatorAPI is the operator's HTTP API: GET, PUT and PATCH on /config, GET on /status. It shares its address with the API
+// of applications, to which it passes their calls.
 type operatorAPI struct {
-	loop *replicaLoop
-	node string
+	loop         *replicaLoop
+	node         string
+	applications *coordinationapi.Handler
 }
 
-// ServeHTTP answers a request of the operator.
+// ServeHTTP answers a request of the operator or of an application.
 func (a *operatorAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/status" && r.Method == http.MethodGet:
 		a.serveStatus(w)
 	case r.URL.Path == "/config":
 		a.serveConfig(w, r)
+	case coordinationapi.Serves(r.URL.Path):
+		a.applications.ServeHTTP(w, r)
 	default:
 		http.NotFound(w, r)
 	}
--- /dev/null
+++ b/internal/controlplane/coordinator/coordination_loop.go
@@ -0,0 +1,235 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/controlplane/epoch"
+	"pumiceline/internal/controlplane/relay"
+	"pumiceline/internal/controlplane/replica"
+	"pumiceline/internal/logkey"
+	"pumiceline/internal/message"
+	"pumiceline/internal/transport"
+)
+
+const (
+	// idleTickInterval is how often the member is ticked while there are no calls.
+	idleTickInterval = 500 * time.Millisecond
+	// historyFactor is how many times the time that watches may be away is kept of the history of keys: a watch may also wait,
+	// and members count ages from their own receipt.
+	historyFactor = 3
+)
+
+// coordinationLoop owns this machine's part in the coordination of applications: one goroutine (run) feeds the member messages and
+// ticks, and carries its outputs out in the order in which they were returned. The member counts time from started.
+type coordinationLoop struct {
+	member     *epoch.Member
+	started    time.Time
+	inbox      chan *message.Message
+	leaving    chan struct{} // closed when the process was asked to stop
+	sender     *transport.Sender
+	writer     *coordinationWriter
+	relay      *relay.Relay
+	self       message.Member
+	membership func() *membershipSnapshot // nil result: not known yet
+	status     atomic.Pointer[coordinationStatus]
+
+	loggedEpoch message.Epoch // the newest epoch that was logged
+	loggedGroup uint64        // the newest group that was logged
+}
+
+// coordinationStatus is what the rest of the process may know of the member, as of its last step.
+type coordinationStatus struct {
+	epoch.Status
+	canStop bool
+}
+
+// newCoordinationLoop makes the member from what is found on disk, together with the parts that carry out its outputs.
+func newCoordinationLoop(
+	self message.Member, settings *bootstrap.Settings, sender *transport.Sender, membership func() *membershipSnapshot,
+) (*coordinationLoop, error) {
+	ring, stored, err := openCoordinationState(settings.StateDir)
+	if err != nil {
+		return nil, err
+	}
+	l := &coordinationLoop{
+		started: time.Now(), inbox: make(chan *message.Message, inboxLength), leaving: make(chan struct{}),
+		sender: sender, self: self, membership: membership,
+	}
+	l.member = epoch.New(epoch.Options{
+		Self: self, Incarnation: newIncarnation(), Tolerance: settings.Tolerance,
+		InitialGroup: initialAcceptors(self, settings), History: historyFactor * settings.Bounds.History,
+	}, 0, stored)
+	l.writer = newCoordinationWriter(ring, l.onSynced)
+	l.relay = relay.New(relay.Options{
+		Self: self, Incarnation: newIncarnation(), Send: l.sendCall, Candidates: l.candidates,
+	})
+	// The first group is on disk before anybody can hear of this member.
+	out := l.member.Tick(0)
+	l.writer.write([]epoch.Output{out})
+	l.publish()
+	return l, nil
+}
+
+// initialAcceptors returns the first group of acceptors: the voters of the first view. It is nil on a machine that was not one of
+// them from the start.
+func initialAcceptors(self message.Member, settings *bootstrap.Settings) *message.AcceptorGroup {
+	if !settings.FirstStart {
+		return nil
+	}
+	view := replica.InitialView(SeedAddresses(settings))
+	isSeed := lo.ContainsBy(view.Voters, func(m message.Member) bool { return m.Identity == self.Identity })
+	if !isSeed {
+		return nil
+	}
+	return &message.AcceptorGroup{Number: 1, View: view.Number, Acceptors: view.Voters}
+}
+
+// canStop reports whether a member that leaves is not needed any more.
+func (l *coordinationLoop) canStop() bool {
+	status := l.status.Load()
+	return status == nil || status.canStop
+}
+
+func (l *coordinationLoop) now() time.Duration { return time.Since(l.started) }
+
+// isCoordination reports whether a message belongs to the coordination of applications.
+func isCoordination(m *message.Message) bool {
+	return m.CallRequest != nil || m.CallResponse != nil || m.StateWrite != nil || m.StateWriteResponse != nil ||
+		m.EpochQuery != nil || m.EpochQueryResponse != nil || m.EpochPrepare != nil || m.EpochPrepareResponse != nil ||
+		m.StateRequest != nil || m.StateResponse != nil || m.IssuerHandOver != nil
+}
+
+// deliver queues a message for the member, or hands a response to the call that waits for it. Any goroutine may call it. Where the
+// inbox is full the message is lost, as on a busy network.
+func (l *coordinationLoop) deliver(m *message.Message) {
+	if m.CallResponse != nil {
+		l.relay.HandleResponse(m)
+		return
+	}
+	select {
+	case l.inbox <- m:
+	default:
+	}
+}
+
+// sendCall sends a call of the relay to a coordinator, which may be this one.
+func (l *coordinationLoop) sendCall(address string, m *message.Message) {
+	if address == l.self.Address {
+		l.deliver(m)
+		return
+	}
+	l.sender.Send(address, m)
+}
+
+// candidates returns whom the relay may ask.
+func (l *coordinationLoop) candidates() relay.Candidates {
+	candidates := relay.Candidates{InTouch: true}
+	if s := l.membership(); s != nil {
+		candidates.Voters = s.view.EffectiveVoters()
+		candidates.InTouch = !s.isMember || s.hasMajority
+	}
+	if status := l.status.Load(); status != nil {
+		candidates.Issuer = status.Issuer
+	}
+	return candidates
+}
+
+// run steps the member until ctx ends.
+func (l *coordinationLoop) run(ctx context.Context) {
+	interval := tickInterval
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	leaving := l.leaving
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.inbox:
+			l.applyOutput(l.member.Step(l.now(), m))
+		case <-leaving:
+			l.member.SetLeaving()
+			leaving = nil
+		case <-ticker.C:
+			if s := l.membership(); s != nil {
+				l.member.SetVoters(s.view.Number, s.view.EffectiveVoters())
+			}
+			l.applyOutput(l.member.Tick(l.now()))
+		}
+		if wanted := l.publish(); wanted != interval {
+			interval = wanted
+			ticker.Reset(interval)
+		}
+	}
+}
+
+// applyOutput carries out the output of a step. Messages from the member to itself are stepped at once.
+func (l *coordinationLoop) applyOutput(out epoch.Output) {
+	if out.IsEmpty() {
+		return
+	}
+	local := l.route(out.Immediate)
+	if out.Record != nil || out.State != nil || len(out.Writes) > 0 || len(out.AfterSync) > 0 {
+		l.writer.enqueue(out)
+	}
+	for _, m := range local {
+		l.applyOutput(l.member.Step(l.now(), m))
+	}
+}
+
+// route passes messages of the member on: those for other processes to the sender, and responses for this one to the relay. It
+// returns those for the member itself, which the caller steps or queues.
+func (l *coordinationLoop) route(messages []message.Message) (local []*message.Message) {
+	for i := range messages {
+		m := &messages[i]
+		switch {
+		case m.ToAddress != l.self.Address || m.To != l.self.Identity:
+			l.sender.Send(m.ToAddress, m)
+		case m.CallResponse != nil:
+			l.relay.HandleResponse(m)
+		default:
+			local = append(local, m)
+		}
+	}
+	return local
+}
+
+// onSynced sends the messages whose records are on disk. The writer calls it from its goroutine. Where the inbox is full it waits:
+// a lost message of the member to itself would delay a round until it is repeated. The loop never waits for the writer.
+func (l *coordinationLoop) onSynced(messages []message.Message) {
+	for _, m := range l.route(messages) {
+		l.inbox <- m
+	}
+}
+
+// publish makes the status of the member known to the rest of the process, and returns how often it is to be ticked.
+func (l *coordinationLoop) publish() time.Duration {
+	status := &coordinationStatus{Status: l.member.Status(), canStop: l.member.CanStop()}
+	l.status.Store(status)
+	l.log(status)
+	if status.IsIdle {
+		return idleTickInterval
+	}
+	return tickInterval
+}
+
+func (l *coordinationLoop) log(status *coordinationStatus) {
+	if status.IsIssuer && status.Promised != l.loggedEpoch {
+		l.loggedEpoch = status.Promised
+		logrus.WithFields(logrus.Fields{
+			logkey.Epoch: status.Promised.Counter, logkey.Group: status.Group.Number,
+		}).Info("became the issuer of coordination")
+	}
+	if status.Group.Number != l.loggedGroup {
+		l.loggedGroup = status.Group.Number
+		addresses := lo.Map(status.Group.Acceptors, func(m message.Member, _ int) string { return m.Address })
+		logrus.WithFields(logrus.Fields{
+			logkey.Group: status.Group.Number, logkey.View: status.Group.View, logkey.Members: addresses,
+		}).Info("acceptor group entered")
+	}
+}
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -3,7 +3,9 @@
 //   - the replica loop, which owns the replica state machine (package replica) and carries out what it returns,
 //   - the state writer, which syncs the replica's records to the ring of files (package storage),
 //   - the hub that proxies poll for configuration, backends and loads (package distribution),
-//   - the operator's HTTP API (/config and /status), and
+//   - the coordination loop, which owns this machine's part in the coordination of applications (package epoch), and the relay
+//     that brings their calls to the issuer,
+//   - the HTTP API for the operator (/config and /status) and for applications (package coordinationapi), and
 //   - the controller, which polls discovery and places models while this member holds the controller lease.
 //
 // Only the replica loop touches the replica. The rest of the process reads the membershipSnapshot that the loop
@@ -21,6 +23,7 @@
 
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/controlplane/coordinationapi"
 	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/controlplane/replica"
 	"pumiceline/internal/logkey"
@@ -60,14 +63,22 @@
 		return err
 	}
 	loop := newReplicaLoop(self, settings, stored)
+	coordinationLoop, err := newCoordinationLoop(loop.self, settings, loop.sender, loop.snapshot.Load)
+	if err != nil {
+		return err
+	}
+	loop.coordination = coordinationLoop
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go loop.writer.run()
 	go loop.hub.Run(background)
 	go loop.run(background)
+	go coordinationLoop.writer.run()
+	go coordinationLoop.run(background)
 	go transport.Serve(listener, loop.handleMessage)
 	go newController(loop, settings).run(background)
-	calls := &callLog{next: &operatorAPI{loop: loop, node: settings.Node}}
+	applications := coordinationapi.NewHandler(coordinationLoop.relay)
+	calls := &callLog{next: &operatorAPI{loop: loop, node: settings.Node, applications: applications}}
 	server, err := serveCalls(calls, settings.ControlAddress)
 	if err != nil {
 		return err
@@ -120,11 +131,12 @@
 // its own can be admitted any more. The only member of a view stops at once, as nobody can remove it.
 func awaitRemoval(loop *replicaLoop, grace time.Duration) {
 	close(loop.leaving)
+	close(loop.coordination.leaving)
 	deadline := time.Now().Add(min(maxRemovalWait, time.Duration(maxRemovalShare*float64(grace))))
 	for time.Now().Before(deadline) {
 		time.Sleep(removalPollInterval)
 		s := loop.snapshot.Load()
-		if s != nil && (s.canStop || s.isMember && len(s.view.Members) == 1) {
+		if s != nil && (s.canStop && loop.coordination.canStop() || s.isMember && len(s.view.Members) == 1) {
 			return
 		}
 	}
--- a/internal/controlplane/coordinator/replica_loop.go
+++ b/internal/controlplane/coordinator/replica_loop.go
@@ -24,17 +24,19 @@
 // replicaLoop owns the replica: one goroutine (run) feeds it messages and ticks, and carries its outputs out in the
 // order in which they were returned. The replica counts time from started.
 type replicaLoop struct {
-	replica  *replica.Replica
-	started  time.Time
-	inbox    chan *message.Message
-	leaving  chan struct{} // closed when the process was asked to stop
-	sender   *transport.Sender
-	writer   *stateWriter
-	hub      *distribution.Hub
-	pending  *pendingResults
-	tasks    taskList
-	self     message.Member
-	snapshot atomic.Pointer[membershipSnapshot]
+	replica *replica.Replica
+	started time.Time
+	inbox   chan *message.Message
+	leaving chan struct{} // closed when the process was asked to stop
+	sender  *transport.Sender
+	writer  *stateWriter
+	hub     *distribution.Hub
+	pending *pendingResults
+	tasks   taskList
+	self    message.Member
+	// coordination is this machine's part in the coordination of applications, which shares the connections to other processes.
+	coordination *coordinationLoop
+	snapshot     atomic.Pointer[membershipSnapshot]
 
 	publishedSequence uint64             // of the configuration that the hub was given last
 	loggedView        message.ViewNumber // the newest view that was logged
@@ -65,6 +67,8 @@
 		l.hub.HandlePoll(string(m.From), *m.PollRequest, reply)
 	case m.LoadReport != nil:
 		l.hub.HandleLoadReport(string(m.From), m.LoadReport, reply)
+	case isCoordination(m):
+		l.coordination.deliver(m)
 	default:
 		l.deliver(m)
 	}
