--- a/internal/message/coordination.go
+++ b/internal/message/coordination.go
@@ -1,11 +1,13 @@
 package message
 
-// LockName, OwnerName and KeyName are what applications call locks, their holders and keys.
-type (
-	LockName  string
-	OwnerName string
-	KeyName   string
-)
+// LockName is what applications call a lock.
+type LockName string
+
+// OwnerName is what an application calls itself as the holder of locks.
+type OwnerName string
+
+// KeyName is what applications call a key.
+type KeyName string
 
 // KeyGroup is the part of a key's name up to and including the first dot. The keys of a group share one count of revisions.
 type KeyGroup string
