Epochs: a group that only a lost or leaving member had entered is entered again

Callers would have had no answer for good: an issuer entered the next acceptor group alone and was lost or not an acceptor of it; the others knew that group by hearsay, ran for it alone, and held no state of it. A candidate now asks the acceptors of its own state's group too, counts a promise for every group, and leads the older group to its end again where nobody that promised holds a state of the newer one. An issuer on its way to the next group is not stopped by a member that is in it already. Also: an idle issuer takes in new voters (TestMember_IdleSingleAcceptorTakesInNewVoters), and only the state that was reported as the newest is taken over (TestMember_OldStateResponseIsNotTakenForTheNewestState).

--- a/internal/controlplane/epoch/candidate.go
+++ b/internal/controlplane/epoch/candidate.go
@@ -27,6 +27,7 @@
 	group     message.AcceptorGroup
 	promises  map[message.MemberID]message.CoordinationPosition // by acceptor: the position that it reported
 	sources   map[message.MemberID]message.Member               // who reported it
+	newest    message.CoordinationPosition                      // of phaseFetch: the newest that was reported
 	isHandOff bool                                              // the issuer of the group before goes on in this one
 }
 
@@ -65,6 +66,7 @@
 		m.candidate = nil
 		m.follower.waitingSince = m.now
 		m.follower.issuer = c.queried[withIssuer[0].Identity].Issuer
+		m.follower.idle = !containsMember(m.newestGroup.Acceptors, m.options.Self.Identity) // the group goes on without it
 	}
 }
 
@@ -81,17 +83,26 @@
 	m.candidate = nil
 	epoch := message.Epoch{Counter: counter + 1, Issuer: m.options.Self.Identity}
 	m.promise(epoch)
-	m.candidate = &candidate{phase: phasePrepare, epoch: epoch}
+	m.candidate = newCandidate(epoch)
 	m.collectPromises(group)
 }
 
-// collectPromises asks the acceptors of a group to promise the candidate's epoch.
+func newCandidate(epoch message.Epoch) *candidate {
+	return &candidate{
+		epoch: epoch, promises: map[message.MemberID]message.CoordinationPosition{},
+		sources: map[message.MemberID]message.Member{},
+	}
+}
+
+// collectPromises asks the acceptors of a group to promise the candidate's epoch. Those of the group that this member's state
+// belongs to are asked too: where nobody holds a state of the newer group, the older one has to be led to its end again. A
+// promise that was given holds for every group.
 func (m *Member) collectPromises(group message.AcceptorGroup) {
 	c := m.candidate
 	c.phase, c.startedAt, c.group = phasePrepare, m.now, group
-	c.promises = map[message.MemberID]message.CoordinationPosition{}
-	c.sources = map[message.MemberID]message.Member{}
-	for _, acceptor := range group.Acceptors {
+	acceptors := append(append([]message.Member(nil), group.Acceptors...), m.group.Acceptors...)
+	acceptors = lo.UniqBy(acceptors, func(a message.Member) message.MemberID { return a.Identity })
+	for _, acceptor := range acceptors {
 		m.sendAfterSync(acceptor, message.Message{EpochPrepare: &message.EpochPrepare{Epoch: c.epoch, Group: group.Number}})
 	}
 }
@@ -108,28 +119,33 @@
 		m.abandonCandidacy(response.Promised)
 		return
 	}
-	if response.Current.Number > c.group.Number {
-		c.isHandOff = false
-		m.collectPromises(response.Current) // the group was superseded
-		return
-	}
 	c.promises[received.From] = response.Position
 	c.sources[received.From] = senderOf(received)
-	if m.hasPromises() {
+	if response.Current.Number > c.group.Number { // the group was superseded
+		c.isHandOff = false
+		m.collectPromises(response.Current)
+	}
+	switch {
+	case c.hasState(c.group) || c.isHandOff || m.position.Group == c.group.Number:
+		if c.isPromisedBy(c.group) {
+			m.fetchNewestState()
+		}
+	case m.group.Number < c.group.Number && c.isPromisedBy(m.group):
+		c.group = m.group
 		m.fetchNewestState()
 	}
 }
 
-// hasPromises reports whether a majority has promised, and a state of this group is among those reported. A member holds such
-// a state only with all that was accepted in the groups before.
-func (m *Member) hasPromises() bool {
-	c := m.candidate
-	promised := lo.CountBy(c.group.Acceptors, func(a message.Member) bool { _, ok := c.promises[a.Identity]; return ok })
-	hasState := c.isHandOff || m.position.Group == c.group.Number
-	for _, position := range c.promises {
-		hasState = hasState || position.Group == c.group.Number
-	}
-	return promised >= quorum(c.group) && hasState
+// isPromisedBy reports whether a majority of a group has promised the candidate's epoch.
+func (c *candidate) isPromisedBy(group message.AcceptorGroup) bool {
+	promised := lo.CountBy(group.Acceptors, func(a message.Member) bool { _, ok := c.promises[a.Identity]; return ok })
+	return promised >= quorum(group)
+}
+
+// hasState reports whether one of those that have promised holds a state of a group. It has all then that was accepted in the
+// groups before.
+func (c *candidate) hasState(group message.AcceptorGroup) bool {
+	return lo.SomeBy(lo.Values(c.promises), func(p message.CoordinationPosition) bool { return p.Group == group.Number })
 }
 
 // fetchNewestState fetches the newest state that was reported, unless this member holds it.
@@ -146,20 +162,24 @@
 		m.becomeIssuer()
 		return
 	}
-	c.phase, c.startedAt = phaseFetch, m.now
+	c.phase, c.startedAt, c.newest = phaseFetch, m.now, position
 	m.send(c.sources[newest], message.Message{StateRequest: &message.StateRequest{Epoch: c.epoch}})
 }
 
 // onStateResponse takes the newest state over.
 func (m *Member) onStateResponse(received *message.Message) {
 	c, response := m.candidate, received.StateResponse
-	if c == nil || c.phase != phaseFetch || response.Epoch != c.epoch || response.State.Position.Group > c.group.Number {
+	if c == nil || c.phase != phaseFetch || response.Epoch != c.epoch || response.State.Position != c.newest {
 		return
 	}
 	if m.position.Less(response.State.Position) {
 		m.adoptState(response.State, false)
 		m.output.stateReplaced = true
 	}
+	if m.position.Group > c.group.Number { // the state is of a later group than the one that was to be led
+		m.prepare(m.newestGroup)
+		return
+	}
 	m.becomeIssuer()
 }
 
--- a/internal/controlplane/epoch/follower.go
+++ b/internal/controlplane/epoch/follower.go
@@ -53,9 +53,11 @@
 	return m.now-m.follower.waitingSince >= timeout
 }
 
-// isAcceptor reports whether this member is an acceptor of the newest group that it knows.
+// isAcceptor reports whether this member is an acceptor of the newest group that it knows, or of that of its own state: the newer
+// group may have been named by an issuer that was lost before anybody else entered it.
 func (m *Member) isAcceptor() bool {
-	return containsMember(m.newestGroup.Acceptors, m.options.Self.Identity)
+	self := m.options.Self.Identity
+	return containsMember(m.newestGroup.Acceptors, self) || containsMember(m.group.Acceptors, self)
 }
 
 // electionRank returns how many acceptors are to try before this one: those between the last issuer and it.
@@ -64,6 +66,9 @@
 		return slices.IndexFunc(m.newestGroup.Acceptors, func(a message.Member) bool { return a.Identity == identity })
 	}
 	count := len(m.newestGroup.Acceptors)
+	if indexOf(m.options.Self.Identity) < 0 {
+		return count
+	}
 	return (indexOf(m.options.Self.Identity) - indexOf(m.record.Promised.Issuer) - 1 + count) % count
 }
 
--- a/internal/controlplane/epoch/group.go
+++ b/internal/controlplane/epoch/group.go
@@ -39,7 +39,8 @@
 // newest state has to be found first, as in any election.
 func (m *Member) enterNextGroup() {
 	m.issuer.established = false
-	m.candidate = &candidate{phase: phasePrepare, epoch: m.issuer.epoch, isHandOff: true}
+	m.candidate = newCandidate(m.issuer.epoch)
+	m.candidate.isHandOff = true
 	m.collectPromises(*m.nextGroup)
 }
 
--- a/internal/controlplane/epoch/issuer.go
+++ b/internal/controlplane/epoch/issuer.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if response.Group != nil {
-		m.stepDown(message.Member{})
+		m.onSuperseded()
 		return
 	}
 	if !response.Accepted {
@@ -141,6 +141,14 @@
 	m.completeRound()
 }
 
+// onSuperseded handles the answer of an acceptor that has entered a later group. Where this member's state names that group it
+// is on its way there itself, and a majority of the old group can still accept its writes.
+func (m *Member) onSuperseded() {
+	if m.nextGroup == nil {
+		m.stepDown(message.Member{})
+	}
+}
+
 // sendMissing sends an acceptor what leads from its position to the present one: the writes that it has missed, or the complete
 // state.
 func (m *Member) sendMissing(to message.Member, position message.CoordinationPosition) {
@@ -244,11 +252,14 @@
 // more heartbeats follow.
 func (m *Member) sendHeartbeat() {
 	l := m.issuer
-	if m.issuer == nil || l.inFlight != nil || m.candidate != nil || l.idle || m.now-l.roundAt < heartbeatInterval {
+	if m.issuer == nil || l.inFlight != nil || m.candidate != nil || m.now-l.roundAt < heartbeatInterval {
+		return
+	}
+	isQuiet := m.now-l.lastCallAt >= idleTimeout && len(m.calls.watches) == 0 && m.wantedAcceptors() == nil
+	if l.idle && isQuiet {
 		return
 	}
-	isQuiet := m.now-l.lastCallAt >= idleTimeout && len(m.calls.watches) == 0
-	l.idle = isQuiet && m.wantedAcceptors() == nil && m.now >= l.formerUntil
+	l.idle = isQuiet && m.now >= l.formerUntil
 	m.startRound(nil, nil)
 }
 
