Locks: a call that comes late never shortens a hold that its owner has

A grant or renewal of a present hold now lasts at least as long as the hold would anyway. The test that asked for the shorter time was wrong by the rule; two in its place ask that it stays. At most 4,096 locks are held, so that the largest state fits into a segment on disk.

--- a/internal/controlplane/coordination/bounds.go
+++ b/internal/controlplane/coordination/bounds.go
@@ -18,7 +18,7 @@
 	// MaxStateBytes bounds the size of the keys: of their present values and of their history, each with its key.
 	MaxStateBytes = 2 << 20
 	// MaxHolds bounds how many locks are held at a time.
-	MaxHolds = 16384
+	MaxHolds = 4096
 	// MaxEvents bounds the events in the history of all groups of keys.
 	MaxEvents = 4 * eventBudget
 )
--- a/internal/controlplane/coordination/locks.go
+++ b/internal/controlplane/coordination/locks.go
@@ -46,14 +46,21 @@
 		return answerStatus(StatusInsufficientMemory)
 	}
 	token := t.lastToken + 1
-	firstToken := token
+	grant := message.LockHold{
+		Lock: call.Lock, Owner: call.Owner, FirstToken: token, Token: token, HoldMs: call.HoldMs,
+	}
 	if held != nil {
-		firstToken = held.grant.FirstToken
+		grant.FirstToken = held.grant.FirstToken
+		grant.HoldMs = held.prolongedMs(now, call.HoldMs)
 	}
-	return grantResult(message.LockHold{
-		Lock: call.Lock, Owner: call.Owner, FirstToken: firstToken, Token: token,
-		HoldMs: call.HoldMs, LeftMs: call.HoldMs,
-	})
+	grant.LeftMs = grant.HoldMs
+	return grantResult(grant)
+}
+
+// prolongedMs returns how long a hold lasts from now on when its owner asks for holdMs: no shorter than it would last anyway. A
+// call may arrive late, after one that asked for a longer time, and its owner counts on the latter.
+func (h *hold) prolongedMs(now time.Duration, holdMs int64) int64 {
+	return max(holdMs, remainingMs(h.endsAt-now))
 }
 
 // renew prolongs the caller's hold, counted from now. A hold that has expired stays so, even where nobody has got the lock
@@ -67,7 +74,8 @@
 		return answerStatus(StatusHeld)
 	}
 	renewed := held.grant
-	renewed.HoldMs, renewed.LeftMs = call.HoldMs, call.HoldMs
+	renewed.HoldMs = held.prolongedMs(now, call.HoldMs)
+	renewed.LeftMs = renewed.HoldMs
 	return grantResult(renewed)
 }
 
--- a/internal/controlplane/coordination/locks_test.go
+++ b/internal/controlplane/coordination/locks_test.go
@@ -29,11 +29,17 @@
 			{at: 2 * time.Second, call: acquire("l", "two", 1000), answer: granted(2)},
 		}},
 		{"gives the holder a higher token and its new time from now on", []step{
-			{at: 0, call: acquire("l", "one", 10000), answer: granted(1)},
+			{at: 0, call: acquire("l", "one", 2000), answer: granted(1)},
 			{at: time.Second, call: acquire("l", "one", 2000), answer: granted(2)},
 			{at: 3*time.Second - 1, call: acquire("l", "two", 1000), answer: status(StatusHeld)},
 			{at: 3 * time.Second, call: acquire("l", "two", 1000), answer: granted(3)},
 		}},
+		{"does not shorten the holder's time when a call with a shorter one comes late", []step{
+			{at: 0, call: acquire("l", "one", 10000), answer: granted(1)},
+			{at: time.Second, call: acquire("l", "one", 2000), answer: granted(2)},
+			{at: 10*time.Second - 1, call: acquire("l", "two", 1000), answer: status(StatusHeld)},
+			{at: 10 * time.Second, call: acquire("l", "two", 1000), answer: granted(3)},
+		}},
 		{"gives a token above that of a hold that was given back", []step{
 			{at: 0, call: acquire("l", "one", 1000), answer: granted(1)},
 			{at: 0, call: release("l", "one", 1), answer: status(StatusOK)},
@@ -56,6 +62,12 @@
 			{at: 4*time.Second - 2, call: acquire("l", "two", 1000), answer: status(StatusHeld)},
 			{at: 4*time.Second - 1, call: acquire("l", "two", 1000), answer: granted(2)},
 		}},
+		{"does not shorten the hold when a renewal with a shorter time comes late", []step{
+			{at: 0, call: acquire("l", "one", 10000), answer: granted(1)},
+			{at: time.Second, call: renew("l", "one", 1, 2000), answer: granted(1)},
+			{at: 10*time.Second - 1, call: acquire("l", "two", 1000), answer: status(StatusHeld)},
+			{at: 10 * time.Second, call: acquire("l", "two", 1000), answer: granted(2)},
+		}},
 		{"is refused where nobody holds the lock", []step{
 			{at: 0, call: renew("l", "one", 1, 1000), answer: status(StatusHeld)},
 		}},
