--- /dev/null
+++ b/internal/coordinationclient/backoff.go
@@ -0,0 +1,23 @@
+package coordinationclient
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Pauses between the attempts of a call.
+const (
+	firstPause = 10 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+)
+
+// backoff doubles pauses, each with a random half so that callers don't come in step.
+type backoff struct{ pause time.Duration }
+
+func newBackoff() *backoff { return &backoff{pause: firstPause} }
+
+func (b *backoff) next() time.Duration {
+	pause := b.pause
+	b.pause = min(2*b.pause, maxPause)
+	return pause/2 + rand.N(pause/2)
+}
