--- a/internal/coordinationclient/fake_test.go
+++ b/internal/coordinationclient/fake_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,59 +12,16 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
-	"pumiceline/internal/controlplane/coordination"
-	"pumiceline/internal/controlplane/coordinationapi"
-	"pumiceline/internal/message"
+	"pumiceline/internal/fake/fakecoordination"
 )
 
-// store is an issuer without replicas: the state machine behind the real HTTP API.
-type store struct {
-	mutex sync.Mutex
-	start time.Time
-	state *coordination.Store
-}
-
-func newStore() *store {
-	return &store{start: time.Now(), state: coordination.New(coordination.Options{HistoryRetention: time.Minute})}
-}
-
-// Call carries out a call; a watch looks for events every few milliseconds.
-func (s *store) Call(ctx context.Context, call message.Call) (message.Answer, error) {
-	deadline := time.Now().Add(time.Duration(call.WaitMs) * time.Millisecond)
-	for {
-		if time.Now().After(deadline) {
-			call.WaitMs = 0
-		}
-		result := s.execute(call)
-		if !result.Waits {
-			return result.Answer, nil
-		}
-		select {
-		case <-ctx.Done():
-			return message.Answer{}, coordinationapi.ErrOutcomeUnknown
-		case <-time.After(2 * time.Millisecond):
-		}
-	}
-}
-
-func (s *store) execute(call message.Call) coordination.Result {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.state.Maintain(time.Since(s.start))
-	return s.state.Execute(time.Since(s.start), call)
-}
-
-// newSystem serves a store on real addresses, and returns a client of them.
+// newSystem starts a fake system with real addresses, and returns a client of it.
 func newSystem(t *testing.T, addresses int) *Client {
 	t.Helper()
-	caller := newStore()
-	options := Options{Patience: 2 * time.Second}
-	for range addresses {
-		server := httptest.NewServer(coordinationapi.NewHandler(caller))
-		t.Cleanup(server.Close)
-		options.Addresses = append(options.Addresses, strings.TrimPrefix(server.URL, "http://"))
-	}
-	client, err := New(options)
+	system, err := fakecoordination.Start(addresses)
+	require.NoError(t, err)
+	t.Cleanup(system.Close)
+	client, err := New(Options{Addresses: system.Addresses(), Patience: 2 * time.Second})
 	require.NoError(t, err)
 	return client
 }
