--- /dev/null
+++ b/cmd/pumicectl/keys.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"pumiceline/internal/message"
+)
+
+// keysCommand reads and sets keys.
+func keysCommand(out io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "keys", ShortUsage: "pumicectl keys <get|put>", ShortHelp: "read and set small keys of applications",
+		Subcommands: []*ffcli.Command{keysGetCommand(out), keysPutCommand(out)},
+		Exec:        showHelp,
+	}
+}
+
+// keyState is what get and put print with --json.
+type keyState struct {
+	Key      string           `json:"name"`
+	Value    string           `json:"value"`
+	Revision message.Revision `json:"revision"`
+}
+
+func keysGetCommand(out io.Writer) *ffcli.Command {
+	f, flags := newApplicationFlags("keys get")
+	return &ffcli.Command{
+		Name: "get", ShortUsage: "pumicectl keys get --control ADDRESS,... KEY", FlagSet: flags,
+		ShortHelp: "print the revision and value of a key",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return flag.ErrHelp
+			}
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			entry, err := client.NewKey(message.KeyName(args[0])).Get(ctx)
+			if err != nil {
+				return err
+			}
+			return f.print(out, keyState{args[0], entry.Value, entry.Revision}, fmt.Sprintf("%d %s", entry.Revision, entry.Value))
+		},
+	}
+}
+
+func keysPutCommand(out io.Writer) *ffcli.Command {
+	f, flags := newApplicationFlags("keys put")
+	ifRevision := flags.Uint64("if-revision", 0, "revision that the key must have; 0: it was never put")
+	return &ffcli.Command{
+		Name: "put", ShortUsage: "pumicectl keys put --control ADDRESS,... [--if-revision REVISION] KEY VALUE", FlagSet: flags,
+		ShortHelp: "set a key to a value that it never had, and print its new revision",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return flag.ErrHelp
+			}
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			revision, err := client.NewKey(message.KeyName(args[0])).Put(ctx, args[1], message.Revision(*ifRevision))
+			if err != nil {
+				return err
+			}
+			return f.print(out, keyState{args[0], args[1], revision}, fmt.Sprintf("acknowledged at revision %d", revision))
+		},
+	}
+}
--- a/cmd/pumicectl/main.go
+++ b/cmd/pumicectl/main.go
@@ -1,5 +1,6 @@
 // Command pumicectl is the operator's tool: it reads, checks and changes the configuration, shows the state of each
-// coordinator, simulates clusters of coordinators, and runs the system on loopback as a demonstration.
+// coordinator, uses locks, numbers, keys and watches as applications do, simulates clusters of coordinators, and runs the
+// system on loopback as a demonstration.
 //
 // Exit codes: 0 done; 1 a fault was found, a change was rejected, or the command failed; 2 wrong usage.
 package main
@@ -29,8 +30,12 @@
 	defer stop()
 	root := &ffcli.Command{
 		Name: "pumicectl", ShortUsage: "pumicectl <command> [flags]", ShortHelp: "operate the system",
-		Subcommands: []*ffcli.Command{configCommand(), statusCommand(), simulateCommand(), checkSettingsCommand(), demoCommand()},
-		Exec:        showHelp,
+		Subcommands: []*ffcli.Command{
+			configCommand(), statusCommand(),
+			locksCommand(os.Stdout), numbersCommand(os.Stdout), keysCommand(os.Stdout), watchCommand(os.Stdout),
+			simulateCommand(), checkSettingsCommand(), demoCommand(),
+		},
+		Exec: showHelp,
 	}
 	if err := root.Parse(os.Args[1:]); err != nil {
 		if !errors.Is(err, flag.ErrHelp) {
--- a/internal/coordinationclient/lock.go
+++ b/internal/coordinationclient/lock.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/url"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,10 +20,10 @@
 }
 
 // NewLock returns a lock by its name. The owner must differ from that of each other process and each other use of the lock: who
-// asks under the name of the holder is taken for the holder. The duration is how long a hold lasts without renewal, in whole
-// milliseconds, from 1 ms to 10 min.
+// asks under the name of the holder is taken for the holder. The duration is how long a hold lasts without renewal, from 1 ms to
+// 10 min; it is cut to whole milliseconds.
 func (c *Client) NewLock(name message.LockName, owner message.OwnerName, duration time.Duration) *Lock {
-	return &Lock{client: c, name: name, owner: owner, duration: duration}
+	return &Lock{client: c, name: name, owner: owner, duration: duration.Truncate(time.Millisecond)}
 }
 
 // lockBody is the body of the calls of a lock. Its fields are the union of theirs.
@@ -54,105 +53,61 @@
 	return nil, answer.rejected()
 }
 
-// newHold returns the hold that an answer grants.
-func (l *Lock) newHold(answer response) (*Hold, error) {
-	var granted struct {
-		Token message.FencingToken `json:"fenceNo"`
-	}
-	if err := answer.decode(&granted); err != nil {
+// Renew renews a hold that is known by its fencing token only, as after a restart of the owner: it counts from now on. The error
+// is ErrLost where it is over.
+func (l *Lock) Renew(ctx context.Context, token message.FencingToken) (*Hold, error) {
+	sentAt, err := l.renew(ctx, token, time.Time{})
+	if err != nil {
 		return nil, err
 	}
-	hold := &Hold{lock: l, token: granted.Token, until: answer.sentAt.Add(l.duration)}
-	if !hold.IsHeld() { // the answer came too late
-		return nil, errors.Wrapf(ErrLost, "lock %s", l.name)
-	}
-	return hold, nil
+	return l.holdSince(sentAt, token)
 }
 
-// Hold is the time for which a lock is held. Several goroutines may use it.
-type Hold struct {
-	lock  *Lock
-	token message.FencingToken
-
-	mutex sync.Mutex
-	until time.Time // zero: released, or lost to another owner
-}
-
-// Token returns the fencing token. What the lock protects should reject tokens below the highest that it has seen.
-func (h *Hold) Token() message.FencingToken { return h.token }
-
-// Until returns when the hold ends unless it is renewed; the zero time where it was released or is lost.
-func (h *Hold) Until() time.Time {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.until
+// renew sends a renewal, until a time at most, and returns when the one that succeeded was sent. The error is ErrLost where
+// the lock is lost.
+func (l *Lock) renew(ctx context.Context, token message.FencingToken, until time.Time) (time.Time, error) {
+	body := lockBody{Owner: l.owner, Token: &token, HoldMs: l.duration.Milliseconds()}
+	answer, err := l.client.do(ctx, request{method: http.MethodPut, path: l.path(), body: body, until: until})
+	switch {
+	case err != nil:
+		return time.Time{}, err
+	case answer.status == http.StatusConflict:
+		return time.Time{}, errors.Wrapf(ErrLost, "lock %s", l.name)
+	case answer.status != http.StatusOK:
+		return time.Time{}, answer.rejected()
+	}
+	return answer.sentAt, nil
 }
 
-// IsHeld reports whether the hold lasts now.
-func (h *Hold) IsHeld() bool { return time.Now().Before(h.Until()) }
-
-// Renew lets the hold last for the lock's duration from now on. It is repeated until the hold ends at most. The error is
-// ErrLost where the lock is not held any more; a renewal that was answered after the end counts for nothing. After any other
-// error the hold lasts until Until.
-func (h *Hold) Renew(ctx context.Context) error {
-	until := h.Until()
-	if !time.Now().Before(until) {
-		return h.lost()
-	}
-	ctx, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	body := lockBody{Owner: h.lock.owner, Token: &h.token, HoldMs: h.lock.duration.Milliseconds()}
-	answer, err := h.lock.client.do(ctx, request{method: http.MethodPut, path: h.lock.path(), body: body, until: until})
+// Release gives back a hold that is known by its fencing token. Without an answer others get the lock when its time has passed.
+func (l *Lock) Release(ctx context.Context, token message.FencingToken) error {
+	body := lockBody{Owner: l.owner, Token: &token}
+	answer, err := l.client.do(ctx, request{method: http.MethodDelete, path: l.path(), body: body})
 	switch {
-	case err != nil && !h.IsHeld():
-		return h.lost()
 	case err != nil:
 		return err
-	case answer.status == http.StatusConflict:
-		return h.lost()
 	case answer.status != http.StatusOK:
 		return answer.rejected()
 	}
-	return h.extend(answer.sentAt.Add(h.lock.duration))
+	return nil
 }
 
-// extend moves the end, unless the hold is over by now.
-func (h *Hold) extend(until time.Time) error {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if !time.Now().Before(h.until) {
-		h.until = time.Time{}
-		return errors.Wrapf(ErrLost, "lock %s", h.lock.name)
+// newHold returns the hold that an answer grants.
+func (l *Lock) newHold(answer response) (*Hold, error) {
+	var granted struct {
+		Token message.FencingToken `json:"fenceNo"`
 	}
-	if until.After(h.until) {
-		h.until = until
+	if err := answer.decode(&granted); err != nil {
+		return nil, err
 	}
-	return nil
-}
-
-// lost ends the hold.
-func (h *Hold) lost() error {
-	h.end()
-	return errors.Wrapf(ErrLost, "lock %s", h.lock.name)
+	return l.holdSince(answer.sentAt, granted.Token)
 }
 
-func (h *Hold) end() {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.until = time.Time{}
-}
-
-// Release gives the lock back. The hold is over at once, whatever the error; without an answer others get the lock when its
-// time has passed. Renewals must have returned.
-func (h *Hold) Release(ctx context.Context) error {
-	h.end()
-	body := lockBody{Owner: h.lock.owner, Token: &h.token}
-	answer, err := h.lock.client.do(ctx, request{method: http.MethodDelete, path: h.lock.path(), body: body})
-	switch {
-	case err != nil:
-		return err
-	case answer.status != http.StatusOK:
-		return answer.rejected()
+// holdSince returns the hold that counts from the sending of a call, unless it is over by now.
+func (l *Lock) holdSince(sentAt time.Time, token message.FencingToken) (*Hold, error) {
+	hold := &Hold{lock: l, token: token, until: sentAt.Add(l.duration)}
+	if !hold.IsHeld() { // the answer came too late
+		return nil, errors.Wrapf(ErrLost, "lock %s", l.name)
 	}
-	return nil
+	return hold, nil
 }
--- a/internal/coordinationclient/lock_test.go
+++ b/internal/coordinationclient/lock_test.go
@@ -89,6 +89,32 @@
 	})
 }
 
+func TestHoldIsTakenUpByItsToken(t *testing.T) {
+	client := newSystem(t, 1)
+	lock := client.NewLock("l", "o", hold)
+	acquired, err := lock.Acquire(t.Context())
+	require.NoError(t, err)
+	resumed, err := lock.Renew(t.Context(), acquired.Token())
+	require.NoError(t, err)
+	assert.Equal(t, acquired.Token(), resumed.Token())
+	assert.True(t, resumed.IsHeld())
+	_, err = lock.Renew(t.Context(), acquired.Token()+1)
+	require.ErrorIs(t, err, ErrLost)
+	require.NoError(t, lock.Release(t.Context(), acquired.Token()))
+	_, err = lock.Renew(t.Context(), acquired.Token())
+	require.ErrorIs(t, err, ErrLost)
+}
+
+func TestDurationIsCutToWhatIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, client := newNetwork(map[string]script{"a": reply(200, granted, 0)})
+		got, err := client.NewLock("l", "o", 1999*time.Microsecond).Acquire(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, time.Millisecond, got.Until().Sub(n.start))
+		assert.JSONEq(t, `{"owner":"o","holdMs":1}`, n.seen()[0].body)
+	})
+}
+
 func TestHoldIsOverWhenTheReleaseIsSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, client := newNetwork(map[string]script{"a": inTurn(reply(200, granted, 0), staySilent)})
