--- a/internal/controlplane/coordinationapi/response.go
+++ b/internal/controlplane/coordinationapi/response.go
@@ -54,15 +54,20 @@
 	writeJSON(w, status, errorBody{Error: err.Error()})
 }
 
-// writeCallError answers a call that the Caller has no answer to. A 503 or 429 promises that nothing was done.
-func writeCallError(w http.ResponseWriter, err error) {
-	status := http.StatusGatewayTimeout
+// StatusOfError returns the HTTP status for an error of a Caller. A 503 or 429 promises that nothing was done.
+func StatusOfError(err error) int {
 	switch {
 	case errors.Is(err, ErrNotExecuted):
-		status = http.StatusServiceUnavailable
+		return http.StatusServiceUnavailable
 	case errors.Is(err, ErrTooManyCalls):
-		status = http.StatusTooManyRequests
+		return http.StatusTooManyRequests
 	}
+	return http.StatusGatewayTimeout
+}
+
+// writeCallError answers a call that the Caller has no answer to.
+func writeCallError(w http.ResponseWriter, err error) {
+	status := StatusOfError(err)
 	if status != http.StatusGatewayTimeout {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
--- a/internal/controlplane/relay/relay.go
+++ b/internal/controlplane/relay/relay.go
@@ -63,13 +63,15 @@
 	waiting map[uint64]chan<- *message.Message // where responses go, by the ID of the request
 	calls   int                                // that wait, watches excepted
 	watches int                                // that wait
+
+	meter meter
 }
 
 var _ coordinationapi.Caller = (*Relay)(nil)
 
 // New returns a relay.
 func New(options Options) *Relay {
-	r := &Relay{options: options, waiting: map[uint64]chan<- *message.Message{}}
+	r := &Relay{options: options, waiting: map[uint64]chan<- *message.Message{}, meter: newMeter()}
 	r.lastID.Store(options.Incarnation)
 	return r
 }
@@ -77,6 +79,13 @@
 // Call carries out a call. The error is coordinationapi.ErrNotExecuted, ErrTooManyCalls or ErrOutcomeUnknown; the last one
 // also where ctx ends first.
 func (r *Relay) Call(ctx context.Context, call message.Call) (message.Answer, error) {
+	start := time.Now()
+	answer, err := r.carryOut(ctx, call)
+	r.meter.record(call.Kind, answer, err, time.Since(start))
+	return answer, err
+}
+
+func (r *Relay) carryOut(ctx context.Context, call message.Call) (message.Answer, error) {
 	candidates := r.options.Candidates()
 	if !candidates.InTouch || len(candidates.Voters) == 0 {
 		return message.Answer{}, coordinationapi.ErrNotExecuted
@@ -148,6 +157,7 @@
 
 // send sends a request to a target.
 func (r *Relay) send(target message.Member, id uint64, call message.Call) {
+	r.meter.requests.Add(1)
 	self := r.options.Self
 	r.options.Send(target.Address, &message.Message{
 		From: self.Identity, FromAddress: self.Address, FromZone: self.Zone, To: target.Identity, ToAddress: target.Address,
