--- a/cmd/pumicectl/applications_test.go
+++ b/cmd/pumicectl/applications_test.go
@@ -97,7 +97,7 @@
 	printed, err := run(t, "keys", "put", "g.a", "one")
 	require.NoError(t, err)
 	assert.Equal(t, "acknowledged at revision 1", printed)
-	_, err = run(t, "keys", "put", "g.a", "two")
+	_, err = run(t, "keys", "put", "--if-revision", "0", "g.a", "two")
 	var mismatch *coordinationclient.RevisionMismatchError
 	require.ErrorAs(t, err, &mismatch)
 	printed, err = run(t, "keys", "put", "--if-revision", "1", "--json", "g.a", "two")
@@ -106,6 +106,11 @@
 	printed, err = run(t, "keys", "get", "g.a")
 	require.NoError(t, err)
 	assert.Equal(t, "2 two", printed)
+	printed, err = run(t, "keys", "put", "g.a", "three")
+	require.NoError(t, err)
+	assert.Equal(t, "acknowledged at revision 3", printed)
+	_, err = run(t, "keys", "put", "--if-revision", "-2", "g.a", "four")
+	require.ErrorContains(t, err, "--if-revision")
 }
 
 // lineWriter ends a context after a number of lines.
--- a/cmd/pumicectl/keys.go
+++ b/cmd/pumicectl/keys.go
@@ -7,7 +7,9 @@
 	"io"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 
+	"pumiceline/internal/coordinationclient"
 	"pumiceline/internal/message"
 )
 
@@ -49,9 +51,22 @@
 	}
 }
 
+// anyRevision stands for a put that takes effect whatever revision the key has.
+const anyRevision = -1
+
+func putKey(ctx context.Context, key *coordinationclient.Key, value string, ifRevision int64) (message.Revision, error) {
+	if ifRevision == anyRevision {
+		return key.Set(ctx, value)
+	}
+	if ifRevision < 0 {
+		return 0, errors.New("--if-revision: must be -1 or more")
+	}
+	return key.Put(ctx, value, message.Revision(ifRevision))
+}
+
 func keysPutCommand(out io.Writer) *ffcli.Command {
 	f, flags := newApplicationFlags("keys put")
-	ifRevision := flags.Uint64("if-revision", 0, "revision that the key must have; 0: it was never put")
+	ifRevision := flags.Int64("if-revision", anyRevision, "revision that the key must have; 0: it was never put; -1: any")
 	return &ffcli.Command{
 		Name: "put", ShortUsage: "pumicectl keys put --control ADDRESS,... [--if-revision REVISION] KEY VALUE", FlagSet: flags,
 		ShortHelp: "set a key to a value that it never had, and print its new revision",
@@ -63,7 +78,7 @@
 			if err != nil {
 				return err
 			}
-			revision, err := client.NewKey(message.KeyName(args[0])).Put(ctx, args[1], message.Revision(*ifRevision))
+			revision, err := putKey(ctx, client.NewKey(message.KeyName(args[0])), args[1], *ifRevision)
 			if err != nil {
 				return err
 			}
--- a/internal/coordinationclient/key.go
+++ b/internal/coordinationclient/key.go
@@ -50,15 +50,26 @@
 	return Entry{}, answer.rejected()
 }
 
+// putBody is the body of a put.
+type putBody struct {
+	Value      string            `json:"value"`
+	IfRevision *message.Revision `json:"ifRevision,omitempty"` // nil: whatever revision the key has
+}
+
 // Put sets the key where its revision is ifRevision, or where it was never put and ifRevision is 0, and returns the new
 // revision. The value must be one that was never put to the key: a put without a clear answer is sent again, and is known by
 // its value. The error is a *RevisionMismatchError where the key has another revision; the put has not taken effect then and
 // never will. After ErrOutcomeUnknown it may have, and the same put may be tried again.
 func (k *Key) Put(ctx context.Context, value string, ifRevision message.Revision) (message.Revision, error) {
-	body := struct {
-		Value      string           `json:"value"`
-		IfRevision message.Revision `json:"ifRevision"`
-	}{value, ifRevision}
+	return k.put(ctx, putBody{Value: value, IfRevision: &ifRevision})
+}
+
+// Set is Put whatever revision the key has.
+func (k *Key) Set(ctx context.Context, value string) (message.Revision, error) {
+	return k.put(ctx, putBody{Value: value})
+}
+
+func (k *Key) put(ctx context.Context, body putBody) (message.Revision, error) {
 	answer, err := k.client.do(ctx, request{method: http.MethodPut, path: k.path(), body: body})
 	if err != nil {
 		return 0, err
--- a/internal/coordinationclient/key_test.go
+++ b/internal/coordinationclient/key_test.go
@@ -35,6 +35,16 @@
 	assert.Equal(t, Entry{Value: "two", Revision: second}, entry)
 }
 
+func TestKeyIsSetWhateverItsRevision(t *testing.T) {
+	client := newSystem(t, 1)
+	key := client.NewKey("g.a")
+	first, err := key.Set(t.Context(), "one")
+	require.NoError(t, err)
+	second, err := key.Set(t.Context(), "two")
+	require.NoError(t, err)
+	assert.Greater(t, second, first)
+}
+
 func TestPutWithoutAClearAnswerIsSentAgainWithTheSameValue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, client := newNetwork(map[string]script{"a": inTurn(staySilent, reset), "b": inTurn(reply(504, `{}`, 0), reply(200, `{"revision":9}`, 0))})
