--- a/cmd/pumicectl/status.go
+++ b/cmd/pumicectl/status.go
@@ -35,7 +35,7 @@
 	}
 }
 
-const statusHeader = "COORDINATOR\tVIEW\tCHAIN\tVOTERS\tMEMBER\tMAJORITY\tSERVES\tVERSION\tLEASE HOLDER\tPROXIES\tBACKENDS\tLOADS\tWAITS FOR"
+const statusHeader = "COORDINATOR\tVIEW\tCHAIN\tVOTERS\tMEMBER\tMAJORITY\tSERVES\tVERSION\tLEASE HOLDER\tISSUER\tPROXIES\tBACKENDS\tLOADS\tWAITS FOR"
 
 // printStatusTable prints a row per coordinator, and a line per placement task below.
 func (c *coordinators) printStatusTable(ctx context.Context) error {
@@ -98,8 +98,19 @@
 }
 
 func printStatusRow(table io.Writer, address string, s *coordinator.Status) {
-	fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%v\t%v\t%v\t%d\t%s\t%d\t%d\t%d\t%s\n", address, s.View, len(s.Members), len(s.Voters),
-		s.IsMember, s.HasMajority, s.IsServing, s.Version, s.LeaseHolder, s.Proxies, s.Backends, len(s.Tasks), s.WaitingFor)
+	fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%v\t%v\t%v\t%d\t%s\t%s\t%d\t%d\t%d\t%s\n", address, s.View, len(s.Members), len(s.Voters),
+		s.IsMember, s.HasMajority, s.IsServing, s.Version, s.LeaseHolder, describeIssuer(s.Coordination), s.Proxies, s.Backends, len(s.Tasks), s.WaitingFor)
+}
+
+// describeIssuer names the coordinator that decides the calls of applications.
+func describeIssuer(c *coordinator.CoordinationStatus) string {
+	switch {
+	case c == nil || c.Issuer == "":
+		return "-"
+	case c.IsIssuer:
+		return c.Issuer + " (itself)"
+	}
+	return c.Issuer
 }
 
 func describeTasks(tasks []coordinator.Task) []string {
--- a/cmd/pumicectl/stored_test.go
+++ b/cmd/pumicectl/stored_test.go
@@ -10,12 +10,14 @@
 	"time"
 
 	"pumiceline/internal/controlplane/coordinator"
+	"pumiceline/internal/controlplane/relay"
 	"pumiceline/internal/controlplane/simulation"
 	"pumiceline/internal/message"
 )
 
-// The files in testdata were stored from the output of an earlier version, cef8855, and are never rewritten: scripts read
-// what simulate and status print with --json, and status reads it from coordinators of other versions.
+// The files in testdata were stored from the output of earlier versions, cef8855 and, with coordination, the first that had it,
+// and are never rewritten: scripts read what simulate and status print with --json, and status reads it from coordinators of other
+// versions.
 func TestReadsOutputStoredByEarlierVersion(t *testing.T) {
 	for _, c := range []struct {
 		file string
@@ -41,6 +43,17 @@
 			Sequence: 41, Version: 43, LeaseHolder: "10.0.0.2:7000", LeaseToken: 77, Proxies: 3, Backends: 5,
 			Tasks: []coordinator.Task{{Backend: "b-1", Load: "m", Unload: []message.ModelName{"n"}, Adapters: []message.ModelName{"x"}, Reason: "demand"}},
 		}},
+		{"status-coordination.json", coordinator.Status{
+			Node: "node-a", Identity: "node-a-00112233", Members: []string{}, Voters: []string{}, Tasks: []coordinator.Task{},
+			Coordination: &coordinator.CoordinationStatus{
+				IsIssuer: true, Issuer: "10.0.0.1:7000", Epoch: 3, Group: 2, Acceptors: []string{"node-a-00112233 10.0.0.1:7000"},
+				Takeovers: 1, WaitingWatches: 4, IsIdle: true,
+				Relay: relay.Stats{
+					Calls: []relay.CallCount{{Kind: "put", Status: 412, Count: 5}}, WaitingCalls: 6, WaitingWatches: 7, Requests: 8,
+					Latencies: []relay.CallLatency{{Kind: "put", MedianMs: 17.5, P99Ms: 40}},
+				},
+			},
+		}},
 	} {
 		t.Run(c.file, func(t *testing.T) {
 			text, err := os.ReadFile(filepath.Join("testdata", c.file))
--- a/internal/controlplane/coordinator/status.go
+++ b/internal/controlplane/coordinator/status.go
@@ -30,6 +30,8 @@
 	Proxies     int                   `json:"proxies"`
 	Backends    int                   `json:"backends"`
 	Tasks       []Task                `json:"tasks"` // of placement, at the lease holder
+	// Coordination is that of applications; nil where the coordinator is of a version without it.
+	Coordination *CoordinationStatus `json:"coordination,omitempty"`
 }
 
 // Task is a placement task that runs at a backend, and why.
@@ -68,6 +70,9 @@
 		status.LeaseHolder, status.LeaseToken = s.leaseHolder, s.leaseToken
 		status.Sequence, status.Version = s.sequence, s.version
 	}
+	if a.loop.coordination != nil {
+		status.Coordination = a.loop.coordination.describe()
+	}
 	status.Proxies = a.loop.hub.Proxies()
 	if list := a.loop.hub.Backends(); list.IsKnown() {
 		status.Backends = len(list.Backends)
