pumicectl try shows an election that survives the killing of the issuer

Two candidates lead one at a time while the lease holder is killed, and later the coordinator that decides the calls of applications.

--- a/cmd/pumicectl/demo.go
+++ b/cmd/pumicectl/demo.go
@@ -29,7 +29,7 @@
 	showLogs := flags.Bool("logs", false, "show the logs of the processes")
 	return &ffcli.Command{
 		Name: "try", ShortUsage: "pumicectl try [flags]", FlagSet: flags,
-		ShortHelp: "run three coordinators and three proxies on loopback with fake backends, and kill a coordinator under way",
+		ShortHelp: "run three coordinators and three proxies on loopback with fake backends, and kill two coordinators under way",
 		Exec: func(ctx context.Context, _ []string) error {
 			if *length < minDemoLength {
 				return errors.New("--for: at least 1s")
@@ -76,5 +76,7 @@
 	_ = table.Flush() // a closed pipe ends the program
 	fmt.Fprintf(out, "models loaded by order: %d\n", r.ModelLoads)
 	fmt.Fprintf(out, "changes acknowledged: %d, the last is version %d, read back: %d\n", r.AcknowledgedChanges, r.AcknowledgedVersion, r.ReadVersion)
+	fmt.Fprintf(out, "election: %d terms, at most %d leader at a time, without a leader for at most %v; the issuer %s was killed\n",
+		r.Election.Terms, r.Election.LeadersAtOnce, r.Election.LongestVacancy.Round(time.Millisecond), r.KilledIssuer)
 	fmt.Fprintf(out, "killed: %s; longest time between acknowledgements: %v\n", r.KilledCoordinator, r.LongestGap.Round(time.Millisecond))
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,7 +1,9 @@
 // Package demo runs the whole system on loopback, with real processes of its programs and fakes of what surrounds it. It
-// kills the coordinator that holds the controller lease, and counts all requests and configuration changes by their result.
+// kills the coordinator that holds the controller lease, and later the one that decides the calls of applications, and counts all
+// requests and configuration changes by their result. Two candidates of an election lead one at a time meanwhile.
 //
-// Goroutines: one sends the load, and one for each process awaits its end. Run waits for all of them.
+// Goroutines: one sends the load, some are the candidates of the election, and one for each process awaits its end. Run waits for
+// all of them.
 package demo
 
 import (
@@ -109,21 +111,40 @@
 	return nil
 }
 
-// run sends requests for the load period, changes the configuration meanwhile, kills the lease holder after a third of the
-// period and starts it again after two thirds.
+// run sends requests for the load period, changes the configuration and has candidates lead meanwhile, and kills
+// coordinators under way.
 func (d *demo) run(ctx context.Context) error {
 	load := newLoad(d)
-	ended := make(chan struct{})
+	election, err := newElection(d.controlAddresses())
+	if err != nil {
+		return err
+	}
 	deadline := time.Now().Add(d.opts.LoadPeriod)
-	go func() {
-		defer close(ended)
-		load.run(ctx, deadline)
-	}()
-	fault := &coordinatorFault{demo: d, killAt: time.Now().Add(d.opts.LoadPeriod / 3)}
+	meanwhile, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	var background sync.WaitGroup
+	background.Go(func() { load.run(ctx, deadline) })
+	background.Go(func() { d.result.Election = election.run(meanwhile) })
+	err = d.changeConfiguration(ctx, deadline, d.newFaults())
+	if err != nil {
+		cancel() // the rest is of no use
+	}
+	background.Wait()
+	if err != nil {
+		return err
+	}
+	d.result.Streams, d.result.Documents = load.counts()
+	return d.readConfiguration(ctx)
+}
+
+// changeConfiguration puts one version after the other until the deadline, and carries out the faults that are due.
+func (d *demo) changeConfiguration(ctx context.Context, deadline time.Time, faults []*coordinatorFault) error {
 	lastChange := time.Now()
 	for version := uint64(firstVersion + 1); time.Now().Before(deadline) && ctx.Err() == nil; version++ {
-		if err := fault.step(ctx); err != nil {
-			return err
+		for _, fault := range faults {
+			if err := fault.step(ctx); err != nil {
+				return err
+			}
 		}
 		if err := d.putConfiguration(ctx, version); err != nil {
 			return errors.Wrapf(err, "put version %d", version)
@@ -134,34 +155,7 @@
 			return err
 		}
 	}
-	<-ended
-	d.result.Streams, d.result.Documents = load.counts()
-	return d.readConfiguration(ctx)
-}
-
-// coordinatorFault kills the coordinator that holds the controller lease, and starts it again.
-type coordinatorFault struct {
-	*demo
-	killAt    time.Time
-	killed    *node // nil: not yet
-	restarted bool
-}
-
-// step kills or starts the coordinator if that is due, else does nothing.
-func (f *coordinatorFault) step(ctx context.Context) error {
-	if f.killed == nil && time.Now().After(f.killAt) {
-		f.killed = f.leaseHolder(ctx)
-		f.result.KilledCoordinator = f.killed.Name
-		f.progress("killing %s, which holds the controller lease", f.killed.Name)
-		f.killed.process.kill()
-	}
-	if f.killed == nil || f.restarted || !time.Now().After(f.killAt.Add(f.opts.LoadPeriod/3)) {
-		return nil
-	}
-	f.restarted = true
-	f.killed.FirstStart = false
-	f.progress("starting %s again", f.killed.Name)
-	return f.startNode(f.killed)
+	return nil
 }
 
 func (d *demo) progress(format string, args ...any) {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -14,16 +14,19 @@
 func TestResult_Violation(t *testing.T) {
 	good := Result{
 		Streams: RequestCounts{Served: 5}, Documents: RequestCounts{Served: 5}, ModelLoads: 1,
-		AcknowledgedChanges: 3, AcknowledgedVersion: 7, ReadVersion: 7,
+		AcknowledgedChanges: 3, AcknowledgedVersion: 7, ReadVersion: 7, Election: ElectionResult{Terms: 1, LeadersAtOnce: 1},
 	}
 	assert.NoError(t, good.Violation())
 	cases := map[string]func(r *Result){
-		"some kind of request was never served":              func(r *Result) { r.Streams.Served = 0 },
-		"a request ran more than once":                       func(r *Result) { r.Documents.Duplicated = 1 },
-		"a response with status 200 was incomplete":          func(r *Result) { r.Streams.Incomplete = 1 },
-		"changes of the configuration were not acknowledged": func(r *Result) { r.AcknowledgedChanges = 1 },
-		"version 7 was acknowledged last, 6 was read back":   func(r *Result) { r.ReadVersion = 6 },
-		"no model was loaded":                                func(r *Result) { r.ModelLoads = 0 },
+		"some kind of request was never served":               func(r *Result) { r.Streams.Served = 0 },
+		"a request ran more than once":                        func(r *Result) { r.Documents.Duplicated = 1 },
+		"a response with status 200 was incomplete":           func(r *Result) { r.Streams.Incomplete = 1 },
+		"changes of the configuration were not acknowledged":  func(r *Result) { r.AcknowledgedChanges = 1 },
+		"version 7 was acknowledged last, 6 was read back":    func(r *Result) { r.ReadVersion = 6 },
+		"no model was loaded":                                 func(r *Result) { r.ModelLoads = 0 },
+		"no candidate was elected":                            func(r *Result) { r.Election.Terms = 0 },
+		"two candidates led at the same time":                 func(r *Result) { r.Election.LeadersAtOnce = 2 },
+		"a leader's fencing token was not above those before": func(r *Result) { r.Election.HasTokenFault = true },
 	}
 	for want, violate := range cases {
 		result := good
--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"pumiceline/internal/controlplane/coordinator"
 	"pumiceline/internal/ctxtime"
@@ -57,15 +58,30 @@
 
 // leaseHolder is the coordinator that reports the controller lease as its own; the first coordinator where none does.
 func (d *demo) leaseHolder(ctx context.Context) *node {
+	return d.coordinatorWhere(ctx, func(s *coordinator.Status) bool { return s.LeaseToken != 0 })
+}
+
+// issuer is the coordinator that reports that it decides the calls of applications; the first coordinator where none does.
+func (d *demo) issuer(ctx context.Context) *node {
+	return d.coordinatorWhere(ctx, func(s *coordinator.Status) bool { return s.Coordination != nil && s.Coordination.IsIssuer })
+}
+
+// coordinatorWhere is the first coordinator whose status has a property; the first of all where none has.
+func (d *demo) coordinatorWhere(ctx context.Context, hasProperty func(*coordinator.Status) bool) *node {
 	for _, n := range d.nodes[:coordinatorCount] {
 		var status coordinator.Status
-		if err := d.getJSON(ctx, "http://"+n.controlAddress()+"/status", &status); err == nil && status.LeaseToken != 0 {
+		if err := d.getJSON(ctx, "http://"+n.controlAddress()+"/status", &status); err == nil && hasProperty(&status) {
 			return n
 		}
 	}
 	return d.nodes[0]
 }
 
+// controlAddresses are those of all coordinators.
+func (d *demo) controlAddresses() []string {
+	return lo.Map(d.nodes[:coordinatorCount], func(n *node, _ int) string { return n.controlAddress() })
+}
+
 // putConfiguration puts a version of the configuration, at one coordinator after the other until one acknowledges it.
 func (d *demo) putConfiguration(ctx context.Context, version uint64) error {
 	document := newConfiguration(version)
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -14,8 +14,10 @@
 	AcknowledgedChanges int           // of the configuration
 	AcknowledgedVersion uint64        // the latest
 	ReadVersion         uint64        // read at the end
-	KilledCoordinator   string        // node
-	LongestGap          time.Duration // between two acknowledgements, the kill among them
+	KilledCoordinator   string        // node that held the controller lease
+	KilledIssuer        string        // node that decided the calls of applications
+	LongestGap          time.Duration // between two acknowledgements, the kills among them
+	Election            ElectionResult
 }
 
 // RequestCounts counts the requests of one kind by their result.
@@ -40,6 +42,12 @@
 		return errors.Errorf("version %d was acknowledged last, %d was read back", r.AcknowledgedVersion, r.ReadVersion)
 	case r.ModelLoads == 0:
 		return errors.New("no model was loaded")
+	case r.Election.Terms == 0:
+		return errors.New("no candidate was elected")
+	case r.Election.LeadersAtOnce > 1:
+		return errors.New("two candidates led at the same time")
+	case r.Election.HasTokenFault:
+		return errors.New("a leader's fencing token was not above those before")
 	}
 	return nil
 }
