--- /dev/null
+++ b/internal/controlplane/coordinationsim/disk.go
@@ -0,0 +1,137 @@
+package coordinationsim
+
+import (
+	"time"
+
+	"pumiceline/internal/controlplane/epoch"
+	"pumiceline/internal/message"
+)
+
+const (
+	minSyncTime    = time.Millisecond
+	syncTimeSpread = 2 * time.Millisecond
+	// fullDiskRetryInterval is how often a write that a full disk refuses is tried again.
+	fullDiskRetryInterval = 100 * time.Millisecond
+)
+
+// disk is a machine's disk, and what waits to be written to it. It outlives the process.
+type disk struct {
+	identity message.MemberID // of the coordinator, drawn when the disk is first written
+	voters   membershipView   // the newest membership that the process has heard of
+	stored   epoch.Stored     // synced
+
+	isWriting      bool
+	inProgress     []epoch.Output // handed to the disk, not synced yet
+	pendingOutputs []epoch.Output // for the next write
+	stalledUntil   time.Duration
+	fullUntil      time.Duration
+}
+
+// diskRecord is one record of a write. Exactly one field is set. A write that power loss interrupts leaves its first records.
+type diskRecord struct {
+	state  *message.CoordinationState
+	write  *message.CoordinationWrite
+	record *message.CoordinationRecord
+}
+
+// recordsOf returns the records of outputs in the order in which they are stored.
+func recordsOf(outputs []epoch.Output) (records []diskRecord) {
+	for _, out := range outputs {
+		if out.State != nil {
+			records = append(records, diskRecord{state: out.State})
+		}
+		for i := range out.Writes {
+			records = append(records, diskRecord{write: &out.Writes[i]})
+		}
+		if out.Record != nil {
+			records = append(records, diskRecord{record: out.Record})
+		}
+	}
+	return records
+}
+
+// persist makes records part of what a restarted process finds.
+func (d *disk) persist(records []diskRecord) {
+	for _, r := range records {
+		switch {
+		case r.state != nil:
+			d.stored.State, d.stored.Writes = copyState(r.state), nil
+		case r.write != nil:
+			d.stored.Writes = append(d.stored.Writes, *r.write)
+		default:
+			d.stored.Record = *r.record
+		}
+	}
+}
+
+// load returns what a starting process finds. The process may change it.
+func (d *disk) load() epoch.Stored {
+	found := d.stored
+	found.State = copyState(&d.stored.State)
+	found.Writes = append([]message.CoordinationWrite(nil), d.stored.Writes...)
+	return found
+}
+
+// erase is the loss of the disk.
+func (d *disk) erase() { *d = disk{} }
+
+// copyState encodes and decodes a state, as writing and reading it does: the copy shares nothing with the original.
+func copyState(state *message.CoordinationState) message.CoordinationState {
+	encoded, err := state.MarshalMsg(nil)
+	if err != nil {
+		panic(err) // the encoding into memory of what the program made itself
+	}
+	var copied message.CoordinationState
+	if _, err := copied.UnmarshalMsg(encoded); err != nil {
+		panic(err)
+	}
+	return copied
+}
+
+// write hands all pending outputs to the disk at once.
+func (n *node) write() {
+	n.inProgress, n.pendingOutputs = n.pendingOutputs, nil
+	n.isWriting = true
+	n.sync(n.generation)
+}
+
+// sync ends the write after its time. A full disk refuses it, and it is tried again.
+func (n *node) sync(generation int) {
+	c := n.cluster
+	if n.generation != generation {
+		return
+	}
+	if c.now < n.fullUntil {
+		c.after(fullDiskRetryInterval, func() { n.sync(generation) })
+		return
+	}
+	duration := minSyncTime + c.randomDuration(syncTimeSpread) + max(0, n.stalledUntil-c.now)
+	c.after(duration, func() {
+		if n.generation != generation {
+			return
+		}
+		n.persist(recordsOf(n.inProgress))
+		n.run(n.finishWrite)
+	})
+}
+
+// finishWrite sends what waited for the write, and starts the next one.
+func (n *node) finishWrite() {
+	written := n.inProgress
+	n.inProgress, n.isWriting = nil, false
+	if len(n.pendingOutputs) > 0 {
+		n.write()
+	}
+	for _, out := range written {
+		n.sendAll(out.AfterSync)
+	}
+}
+
+// cutWriteShort leaves any part of a write in progress on the disk, as the end of the process or of the power does.
+func (n *node) cutWriteShort() {
+	if n.isWriting && n.cluster.now >= n.fullUntil {
+		records := recordsOf(n.inProgress)
+		n.persist(records[:n.cluster.random.IntN(len(records)+1)])
+	}
+	n.inProgress, n.pendingOutputs, n.isWriting = nil, nil, false
+}
--- /dev/null
+++ b/internal/controlplane/coordinationsim/key_history.go
@@ -0,0 +1,69 @@
+package coordinationsim
+
+import (
+	"slices"
+
+	"pumiceline/internal/message"
+)
+
+// checkHistory checks what only all that was shown in the run can tell.
+func (k *keyChecker) checkHistory() {
+	for _, p := range k.inOrder {
+		k.checkSuccession(p)
+		if p.isShown && !p.mismatched && p.isRefused() {
+			k.cluster.report(RuleRefused, string(p.key), "%s has revision %d, and each try was answered that nothing was done",
+				p.value, p.revision)
+		}
+	}
+	for _, x := range k.watches {
+		k.checkNoneSkipped(x)
+	}
+	for _, x := range k.mismatches {
+		k.checkMismatch(x)
+	}
+	k.checkLinearizable()
+}
+
+// checkSuccession checks that a put succeeded over the revision that it names.
+func (k *keyChecker) checkSuccession(p *put) {
+	if !p.isShown {
+		return
+	}
+	shown := k.shown[groupOf(p.key)]
+	for revision := p.ifRevision + 1; revision < p.revision; revision++ {
+		if shown[revision] != nil && shown[revision].Key == p.key {
+			k.cluster.report(RuleOrder, string(p.key), "%s got %d over %d, but the key had %d", p.value, p.revision, p.ifRevision, revision)
+			return
+		}
+	}
+}
+
+// checkNoneSkipped checks that a watch reported all puts that are known within its span.
+func (k *keyChecker) checkNoneSkipped(x *exchange) {
+	if x.call.After == 0 {
+		return // asks for the revision only
+	}
+	reported := map[message.Revision]bool{}
+	for _, event := range x.answer.Events {
+		reported[event.Revision] = true
+	}
+	shown := k.shown[x.call.Group]
+	for revision := x.call.After + 1; revision <= min(x.answer.Revision, k.highest[x.call.Group]); revision++ {
+		if shown[revision] != nil && !reported[revision] {
+			k.cluster.report(RuleOrder, x.subject(), "a watch from %d to %d skipped %d", x.call.After, x.answer.Revision, revision)
+			return
+		}
+	}
+}
+
+// checkMismatch checks that a 412 names a revision of the key. It can tell only where watches saw all puts around it.
+func (k *keyChecker) checkMismatch(x *exchange) {
+	group, named := groupOf(x.call.Key), x.answer.Revision
+	event := k.shown[group][named]
+	isCovered := slices.ContainsFunc(k.watches, func(w *exchange) bool {
+		return w.call.Group == group && w.call.After > 0 && named > w.call.After && named <= w.answer.Revision
+	})
+	if event != nil && event.Key != x.call.Key || event == nil && isCovered {
+		k.cluster.report(RuleMixed, string(x.call.Key), "412 names revision %d, which no put gave the key", named)
+	}
+}
--- /dev/null
+++ b/internal/controlplane/coordinationsim/shrink.go
@@ -0,0 +1,40 @@
+package coordinationsim
+
+import "slices"
+
+// Shrink omits faults, one after the other, as long as the run still violates the same rule first. It returns the options
+// of the smallest run that it found; those of a run without a violation are returned as they are.
+func Shrink(options Options) Options {
+	rule := firstViolatedRule(Run(options))
+	if rule == "" {
+		return options
+	}
+	try := func(smaller Options) {
+		if firstViolatedRule(Run(smaller)) == rule {
+			options = smaller
+		}
+	}
+	withoutFinal := options
+	withoutFinal.WithoutFinalFault = true
+	try(withoutFinal)
+	withoutAnswer := options
+	withoutAnswer.WithoutAnswerFaults = true
+	try(withoutAnswer)
+	for _, fault := range FaultPlan(options) {
+		if slices.Contains(options.OmittedFaults, fault.Index) {
+			continue
+		}
+		smaller := options
+		smaller.OmittedFaults = append(slices.Clone(options.OmittedFaults), fault.Index)
+		try(smaller)
+	}
+	return options
+}
+
+// firstViolatedRule is empty where no rule was violated.
+func firstViolatedRule(result *Result) Rule {
+	if len(result.Violations) == 0 {
+		return ""
+	}
+	return result.Violations[0].Rule
+}
