--- a/cmd/pumicectl/main.go
+++ b/cmd/pumicectl/main.go
@@ -33,7 +33,7 @@
 		Subcommands: []*ffcli.Command{
 			configCommand(), statusCommand(),
 			locksCommand(os.Stdout), numbersCommand(os.Stdout), keysCommand(os.Stdout), watchCommand(os.Stdout),
-			simulateCommand(), checkSettingsCommand(), demoCommand(),
+			simulateCommand(), simulateCoordinationCommand(), checkSettingsCommand(), demoCommand(),
 		},
 		Exec: showHelp,
 	}
