A soak of the whole system: seeded series of signals, restarts and changes that overlap

Cause: nothing ran the whole system with real processes under faults that overlap, with clients that go on using each connection until the process is gone. Change: package soak draws a schedule from a seed, plays it with real processes and judges what was seen on sockets by the operators' rules; pumicectl soak runs seeds. The fakes know how often and when a request ran, and streams by token count. The checkers have no tests of their own yet.

--- a/cmd/pumicectl/main.go
+++ b/cmd/pumicectl/main.go
@@ -33,7 +33,7 @@
 		Subcommands: []*ffcli.Command{
 			configCommand(), statusCommand(),
 			locksCommand(os.Stdout), numbersCommand(os.Stdout), keysCommand(os.Stdout), watchCommand(os.Stdout),
-			simulateCommand(), simulateCoordinationCommand(), checkSettingsCommand(), demoCommand(),
+			simulateCommand(), simulateCoordinationCommand(), soakCommand(), checkSettingsCommand(), demoCommand(),
 		},
 		Exec: showHelp,
 	}
--- /dev/null
+++ b/cmd/pumicectl/soak.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"pumiceline/internal/soak"
+)
+
+// Defaults of a soak.
+const (
+	defaultSoakPhase     = 30 * time.Second
+	defaultSoakProcesses = 12
+)
+
+// soakCommand runs seeds of the soak, one after the other.
+func soakCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("pumicectl soak", flag.ContinueOnError)
+	programs := flags.String("programs", "", "folder of pumiceline-proxy and pumiceline-coordinator; by default the one of this program")
+	first := flags.Uint64("first-seed", 1, "first seed")
+	seeds := flags.Uint64("seeds", 1, "number of seeds")
+	phase := flags.Duration("duration", defaultSoakPhase, "how long faults are injected in a run")
+	processes := flags.Int("processes", defaultSoakProcesses, "coordinators and proxies together")
+	asJSON := flags.Bool("json", false, "print one JSON object per seed")
+	showPhases := flags.Bool("phases", false, "print the phases of each run")
+	return &ffcli.Command{
+		Name: "soak", ShortUsage: "pumicectl soak [flags]", FlagSet: flags,
+		ShortHelp: "run the system on loopback under series of signals, restarts and changes, and check the rules",
+		Exec: func(ctx context.Context, _ []string) error {
+			options := soak.Options{Programs: *programs, FaultPhase: *phase, Processes: *processes}
+			if options.Programs == "" {
+				own, err := os.Executable()
+				if err != nil {
+					return errors.Wrap(err, "locate the programs")
+				}
+				options.Programs = filepath.Dir(own)
+			}
+			if *showPhases {
+				options.Progress = os.Stderr
+			}
+			return runSoak(ctx, options, *first, *seeds, *asJSON)
+		},
+	}
+}
+
+// runSoak runs seeds until ctx ends, and prints the result of each.
+func runSoak(ctx context.Context, options soak.Options, first, seeds uint64, asJSON bool) error {
+	failed := 0
+	for seed := first; seed < first+seeds; seed++ {
+		options.Seed = seed
+		result, err := soak.Run(ctx, options)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+		if err := printSoakResult(result, asJSON); err != nil {
+			return err
+		}
+		if len(result.Violations) > 0 {
+			failed++
+		}
+	}
+	if !asJSON {
+		fmt.Printf("%d seeds, %d broke a rule\n", seeds, failed)
+	}
+	return faultsFoundIf(failed > 0)
+}
+
+func printSoakResult(result *soak.Result, asJSON bool) error {
+	if asJSON {
+		if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
+			return errors.Wrap(err, "print the result")
+		}
+	} else {
+		fmt.Println(result)
+	}
+	for _, violation := range result.Violations {
+		fmt.Fprintf(os.Stderr, "%v\n  plays again with: %s\n", violation, result.Command)
+	}
+	return nil
+}
--- a/internal/fake/fakesystem/backend.go
+++ b/internal/fake/fakesystem/backend.go
@@ -15,6 +15,12 @@
 	maxBodyBytes  = 1 << 20
 )
 
+// ResponsePrefix begins the body of a response that is no stream.
+const ResponsePrefix = "done by "
+
+// Seal is the Server-Seal of the response to a request.
+func Seal(requestID string) string { return "seal-" + requestID }
+
 // Backend is a fake backend of one service. Its fields must not change once it was started.
 type Backend struct {
 	ID            string
@@ -23,6 +29,10 @@
 	Capacity      int           // requests that run at once
 	ModelLoadTime time.Duration // of a model; an adapter takes no time
 	StreamEvents  int           // of a response; 0: the response is no stream
+	WorkTime      time.Duration // of a request whose response is no stream
+	// StreamsByTokenCount has a response contain as many events as the request's Token-Count allows tokens, where it has
+	// that header, in place of StreamEvents.
+	StreamsByTokenCount bool
 
 	address    string
 	server     *http.Server
@@ -107,11 +117,12 @@
 		return
 	}
 	defer b.finish()
-	b.executions.record(id)
-	w.Header().Set("Server-Seal", "seal-"+id)
+	defer b.executions.begin(id, b.ID)()
+	w.Header().Set("Server-Seal", Seal(id))
 	w.Header().Set("Backend-Load", b.loadHeader())
 	if b.StreamEvents == 0 {
-		fmt.Fprintf(w, "done by %s", b.ID)
+		time.Sleep(b.WorkTime)
+		fmt.Fprint(w, ResponsePrefix, b.ID)
 		return
 	}
 	b.streamEvents(w, r)
@@ -149,7 +160,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	ticker := time.NewTicker(eventInterval)
 	defer ticker.Stop()
-	for event := 1; event <= b.StreamEvents; event++ {
+	for event := 1; event <= b.eventCount(r.Header.Get("Token-Count")); event++ {
 		select {
 		case <-r.Context().Done():
 			return
@@ -159,3 +170,15 @@
 		_ = http.NewResponseController(w).Flush() // fails where the client has disconnected, which ends the request's context
 	}
 }
+
+// eventCount is the number of events of a stream. tokenCount is the request's Token-Count: tokens in, tokens out.
+func (b *Backend) eventCount(tokenCount string) int {
+	var tokensIn, tokensOut int
+	if !b.StreamsByTokenCount {
+		return b.StreamEvents
+	}
+	if _, err := fmt.Sscanf(tokenCount, "%d,%d", &tokensIn, &tokensOut); err != nil {
+		return b.StreamEvents
+	}
+	return tokensOut
+}
--- a/internal/faulttest/process.go
+++ b/internal/faulttest/process.go
@@ -51,6 +51,12 @@
 	close(p.ended)
 }
 
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// ExitState is how the process ended, once Ended is closed; the error is nil where it ended in order.
+func (p *Process) ExitState() (state string, err error) { return p.cmd.ProcessState.String(), p.err }
+
 // Log is the latest 2 to 4 MB of the process's output.
 func (p *Process) Log() string { return p.output.String() }
 
--- /dev/null
+++ b/internal/soak/check_applied.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"net/http"
+)
+
+// checkApplied checks that proxies in touch handle requests by the newest acknowledged version once the bound is over.
+func checkApplied(h *History, t *timeline) violations {
+	var found violations
+	for _, probe := range h.Probes {
+		change := changeOf(h, probe.Marker)
+		if change == nil || !t.isCalm(probe.Node, probe.SentAt, probe.EndedAt) {
+			continue
+		}
+		if at, ok := change.acknowledgedAt(); ok && probe.Status == http.StatusNotFound &&
+			!mayBeReplaced(h, change, probe.EndedAt) && isDue(t, at, probe.SentAt) {
+			found.add(RuleConfig, probe.EndedAt, "%s denies %s %v after its acknowledgement", probe.Node, probe.Marker,
+				probe.SentAt-at)
+		}
+		if at, ok := replacedAt(h, change); ok && probe.IsServed && isDue(t, at, probe.SentAt) {
+			found.add(RuleConfig, probe.EndedAt, "%s serves %s %v after a later version was acknowledged", probe.Node,
+				probe.Marker, probe.SentAt-at)
+		}
+	}
+	return found
+}
+
+// isDue says whether a version that was acknowledged at a moment must be in force for a request that is sent at another.
+func isDue(t *timeline, acknowledged, sent Moment) bool {
+	if sent <= acknowledged+t.bounds.Apply {
+		return false
+	}
+	if t.isCoreStable(acknowledged, sent) {
+		return true
+	}
+	return sent > acknowledged+t.bounds.Apply+t.bounds.Stretch && t.hadMajority(acknowledged, sent)
+}
+
+// mayBeReplaced says whether a change on top of this one may have been in force before a moment.
+func mayBeReplaced(h *History, change *Change, before Moment) bool {
+	for i := range h.Changes {
+		other := &h.Changes[i]
+		if other.Version > change.Version && !other.isRejected() && other.sentAt() < before {
+			return true
+		}
+	}
+	return false
+}
+
+// replacedAt returns when a later version than that of a change was first acknowledged.
+func replacedAt(h *History, change *Change) (Moment, bool) {
+	first, ok := Moment(0), false
+	for i := range h.Changes {
+		other := &h.Changes[i]
+		if at, acknowledged := other.acknowledgedAt(); acknowledged && other.Version > change.Version && (!ok || at < first) {
+			first, ok = at, true
+		}
+	}
+	return first, ok
+}
+
+// checkRegress checks that a process which has shown a version does not show an older one later in its life.
+func checkRegress(h *History, t *timeline) violations {
+	var found violations
+	type life struct {
+		node  string
+		start Moment
+	}
+	newest := map[life][]Probe{} // probes that were served, by life
+	for _, probe := range h.Probes {
+		change := changeOf(h, probe.Marker)
+		if change == nil {
+			continue
+		}
+		key := life{probe.Node, t.startBefore(probe.Node, probe.SentAt)}
+		for _, earlier := range newest[key] {
+			if isRegress(h, t, earlier, probe, change) {
+				found.add(RuleConfig, probe.EndedAt, "%s has shown %s and goes back with %s (status %d)", probe.Node,
+					earlier.Marker, probe.Marker, probe.Status)
+			}
+		}
+		if probe.IsServed && t.startBefore(probe.Node, probe.EndedAt) == key.start {
+			newest[key] = append(newest[key], probe)
+		}
+	}
+	return found
+}
+
+// isRegress says whether a probe shows an older version than one that was served before it.
+func isRegress(h *History, t *timeline, earlier, probe Probe, change *Change) bool {
+	slack := t.bounds.Downgrade
+	if t.isFrozenWithin(probe.Node, earlier.SentAt, probe.EndedAt) {
+		slack *= Moment(t.bounds.SlowThawShare)
+	}
+	if probe.SentAt <= earlier.EndedAt+slack {
+		return false
+	}
+	shown := changeOf(h, earlier.Marker)
+	if probe.IsServed {
+		return change.Version < shown.Version
+	}
+	return probe.Status == http.StatusNotFound && change.Version <= shown.Version && !mayBeReplaced(h, change, probe.EndedAt)
+}
--- /dev/null
+++ b/internal/soak/check_processes.go
@@ -0,0 +1,98 @@
+package soak
+
+// checkEnds checks that processes end in order and within the grace time after SIGTERM, and never by themselves.
+func checkEnds(h *History, t *timeline) violations {
+	var found violations
+	for _, fault := range h.Faults {
+		start := t.startBefore(fault.Node, fault.At)
+		switch fault.Kind {
+		case FaultGraceKill:
+			terminated, _ := t.first(fault.Node, start, fault.At, FaultTerminate)
+			if !t.isFrozenWithin(fault.Node, terminated.At, fault.At) {
+				found.add(RuleProcess, fault.At, "%s runs after the grace time, %v after SIGTERM", fault.Node,
+					fault.At-terminated.At)
+			}
+		case FaultEnd:
+			if text := judgeEnd(t, fault, start); text != "" {
+				found.add(RuleProcess, fault.At, "%s %s: %s", fault.Node, text, fault.ExitState)
+			}
+		}
+	}
+	return found
+}
+
+// judgeEnd returns what is wrong with the end of a process that was started at a moment; empty: nothing.
+func judgeEnd(t *timeline, end Fault, start Moment) string {
+	if t.has(end.Node, start, end.At, FaultKill, FaultGraceKill) {
+		return ""
+	}
+	justStarted := start + t.bounds.OwnEndSlack // signals may come before the process can handle them
+	terminated, ok := t.first(end.Node, start, end.At, FaultTerminate)
+	switch {
+	case ok && end.IsFailure && terminated.At > justStarted:
+		return "ended not in order after SIGTERM"
+	case !ok && !t.has(end.Node, start, justStarted, FaultHangup):
+		return "ended by itself"
+	case !ok && end.At > justStarted:
+		return "ended by itself"
+	}
+	return ""
+}
+
+// checkMemory checks that no process grows over the memory of its machine. It reports a process once.
+func checkMemory(h *History, t *timeline) violations {
+	var found violations
+	reported := map[string]bool{}
+	for _, sample := range h.Memory {
+		if sample.ResidentBytes > t.bounds.MemoryBytes && !reported[sample.Node] {
+			reported[sample.Node] = true
+			found.add(RuleMemory, sample.At, "%s uses %d MiB of %d", sample.Node, sample.ResidentBytes>>20,
+				t.bounds.MemoryBytes>>20)
+		}
+	}
+	return found
+}
+
+// servedCount is how many requests of some were served.
+type servedCount struct{ served, sent int }
+
+func (c servedCount) isRecovered() bool { return float64(c.served) >= recoveredShare*float64(c.sent) }
+
+// checkRecovery checks that each proxy serves again within the bound after the last fault, as it did before the first.
+func checkRecovery(h *History, t *timeline) violations {
+	var found violations
+	before := countServed(h, h.LoadFrom, h.FaultsFrom)
+	recovered := h.LastFault + t.bounds.Recovery
+	after := countServed(h, recovered, h.StopFrom)
+	for node, role := range h.Roles {
+		if role != RoleProxy || !before[node].isRecovered() {
+			continue
+		}
+		if count := after[node]; count.sent == 0 || !count.isRecovered() {
+			found.add(RuleRecover, recovered, "%s served %d of %d requests sent more than %v after the last fault", node,
+				count.served, count.sent, t.bounds.Recovery)
+		}
+	}
+	if len(h.Requests) == 0 {
+		found.add(RuleRecover, recovered, "no request was sent")
+	}
+	return found
+}
+
+// countServed counts the requests by proxy that were sent in a span.
+func countServed(h *History, from, to Moment) map[string]servedCount {
+	counts := map[string]servedCount{}
+	for i := range h.Requests {
+		request := &h.Requests[i]
+		if request.StartedAt < from || request.StartedAt >= to {
+			continue
+		}
+		count := counts[request.Node]
+		count.sent++
+		if request.IsServed() {
+			count.served++
+		}
+		counts[request.Node] = count
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"text/template"
+	"time"
+
+	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/faulttest"
+)
+
+// Ports of every node, each at an IP address of its own.
+const (
+	clientPort   = 10080
+	readyPort    = 10081
+	controlPort  = 10082
+	internalPort = 10083 // the first of a range of two
+)
+
+// node is a machine of the run with one process, which is started again after each of its ends.
+type node struct {
+	Name            string
+	IP              string
+	Zone            string
+	SeedNodes       []string
+	StateDir        string // of a coordinator
+	PlatformAddress string
+	Tolerance       int
+	Bounds          Bounds
+
+	role    Role
+	program string // path
+
+	mu           sync.Mutex
+	hasStarted   bool
+	process      *faulttest.Process // nil: none runs
+	isTerminated bool               // the process was sent SIGTERM
+	isFrozen     bool
+	restartDelay time.Duration // after the end of the process
+}
+
+var settingsTemplate = template.Must(template.New("settings").Parse(`node: "{{.Name}}"
+zone: "{{.Zone}}"
+region: "loopback"
+ip: "{{.IP}}"
+listen:
+  front: "{{.ClientAddress}}"
+  ready: "{{.ReadyAddress}}"
+  control: "{{.ControlAddress}}"
+portRange: [{{.FirstPort}}, {{.LastPort}}]
+seedNodes:
+{{range .SeedNodes}}  - "{{.}}"
+{{end}}firstStart: {{.IsFirstStart}}
+countsForQuorum: true
+limits: {cpuShare: 0.5, memoryMb: {{.MemoryMB}}, fileLimit: 4100, diskMb: 64}
+stateDir: "{{.StateDir}}"
+tolerance: {machines: {{.Tolerance}}}
+bounds:
+  ackMs: {{.Bounds.Acknowledge.Milliseconds}}
+  applyMs: {{.Bounds.Apply.Milliseconds}}
+  drainMs: 4000
+  graceS: {{.Bounds.Grace.Seconds}}
+  leaseMs: {{.Bounds.Lease.Milliseconds}}
+  thawMs: {{.Bounds.Thaw.Milliseconds}}
+  quietMs: {{.Bounds.Quiet.Milliseconds}}
+  retryRatio: 0.2
+  retryExtra: 220
+  retryWindowS: 10
+  capWindowS: 5
+  capExcess: 1.1
+cloud: {address: "{{.PlatformAddress}}", ratePerS: 40.0, maxLagMs: 100}
+`))
+
+// ClientAddress is where the node's process serves clients.
+func (n *node) ClientAddress() string { return fmt.Sprintf("%s:%d", n.IP, clientPort) }
+
+// ReadyAddress is where the node's process answers readiness checks.
+func (n *node) ReadyAddress() string { return fmt.Sprintf("%s:%d", n.IP, readyPort) }
+
+// ControlAddress is where the node's process serves operators.
+func (n *node) ControlAddress() string { return fmt.Sprintf("%s:%d", n.IP, controlPort) }
+
+// FirstPort is the first of the ports for traffic inside the system.
+func (n *node) FirstPort() int { return internalPort }
+
+// LastPort is the last of these ports.
+func (n *node) LastPort() int { return internalPort + 1 }
+
+// MemoryMB is the node's memory, in MiB.
+func (n *node) MemoryMB() int { return memoryLimitMB }
+
+// IsFirstStart says whether the node's process has never been started.
+func (n *node) IsFirstStart() bool { return !n.hasStarted }
+
+// command writes the settings file into a folder and returns the command that starts the node's process.
+func (n *node) command(dir string) (*exec.Cmd, error) {
+	path := filepath.Join(dir, n.Name+".yaml")
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, fmt.Errorf("write settings of %s: %w", n.Name, err)
+	}
+	defer file.Close()
+	if err := settingsTemplate.Execute(file, n); err != nil {
+		return nil, fmt.Errorf("write settings of %s: %w", n.Name, err)
+	}
+	command := exec.Command(n.program)
+	command.Env = append(os.Environ(), bootstrap.EnvironmentVariable+"="+path)
+	return command, nil
+}
+
+// addressesPerSubnet is how many nodes have the same first three bytes of their addresses.
+const addressesPerSubnet = 250
+
+// Second byte of the nodes' addresses. Two runs at one time get different ones.
+const (
+	firstLoopbackNet  = 64
+	loopbackNetsTaken = 128
+)
+
+func nodeIP(index int) string {
+	return fmt.Sprintf("127.%d.%d.%d", firstLoopbackNet+os.Getpid()%loopbackNetsTaken, index/addressesPerSubnet,
+		1+index%addressesPerSubnet)
+}
--- /dev/null
+++ b/internal/soak/prober.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"pumiceline/internal/ctxtime"
+	"pumiceline/internal/fake/fakesystem"
+)
+
+// Times of probes.
+const (
+	probeInterval = 25 * time.Millisecond // over all proxies
+	probeTimeout  = 2 * time.Second
+	markersProbed = 4 // of the latest changes, in turn
+)
+
+const probePrefix = "probe-"
+
+func isProbeID(id string) bool { return strings.HasPrefix(id, probePrefix) }
+
+// prober sends requests on the routes of the latest changes, which show the configuration in force at each proxy.
+type prober struct {
+	proxies  []*node
+	recorder *recorder
+	http     *http.Client
+}
+
+func newProber(proxies []*node, r *recorder) *prober {
+	return &prober{proxies: proxies, recorder: r, http: &http.Client{
+		Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: markersProbed},
+	}}
+}
+
+// run probes the proxies in turn until ctx ends, and waits for the last probe.
+func (p *prober) run(ctx context.Context) {
+	slots := make(chan struct{}, len(p.proxies)) // a frozen proxy must not hold up the others
+	for number := 0; ctxtime.Sleep(ctx, probeInterval) == nil; number++ {
+		marker := p.marker(number / len(p.proxies))
+		if marker == "" {
+			continue
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			p.probe(ctx, p.proxies[number%len(p.proxies)], marker, number)
+		}()
+	}
+	for range cap(slots) {
+		slots <- struct{}{}
+	}
+}
+
+// marker returns that of one of the latest changes.
+func (p *prober) marker(number int) (marker string) {
+	p.recorder.edit(func(h *History) {
+		if index := len(h.Changes) - 1 - number%markersProbed; index >= 0 {
+			marker = h.Changes[index].Marker
+		}
+	})
+	return marker
+}
+
+func (p *prober) probe(ctx context.Context, n *node, marker string, number int) {
+	id := fmt.Sprintf("%s%d", probePrefix, number)
+	url := fmt.Sprintf("http://%s/%s/a", n.ClientAddress(), marker)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return
+	}
+	request.Host = requestHost
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Time-Left-Ms", fmt.Sprint(probeTimeout.Milliseconds()))
+	probe := Probe{Node: n.Name, Marker: marker, SentAt: p.recorder.now()}
+	response, err := p.http.Do(request)
+	if err != nil {
+		return // the clients judge connections
+	}
+	defer response.Body.Close()
+	probe.EndedAt, probe.Status = p.recorder.now(), response.StatusCode
+	probe.IsServed = response.StatusCode == http.StatusOK && response.Header.Get("Server-Seal") == fakesystem.Seal(id)
+	p.recorder.edit(func(h *History) { h.Probes = append(h.Probes, probe) })
+}
--- /dev/null
+++ b/internal/soak/result.go
@@ -0,0 +1,60 @@
+package soak
+
+import "fmt"
+
+// Result is the outcome of a run.
+type Result struct {
+	Seed       uint64          `json:"seed"`
+	Processes  int             `json:"processes"`
+	Steps      map[Action]int  `json:"steps"`
+	Faults     map[string]int  `json:"faults"` // that befell processes, starts and ends among them
+	Requests   map[Outcome]int `json:"requests"`
+	Served     int             `json:"served"`
+	Changes    int             `json:"changes"`
+	Acked      int             `json:"acknowledged"`
+	Rejected   int             `json:"rejected"`
+	Reads      int             `json:"reads"`
+	Probes     int             `json:"probes"`
+	PeakMemory int64           `json:"peak_memory_bytes"` // of one process
+	Violations []Violation     `json:"violations"`
+	Command    string          `json:"command"` // plays the run again
+}
+
+// newResult counts what a history has, and checks it.
+func newResult(opts Options, schedule Schedule, h *History) *Result {
+	r := &Result{
+		Seed: opts.Seed, Processes: opts.shape().Processes(), Steps: map[Action]int{}, Faults: map[string]int{},
+		Requests: map[Outcome]int{}, Changes: len(h.Changes), Reads: len(h.Reads), Probes: len(h.Probes),
+		Violations: Check(h), Command: opts.command(),
+	}
+	for _, step := range schedule {
+		r.Steps[step.Action]++
+	}
+	for _, fault := range h.Faults {
+		r.Faults[string(fault.Kind)]++
+	}
+	for i := range h.Requests {
+		r.Requests[h.Requests[i].Outcome]++
+		if h.Requests[i].IsServed() {
+			r.Served++
+		}
+	}
+	for i := range h.Changes {
+		if _, ok := h.Changes[i].acknowledgedAt(); ok {
+			r.Acked++
+		} else if h.Changes[i].isRejected() {
+			r.Rejected++
+		}
+	}
+	for _, sample := range h.Memory {
+		r.PeakMemory = max(r.PeakMemory, sample.ResidentBytes)
+	}
+	return r
+}
+
+// String returns the counts of the run in one line.
+func (r *Result) String() string {
+	return fmt.Sprintf("seed %d: %d processes, faults %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
+		"%d reads, %d probes, peak memory %d MiB, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
+		r.Acked, r.Rejected, r.Reads, r.Probes, r.PeakMemory>>20, len(r.Violations))
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,157 @@
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Action is what a step of a schedule does.
+type Action string
+
+// The actions of a schedule. Their order in seriesActions is part of what a seed means.
+const (
+	ActionTerminate Action = "terminate" // SIGTERM, SIGKILL after the grace time, a start after the end
+	ActionKill      Action = "kill"      // SIGKILL, and a start after it
+	ActionHangup    Action = "hangup"    // SIGHUP
+	ActionFreeze    Action = "freeze"    // SIGSTOP, and SIGCONT after a time
+	ActionPut       Action = "put"       // a whole configuration
+	ActionPatch     Action = "patch"     // a change of the configuration in force
+	ActionInvalid   Action = "invalid"   // a configuration that must be rejected
+)
+
+// IsChange says whether the action is one of the operators, not of a process.
+func (a Action) IsChange() bool { return a == ActionPut || a == ActionPatch || a == ActionInvalid }
+
+// seriesActions are what series are drawn from. Each comes up once before any comes again.
+var seriesActions = []Action{ActionTerminate, ActionPut, ActionHangup, ActionKill, ActionPatch, ActionFreeze}
+
+// Shape is the size of a run.
+type Shape struct {
+	Coordinators int
+	Proxies      int
+	FaultPhase   time.Duration // steps begin within it
+}
+
+// NewShape divides processes between the roles: one in four is a coordinator, within the limits of a deployment.
+func NewShape(processes int, faultPhase time.Duration) Shape {
+	coordinators := min(maxCoordinators, max(minCoordinators, processes/4))
+	return Shape{Coordinators: coordinators, Proxies: max(minProxies, processes-coordinators), FaultPhase: faultPhase}
+}
+
+// Limits of a shape.
+const (
+	minCoordinators = 3
+	maxCoordinators = 8
+	minProxies      = 3
+)
+
+// Processes is the number of processes.
+func (s Shape) Processes() int { return s.Coordinators + s.Proxies }
+
+// Step is one action at one time.
+type Step struct {
+	At          time.Duration // since the start of the fault phase
+	Series      int           // number of the series that it belongs to
+	Action      Action
+	Node        int           // index of the process, coordinators first; of an action of the operators: 0
+	For         time.Duration // of a freeze: until the thaw; of an end: until the next start
+	Racing      bool          // of a change: it waits for no other change, so that two may build on one version
+	VersionStep uint64        // of a change: by which it raises the version
+	Resend      bool          // of a change: it is sent once more after its acknowledgement
+}
+
+// Schedule is the steps of a run in the order of their times. The same seed and shape give the same schedule.
+type Schedule []Step
+
+// Times and sizes of series.
+const (
+	timePerSeries   = 2 * time.Second // of the fault phase, on average
+	minSeriesLength = 2
+	maxSeriesLength = 6
+	minInterval     = 20 * time.Millisecond // between the steps of a series
+	maxInterval     = 1500 * time.Millisecond
+	minFreeze       = 100 * time.Millisecond
+	maxFreeze       = 4 * time.Second
+	maxRestartDelay = 1500 * time.Millisecond
+	maxVersionStep  = 4
+	startShare      = 80 // percent of the fault phase within which series start
+	processesPerHit = 12 // a series has one more step for as many processes
+)
+
+// DrawSchedule draws the schedule of a seed. Series start anywhere in the fault phase and overlap.
+func DrawSchedule(seed uint64, shape Shape) Schedule {
+	d := &drawer{random: rand.New(rand.NewPCG(seed, 1)), shape: shape}
+	count := max(len(seriesActions), int(shape.FaultPhase/timePerSeries))
+	for i := range count {
+		d.addSeries(i, seriesActions[i%len(seriesActions)])
+	}
+	slices.SortStableFunc(d.steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return d.steps
+}
+
+// drawer draws a schedule. The order of its draws is part of what a seed means.
+type drawer struct {
+	random *rand.Rand
+	shape  Shape
+	steps  Schedule
+}
+
+func (d *drawer) addSeries(series int, action Action) {
+	at := d.duration(0, d.shape.FaultPhase*startShare/100)
+	interval := d.duration(minInterval, maxInterval)
+	length := minSeriesLength + d.random.IntN(maxSeriesLength-minSeriesLength+1) + d.shape.Processes()/processesPerHit
+	first, count := d.target()
+	node := d.random.IntN(count)
+	isRolling := d.random.IntN(3) > 0 // else one node is hit again and again
+	isRacing := d.random.IntN(2) == 0
+	for i := range length {
+		step := Step{At: at + time.Duration(i)*interval, Series: series, Action: action}
+		if action.IsChange() {
+			d.completeChange(&step, isRacing, i)
+		} else {
+			step.Node = first + node
+			step.For = d.pause(action)
+		}
+		if isRolling {
+			node = (node + 1) % count
+		}
+		if step.At < d.shape.FaultPhase {
+			d.steps = append(d.steps, step)
+		}
+	}
+}
+
+// target draws the role that a series is for: the index of its first process, and how many there are.
+func (d *drawer) target() (first, count int) {
+	if d.random.IntN(3) == 0 {
+		return 0, d.shape.Coordinators
+	}
+	return d.shape.Coordinators, d.shape.Proxies
+}
+
+func (d *drawer) completeChange(step *Step, isRacing bool, index int) {
+	step.Racing = isRacing
+	step.VersionStep = 1 + d.random.Uint64N(maxVersionStep)
+	step.Resend = d.random.IntN(4) == 0
+	if index > 0 && d.random.IntN(8) == 0 {
+		step.Action = ActionInvalid
+	}
+}
+
+// pause draws the duration of a freeze, or of the time between an end and the next start.
+func (d *drawer) pause(action Action) time.Duration {
+	switch action {
+	case ActionFreeze:
+		return d.duration(minFreeze, maxFreeze)
+	case ActionTerminate, ActionKill:
+		return d.duration(0, maxRestartDelay)
+	default:
+		return 0
+	}
+}
+
+func (d *drawer) duration(from, to time.Duration) time.Duration {
+	return from + time.Duration(d.random.Int64N(int64(to-from)))
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,203 @@
+// Package soak runs the whole system on loopback, with real processes of its programs and fakes of what surrounds it, under
+// series of signals, restarts and configuration changes that overlap. Clients go on using each open connection until the
+// process is gone. All that is seen on sockets is recorded in a history, and checkers judge that history by the rules.
+//
+// The schedule is a pure function of the seed. What real processes then do differs from run to run by milliseconds.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"pumiceline/internal/ctxtime"
+)
+
+// Options are the parameters of a run.
+type Options struct {
+	Programs   string        // folder of the system's programs
+	Seed       uint64        // of the schedule
+	FaultPhase time.Duration // in which steps begin
+	Processes  int           // coordinators and proxies together
+	Progress   io.Writer     // for a line about each phase; nil: discarded
+}
+
+func (o Options) shape() Shape { return NewShape(o.Processes, o.FaultPhase) }
+
+// command returns the command that plays the run again.
+func (o Options) command() string {
+	return fmt.Sprintf("pumicectl soak --programs %s --first-seed %d --seeds 1 --duration %v --processes %d", o.Programs, o.Seed,
+		o.FaultPhase, o.Processes)
+}
+
+// Times of a run's phases.
+const (
+	startTimeout    = 60 * time.Second // of the start, until all proxies are ready
+	readyPoll       = 50 * time.Millisecond
+	calmPhase       = 3 * time.Second // of load before the first fault
+	recoveredPhase  = 4 * time.Second // of load after the recovery
+	memoryInterval  = 500 * time.Millisecond
+	minFaultPhase   = 4 * time.Second
+	firstChangeStep = 1 // by which the first change raises the version
+)
+
+// run is one run.
+type run struct {
+	opts         Options
+	recorder     *recorder
+	surroundings *surroundings
+	fleet        *fleet
+	operators    *operators
+	background   sync.WaitGroup // the load
+	changes      sync.WaitGroup
+}
+
+// Run plays a seed once. An error is one of the run itself; Result.Violations says what the system did wrong.
+func Run(ctx context.Context, opts Options) (*Result, error) {
+	if opts.FaultPhase < minFaultPhase {
+		return nil, fmt.Errorf("the fault phase is %v; at least %v is wanted", opts.FaultPhase, minFaultPhase)
+	}
+	if opts.Progress == nil {
+		opts.Progress = io.Discard
+	}
+	dir, err := os.MkdirTemp("", "pumiceline-soak")
+	if err != nil {
+		return nil, fmt.Errorf("create the run's folder: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	surroundings, err := startSurroundings()
+	defer surroundings.close()
+	if err != nil {
+		return nil, err
+	}
+	r := &run{opts: opts, recorder: newRecorder(StatedBounds()), surroundings: surroundings}
+	r.fleet = newFleet(opts.shape(), opts.Programs, dir, surroundings.platform.Address, r.recorder)
+	defer r.fleet.close()
+	r.operators = newOperators(r.fleet.ofRole(RoleCoordinator), r.recorder)
+	schedule := DrawSchedule(opts.Seed, opts.shape())
+	if err := r.play(ctx, schedule); err != nil {
+		return nil, err
+	}
+	r.recorder.history.Executions = surroundings.executions.All()
+	return newResult(opts, schedule, &r.recorder.history), nil
+}
+
+// play goes through the phases of the run. All goroutines of the run but the watchers of processes have ended when it
+// returns.
+func (r *run) play(ctx context.Context, schedule Schedule) error {
+	loadContext, endLoad := context.WithCancel(ctx)
+	changeContext, endChanges := context.WithCancel(ctx)
+	defer func() {
+		endChanges()
+		r.changes.Wait()
+		endLoad()
+		r.background.Wait()
+	}()
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	r.startLoad(loadContext)
+	r.mark(func(h *History) { h.LoadFrom = r.recorder.now() })
+	if err := ctxtime.Sleep(ctx, calmPhase); err != nil {
+		return err
+	}
+	r.mark(func(h *History) { h.FaultsFrom = r.recorder.now() })
+	r.progress("fault phase of %v with %d steps", r.opts.FaultPhase, len(schedule))
+	if err := r.playSteps(ctx, changeContext, schedule); err != nil {
+		return err
+	}
+	if err := r.fleet.awaitSettled(ctx); err != nil {
+		return err
+	}
+	r.mark(func(h *History) { h.LastFault = r.recorder.now() })
+	r.progress("recovery")
+	if err := ctxtime.Sleep(ctx, r.recorder.history.Bounds.Recovery+recoveredPhase); err != nil {
+		return err
+	}
+	endChanges()
+	r.changes.Wait()
+	r.operators.readFinally(ctx)
+	r.mark(func(h *History) { h.StopFrom = r.recorder.now() })
+	r.progress("stop")
+	r.fleet.stopAll()
+	return nil
+}
+
+// start starts all processes and waits until every proxy is ready.
+func (r *run) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	r.progress("start of %d processes", len(r.fleet.nodes))
+	if err := r.fleet.startAll(); err != nil {
+		return err
+	}
+	if err := r.operators.change(ctx, Step{Action: ActionPut, VersionStep: firstChangeStep}); err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: callTimeout}
+	for _, proxy := range r.fleet.ofRole(RoleProxy) {
+		for !isReady(client, proxy) {
+			if err := ctxtime.Sleep(ctx, readyPoll); err != nil {
+				return fmt.Errorf("%s is not ready: %w", proxy.Name, err)
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(client *http.Client, proxy *node) bool {
+	response, err := client.Get("http://" + proxy.ReadyAddress() + "/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// startLoad starts what goes on until ctx ends: clients, probes, reads of the configuration, and the sampling of memory.
+func (r *run) startLoad(ctx context.Context) {
+	proxies := r.fleet.ofRole(RoleProxy)
+	for _, client := range newClients(proxies, r.recorder) {
+		r.background.Go(func() { client.run(ctx) })
+	}
+	prober := newProber(proxies, r.recorder)
+	r.background.Go(func() { prober.run(ctx) })
+	r.background.Go(func() { r.operators.watch(ctx) })
+	r.background.Go(func() {
+		for ctxtime.Sleep(ctx, memoryInterval) == nil {
+			r.fleet.sampleMemory()
+		}
+	})
+}
+
+// playSteps carries out the schedule. Changes go on by themselves until changeContext ends.
+func (r *run) playSteps(ctx, changeContext context.Context, schedule Schedule) error {
+	started := time.Now()
+	for _, step := range schedule {
+		if err := ctxtime.Sleep(ctx, time.Until(started.Add(step.At))); err != nil {
+			return err
+		}
+		if step.Action.IsChange() {
+			r.changes.Go(func() { r.change(changeContext, step) })
+			continue
+		}
+		r.fleet.apply(step)
+	}
+	return ctxtime.Sleep(ctx, time.Until(started.Add(r.opts.FaultPhase)))
+}
+
+func (r *run) change(ctx context.Context, step Step) {
+	if err := r.operators.change(ctx, step); err != nil {
+		r.progress("change: %v", err)
+	}
+}
+
+func (r *run) mark(change func(h *History)) { r.recorder.edit(change) }
+
+func (r *run) progress(format string, args ...any) {
+	fmt.Fprintf(r.opts.Progress, "seed %d, %.1fs: %s\n", r.opts.Seed, r.recorder.now().Seconds(), fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/soak/surroundings.go
@@ -0,0 +1,73 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"pumiceline/internal/fake/fakesystem"
+)
+
+// Sizes of the fakes.
+const (
+	modelBackends    = 6
+	documentBackends = 4
+	modelCapacity    = 64 // requests at once
+	documentCapacity = 64
+	documentWork     = 60 * time.Millisecond
+	modelLoad        = 400 * time.Millisecond
+	defaultEvents    = 8
+)
+
+// surroundings are the fakes that a run's processes work with.
+type surroundings struct {
+	executions *fakesystem.ExecutionCounter
+	platform   *fakesystem.Platform
+	backends   []*fakesystem.Backend
+}
+
+// startSurroundings starts backends and the platform. The caller closes them, also after an error.
+func startSurroundings() (*surroundings, error) {
+	s := &surroundings{executions: fakesystem.NewExecutionCounter(), platform: &fakesystem.Platform{}}
+	resident := [][]string{{"small"}, {"small", "large"}, {"large"}}
+	for i := range modelBackends {
+		backend := &fakesystem.Backend{
+			ID: fmt.Sprintf("model-%d", i), Service: modelService, Zone: zoneOf(i), Capacity: modelCapacity,
+			ModelLoadTime: modelLoad, StreamEvents: defaultEvents, StreamsByTokenCount: true,
+		}
+		if err := s.start(backend, resident[i%len(resident)]...); err != nil {
+			return s, err
+		}
+	}
+	for i := range documentBackends {
+		backend := &fakesystem.Backend{
+			ID: fmt.Sprintf("documents-%d", i), Service: documentService, Zone: zoneOf(i), Capacity: documentCapacity,
+			WorkTime: documentWork,
+		}
+		if err := s.start(backend); err != nil {
+			return s, err
+		}
+	}
+	return s, s.platform.Start(s.backends...)
+}
+
+func (s *surroundings) start(backend *fakesystem.Backend, models ...string) error {
+	if err := backend.Start(s.executions, models...); err != nil {
+		return err
+	}
+	s.backends = append(s.backends, backend)
+	return nil
+}
+
+func (s *surroundings) close() {
+	if s.platform.Address != "" {
+		s.platform.Close()
+	}
+	for _, backend := range s.backends {
+		backend.Close()
+	}
+}
+
+// zones is the number of zones.
+const zones = 4
+
+func zoneOf(index int) string { return fmt.Sprintf("z%d", index%zones) }
