--- a/internal/soak/check_applied.go
+++ b/internal/soak/check_applied.go
@@ -99,5 +99,5 @@
 	if probe.IsServed {
 		return change.Version < shown.Version
 	}
-	return probe.Status == http.StatusNotFound && change.Version <= shown.Version && !mayBeReplaced(h, change, probe.EndedAt)
+	return probe.Status == http.StatusNotFound && change.Marker == shown.Marker && !mayBeReplaced(h, change, probe.EndedAt)
 }
--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -22,6 +23,9 @@
 	patienceSlack = time.Second // beyond clientPatience, until a client gives up
 )
 
+// maxHeadBytes is how long the head of a response may be.
+const maxHeadBytes = 16 << 10
+
 // Tokens out of streams, which are their events, in turn.
 var streamTokens = []int{10, 40, 10, 150}
 
@@ -85,7 +89,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{conn: conn, reader: bufio.NewReader(conn), now: now}, nil
+	return newConnection(conn, now), nil
+}
+
+func newConnection(conn net.Conn, now func() Moment) *connection {
+	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, maxHeadBytes), now: now}
 }
 
 // rest waits on an idle connection. It says whether the connection is still open, and whether bytes came unasked.
@@ -102,6 +110,9 @@
 		return exchange{outcome: OutcomeUnsent, sentAt: c.now()}
 	}
 	result := exchange{sentAt: c.now()}
+	if err := c.awaitHead(); err != nil {
+		return result.broken(err)
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return result.broken(err)
@@ -117,6 +128,19 @@
 	return result
 }
 
+// awaitHead waits until the whole head of a response has come, so that one that is cut off is not taken for a malformed one.
+func (c *connection) awaitHead() error {
+	for size := 1; ; size = c.reader.Buffered() + 1 {
+		if _, err := c.reader.Peek(size); err != nil {
+			return err
+		}
+		head, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil || bytes.Contains(head, []byte("\r\n\r\n")) {
+			return err
+		}
+	}
+}
+
 // broken completes an exchange whose response could not be read.
 func (e exchange) broken(err error) exchange {
 	var network net.Error
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The run of CI: one seed, whose verdict must be the same every time.
+const (
+	ciSeed       = 1
+	ciFaultPhase = 25 * time.Second
+	ciProcesses  = 12
+)
+
+// testWriter writes to a test's log.
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(b []byte) (int, error) {
+	w.t.Log(string(b[:max(0, len(b)-1)])) // without the end of the line
+	return len(b), nil
+}
+
+// The whole system breaks no rule under one seed's faults. The programs are built from this module.
+func TestRun_BreaksNoRule(t *testing.T) {
+	programs := t.TempDir()
+	build := exec.Command("go", "build", "-o", programs, "pumiceline/cmd/pumiceline-proxy", "pumiceline/cmd/pumiceline-coordinator")
+	build.Stderr = os.Stderr
+	require.NoError(t, build.Run())
+	result, err := Run(t.Context(), Options{Programs: programs, Seed: ciSeed, FaultPhase: ciFaultPhase, Processes: ciProcesses,
+		Progress: testWriter{t}})
+	require.NoError(t, err)
+	t.Log(result)
+	for _, violation := range result.Violations {
+		t.Errorf("%v\n  plays again with: %s", violation, result.Command)
+	}
+	assert.NotZero(t, result.Served)
+	assert.NotZero(t, result.Acked)
+	for _, kind := range []FaultKind{FaultTerminate, FaultHangup, FaultKill, FaultFreeze, FaultThaw} {
+		assert.NotZero(t, result.Faults[string(kind)], "no %s", kind)
+	}
+}
+
+func TestRun_NamesMissingProgram(t *testing.T) {
+	_, err := Run(context.Background(), Options{Programs: t.TempDir(), FaultPhase: minFaultPhase, Processes: 6})
+	assert.ErrorContains(t, err, "pumiceline-coordinator")
+}
+
+func TestRun_RejectsShortFaultPhase(t *testing.T) {
+	_, err := Run(context.Background(), Options{FaultPhase: time.Second})
+	assert.ErrorContains(t, err, "at least")
+}
