The soak has applications that call for locks, numbers, keys and watches

Cause: the soak had no callers of what coordinators now answer applications. Change: callers of locks and elections that renew, die while holding, sleep past their time and give back earlier holds late; callers of numbers; of keys, which repeat a put with its value through another machine; watchers that resume from saved revisions.

--- /dev/null
+++ b/internal/soak/application_caller.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"pumiceline/internal/ctxtime"
+)
+
+// Times of applications' calls.
+const (
+	applicationTimeout = time.Second // after which another machine is called
+	applicationBackoff = 40 * time.Millisecond
+	watchWait          = 2 * time.Second
+)
+
+// applicationBody is the body of a call. Fields that a call does not have are left out.
+type applicationBody struct {
+	Owner      Owner   `json:"owner,omitempty"`
+	FenceNo    *uint64 `json:"fenceNo,omitempty"`
+	HoldMs     int64   `json:"holdMs,omitempty"`
+	Value      string  `json:"value,omitempty"`
+	IfRevision *uint64 `json:"ifRevision,omitempty"`
+}
+
+// applicationAnswer is the body of an answer. Value is a string for keys and a number for numbers.
+type applicationAnswer struct {
+	FenceNo  uint64          `json:"fenceNo"`
+	Value    json.RawMessage `json:"value"`
+	Revision uint64          `json:"revision"`
+	Events   []KeyEvent      `json:"events"`
+}
+
+// answer is what came of a call.
+type answer struct {
+	sentAt  Moment
+	endedAt Moment
+	status  int // 0: no answer came
+	body    applicationAnswer
+}
+
+// isClear says whether the answer ends the call: a 5xx, a 429 and silence send the caller to another machine.
+func (a answer) isClear() bool {
+	return a.status != 0 && a.status < http.StatusInternalServerError && a.status != http.StatusTooManyRequests
+}
+
+// applicationCaller makes the calls of one application, each at the next machine after one that gave no clear answer.
+type applicationCaller struct {
+	coordinators []*node
+	recorder     *recorder
+	http         *http.Client
+	random       *rand.Rand // of the application's goroutine alone
+	machine      int        // number of the machine that is called
+}
+
+func newApplicationCaller(coordinators []*node, r *recorder, seed, number uint64) *applicationCaller {
+	return &applicationCaller{coordinators: coordinators, recorder: r, http: &http.Client{Transport: &http.Transport{}},
+		random: rand.New(rand.NewPCG(seed, number)), machine: int(number)}
+}
+
+// call makes one call at the present machine, and turns to the next one where there is no clear answer.
+func (c *applicationCaller) call(ctx context.Context, method, path string, body applicationBody) answer {
+	return c.callWithin(ctx, applicationTimeout, method, path, body)
+}
+
+func (c *applicationCaller) callWithin(ctx context.Context, timeout time.Duration, method, path string,
+	body applicationBody) answer {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	machine := c.coordinators[c.machine%len(c.coordinators)]
+	result := answer{sentAt: c.recorder.now()}
+	status, text, err := c.exchange(ctx, method, "http://"+machine.ControlAddress()+path, body)
+	if err == nil {
+		err = json.Unmarshal(text, &result.body)
+	}
+	if err == nil || status >= http.StatusBadRequest { // the text of a failure need not be JSON
+		result.status = status
+	}
+	result.endedAt = c.recorder.now()
+	if !result.isClear() {
+		c.turn()
+	}
+	return result
+}
+
+// turn has the next call go to another machine.
+func (c *applicationCaller) turn() { c.machine++ }
+
+func (c *applicationCaller) exchange(ctx context.Context, method, url string, body applicationBody) (int, []byte, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return 0, nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(text))
+	if err != nil {
+		return 0, nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return response.StatusCode, read, err
+}
+
+// pause waits for a time that is drawn from a span.
+func (c *applicationCaller) pause(ctx context.Context, from, to time.Duration) {
+	_ = ctxtime.Sleep(ctx, from+time.Duration(c.random.Int64N(int64(to-from)))) // loops end with ctx
+}
+
+// chance says yes once in a number of times.
+func (c *applicationCaller) chance(times int) bool { return c.random.IntN(times) == 0 }
+
+// record edits the applications' history.
+func (c *applicationCaller) record(change func(h *ApplicationHistory)) {
+	c.recorder.edit(func(h *History) { change(&h.Applications) })
+}
+
+// name returns the name of one of some things: a prefix and a number.
+func (c *applicationCaller) name(prefix string, count int) string {
+	return fmt.Sprintf("%s%d", prefix, c.random.IntN(count))
+}
--- /dev/null
+++ b/internal/soak/applications.go
@@ -0,0 +1,112 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"pumiceline/internal/ctxtime"
+)
+
+// Numbers of applications.
+const (
+	lockCallers     = 5
+	electionCallers = 3
+	numberCallers   = 2
+	keyCallers      = 4
+	watchers        = 3
+	finalPatience   = 3 * time.Second // for which each call is repeated at the end
+	finalOwner      = "app-final"
+)
+
+// applications are the callers of locks, numbers, keys and watches.
+type applications struct {
+	coordinators []*node
+	recorder     *recorder
+	seed         uint64
+	made         uint64 // callers
+	watchers     []*watcher
+}
+
+func (a *applications) newCaller() *applicationCaller {
+	a.made++
+	return newApplicationCaller(a.coordinators, a.recorder, a.seed, a.made)
+}
+
+// start calls run for each application, which is to run it in a goroutine of its own.
+func (a *applications) start(run func(application func(ctx context.Context))) {
+	for i := range lockCallers {
+		run(newLockCaller(a.newCaller(), i, "lock", lockCount, lockHolds).run)
+	}
+	for i := range electionCallers {
+		run(newLockCaller(a.newCaller(), i, "election", electionCount, electionHolds).run)
+	}
+	for range numberCallers {
+		run(numberCaller{a.newCaller()}.run)
+	}
+	for i := range keyCallers {
+		run(newKeyCaller(a.newCaller(), i).run)
+	}
+	for i := range watchers {
+		w := &watcher{applicationCaller: a.newCaller(), group: fmt.Sprintf("g%d.", i%groupCount)}
+		a.watchers = append(a.watchers, w)
+		run(w.run)
+	}
+}
+
+// finish reads all keys back, asks for a number of each name and for each lock, and resumes the watches from the oldest
+// revision that they saved. No application runs any more.
+func (a *applications) finish(ctx context.Context) {
+	keys := newKeyCaller(a.newCaller(), keyCallers)
+	for group := range groupCount {
+		for i := range keyCount {
+			key := fmt.Sprintf("g%d.k%d", group, i)
+			a.repeat(ctx, "key "+key, func() bool { return keys.get(ctx, key, true) })
+		}
+	}
+	numbers := numberCaller{a.newCaller()}
+	for i := range numberCount {
+		name := fmt.Sprintf("n%d", i)
+		a.repeat(ctx, "number "+name, func() bool { return numbers.take(ctx, name, true) })
+	}
+	for i := range lockCount {
+		a.finishLock(ctx, fmt.Sprintf("lock%d", i))
+	}
+	for i := range electionCount {
+		a.finishLock(ctx, fmt.Sprintf("election%d", i))
+	}
+	for _, w := range a.watchers {
+		if len(w.saved) > 0 {
+			oldest := w.saved[len(w.saved)-1]
+			a.repeat(ctx, "watch "+w.group, func() bool { return w.watch(ctx, oldest, true) })
+		}
+	}
+}
+
+// finishLock asks for a lock; that another has it is an answer too.
+func (a *applications) finishLock(ctx context.Context, lock string) {
+	caller := newLockCaller(a.newCaller(), 0, "", 0, nil)
+	caller.owner = finalOwner
+	a.repeat(ctx, "lock "+lock, func() bool {
+		caller.acquire(ctx, lock, lockHolds[0])
+		answered := false
+		caller.record(func(h *ApplicationHistory) {
+			last := &h.LockCalls[len(h.LockCalls)-1]
+			last.IsFinal = true
+			answered = answer{status: last.Status}.isClear()
+		})
+		return answered
+	})
+}
+
+// repeat makes a call until there is an answer, for as long as callers do at the end of a day.
+func (a *applications) repeat(ctx context.Context, what string, call func() (isAnswered bool)) {
+	deadline := a.recorder.now() + finalPatience
+	for ctx.Err() == nil && a.recorder.now() < deadline {
+		if call() {
+			return
+		}
+		_ = ctxtime.Sleep(ctx, applicationBackoff) // the loop ends with ctx
+	}
+	a.recorder.edit(func(h *History) { h.Applications.Missing = append(h.Applications.Missing, what) })
+}
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -13,6 +13,7 @@
 	Downgrade   time.Duration // downgradeMs: within which a process that has shown a version may show an older one
 	Stretch     time.Duration // stretchMs: added to Apply while the core is not stable
 	Recovery    time.Duration // recoveryS: within which the system serves again after the last fault
+	History     time.Duration // historyS: for which a watch may be away and miss nothing
 	Lease       time.Duration // leaseMs
 	Thaw        time.Duration // thawMs
 	MemoryBytes int64         // the limit of a machine's memory
@@ -29,7 +30,7 @@
 	return Bounds{
 		Quiet: 4 * time.Second, Acknowledge: 5 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
 		Apply: 2500 * time.Millisecond, Downgrade: 250 * time.Millisecond, Stretch: 6 * time.Second,
-		Recovery: 15 * time.Second, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, MemoryBytes: memoryLimitMB << 20,
+		Recovery: 15 * time.Second, History: 20 * time.Second, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, MemoryBytes: memoryLimitMB << 20,
 		DrainExtra: time.Second, OwnEndSlack: time.Second, MaxRunDelay: 100 * time.Millisecond, SlowThawShare: 8,
 	}
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -13,6 +13,8 @@
 // The rules that are checked. RuleProcess and RuleMemory are the page's faults of processes.
 const (
 	RuleLost        Rule = "LOST"
+	RuleOne         Rule = "ONE"
+	RuleStale       Rule = "STALE"
 	RuleMixed       Rule = "MIXED"
 	RuleOrder       Rule = "ORDER"
 	RuleTwice       Rule = "TWICE"
@@ -50,6 +52,7 @@
 	checkLost, checkResponses, checkExecutions, checkDenied,
 	checkSettled, checkReads, checkRejectedChanges, checkAcknowledgements, checkApplied, checkRegress,
 	checkEnds, checkMemory, checkRecovery,
+	checkHolds, checkTokens, checkNumbers, checkKeys, checkWatches, checkMissing,
 }
 
 // Check returns the rules that a history breaks, in the order of their times.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -92,12 +92,14 @@
 // odd is added to whole seconds, so that requests of plants have ids of their own.
 const odd = 3 * time.Millisecond
 
-// plants are what is planted in a good history, by the only rule that it breaks; no rule: it is excused.
-var plants = []struct {
-	name  string
-	rule  Rule
-	plant func(h *History)
-}{
+// plant is what is planted in a good history, and the only rule that it breaks; no rule: it is excused.
+type plant struct {
+	name string
+	rule Rule
+	add  func(h *History)
+}
+
+var plants = []plant{
 	{"nothing", "", func(*History) {}},
 	{"cut in the drain after it ran", RuleLost, func(h *History) {
 		h.execute(h.request("p0", KindDocument, 21*second+odd, OutcomeCut, 0).ID, 21*second, 21*second)
@@ -308,17 +310,15 @@
 }
 
 // Each planted fault is found by its rule, and by no other; what the rules excuse is found by none.
-func TestCheck_FindsPlantedFaults(t *testing.T) {
+func TestCheck_FindsPlantedFaults(t *testing.T) { checkPlants(t, goodHistory, plants) }
+
+func checkPlants(t *testing.T, good func() *History, plants []plant) {
 	for _, c := range plants {
 		t.Run(c.name, func(t *testing.T) {
-			h := goodHistory()
-			c.plant(h)
+			h := good()
+			c.add(h)
 			found := Check(h)
-			if c.rule == "" {
-				assert.Empty(t, found)
-				return
-			}
-			assert.NotEmpty(t, found)
+			assert.Equal(t, c.rule == "", len(found) == 0)
 			for _, violation := range found {
 				assert.Equal(t, c.rule, violation.Rule, violation.Text)
 			}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -151,6 +151,8 @@
 	FaultsFrom Moment // when the first step was due
 	LastFault  Moment // when the last process was running again
 	StopFrom   Moment // when all processes were told to stop
+
+	Applications ApplicationHistory
 }
 
 // recorder collects a history. It is safe for concurrent use.
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -66,6 +66,7 @@
   graceS: {{.Bounds.Grace.Seconds}}
   leaseMs: {{.Bounds.Lease.Milliseconds}}
   thawMs: {{.Bounds.Thaw.Milliseconds}}
+  historyS: {{.Bounds.History.Seconds}}
   quietMs: {{.Bounds.Quiet.Milliseconds}}
   retryRatio: 0.2
   retryExtra: 220
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -1,6 +1,9 @@
 package soak
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Result is the outcome of a run.
 type Result struct {
@@ -16,6 +19,11 @@
 	Reads      int             `json:"reads"`
 	Probes     int             `json:"probes"`
 	PeakMemory int64           `json:"peak_memory_bytes"` // of one process
+	Locked     int             `json:"lock_holds"`
+	Numbers    int             `json:"numbers"`
+	Puts       int             `json:"puts"` // acknowledged
+	Gets       int             `json:"gets"`
+	Watched    int             `json:"watch_answers"`
 	Samples    int             `json:"delay_samples"`
 	Slowed     int             `json:"slowed_samples"` // of these: the machine held up the process beyond the bound
 	Violations []Violation     `json:"violations"`
@@ -51,6 +59,7 @@
 	for _, sample := range h.Memory {
 		r.PeakMemory = max(r.PeakMemory, sample.ResidentBytes)
 	}
+	r.countApplications(&h.Applications)
 	r.Samples = len(h.Delays)
 	for _, sample := range h.Delays {
 		if sample.Waited > h.Bounds.MaxRunDelay {
@@ -60,9 +69,34 @@
 	return r
 }
 
+// countApplications counts the calls of applications that were answered with success.
+func (r *Result) countApplications(h *ApplicationHistory) {
+	r.Locked = len(h.Holds)
+	for _, call := range h.Numbers {
+		if call.Status == statusOK {
+			r.Numbers++
+		}
+	}
+	for _, put := range h.Puts {
+		if slices.ContainsFunc(put.Attempts, func(a PutAttempt) bool { return a.Status == statusOK }) {
+			r.Puts++
+		}
+	}
+	for _, get := range h.Gets {
+		if isAnswerOfGet(get.Status) {
+			r.Gets++
+		}
+	}
+	for _, call := range h.Watches {
+		if call.Status == statusOK {
+			r.Watched++
+		}
+	}
+}
+
 // String returns the counts of the run in one line.
 func (r *Result) String() string {
 	return fmt.Sprintf("seed %d: %d processes, faults %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
-		"%d reads, %d probes, peak memory %d MiB, slowed in %d of %d samples, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
-		r.Acked, r.Rejected, r.Reads, r.Probes, r.PeakMemory>>20, r.Slowed, r.Samples, len(r.Violations))
+		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
+		r.Acked, r.Rejected, r.Reads, r.Probes, r.Locked, r.Numbers, r.Puts, r.Gets, r.Watched, r.PeakMemory>>20, r.Slowed, r.Samples, len(r.Violations))
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,10 +7,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -23,15 +25,18 @@
 	Seed       uint64        // of the schedule
 	FaultPhase time.Duration // in which steps begin
 	Processes  int           // coordinators and proxies together
-	Progress   io.Writer     // for a line about each phase; nil: discarded
+	// Applications has applications call for locks, numbers, keys and watches.
+	Applications bool
+	Progress     io.Writer // for a line about each phase; nil: discarded
+	HistoryDir   string    // folder that gets the history as SEED.json; empty: none is written
 }
 
 func (o Options) shape() Shape { return NewShape(o.Processes, o.FaultPhase) }
 
 // command returns the command that plays the run again.
 func (o Options) command() string {
-	return fmt.Sprintf("pumicectl soak --programs %s --first-seed %d --seeds 1 --duration %v --processes %d", o.Programs, o.Seed,
-		o.FaultPhase, o.Processes)
+	return fmt.Sprintf("pumicectl soak --programs %s --first-seed %d --seeds 1 --duration %v --processes %d --applications=%t",
+		o.Programs, o.Seed, o.FaultPhase, o.Processes, o.Applications)
 }
 
 // Times of a run's phases.
@@ -51,7 +56,9 @@
 	surroundings *surroundings
 	fleet        *fleet
 	operators    *operators
+	applications *applications
 	background   sync.WaitGroup // the load
+	calling      sync.WaitGroup // the applications
 	changes      sync.WaitGroup
 }
 
@@ -76,15 +83,37 @@
 	r := &run{opts: opts, recorder: newRecorder(StatedBounds()), surroundings: surroundings}
 	r.fleet = newFleet(opts.shape(), opts.Programs, dir, surroundings.platform.Address, r.recorder)
 	defer r.fleet.close()
-	r.operators = newOperators(r.fleet.ofRole(RoleCoordinator), r.recorder)
+	coordinators := r.fleet.ofRole(RoleCoordinator)
+	r.operators = newOperators(coordinators, r.recorder)
+	r.applications = &applications{coordinators: coordinators, recorder: r.recorder, seed: opts.Seed}
 	schedule := DrawSchedule(opts.Seed, opts.shape())
 	if err := r.play(ctx, schedule); err != nil {
 		return nil, err
 	}
 	r.recorder.history.Executions = surroundings.executions.All()
+	if opts.HistoryDir != "" {
+		if err := writeHistory(opts, &r.recorder.history); err != nil {
+			return nil, err
+		}
+	}
 	return newResult(opts, schedule, &r.recorder.history), nil
 }
 
+// writeHistory writes the history to a file, for whoever traces a violation.
+func writeHistory(opts Options, h *History) error {
+	text, err := json.Marshal(h)
+	if err != nil {
+		return fmt.Errorf("encode history: %w", err)
+	}
+	path := filepath.Join(opts.HistoryDir, fmt.Sprintf("%d.json", opts.Seed))
+	if err := os.WriteFile(path, text, historyFileMode); err != nil {
+		return fmt.Errorf("write history: %w", err)
+	}
+	return nil
+}
+
+const historyFileMode = 0o644
+
 // play goes through the phases of the run. All goroutines of the run but the watchers of processes have ended when it
 // returns.
 func (r *run) play(ctx context.Context, schedule Schedule) error {
@@ -93,6 +122,7 @@
 	defer func() {
 		endChanges()
 		r.changes.Wait()
+		r.calling.Wait()
 		endLoad()
 		r.background.Wait()
 	}()
@@ -100,6 +130,11 @@
 		return err
 	}
 	r.startLoad(loadContext)
+	if r.opts.Applications {
+		r.applications.start(func(application func(context.Context)) {
+			r.calling.Go(func() { application(changeContext) })
+		})
+	}
 	r.mark(func(h *History) { h.LoadFrom = r.recorder.now() })
 	if err := ctxtime.Sleep(ctx, calmPhase); err != nil {
 		return err
@@ -119,11 +154,20 @@
 	}
 	endChanges()
 	r.changes.Wait()
+	r.calling.Wait()
+	r.finish(ctx)
+	return nil
+}
+
+// finish reads back what was acknowledged and tells all processes to stop.
+func (r *run) finish(ctx context.Context) {
 	r.operators.readFinally(ctx)
+	if r.opts.Applications {
+		r.applications.finish(ctx)
+	}
 	r.mark(func(h *History) { h.StopFrom = r.recorder.now() })
 	r.progress("stop")
 	r.fleet.stopAll()
-	return nil
 }
 
 // start starts all processes and waits until every proxy is ready.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,7 +33,7 @@
 	build.Stderr = os.Stderr
 	require.NoError(t, build.Run())
 	result, err := Run(t.Context(), Options{Programs: programs, Seed: ciSeed, FaultPhase: ciFaultPhase, Processes: ciProcesses,
-		Progress: testWriter{t}})
+		Applications: true, Progress: testWriter{t}})
 	require.NoError(t, err)
 	t.Log(result)
 	for _, violation := range result.Violations {
@@ -41,6 +41,10 @@
 	}
 	assert.NotZero(t, result.Served)
 	assert.NotZero(t, result.Acked)
+	assert.NotZero(t, result.Locked)
+	assert.NotZero(t, result.Numbers)
+	assert.NotZero(t, result.Puts)
+	assert.NotZero(t, result.Watched)
 	for _, kind := range []FaultKind{FaultTerminate, FaultHangup, FaultKill, FaultFreeze, FaultThaw} {
 		assert.NotZero(t, result.Faults[string(kind)], "no %s", kind)
 	}
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -134,7 +134,7 @@
 
 // hadMajority says whether more than half of the coordinators ran throughout a span, and none was slowed.
 func (t *timeline) hadMajority(from, to Moment) bool {
-	if slices.ContainsFunc(t.coordinators, func(node string) bool { return t.isSlowed(node, from, to) }) {
+	if t.isCoreSlowed(from, to) {
 		return false
 	}
 	if !t.hasMajority(from) {
@@ -150,6 +150,11 @@
 	return true
 }
 
+// isCoreSlowed says whether the machine held up some coordinator in a span.
+func (t *timeline) isCoreSlowed(from, to Moment) bool {
+	return slices.ContainsFunc(t.coordinators, func(node string) bool { return t.isSlowed(node, from, to) })
+}
+
 // startBefore returns when the process that ran at a moment was started. It tells the incarnations of a node apart.
 func (t *timeline) startBefore(node string, at Moment) Moment {
 	started := Moment(-1)
