A put that got a 412 counts as rejected, whatever its other calls got

Cause: a put that was acknowledged and then rejected when it was repeated passed the soak's checkers. Change: any 412 marks a put as rejected: revisions only rise, and a repeated put gets its first revision.

--- a/internal/soak/check_applications_test.go
+++ b/internal/soak/check_applications_test.go
@@ -126,6 +126,14 @@
 		h.failPut("g1.c", "v9", http.StatusServiceUnavailable, 0)
 		h.get("g1.c", "v9", 5, 16*second)
 	}},
+	{"an acknowledged put that is rejected when it is repeated", RuleRefused, func(h *History) {
+		put := &h.Applications.Puts[2]
+		put.Attempts = append(put.Attempts, PutAttempt{15 * second, 15 * second, http.StatusPreconditionFailed, 4})
+	}},
+	{"a put shown that was first rejected as not done", "", func(h *History) {
+		put := &h.Applications.Puts[2]
+		put.Attempts = append([]PutAttempt{{13 * second, 13 * second, http.StatusServiceUnavailable, 0}}, put.Attempts...)
+	}},
 	{"an unclear put shown", "", func(h *History) {
 		h.failPut("g1.c", "v9", http.StatusGatewayTimeout, 0)
 		h.get("g1.c", "v9", 5, 16*second)
--- a/internal/soak/check_keys.go
+++ b/internal/soak/check_keys.go
@@ -78,12 +78,17 @@
 	k.shown = append(k.shown, s)
 }
 
-// isRejectedPut says whether each call of a put was answered that it has not taken effect.
+// isRejectedPut says whether a put was rejected: by a 412, as revisions only rise and a repeated put that has taken effect is
+// acknowledged again, or because each of its calls was answered that it has not taken effect.
 func isRejectedPut(put *Put) bool {
-	return len(put.Attempts) > 0 && !slices.ContainsFunc(put.Attempts, func(a PutAttempt) bool {
-		return a.Status != http.StatusPreconditionFailed && a.Status != http.StatusTooManyRequests &&
-			a.Status != http.StatusServiceUnavailable
-	})
+	hasStatus := func(statuses ...int) func(PutAttempt) bool {
+		return func(a PutAttempt) bool { return slices.Contains(statuses, a.Status) }
+	}
+	if slices.ContainsFunc(put.Attempts, hasStatus(http.StatusPreconditionFailed)) {
+		return true
+	}
+	isPromise := hasStatus(http.StatusTooManyRequests, http.StatusServiceUnavailable)
+	return len(put.Attempts) > 0 && !slices.ContainsFunc(put.Attempts, func(a PutAttempt) bool { return !isPromise(a) })
 }
 
 // checkKeys checks what is shown of keys (MIXED, REFUSED, ORDER) and that reads are not stale.
