Epochs: the order of watches and of equal positions is the same in each run

The simulation did not repeat: waiting watches and reported positions were walked in the order of a map. TestRun_IsDeterministic failed before and passes.

--- a/internal/controlplane/epoch/calls.go
+++ b/internal/controlplane/epoch/calls.go
@@ -1,6 +1,9 @@
 package epoch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"pumiceline/internal/message"
@@ -48,6 +51,13 @@
 	}
 }
 
+// sortedWatches returns the waiting watches in an order that is the same in each run.
+func (q *callQueue) sortedWatches() []*waitingWatch {
+	return slices.SortedFunc(maps.Values(q.watches), func(a, b *waitingWatch) int {
+		return cmp.Or(cmp.Compare(a.key.relay, b.key.relay), cmp.Compare(a.key.id, b.key.id))
+	})
+}
+
 // onCallRequest queues a call, where this member is the issuer. Elsewhere it names the issuer that it knows.
 func (m *Member) onCallRequest(received *message.Message) {
 	call := pendingCall{
@@ -141,26 +151,26 @@
 // answerWatches answers the watches that have an event. It is called when a round with changes has just been accepted, which
 // also confirms that the epoch is the newest.
 func (m *Member) answerWatches() {
-	for key, watch := range m.calls.watches {
+	for _, watch := range m.calls.sortedWatches() {
 		if !m.store.HasEvents(watch.call) {
 			continue
 		}
-		delete(m.calls.watches, key)
+		delete(m.calls.watches, watch.key)
 		m.answer(watch.pendingCall, m.store.Execute(m.now, watch.call).Answer)
 	}
 }
 
 // expireWatches queues the watches whose time is over, to be answered without an event, and drops those whose relay has gone.
 func (m *Member) expireWatches() {
-	for key, watch := range m.calls.watches {
+	for _, watch := range m.calls.sortedWatches() {
 		switch {
 		case m.now >= watch.deadline:
-			delete(m.calls.watches, key)
+			delete(m.calls.watches, watch.key)
 			watch.call.WaitMs = 0
-			m.calls.known[key] = true
+			m.calls.known[watch.key] = true
 			m.calls.queued = append(m.calls.queued, watch.pendingCall)
 		case m.now-watch.seenAt >= watchResendTimeout:
-			delete(m.calls.watches, key)
+			delete(m.calls.watches, watch.key)
 		}
 	}
 }
@@ -202,7 +212,7 @@
 	for _, call := range m.calls.queued {
 		m.rejectCall(call)
 	}
-	for _, watch := range m.calls.watches {
+	for _, watch := range m.calls.sortedWatches() {
 		m.rejectCall(watch.pendingCall)
 	}
 	m.calls = newCallQueue()
--- a/internal/controlplane/epoch/candidate.go
+++ b/internal/controlplane/epoch/candidate.go
@@ -1,6 +1,8 @@
 package epoch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -153,8 +155,8 @@
 	c := m.candidate
 	newest := m.options.Self.Identity
 	position := m.position
-	for identity, reported := range c.promises {
-		if position.Less(reported) {
+	for _, identity := range slices.Sorted(maps.Keys(c.promises)) {
+		if reported := c.promises[identity]; position.Less(reported) {
 			newest, position = identity, reported
 		}
 	}
