--- a/internal/controlplane/coordinator/coordination_loop.go
+++ b/internal/controlplane/coordinator/coordination_loop.go
@@ -168,14 +168,18 @@
 	}
 }
 
-// applyOutput carries out the output of a step. Messages from the member to itself are stepped at once.
+// applyOutput carries out the output of a step, as replicaLoop.applyOutput does.
 func (l *coordinationLoop) applyOutput(out epoch.Output) {
 	if out.IsEmpty() {
 		return
 	}
 	local := l.route(out.Immediate)
-	if out.Record != nil || out.State != nil || len(out.Writes) > 0 || len(out.AfterSync) > 0 {
+	hasRecords := out.Record != nil || out.State != nil || len(out.Writes) > 0
+	switch {
+	case hasRecords || len(out.AfterSync) > 0 && !l.writer.isIdle():
 		l.writer.enqueue(out)
+	default:
+		local = append(local, l.route(out.AfterSync)...)
 	}
 	for _, m := range local {
 		l.applyOutput(l.member.Step(l.now(), m))
--- a/internal/controlplane/coordinator/replica_loop.go
+++ b/internal/controlplane/coordinator/replica_loop.go
@@ -112,11 +112,16 @@
 	}
 }
 
-// applyOutput carries out the output of a step. Messages from the replica to itself are stepped at once.
+// applyOutput carries out the output of a step. Messages from the replica to itself are stepped at once. Without records to sync,
+// and with all earlier ones synced, no message has to wait for the writer.
 func (l *replicaLoop) applyOutput(out replica.Output) {
 	local := l.route(out.Immediate)
-	if out.Control != nil || out.Chain != nil || len(out.AfterSync) > 0 {
+	hasRecords := out.Control != nil || out.Chain != nil
+	switch {
+	case hasRecords || len(out.AfterSync) > 0 && !l.writer.isIdle():
 		l.writer.enqueue(out)
+	default:
+		local = append(local, l.route(out.AfterSync)...)
 	}
 	for _, m := range local {
 		l.applyOutput(l.replica.Step(l.now(), m))
--- a/internal/controlplane/coordinator/sync_queue.go
+++ b/internal/controlplane/coordinator/sync_queue.go
@@ -21,8 +21,9 @@
 	send   func(*O)      // sends the messages that wait for an output's records
 	signal chan struct{} // holds one signal: the queue is not empty
 
-	mutex sync.Mutex // guards queue
-	queue []O
+	mutex  sync.Mutex // guards what follows
+	queue  []O
+	isBusy bool // outputs that were taken from the queue are not carried out yet
 
 	started   time.Time
 	busySince atomic.Int64 // start of the present write, in nanoseconds after started; 0: idle
@@ -43,6 +44,13 @@
 	}
 }
 
+// isIdle reports whether every output has been carried out. Only the goroutine that calls enqueue may rely on it.
+func (q *syncQueue[O]) isIdle() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.queue) == 0 && !q.isBusy
+}
+
 // isStalled reports whether the present write has taken longer than diskStallThreshold. Any goroutine may call it.
 func (q *syncQueue[O]) isStalled() bool {
 	since := q.busySince.Load()
@@ -55,6 +63,7 @@
 		q.mutex.Lock()
 		outputs := q.queue
 		q.queue = nil
+		q.isBusy = true
 		q.mutex.Unlock()
 		q.busySince.Store(int64(time.Since(q.started)) + 1) // never 0, which stands for idle
 		q.write(outputs)
@@ -62,6 +71,9 @@
 		for i := range outputs {
 			q.send(&outputs[i])
 		}
+		q.mutex.Lock()
+		q.isBusy = false
+		q.mutex.Unlock()
 	}
 }
 
