--- a/tools/docrefs/docrefs_test.go
+++ b/tools/docrefs/docrefs_test.go
@@ -15,6 +15,7 @@
 	"docs/architecture.md",
 	"docs/glossary.md",
 	"docs/design/control-state.md",
+	"docs/coordination.md",
 	"docs/design/coordination.md",
 	"docs/design/system.md",
 	"docs/runbook-control-plane.md",
