--- a/internal/controlplane/coordinationsim/simulation_test.go
+++ b/internal/controlplane/coordinationsim/simulation_test.go
@@ -56,7 +56,7 @@
 
 func TestRun_IsDeterministic(t *testing.T) {
 	t.Parallel()
-	for seed := uint64(1); seed <= 3; seed++ {
+	for seed := uint64(1); seed <= 6; seed++ {
 		assert.Equal(t, Run(DrawOptions(seed)), Run(DrawOptions(seed)))
 		assert.Equal(t, Trace(DrawOptions(seed)), Trace(DrawOptions(seed)))
 	}
