--- a/internal/controlplane/coordination/bounds.go
+++ b/internal/controlplane/coordination/bounds.go
@@ -15,7 +15,7 @@
 
 // Bounds of the state. A call that would exceed them is answered StatusInsufficientMemory and changes nothing.
 const (
-	// MaxStateBytes bounds the size of the keys: of their present values and of their history, each with its key.
+	// MaxStateBytes bounds the size of the groups in a snapshot: of the present values of their keys, and of their history.
 	MaxStateBytes = 2 << 20
 	// MaxHolds bounds how many locks are held at a time.
 	MaxHolds = 4096
@@ -28,8 +28,10 @@
 	// recognised long after the first.
 	eventBudget      = 8192
 	eventBytesBudget = MaxStateBytes / 2
-	// eventOverheadBytes is what a key with its value takes in a snapshot beside the two.
+	// eventOverheadBytes is what a key with its value takes at most in a snapshot beside the two, and groupOverheadBytes
+	// what a group takes beside its name and its keys.
 	eventOverheadBytes = 24
+	groupOverheadBytes = 48
 	// maxEventsPerAnswer and maxEventBytesPerAnswer bound the answer to a watch.
 	maxEventsPerAnswer     = 512
 	maxEventBytesPerAnswer = 128 << 10
@@ -77,6 +79,9 @@
 
 func isHoldTime(holdMs int64) bool { return holdMs > 0 && holdMs <= MaxHold.Milliseconds() }
 
+// groupBytes returns the size of a group without keys.
+func groupBytes(name message.KeyGroup) int { return len(name) + groupOverheadBytes }
+
 // eventBytes returns the size of a key with one of its values.
 func eventBytes(key message.KeyName, value string) int {
 	return len(key) + len(value) + eventOverheadBytes
--- a/internal/controlplane/coordination/keys.go
+++ b/internal/controlplane/coordination/keys.go
@@ -54,16 +54,10 @@
 	if revision, isRepeated := s.firstRevision(group, call.Key, call.Value); isRepeated {
 		return Result{Answer: message.Answer{Status: StatusOK, Revision: revision}}
 	}
-	present, exists := group.keys[call.Key]
-	if !call.IfAny && present.revision != call.IfRevision {
+	if present := group.keys[call.Key]; !call.IfAny && present.revision != call.IfRevision {
 		return Result{Answer: message.Answer{Status: StatusRevisionMismatch, Revision: present.revision}}
 	}
-	size := eventBytes(call.Key, call.Value)
-	growth := 2 * size // the key's present value and the history
-	if exists {
-		growth -= eventBytes(call.Key, present.value)
-	}
-	if s.events.count >= s.limits.events || s.valueBytes+s.events.bytes+growth > s.limits.stateBytes {
+	if s.events.count >= s.limits.events || s.sizeAfterPut(group, call) > s.limits.stateBytes {
 		return answerStatus(StatusInsufficientMemory)
 	}
 	event := &message.KeyEvent{Key: call.Key, Value: call.Value, Revision: group.revision + 1}
@@ -73,6 +67,19 @@
 	}
 }
 
+// sizeAfterPut returns the size of all groups with their history as a put would make it.
+func (s *Store) sizeAfterPut(group *keyGroup, call *message.Call) int {
+	size := s.groupBytes + s.events.bytes
+	size += 2 * eventBytes(call.Key, call.Value) // as the present value and in the history
+	if present, exists := group.keys[call.Key]; exists {
+		size -= eventBytes(call.Key, present.value)
+	}
+	if group.revision == 0 {
+		size += groupBytes(group.name)
+	}
+	return size
+}
+
 // firstRevision returns the revision that a value of a key got, where it is known.
 func (s *Store) firstRevision(
 	group *keyGroup, key message.KeyName, value string,
@@ -107,6 +114,7 @@
 	if group == nil {
 		group = &keyGroup{name: name, keys: map[message.KeyName]keyState{}}
 		s.groups[name] = group
+		s.groupBytes += groupBytes(name)
 	}
 	return group
 }
@@ -114,8 +122,8 @@
 // setKey sets the present value of a key.
 func (s *Store) setKey(group *keyGroup, event message.KeyEvent) {
 	if previous, exists := group.keys[event.Key]; exists {
-		s.valueBytes -= eventBytes(event.Key, previous.value)
+		s.groupBytes -= eventBytes(event.Key, previous.value)
 	}
 	group.keys[event.Key] = keyState{value: event.Value, revision: event.Revision}
-	s.valueBytes += eventBytes(event.Key, event.Value)
+	s.groupBytes += eventBytes(event.Key, event.Value)
 }
--- a/internal/controlplane/coordination/snapshot_test.go
+++ b/internal/controlplane/coordination/snapshot_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +43,36 @@
 	return 0
 }
 
+// The bound of the size counts what a snapshot takes on the wire and on disk, so many small groups or keys do not pass it.
+func TestSnapshot_OfFullStoreIsWithinTheSizeOfTheState(t *testing.T) {
+	longest := strings.Repeat("n", MaxNameBytes-9)
+	tests := map[string]func(i int) message.Call{
+		"empty values":                 func(i int) message.Call { return put(message.KeyName(fmt.Sprint("g.", i)), "", 0) },
+		"groups of one key":            func(i int) message.Call { return put(message.KeyName(fmt.Sprint(i)), "", 0) },
+		"groups with the longest name": func(i int) message.Call { return put(message.KeyName(fmt.Sprintf("%s%08d.", longest, i)), "", 0) },
+		"large values": func(i int) message.Call {
+			return put(message.KeyName(fmt.Sprint("g.", i)), strings.Repeat("x", MaxValueBytes), 0)
+		},
+		"puts of one key": func(i int) message.Call { return put("g.a", fmt.Sprint(i), message.Revision(i)) },
+	}
+	for name, call := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := newTestStore()
+			accepted := 0
+			for store.Execute(0, call(accepted)).Answer.Status == StatusOK {
+				accepted++
+			}
+			require.Positive(t, accepted)
+			snapshot := store.Snapshot(0)
+			packed, err := snapshot.MarshalMsg(nil)
+			require.NoError(t, err)
+			assert.LessOrEqual(t, len(packed), MaxStateBytes)
+			assert.LessOrEqual(t, store.groupBytes+store.events.bytes, MaxStateBytes)
+			checkInvariants(t, store)
+		})
+	}
+}
+
 func TestSnapshot_SharesNoMemoryWithTheStore(t *testing.T) {
 	store := newTestStore()
 	store.Execute(0, acquire("l", "one", 1000))
--- a/internal/controlplane/coordination/store.go
+++ b/internal/controlplane/coordination/store.go
@@ -37,7 +37,7 @@
 	locks      lockTable
 	lastNumber uint64 // the newest number of all names
 	groups     map[message.KeyGroup]*keyGroup
-	valueBytes int // size of the present values of all keys
+	groupBytes int // size of all groups with the present values of their keys
 	events     eventLog
 }
 
