--- a/internal/controlplane/coordination/history.go
+++ b/internal/controlplane/coordination/history.go
@@ -98,12 +98,9 @@
 	group.horizon = horizon
 }
 
-// forget removes an event that is dropped. A value that was put again since then keeps its newer revision.
+// forget removes an event that is dropped. Its value cannot have been put again: it was recognised until now.
 func (l *eventLog) forget(event message.KeyEvent) {
-	id := putID{event.Key, event.Value}
-	if l.revisions[id] == event.Revision {
-		delete(l.revisions, id)
-	}
+	delete(l.revisions, putID{event.Key, event.Value})
 	l.count--
 	l.bytes -= eventBytes(event.Key, event.Value)
 }
