--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -56,25 +56,15 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// leaseHolder is the coordinator that reports the controller lease as its own; the first coordinator where none does.
-func (d *demo) leaseHolder(ctx context.Context) *node {
-	return d.coordinatorWhere(ctx, func(s *coordinator.Status) bool { return s.LeaseToken != 0 })
-}
-
-// issuer is the coordinator that reports that it decides the calls of applications; the first coordinator where none does.
-func (d *demo) issuer(ctx context.Context) *node {
-	return d.coordinatorWhere(ctx, func(s *coordinator.Status) bool { return s.Coordination != nil && s.Coordination.IsIssuer })
-}
-
-// coordinatorWhere is the first coordinator whose status has a property; the first of all where none has.
-func (d *demo) coordinatorWhere(ctx context.Context, hasProperty func(*coordinator.Status) bool) *node {
+// coordinatorWhere is the first coordinator whose status has a property.
+func (d *demo) coordinatorWhere(ctx context.Context, hasProperty func(*coordinator.Status) bool) (*node, bool) {
 	for _, n := range d.nodes[:coordinatorCount] {
 		var status coordinator.Status
 		if err := d.getJSON(ctx, "http://"+n.controlAddress()+"/status", &status); err == nil && hasProperty(&status) {
-			return n
+			return n, true
 		}
 	}
-	return d.nodes[0]
+	return nil, false
 }
 
 // controlAddresses are those of all coordinators.
