Relay: waiting calls and watches turn to a new issuer as soon as one is hinted at

A watch went on to the issuer that had died until it was repeated (0.3 s), a call until the silence was over (0.12 s), though another call or the own coordinator knew the new one. They now follow a change of the hint at once; a target that was asked lately is left its time.

--- a/internal/controlplane/relay/exchange.go
+++ b/internal/controlplane/relay/exchange.go
@@ -57,6 +57,7 @@
 func (e *exchange) run(ctx context.Context) (message.Answer, error) {
 	deadline := time.NewTimer(e.timeout())
 	defer deadline.Stop()
+	hintChanged := e.relay.hint.nextChange()
 	e.askFirst()
 	for {
 		select {
@@ -66,6 +67,9 @@
 				return *answer, nil
 			}
 			e.handleDeclined(m)
+		case <-hintChanged:
+			hintChanged = e.relay.hint.nextChange()
+			e.followHint()
 		case <-e.next.C:
 			e.askNext()
 		case <-deadline.C:
@@ -112,7 +116,7 @@
 		e.relay.hint.forget(asked.target.Identity)
 	}
 	switch {
-	case isKnown(issuer) && issuer.Identity != asked.target.Identity && !e.isAskedRecently(issuer):
+	case isKnown(issuer) && issuer.Identity != asked.target.Identity && !e.isAskedWithin(minRepeatInterval, issuer):
 		e.ask(issuer)
 	case e.isWatch() && e.hasOpenRequest():
 		// the issuer that was asked may keep the watch
@@ -153,9 +157,9 @@
 	return call
 }
 
-func (e *exchange) isAskedRecently(target message.Member) bool {
+func (e *exchange) isAskedWithin(interval time.Duration, target message.Member) bool {
 	at, ok := e.lastAsked(target.Identity)
-	return ok && time.Since(at) < minRepeatInterval
+	return ok && time.Since(at) < interval
 }
 
 // lastAsked returns when a member was asked last.
--- a/internal/controlplane/relay/relay.go
+++ b/internal/controlplane/relay/relay.go
@@ -72,6 +72,7 @@
 // New returns a relay.
 func New(options Options) *Relay {
 	r := &Relay{options: options, waiting: map[uint64]chan<- *message.Message{}, meter: newMeter()}
+	r.hint.changed = make(chan struct{})
 	r.lastID.Store(options.Incarnation)
 	return r
 }
@@ -115,6 +116,10 @@
 	}
 }
 
+// Refresh has waiting calls turn to another issuer at once if Options.Candidates names one now. Else they notice when they ask the
+// next time. Any goroutine may call it; it never blocks.
+func (r *Relay) Refresh() { r.hint.newest(r.options.Candidates().Issuer) }
+
 // admit counts a call that is to wait. It reports false where too many wait already.
 func (r *Relay) admit(kind message.CallKind) bool {
 	r.mutex.Lock()
--- a/internal/controlplane/relay/targets.go
+++ b/internal/controlplane/relay/targets.go
@@ -22,6 +22,15 @@
 	e.askVoter(candidates)
 }
 
+// followHint asks an issuer that another call, or the own coordinator, has just found. One that was asked lately still has
+// its time, so that hints that contradict each other do not make all calls ask at once again and again.
+func (e *exchange) followHint() {
+	issuer, ok := e.relay.hint.newest(e.relay.options.Candidates().Issuer)
+	if ok && !e.isAskedWithin(e.silence(), issuer) {
+		e.ask(issuer)
+	}
+}
+
 // askNext asks again after silence, or after a target that does not know the issuer.
 func (e *exchange) askNext() {
 	e.next.Reset(e.silence())
--- a/internal/controlplane/relay/watch_test.go
+++ b/internal/controlplane/relay/watch_test.go
@@ -76,6 +76,47 @@
 	})
 }
 
+func TestWaitingCallsFollowAHintAtOnce(t *testing.T) {
+	const foundAt = 50 * time.Millisecond
+	for name, find := range map[string]func(n *network){
+		"of the own coordinator": func(n *network) {
+			n.setIssuer(remote)
+			n.relay.Refresh()
+		},
+		"that another call got": func(n *network) {
+			n.relay.hint.learn(remote)
+		},
+	} {
+		for _, call := range []message.Call{watch, acquire} {
+			t.Run(name+", "+string(kindNames[call.Kind]), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := newNetwork()
+					n.candidates.Issuer = far
+					n.members["remote"] = answers
+					time.AfterFunc(foundAt, func() { find(n) })
+					_, err := n.relay.Call(t.Context(), call)
+					require.NoError(t, err)
+					assert.Equal(t, foundAt+roundTrip, n.elapsed())
+					assert.Equal(t, []message.MemberID{"far", "remote"}, n.targets())
+				})
+			})
+		}
+	}
+}
+
+func TestHintsThatContradictDoNotMakeCallsAskAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates.Issuer = far
+		for i := range 100 {
+			time.AfterFunc(time.Duration(i)*time.Millisecond, func() { n.relay.hint.learn([]message.Member{far, remote}[i%2]) })
+		}
+		_, err := n.relay.Call(t.Context(), acquire)
+		require.Error(t, err)
+		assert.LessOrEqual(t, len(n.sent), 2*int(callTimeout/callSilence))
+	})
+}
+
 func TestWatchAsksVotersWhenItsIssuerDeclines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
