--- a/internal/controlplane/coordinator/coordination_loop.go
+++ b/internal/controlplane/coordinator/coordination_loop.go
@@ -214,7 +214,10 @@
 // publish makes the status of the member known to the rest of the process, and returns how often it is to be ticked.
 func (l *coordinationLoop) publish() time.Duration {
 	status := &coordinationStatus{Status: l.member.Status(), canStop: l.member.CanStop()}
-	l.status.Store(status)
+	previous := l.status.Swap(status)
+	if previous == nil || previous.Issuer.Identity != status.Issuer.Identity {
+		l.relay.Refresh()
+	}
 	l.log(status)
 	if status.IsIdle {
 		return idleTickInterval
