Slowness excuses a cut request only where it may be why

Change: a request that was passed on may not be cut for slowness before half of the grace time is over. The result counts the cuts that slowness excuses; pumicectl prints 20 violations of a run.

--- a/cmd/pumicectl/soak.go
+++ b/cmd/pumicectl/soak.go
@@ -19,6 +19,7 @@
 const (
 	defaultSoakPhase     = 30 * time.Second
 	defaultSoakProcesses = 12
+	maxPrintedViolations = 20 // of a run; its JSON has all
 )
 
 // soakCommand runs seeds of the soak, one after the other.
@@ -84,8 +85,12 @@
 	} else {
 		fmt.Println(result)
 	}
-	for _, violation := range result.Violations {
-		fmt.Fprintf(os.Stderr, "%v\n  plays again with: %s\n", violation, result.Command)
+	for i, violation := range result.Violations {
+		if i == maxPrintedViolations {
+			fmt.Fprintf(os.Stderr, "and %d more\n", len(result.Violations)-i)
+			break
+		}
+		fmt.Fprintf(os.Stderr, "seed %d: %v\n  plays again with: %s\n", result.Seed, violation, result.Command)
 	}
 	return nil
 }
--- a/internal/soak/check_requests.go
+++ b/internal/soak/check_requests.go
@@ -25,8 +25,7 @@
 }
 
 // checkLost checks that no connection ended without a complete response to a request that was read. It is judged around
-// planned work and in calm times alike; a kill, a freeze or a slow-down of
-// the process excuses it.
+// planned work and in calm times alike; a kill or a freeze of the process excuses it, and slowness where that may be why.
 func checkLost(h *History, t *timeline) violations {
 	var found violations
 	for i := range h.Requests {
@@ -56,18 +55,29 @@
 func isCutExcused(h *History, t *timeline, request *Request) bool {
 	from := request.SentAt - t.bounds.Quiet
 	if t.has(request.Node, from, request.EndedAt, FaultKill, FaultFreeze, FaultThaw) ||
-		t.isSlowed(request.Node, from, request.EndedAt) ||
 		t.isFrozenWithin(request.Node, from, request.EndedAt) {
 		return true
 	}
 	if request.EndedAt-request.StartedAt >= clientPatience-deadlineMargin {
 		return true
 	}
-	executions := h.Executions[request.ID]
-	if len(executions) == 0 && request.EndedAt-request.SentAt <= t.bounds.LossSlack {
+	if !wasPassedOn(h, request) && request.EndedAt-request.SentAt <= t.bounds.LossSlack {
 		return true // it was not read
 	}
-	return wasWorkingLate(h, t, request)
+	return wasWorkingLate(h, t, request) || isCutBySlowness(h, t, request)
+}
+
+func wasPassedOn(h *History, request *Request) bool { return len(h.Executions[request.ID]) > 0 }
+
+// isCutBySlowness says whether the machine held up the process, and that may be why it cut the request: it had not read it,
+// or its grace time ran out. Slowness is no reason to cut a request before that which was passed on.
+func isCutBySlowness(h *History, t *timeline, request *Request) bool {
+	if !t.isSlowed(request.Node, request.SentAt-t.bounds.Quiet, request.EndedAt) {
+		return false
+	}
+	span := t.bounds.Grace + t.bounds.DrainExtra
+	terminated, ok := t.first(request.Node, request.SentAt-span, request.EndedAt, FaultTerminate)
+	return !wasPassedOn(h, request) || ok && request.EndedAt > terminated.At+t.bounds.Grace/2
 }
 
 // wasWorkingLate says whether a backend still worked on the request in the second half of the grace time.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -134,6 +134,19 @@
 		h.slow(runnerNode, 50*second)
 		h.request("p0", KindDocument, 51*second+odd, OutcomeCut, 0).EndedAt += second / 4
 	}},
+	{"cut after it was passed on while slowed", RuleLost, func(h *History) {
+		h.slow("p0", 50*second)
+		h.execute(h.request("p0", KindDocument, 51*second+odd, OutcomeCut, 0).ID, 51*second, 51*second)
+	}},
+	{"cut after it was passed on early in the drain while slowed", RuleLost, func(h *History) {
+		h.slow("p0", 20*second)
+		h.execute(h.request("p0", KindDocument, 21*second+odd, OutcomeCut, 0).ID, 21*second, 21*second)
+	}},
+	{"cut after it was passed on late in the drain while slowed", "", func(h *History) {
+		h.slow("p0", 54*second)
+		h.fault("p0", FaultTerminate, 50*second)
+		h.execute(h.request("p0", KindDocument, 53*second+second*95/100, OutcomeCut, 0).ID, 53*second, 53*second)
+	}},
 	{"cut while another process is slowed", RuleLost, func(h *History) {
 		h.slow("p1", 50*second)
 		h.request("p0", KindDocument, 51*second+odd, OutcomeCut, 0).EndedAt += second / 4
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -26,6 +26,7 @@
 	Watched    int             `json:"watch_answers"`
 	Samples    int             `json:"delay_samples"`
 	Slowed     int             `json:"slowed_samples"` // of these: the machine held up the process beyond the bound
+	SlowCuts   int             `json:"slow_cuts"`      // requests whose cut nothing but slowness excuses
 	Violations []Violation     `json:"violations"`
 	Command    string          `json:"command"` // plays the run again
 }
@@ -60,6 +61,7 @@
 		r.PeakMemory = max(r.PeakMemory, sample.ResidentBytes)
 	}
 	r.countApplications(&h.Applications)
+	r.SlowCuts = countSlowCuts(h)
 	r.Samples = len(h.Delays)
 	for _, sample := range h.Delays {
 		if sample.Waited > h.Bounds.MaxRunDelay {
@@ -69,6 +71,18 @@
 	return r
 }
 
+// countSlowCuts counts the requests whose cut slowness excuses.
+func countSlowCuts(h *History) (count int) {
+	t := newTimeline(h)
+	for i := range h.Requests {
+		request := &h.Requests[i]
+		if request.Outcome == OutcomeCut && !isCutExcused(h, t.withoutSlowness(), request) && isCutExcused(h, t, request) {
+			count++
+		}
+	}
+	return count
+}
+
 // countApplications counts the calls of applications that were answered with success.
 func (r *Result) countApplications(h *ApplicationHistory) {
 	r.Locked = len(h.Holds)
@@ -97,6 +111,6 @@
 // String returns the counts of the run in one line.
 func (r *Result) String() string {
 	return fmt.Sprintf("seed %d: %d processes, faults %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
-		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
-		r.Acked, r.Rejected, r.Reads, r.Probes, r.Locked, r.Numbers, r.Puts, r.Gets, r.Watched, r.PeakMemory>>20, r.Slowed, r.Samples, len(r.Violations))
+		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, %d cuts for slowness, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
+		r.Acked, r.Rejected, r.Reads, r.Probes, r.Locked, r.Numbers, r.Puts, r.Gets, r.Watched, r.PeakMemory>>20, r.Slowed, r.Samples, r.SlowCuts, len(r.Violations))
 }
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -28,6 +28,13 @@
 	return t
 }
 
+// withoutSlowness returns the same faults on a machine that held up no process.
+func (t *timeline) withoutSlowness() *timeline {
+	calm := *t
+	calm.slowed = nil
+	return &calm
+}
+
 // isRunning says whether a process ran at a moment: started, not told to stop, not frozen and not ended.
 func (t *timeline) isRunning(node string, at Moment) bool {
 	isStarted, isFrozen := false, false
