Slowness extends the soak's bounds, and excuses nothing for ever

Cause: a trial of a coordinator that sleeps 9 s after SIGTERM passed on the loaded machine: six kills after the grace time were excused, as the processes had been slowed. Change: a process is killed later by the time for which it was held up since SIGTERM, and a kill is then never excused; changes, their effect and the answers at the end have recoveryS more; a slowed proxy must serve something after recovery.

--- a/internal/soak/applications.go
+++ b/internal/soak/applications.go
@@ -99,14 +99,17 @@
 	})
 }
 
-// repeat makes a call until there is an answer, for as long as callers do at the end of a day.
+// repeat makes a call until there is an answer, and records one that takes longer than callers wait at the end of a day.
 func (a *applications) repeat(ctx context.Context, what string, call func() (isAnswered bool)) {
-	deadline := a.recorder.now() + finalPatience
-	for ctx.Err() == nil && a.recorder.now() < deadline {
-		if call() {
-			return
+	started := a.recorder.now()
+	late := LateAnswer{What: what}
+	for ctx.Err() == nil && !late.IsAnswered && late.Waited < finalPatience+a.recorder.history.Bounds.SlowExtra {
+		if late.IsAnswered = call(); !late.IsAnswered {
+			_ = ctxtime.Sleep(ctx, applicationBackoff) // the loop ends with ctx
 		}
-		_ = ctxtime.Sleep(ctx, applicationBackoff) // the loop ends with ctx
+		late.Waited = a.recorder.now() - started
+	}
+	if !late.IsAnswered || late.Waited > finalPatience {
+		a.recorder.edit(func(h *History) { h.Applications.Late = append(h.Applications.Late, late) })
 	}
-	a.recorder.edit(func(h *History) { h.Applications.Missing = append(h.Applications.Missing, what) })
 }
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -22,7 +22,8 @@
 	// MaxRunDelay is how long a process may wait for a processor between two samples. One that waits longer counts as slowed
 	// by the machine, as on the operators' page a machine does that is slowed. It is half of the shortest bound, LossSlack.
 	MaxRunDelay   time.Duration
-	SlowThawShare int // times Downgrade that count for a process that was frozen or slowed
+	SlowExtra     time.Duration // by which bounds are extended where the machine held up processes: Recovery
+	SlowThawShare int           // times Downgrade that count for a process that was frozen or slowed
 }
 
 // StatedBounds returns the figures of the operators' page.
@@ -31,7 +32,8 @@
 		Quiet: 4 * time.Second, Acknowledge: 5 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
 		Apply: 2500 * time.Millisecond, Downgrade: 250 * time.Millisecond, Stretch: 6 * time.Second,
 		Recovery: 15 * time.Second, History: 20 * time.Second, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, MemoryBytes: memoryLimitMB << 20,
-		DrainExtra: time.Second, OwnEndSlack: time.Second, MaxRunDelay: 100 * time.Millisecond, SlowThawShare: 8,
+		DrainExtra: time.Second, OwnEndSlack: time.Second, MaxRunDelay: 100 * time.Millisecond, SlowExtra: 15 * time.Second,
+		SlowThawShare: 8,
 	}
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -52,7 +52,7 @@
 	checkLost, checkResponses, checkExecutions, checkDenied,
 	checkSettled, checkReads, checkRejectedChanges, checkAcknowledgements, checkApplied, checkRegress,
 	checkEnds, checkMemory, checkRecovery,
-	checkHolds, checkTokens, checkNumbers, checkKeys, checkWatches, checkMissing,
+	checkHolds, checkTokens, checkNumbers, checkKeys, checkWatches, checkLate,
 }
 
 // Check returns the rules that a history breaks, in the order of their times.
--- a/internal/soak/check_applied.go
+++ b/internal/soak/check_applied.go
@@ -2,10 +2,21 @@
 
 import (
 	"net/http"
+	"time"
 )
 
-// checkApplied checks that proxies in touch handle requests by the newest acknowledged version once the bound is over.
+// checkApplied checks that proxies in touch handle requests by the newest acknowledged version once the bound is over. A
+// machine that holds up processes extends the bound.
 func checkApplied(h *History, t *timeline) violations {
+	found := checkAppliedWithin(h, t, t.bounds.Apply)
+	if len(found) > 0 {
+		return found
+	}
+	return checkAppliedWithin(h, t.withoutSlowness(), t.bounds.Apply+t.bounds.SlowExtra)
+}
+
+// checkAppliedWithin is checkApplied with a bound.
+func checkAppliedWithin(h *History, t *timeline, bound time.Duration) violations {
 	var found violations
 	for _, probe := range h.Probes {
 		change := changeOf(h, probe.Marker)
@@ -13,11 +24,11 @@
 			continue
 		}
 		if at, ok := change.acknowledgedAt(); ok && probe.Status == http.StatusNotFound &&
-			!mayBeReplaced(h, change, probe.EndedAt) && isDue(t, at, probe.SentAt) {
+			!mayBeReplaced(h, change, probe.EndedAt) && isDue(t, at, probe.SentAt, bound) {
 			found.add(RuleConfig, probe.EndedAt, "%s denies %s %v after its acknowledgement", probe.Node, probe.Marker,
 				probe.SentAt-at)
 		}
-		if at, ok := replacedAt(h, change); ok && probe.IsServed && isDue(t, at, probe.SentAt) {
+		if at, ok := replacedAt(h, change); ok && probe.IsServed && isDue(t, at, probe.SentAt, bound) {
 			found.add(RuleConfig, probe.EndedAt, "%s serves %s %v after a later version was acknowledged", probe.Node,
 				probe.Marker, probe.SentAt-at)
 		}
@@ -25,15 +36,16 @@
 	return found
 }
 
-// isDue says whether a version that was acknowledged at a moment must be in force for a request that is sent at another.
-func isDue(t *timeline, acknowledged, sent Moment) bool {
-	if sent <= acknowledged+t.bounds.Apply {
+// isDue says whether a version that was acknowledged at a moment must be in force for a request that is sent at another, if
+// it must within a bound while the core is stable.
+func isDue(t *timeline, acknowledged, sent Moment, bound time.Duration) bool {
+	if sent <= acknowledged+bound {
 		return false
 	}
 	if t.isCoreStable(acknowledged, sent) {
 		return true
 	}
-	return sent > acknowledged+t.bounds.Apply+t.bounds.Stretch && t.hadMajority(acknowledged, sent)
+	return sent > acknowledged+bound+t.bounds.Stretch && t.hadMajority(acknowledged, sent)
 }
 
 // mayBeReplaced says whether a change on top of this one may have been in force before a moment.
--- a/internal/soak/check_configuration.go
+++ b/internal/soak/check_configuration.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 )
 
 // acknowledgedAt returns when a change was first acknowledged.
@@ -144,13 +145,23 @@
 	return found
 }
 
-// checkAcknowledgements checks that a valid change gets a clear answer within the bound while the core is stable.
+// checkAcknowledgements checks that a valid change gets a clear answer within the bound while the core is stable. A machine
+// that holds up processes extends the bound.
 func checkAcknowledgements(h *History, t *timeline) violations {
+	found := checkAcknowledgedWithin(h, t, t.bounds.Acknowledge)
+	if len(found) > 0 {
+		return found
+	}
+	return checkAcknowledgedWithin(h, t.withoutSlowness(), t.bounds.Acknowledge+t.bounds.SlowExtra)
+}
+
+// checkAcknowledgedWithin is checkAcknowledgements with a bound.
+func checkAcknowledgedWithin(h *History, t *timeline, bound time.Duration) violations {
 	var found violations
 	for i := range h.Changes {
 		change := &h.Changes[i]
 		sent := change.sentAt()
-		due := sent + t.bounds.Acknowledge
+		due := sent + bound
 		if change.IsInvalid || due > h.StopFrom || !t.isCoreStable(sent, due) {
 			continue
 		}
@@ -159,7 +170,7 @@
 		})
 		if !isInTime {
 			found.add(RuleAcknowledge, due, "%s, sent at %.3fs, got no clear answer within %v", change.Marker, sent.Seconds(),
-				t.bounds.Acknowledge)
+				bound)
 		}
 	}
 	return found
--- a/internal/soak/check_locks.go
+++ b/internal/soak/check_locks.go
@@ -93,12 +93,14 @@
 	return found
 }
 
-// checkMissing checks that each call was answered at the end (LOST).
-func checkMissing(h *History, t *timeline) violations {
+// checkLate checks that each call was answered in time at the end (LOST). A machine that holds up coordinators excuses one
+// that is late.
+func checkLate(h *History, t *timeline) violations {
 	var found violations
-	for _, what := range h.Applications.Missing {
-		if !t.isCoreSlowed(h.LastFault, h.StopFrom) {
-			found.add(RuleLost, h.StopFrom, "%s was not answered at the end", what)
+	for _, late := range h.Applications.Late {
+		if !late.IsAnswered || !t.isCoreSlowed(h.LastFault, h.StopFrom) {
+			found.add(RuleLost, h.StopFrom, "%s was not answered within %v at the end: answered %t after %v", late.What, finalPatience,
+				late.IsAnswered, late.Waited)
 		}
 	}
 	return found
--- a/internal/soak/check_processes.go
+++ b/internal/soak/check_processes.go
@@ -1,6 +1,7 @@
 package soak
 
-// checkEnds checks that processes end in order and within the grace time after SIGTERM, and never by themselves.
+// checkEnds checks that processes end in order and within the grace time after SIGTERM, and never by themselves. One that the
+// machine holds up is killed later by as much, so slowness excuses none that is killed.
 func checkEnds(h *History, t *timeline) violations {
 	var found violations
 	for _, fault := range h.Faults {
@@ -8,7 +9,7 @@
 		switch fault.Kind {
 		case FaultGraceKill:
 			terminated, _ := t.first(fault.Node, start, fault.At, FaultTerminate)
-			if !t.isFrozenWithin(fault.Node, terminated.At, fault.At) && !t.isSlowed(fault.Node, terminated.At, fault.At) {
+			if !t.isFrozenWithin(fault.Node, terminated.At, fault.At) {
 				found.add(RuleProcess, fault.At, "%s runs after the grace time, %v after SIGTERM", fault.Node,
 					fault.At-terminated.At)
 			}
@@ -65,10 +66,14 @@
 	recovered := h.LastFault + t.bounds.Recovery
 	after := countServed(h, recovered, h.StopFrom)
 	for node, role := range h.Roles {
-		if role != RoleProxy || !before[node].isRecovered() || t.isSlowed(node, h.LastFault, h.StopFrom) {
+		if role != RoleProxy || !before[node].isRecovered() {
 			continue
 		}
-		if count := after[node]; count.sent == 0 || !count.isRecovered() {
+		count := after[node]
+		if count.served > 0 && t.isSlowed(node, h.LastFault, h.StopFrom) {
+			continue // it serves, and the machine bounds how many
+		}
+		if count.sent == 0 || !count.isRecovered() {
 			found.add(RuleRecover, recovered, "%s served %d of %d requests sent more than %v after the last fault", node,
 				count.served, count.sent, t.bounds.Recovery)
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -172,16 +172,31 @@
 	}
 	n.isTerminated = true
 	process := n.process
+	delayBefore, err := process.RunDelay()
+	if err != nil {
+		return // it has just ended
+	}
 	time.AfterFunc(n.Bounds.Grace, func() {
-		select {
-		case <-process.Ended():
-		default:
-			f.recorder.fault(n.Name, FaultGraceKill)
-			process.Kill()
+		delay, err := process.RunDelay()
+		if err != nil {
+			return // it has ended
 		}
+		f.killAfter(n, process, min(delay-delayBefore, n.Bounds.Grace))
 	})
 }
 
+// killAfter kills a process whose grace time is over, once it has had the time that the machine held it up meanwhile.
+func (f *fleet) killAfter(n *node, process *faulttest.Process, heldUp time.Duration) {
+	timer := time.NewTimer(heldUp)
+	defer timer.Stop()
+	select {
+	case <-process.Ended():
+	case <-timer.C:
+		f.recorder.fault(n.Name, FaultGraceKill)
+		process.Kill()
+	}
+}
+
 // freeze stops a process for a time. The caller holds n.mu.
 func (f *fleet) freeze(n *node, duration time.Duration) {
 	if n.isFrozen {
