Epochs: a failed hand-over ends the epoch, and late word of the own group does not

Callers saw a lock held by nobody until its time was over, and slower answers: a hand-over to the next group that got no promises for 0.3 s dropped the issuer but kept its calls; the member declined their repeats and decided the old copies whenever it became the issuer again. It now steps down like any other issuer. And an issuer that had entered the next group stepped down (0.5 s without an issuer) when an acceptor's answer came late that names the very group that it leads. TestMember_FailedHandOverDeclinesTheCallsThatWait and TestMember_LateWordOfTheGroupThatItLeadsDoesNotEndAnEpoch failed before.

--- a/internal/controlplane/epoch/candidate.go
+++ b/internal/controlplane/epoch/candidate.go
@@ -206,7 +206,9 @@
 	}
 	if m.now-c.startedAt >= limit {
 		m.candidate = nil
-		m.issuer = nil
+		if m.issuer != nil { // it was on its way to the next group
+			m.stepDown(message.Member{})
+		}
 		m.follower.retryElection(m.now)
 	}
 }
--- a/internal/controlplane/epoch/issuer.go
+++ b/internal/controlplane/epoch/issuer.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if response.Group != nil {
-		m.onSuperseded()
+		m.onSuperseded(*response.Group)
 		return
 	}
 	if !response.Accepted {
@@ -142,9 +142,10 @@
 }
 
 // onSuperseded handles the answer of an acceptor that has entered a later group. Where this member's state names that group it
-// is on its way there itself, and a majority of the old group can still accept its writes.
-func (m *Member) onSuperseded() {
-	if m.nextGroup == nil {
+// is on its way there itself, and a majority of the old group can still accept its writes. The answer may come after this member
+// has entered that group.
+func (m *Member) onSuperseded(later message.AcceptorGroup) {
+	if m.nextGroup == nil && later.Number > m.group.Number {
 		m.stepDown(message.Member{})
 	}
 }
