Coordination answers no call before what it accepts outlasts a loss of all power

By review: seeds without a disk could accept the first calls alone, and lose them with all power (LOST). No call is decided while the replica says that a majority of the voters' disks does not outlast the tolerated losses, nor in the first group once other voters are known. Also: the folder of a new ring is synced in the one above it; a relay whose control view is not confirmed goes on while its member hears an issuer.

--- a/internal/controlplane/coordinator/coordination_loop.go
+++ b/internal/controlplane/coordinator/coordination_loop.go
@@ -136,6 +136,7 @@
 	}
 	if status := l.status.Load(); status != nil {
 		candidates.Issuer = status.Issuer
+		candidates.InTouch = candidates.InTouch || status.HearsOne
 	}
 	return candidates
 }
@@ -158,6 +159,7 @@
 		case <-ticker.C:
 			if s := l.membership(); s != nil {
 				l.member.SetVoters(s.view.Number, s.view.EffectiveVoters())
+				l.member.SetDurable(s.isDurable)
 			}
 			l.applyOutput(l.member.Tick(l.now()))
 		}
--- a/internal/controlplane/coordinator/replica_loop.go
+++ b/internal/controlplane/coordinator/replica_loop.go
@@ -54,6 +54,7 @@
 	sequence     uint64                // of the newest acknowledged change
 	version      configuration.Version // the operator's, after that change
 	hasMajority  bool
+	isDurable    bool      // what the voters accept outlasts the loss of all power and of the tolerated number of disks
 	servingUntil time.Time // until when it may serve its configuration to proxies
 	waitingFor   string    // what keeps the member from taking part, for operators; empty: nothing
 }
@@ -175,6 +176,7 @@
 		sequence:     committed.Sequence,
 		version:      configuration.Version(committed.Version),
 		hasMajority:  l.replica.HasMajority(),
+		isDurable:    l.replica.IsDurable(),
 		servingUntil: l.started.Add(l.replica.ServingUntil()),
 		waitingFor:   l.replica.WaitingFor(),
 	}
--- a/internal/controlplane/epoch/calls.go
+++ b/internal/controlplane/epoch/calls.go
@@ -90,14 +90,17 @@
 }
 
 // decidesCalls reports whether this member is the issuer and may decide calls. In a group that is still smaller than the tolerance
-// asks for it waits a while for others to join.
+// asks for it waits a while for others to join, and in the first group, where seeds may have no disk, until the voters of the first
+// view that is made of what is known of the disks have taken over.
 func (m *Member) decidesCalls() bool {
 	l := m.issuer
 	if l == nil || !l.established || m.candidate != nil || m.nextGroup != nil {
 		return false
 	}
+	isSuperseded := m.group.Number == 1 && m.wantedAcceptors() != nil
 	isLarge := len(m.group.Acceptors) >= 2*m.options.Tolerance+1
-	return isLarge || m.now-m.startedAt >= smallGroupPeriod
+	isReady := isLarge || m.now-m.startedAt >= smallGroupPeriod
+	return isReady && !isSuperseded && !m.membership.volatile
 }
 
 // decideCalls decides all calls that are queued and sends their changes in one round. Only one round is in flight, so each call
--- a/internal/controlplane/epoch/member.go
+++ b/internal/controlplane/epoch/member.go
@@ -72,6 +72,7 @@
 type membership struct {
 	view          message.ViewNumber
 	voters        []message.Member
+	volatile      bool          // what a majority of them accepts may be lost with all power
 	mismatchSince time.Duration // since when the voters have differed from the acceptors
 	mismatched    bool
 }
@@ -115,6 +116,10 @@
 	}
 }
 
+// SetDurable sets whether what a majority of the voters accepts outlasts the loss of all power together with as many disks as the
+// tolerance says. Without it no call is decided. It is set until SetDurable is called.
+func (m *Member) SetDurable(durable bool) { m.membership.volatile = !durable }
+
 // SetLeaving starts a graceful shutdown: an issuer hands its epoch over, and the member does not become one any more.
 func (m *Member) SetLeaving() { m.leaving = true }
 
--- a/internal/controlplane/epoch/status.go
+++ b/internal/controlplane/epoch/status.go
@@ -9,6 +9,7 @@
 	Promised  message.Epoch
 	Position  message.CoordinationPosition
 	Group     message.AcceptorGroup // the newest that it knows
+	HearsOne  bool                  // it is the issuer, or heard it a moment ago
 	IsIdle    bool                  // there have been no calls for a while
 	Takeovers int                   // how often this member became the issuer since its start
 	Waiting   int                   // watches that wait for an event here
@@ -19,10 +20,11 @@
 	status := Status{
 		IsIssuer: m.issuer != nil && m.issuer.established, Issuer: m.follower.issuer, Promised: m.record.Promised,
 		Position: m.position, Group: m.newestGroup, IsIdle: m.follower.idle, Takeovers: m.takeovers,
-		Waiting: len(m.calls.watches),
+		Waiting: len(m.calls.watches), HearsOne: m.follower.isIssuerAlive(m.now),
 	}
 	if m.issuer != nil {
 		status.Issuer, status.IsIdle = m.options.Self, m.issuer.idle
+		status.HearsOne = m.issuer.hasQuorum(m.now)
 	}
 	return status
 }
--- a/internal/controlplane/replica/config_requests.go
+++ b/internal/controlplane/replica/config_requests.go
@@ -104,7 +104,7 @@
 
 // processChange validates a change at the head and replicates it where it is to be applied.
 func (r *Replica) processChange(change pendingRequest) {
-	if !r.isHead() || !r.isDurable() {
+	if !r.isHead() || !r.IsDurable() {
 		return // its relay repeats it
 	}
 	result := r.validate(&r.chain, &change.request)
--- a/internal/controlplane/replica/durability.go
+++ b/internal/controlplane/replica/durability.go
@@ -41,11 +41,11 @@
 	return r.isDiskless(member) && !r.isDisklessSystem()
 }
 
-// isDurable reports whether a change may be acknowledged: after the loss of all power and of as many disks as the
+// IsDurable reports whether a change may be acknowledged: after the loss of all power and of as many disks as the
 // tolerance says, the disks that are left must hold a majority of the voters and the change. In a diskless system, and in
 // an initial view with fewer voters than that takes, no change is acknowledged until the view is durableMemberTimeout
 // old: durable members may join until then.
-func (r *Replica) isDurable() bool {
+func (r *Replica) IsDurable() bool {
 	voters := r.control.View.EffectiveVoters()
 	hasWaited := r.now-r.viewEnteredAt >= durableMemberTimeout
 	if r.control.View.Number == 1 && len(voters) < r.minVoters() && !hasWaited {
--- a/internal/controlplane/storage/segment.go
+++ b/internal/controlplane/storage/segment.go
@@ -38,6 +38,9 @@
 		if err := syncDir(dir); err != nil {
 			return nil, err
 		}
+		if err := syncDir(filepath.Dir(dir)); err != nil { // the folder itself may be new
+			return nil, err
+		}
 	}
 	return openFiles(files, segmentBytes)
 }
