An undecided change of the configuration is answered 504, not 503

By review: 503 promises that nothing was done, and a change that was passed on may still be applied. Reads stay 503. TestOperatorAPI_UndecidedChangeIsNotPromisedToBeVoid failed before.

--- a/internal/controlplane/coordinator/api.go
+++ b/internal/controlplane/coordinator/api.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// decisionTimeout is how long a request waits for its response before it is answered with 503. The operator's client
+	// decisionTimeout is how long a request waits for its response before it is answered without one. The operator's client
 	// tries another member after a second.
 	decisionTimeout = 930 * time.Millisecond
 	// resubmitInterval is how often a request without a response is given to the replica again.
@@ -62,12 +62,21 @@
 	result, err := a.submit(r, request)
 	if err != nil {
 		w.Header().Set("Retry-After", "0.2")
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		http.Error(w, err.Error(), statusOfUndecided(r.Method))
 		return
 	}
 	writeConfigResponse(w, r, result)
 }
 
+// statusOfUndecided is the status for a request that was not decided in time. A change may still be applied, so it is not answered
+// with 503, which promises that nothing was done.
+func statusOfUndecided(method string) int {
+	if method == http.MethodGet {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
 // statusOfBodyError is the status for a body that was not read whole. One over maxConfigBody is also over what a replica keeps,
 // which answers 413 for it too.
 func statusOfBodyError(err error) int {
--- a/internal/controlplane/coordinator/api_test.go
+++ b/internal/controlplane/coordinator/api_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"pumiceline/internal/message"
 )
 
 // brokenBody is a body whose client disconnects.
@@ -30,3 +33,19 @@
 		assert.Equal(t, c.want, response.Code, c.name)
 	}
 }
+
+// 503 promises that nothing was done; a change that was not decided in time may still be applied.
+func TestOperatorAPI_UndecidedChangeIsNotPromisedToBeVoid(t *testing.T) {
+	for method, want := range map[string]int{
+		http.MethodGet: http.StatusServiceUnavailable,
+		http.MethodPut: http.StatusGatewayTimeout, http.MethodPatch: http.StatusGatewayTimeout,
+	} {
+		loop := &replicaLoop{pending: newPendingResults(1), inbox: make(chan *message.Message, inboxLength)}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		response := httptest.NewRecorder()
+		request := httptest.NewRequest(method, "/config", nil).WithContext(ctx)
+		(&operatorAPI{loop: loop}).ServeHTTP(response, request)
+		assert.Equal(t, want, response.Code, method)
+	}
+}
