Tests of the coordination state that mutations of its code showed to be missing

Change: tests of a new issuer with dropped events, older horizons and numbers, the size of a replaced value; the model reaches the bound of the size too.

--- a/internal/controlplane/coordination/bounds_test.go
+++ b/internal/controlplane/coordination/bounds_test.go
@@ -36,6 +36,8 @@
 		{"read of a key without a name", get(""), false},
 		{"watch of a group without a name", watch("", 0, 0), false},
 		{"watch of a group with a name that is too long", watch(message.KeyGroup(tooLong), 0, 0), false},
+		{"watch of a group", watch("g.", 0, 0), true},
+		{"watch of a key", watch("g.a", 0, 0), false},
 		{"number", number(), true},
 		{"no kind", message.Call{}, false},
 		{"unknown kind", message.Call{Kind: message.CallWatch + 1}, false},
--- a/internal/controlplane/coordination/history_test.go
+++ b/internal/controlplane/coordination/history_test.go
@@ -67,11 +67,26 @@
 func TestTrim_BeyondTheGroupOrOfNoneIsHarmless(t *testing.T) {
 	store := newTestStore()
 	store.Execute(0, put("g.a", "1", 0))
+	store.Execute(0, put("g.a", "2", 1))
 	for _, trim := range []message.HistoryTrim{{Group: "x.", Horizon: 3}, {Group: "g.", Horizon: 3}, {Group: "g.", Horizon: 1}} {
 		store.Apply(0, message.CoordinationChange{Trim: &trim})
 	}
-	assert.Equal(t, message.Revision(1), store.Snapshot(0).KeyGroups[0].Horizon)
-	assert.Equal(t, atRevision(StatusOK, 2), store.Execute(0, put("g.a", "2", 1)).Answer)
+	assert.Equal(t, message.Revision(2), store.Snapshot(0).KeyGroups[0].Horizon)
+	assert.Equal(t, atRevision(StatusOK, 3), store.Execute(0, put("g.a", "3", 2)).Answer)
+	checkInvariants(t, store)
+}
+
+// An acceptor that becomes the issuer has events in its order of age that an earlier issuer dropped.
+func TestMaintain_OfNewIssuerPassesOverDroppedEvents(t *testing.T) {
+	store := newStore(Options{HistoryRetention: testRetention}, smallLimits())
+	for i := range store.limits.eventBudget + 2 {
+		key := message.KeyName(fmt.Sprintf("g%d.a", i%2))
+		event := &message.KeyEvent{Key: key, Value: fmt.Sprint(i), Revision: message.Revision(i/2 + 1)}
+		store.Apply(0, message.CoordinationChange{Put: event})
+	}
+	store.Apply(0, message.CoordinationChange{Trim: &message.HistoryTrim{Group: "g0.", Horizon: 1}})
+	want := []message.CoordinationChange{{Trim: &message.HistoryTrim{Group: "g1.", Horizon: 1}}}
+	assert.Equal(t, want, store.Maintain(time.Hour))
 }
 
 // An acceptor that never trims by itself, and whose order of age differs from the issuer's after a restore, does not
--- a/internal/controlplane/coordination/keys_test.go
+++ b/internal/controlplane/coordination/keys_test.go
@@ -103,6 +103,20 @@
 	assert.Equal(t, StatusOK, store.Execute(0, get("g.7")).Answer.Status)
 }
 
+// The key's present value gives way to the new one, which also goes into the history.
+func TestPut_ReplacesThePresentValueInTheSizeOfTheState(t *testing.T) {
+	limits := defaultLimits()
+	size := eventBytes("g.a", "1")
+	limits.stateBytes = groupBytes("g.") + 3*size
+	store := newStore(Options{HistoryRetention: testRetention}, limits)
+	assert.Equal(t, atRevision(StatusOK, 1), store.Execute(0, put("g.a", "1", 0)).Answer)
+	assert.Equal(t, atRevision(StatusOK, 2), store.Execute(0, put("g.a", "2", 1)).Answer)
+	assert.Equal(t, status(StatusInsufficientMemory), store.Execute(0, put("g.a", "3", 2)).Answer)
+	assert.Equal(t, status(StatusInsufficientMemory), store.Execute(0, put("g.b", "4", 0)).Answer)
+	store.Apply(0, message.CoordinationChange{Trim: &message.HistoryTrim{Group: "g.", Horizon: 1}})
+	assert.Equal(t, atRevision(StatusOK, 3), store.Execute(0, put("g.a", "3", 2)).Answer)
+}
+
 // Without this, a state full of large values would never drop any event, as their number is far below its budget.
 func TestPut_WithLargeValuesGoesOnOnceOldEventsAreDropped(t *testing.T) {
 	store := newTestStore()
--- a/internal/controlplane/coordination/model_test.go
+++ b/internal/controlplane/coordination/model_test.go
@@ -41,7 +41,8 @@
 
 func newReplicaModel(defect defect, pick func(n int) int) *replicaModel {
 	limits := smallLimits()
-	limits.answerEvents, limits.stateBytes, limits.eventBytesBudget = 3, 1500, 600
+	limits.answerEvents, limits.eventBytesBudget = 3, 600
+	limits.stateBytes = []int{500, 1500}[pick(2)] // the bytes are reached first, or the events
 	m := &replicaModel{pick: pick}
 	m.reference = reference{limits: limits, horizons: map[message.KeyGroup]message.Revision{}}
 	for i := range modelMembers {
--- a/internal/controlplane/coordination/store_test.go
+++ b/internal/controlplane/coordination/store_test.go
@@ -110,6 +110,26 @@
 	})
 }
 
+func TestApply_OfAnOlderNumberOrTokenLowersNothing(t *testing.T) {
+	store := newTestStore()
+	store.Execute(0, number())
+	store.Execute(0, number())
+	store.Execute(0, acquire("l", "one", 3000))
+	store.Execute(0, acquire("k", "one", 3000))
+	store.Apply(0, message.CoordinationChange{Number: 1})
+	store.Apply(0, message.CoordinationChange{Hold: &message.LockHold{Lock: "l", Owner: "one", FirstToken: 1, Token: 1, HoldMs: 1}})
+	assert.Equal(t, uint64(3), store.Execute(0, number()).Answer.Number)
+	assert.Equal(t, granted(3), store.Execute(time.Second, acquire("l", "two", 3000)).Answer)
+}
+
+// The acceptor group is not the store's.
+func TestApply_OfAnAcceptorGroupDoesNothing(t *testing.T) {
+	store := newTestStore()
+	before := store.Snapshot(0)
+	store.Apply(0, message.CoordinationChange{NextGroup: &message.AcceptorGroup{Number: 2}})
+	assert.Equal(t, before, store.Snapshot(0))
+}
+
 func TestSnapshot_RestoresToAnEqualStore(t *testing.T) {
 	store, restored := newTestStore(), newTestStore()
 	store.Execute(0, acquire("l", "one", 3000))
