--- a/internal/controlplane/coordinationsim/defect.go
+++ b/internal/controlplane/coordinationsim/defect.go
@@ -10,7 +10,7 @@
 const (
 	NoDefect               Defect = iota
 	AnswerBeforeMajority          // the issuer takes each write as accepted by all at once
-	ForgetPromise                 // a restarted acceptor has forgotten its promise
+	ForgetPromise                 // a restarted acceptor has forgotten its promise; it restarts after each
 	AcknowledgeUnsynced           // messages that have to wait for a sync are sent before it
 	DecideByMinority              // one acceptance or promise of another acceptor counts as those of all
 	ForgetTokens                  // a restarted member has forgotten the fencing tokens
--- a/internal/controlplane/coordinationsim/disk.go
+++ b/internal/controlplane/coordinationsim/disk.go
@@ -117,13 +117,19 @@
 
 // finishWrite sends what waited for the write, and starts the next one.
 func (n *node) finishWrite() {
-	written := n.inProgress
+	written, generation := n.inProgress, n.generation
 	n.inProgress, n.isWriting = nil, false
 	if len(n.pendingOutputs) > 0 {
 		n.write()
 	}
 	for _, out := range written {
 		n.sendAll(out.AfterSync)
+		if n.cluster.options.Defect == ForgetPromise {
+			n.restartAfterPromise(out.AfterSync)
+		}
+		if n.generation != generation {
+			return
+		}
 	}
 }
 
--- a/internal/controlplane/coordinationsim/planted_defects.go
+++ b/internal/controlplane/coordinationsim/planted_defects.go
@@ -2,14 +2,19 @@
 
 import (
 	"slices"
+	"time"
 
 	"pumiceline/internal/controlplane/coordination"
 	"pumiceline/internal/controlplane/epoch"
 	"pumiceline/internal/message"
 )
 
-// alteredOneIn is how many answers there are to one that a defect alters.
-const alteredOneIn = 20
+const (
+	// alteredOneIn is how many answers there are to one that a defect alters.
+	alteredOneIn = 20
+	// quickRestartTime is how long an acceptor is down that restarts after its promise.
+	quickRestartTime = 20 * time.Millisecond
+)
 
 // messageFate says what becomes of a received message.
 type messageFate bool
@@ -82,6 +87,9 @@
 // alterReceived changes a message that the process receives.
 func (n *node) alterReceived(m *message.Message) messageFate {
 	switch n.cluster.options.Defect {
+	case ForgetPromise: // of those that kept their promise the old issuer hears nothing
+		response := m.StateWriteResponse
+		return messageFate(response != nil && response.Epoch.Less(response.Promised))
 	case DecideByMinority:
 		n.multiplyResponse(m)
 	case IgnoreHolds:
@@ -122,6 +130,20 @@
 	return newest
 }
 
+// restartAfterPromise restarts an acceptor as soon as it has sent its promise, as long as there are faults.
+func (n *node) restartAfterPromise(sent []message.Message) {
+	if n.cluster.isHealing {
+		return
+	}
+	for i := range sent {
+		response := sent[i].EpochPrepareResponse
+		if response != nil && !response.Rejected && sent[i].To != n.identity {
+			n.cluster.restart(n, quickRestartTime, keepDisk)
+			return
+		}
+	}
+}
+
 // multiplyResponse delivers the consent of one acceptor in the name of all others.
 func (n *node) multiplyResponse(m *message.Message) {
 	isConsent := m.StateWriteResponse != nil && m.StateWriteResponse.Accepted ||
