--- a/internal/controlplane/coordinationsim/key_caller.go
+++ b/internal/controlplane/coordinationsim/key_caller.go
@@ -15,6 +15,7 @@
 	maxWatchMs     = 1500
 	minWatchMs     = 200
 	emptyPause     = 100 * time.Millisecond
+	anyRevisionOne = 8  // one in so many puts takes effect whatever revision the key has
 	staleWriteOne  = 6  // one in so many puts names the revision before the one that the writer knows
 	repeatedPutOne = 10 // one in so many acknowledged puts is sent again
 	freshReadOne   = 4  // before one in so many puts the writer reads the key
@@ -98,6 +99,9 @@
 	}
 	w.count++
 	call := message.Call{Kind: message.CallPut, Key: key, Value: fmt.Sprintf("%d-%d", w.caller, w.count), IfRevision: base}
+	if c.random.IntN(anyRevisionOne) == 0 {
+		call.IfAny, call.IfRevision = true, 0
+	}
 	put := c.keys.newPut(call)
 	each := func(x *exchange) { c.keys.onPutAnswered(put, x) }
 	c.sendUntilClear(w.caller, call, putRetryTime, each, func(x *exchange) {
--- a/internal/controlplane/coordinationsim/key_checker.go
+++ b/internal/controlplane/coordinationsim/key_checker.go
@@ -29,6 +29,7 @@
 	key        message.KeyName
 	value      string
 	ifRevision message.Revision
+	ifAny      bool             // it takes effect whatever revision the key has
 	floor      message.Revision // the newest revision of the group that was acknowledged before the first exchange
 	revision   message.Revision // under which it was acknowledged or shown; 0: it was not
 	isShown    bool
@@ -61,7 +62,7 @@
 // newPut registers a value before it is sent.
 func (k *keyChecker) newPut(call message.Call) *put {
 	p := &put{
-		key: call.Key, value: call.Value, ifRevision: call.IfRevision, floor: k.newest[groupOf(call.Key)],
+		key: call.Key, value: call.Value, ifRevision: call.IfRevision, ifAny: call.IfAny, floor: k.newest[groupOf(call.Key)],
 		sentAt: k.cluster.now,
 	}
 	k.puts[call.Value] = p
--- a/internal/controlplane/coordinationsim/lock_caller.go
+++ b/internal/controlplane/coordinationsim/lock_caller.go
@@ -69,10 +69,9 @@
 		call.Token = 0
 	}
 	floors := c.locks.floors(l.lock, l.caller)
+	c.locks.onSent(l.lock, l.caller)
 	x := c.send(l.caller, call, c.randomSlot(), func(x *exchange) {
-		if !x.isClear() {
-			c.locks.onUnclear(x)
-		}
+		c.locks.onEnded(x)
 		if l.life == life {
 			done(x, floors)
 		}
@@ -80,7 +79,7 @@
 	if kind == message.CallAcquire && c.random.IntN(4*dieOneIn) == 0 {
 		c.after(c.connectionTime(), func() {
 			if x.abandoned = !x.ended; x.abandoned {
-				c.locks.onUnclear(x)
+				c.locks.onEnded(x)
 				l.die()
 			}
 		})
