The soak counts calls of applications that a coordinator cuts

Change: a call that ends without an answer over lossSlackMs after it was sent is counted (call_cuts) unless the process was killed, frozen or slowed; watches aside. It is no violation. Result: tests pass.

--- a/internal/soak/application_caller.go
+++ b/internal/soak/application_caller.go
@@ -83,6 +83,10 @@
 		result.status = status
 	}
 	result.endedAt = c.recorder.now()
+	if result.status == 0 && ctx.Err() == nil {
+		cut := CutCall{Node: machine.Name, Path: path, SentAt: result.sentAt, EndedAt: result.endedAt}
+		c.record(func(h *ApplicationHistory) { h.Cuts = append(h.Cuts, cut) })
+	}
 	if !result.isClear() {
 		c.turn()
 	}
--- a/internal/soak/application_history.go
+++ b/internal/soak/application_history.go
@@ -103,8 +103,22 @@
 	Gets      []Get
 	Watches   []WatchCall
 	Late      []LateAnswer
+	Cuts      []CutCall
 }
 
+// CutCall is a call whose connection to a coordinator ended without an answer before the caller's time was over.
+type CutCall struct {
+	Node    string
+	Path    string
+	SentAt  Moment
+	EndedAt Moment
+}
+
+// isWatch says whether the call waits for events, which a process that stops may break off.
+func (c CutCall) isWatch() bool { return strings.HasPrefix(c.Path, watchPath) }
+
+const watchPath = "/watch/"
+
 // LateAnswer is what was asked for at the end and not answered in time, if at all.
 type LateAnswer struct {
 	What       string
--- a/internal/soak/application_keys.go
+++ b/internal/soak/application_keys.go
@@ -167,7 +167,7 @@
 	if isFinal {
 		wait = 0
 	}
-	path := fmt.Sprintf("/watch/%s?after=%d&waitMs=%d", w.group, from.revision, wait.Milliseconds())
+	path := fmt.Sprintf(watchPath+"%s?after=%d&waitMs=%d", w.group, from.revision, wait.Milliseconds())
 	got := w.callWithin(ctx, wait+applicationTimeout, http.MethodGet, path, applicationBody{})
 	call := WatchCall{Group: w.group, After: from.revision, GivenAt: from.givenAt, SentAt: got.sentAt, EndedAt: got.endedAt,
 		Status: got.status, Events: got.body.Events, Revision: got.body.Revision, IsFinal: isFinal}
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -26,6 +26,7 @@
 	Watched    int             `json:"watch_answers"`
 	Samples    int             `json:"delay_samples"`
 	Slowed     int             `json:"slowed_samples"` // of these: the machine held up the process beyond the bound
+	CallCuts   int             `json:"call_cuts"`      // see countCallCuts
 	SlowCuts   int             `json:"slow_cuts"`      // requests whose cut nothing but slowness excuses
 	Violations []Violation     `json:"violations"`
 	Command    string          `json:"command"` // plays the run again
@@ -61,6 +62,7 @@
 		r.PeakMemory = max(r.PeakMemory, sample.ResidentBytes)
 	}
 	r.countApplications(&h.Applications)
+	r.CallCuts = countCallCuts(h)
 	r.SlowCuts = countSlowCuts(h)
 	r.Samples = len(h.Delays)
 	for _, sample := range h.Delays {
@@ -71,6 +73,21 @@
 	return r
 }
 
+// countCallCuts counts the calls of applications that a coordinator cut more than lossSlackMs after they were sent, watches
+// aside, though it was not killed, frozen or slowed. The operators' page has LOST for requests; the calls are only counted.
+func countCallCuts(h *History) (count int) {
+	t := newTimeline(h)
+	for _, cut := range h.Applications.Cuts {
+		from := cut.SentAt - t.bounds.Quiet
+		isExcused := cut.isWatch() || cut.EndedAt-cut.SentAt <= t.bounds.LossSlack || t.isSlowed(cut.Node, from, cut.EndedAt) ||
+			t.isFrozenWithin(cut.Node, from, cut.EndedAt) || t.has(cut.Node, from, cut.EndedAt, FaultKill, FaultFreeze, FaultThaw)
+		if !isExcused {
+			count++
+		}
+	}
+	return count
+}
+
 // countSlowCuts counts the requests whose cut slowness excuses.
 func countSlowCuts(h *History) (count int) {
 	t := newTimeline(h)
@@ -111,6 +128,7 @@
 // String returns the counts of the run in one line.
 func (r *Result) String() string {
 	return fmt.Sprintf("seed %d: %d processes, faults %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
-		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, %d cuts for slowness, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
-		r.Acked, r.Rejected, r.Reads, r.Probes, r.Locked, r.Numbers, r.Puts, r.Gets, r.Watched, r.PeakMemory>>20, r.Slowed, r.Samples, r.SlowCuts, len(r.Violations))
+		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, %d cuts for slowness, "+
+		"%d calls cut, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
+		r.Acked, r.Rejected, r.Reads, r.Probes, r.Locked, r.Numbers, r.Puts, r.Gets, r.Watched, r.PeakMemory>>20, r.Slowed, r.Samples, r.SlowCuts, r.CallCuts, len(r.Violations))
 }
--- /dev/null
+++ b/internal/soak/result_test.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Only a call that was read, of a process in order, counts as cut.
+func TestCountCallCuts(t *testing.T) {
+	h := goodHistory()
+	h.fault("c2", FaultKill, 50*second)
+	h.Applications.Cuts = []CutCall{
+		{"c0", "/locks/l", 40 * second, 40*second + second/2},
+		{"c0", "/locks/l", 40 * second, 40*second + second/10},
+		{"c0", watchPath + "g1.", 40 * second, 41 * second},
+		{"c2", "/locks/l", 51 * second, 52 * second},
+	}
+	assert.Equal(t, 1, countCallCuts(h))
+}
+
+// A result names the command that plays the run again, and counts what was seen.
+func TestNewResult(t *testing.T) {
+	h := withApplications()
+	opts := Options{Programs: "target", Seed: 7, FaultPhase: 20 * second, Processes: 12, Applications: true}
+	result := newResult(opts, DrawSchedule(7, opts.shape()), h)
+	assert.Empty(t, result.Violations)
+	assert.Equal(t, "pumicectl soak --programs target --first-seed 7 --seeds 1 --duration 20s --processes 12 --applications=true",
+		result.Command)
+	assert.Equal(t, 100, result.Served)
+	assert.Equal(t, 3, result.Acked)
+	assert.Equal(t, 2, result.Locked)
+	assert.Equal(t, 3, result.Puts)
+	assert.Equal(t, 1, result.Watched)
+	assert.Contains(t, result.String(), "seed 7: 12 processes")
+}
