--- a/internal/controlplane/relay/relay_test.go
+++ b/internal/controlplane/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -271,6 +272,47 @@
 	})
 }
 
+func TestVoterOutsideARedirectLoopIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.members["near"], n.members["far"], n.members["remote"] = names(far), names(near), answers
+		_, err := n.relay.Call(t.Context(), acquire)
+		require.NoError(t, err)
+		assert.Equal(t, []message.MemberID{"near", "far", "remote"}, n.targets())
+		assert.Equal(t, 3*roundTrip+declinedDelay, n.elapsed())
+	})
+}
+
+func TestIssuerThatDeclinesIsNotAskedFirstAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.candidates.Issuer = far
+		for _, m := range n.candidates.Voters {
+			n.members[m.Identity] = knowsNone
+		}
+		for range 2 {
+			_, err := n.relay.Call(t.Context(), acquire)
+			require.ErrorIs(t, err, coordinationapi.ErrNotExecuted)
+		}
+		first := slices.IndexFunc(n.sent, func(r sentRequest) bool { return r.at >= callTimeout })
+		assert.Equal(t, message.MemberID("near"), n.sent[first].target)
+	})
+}
+
+func TestMemberThatAnsweredIsAskedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.members["near"], n.members["remote"], n.members["far"] = knowsNone, knowsNone, answers
+		_, err := n.relay.Call(t.Context(), acquire)
+		require.NoError(t, err)
+		before := len(n.sent)
+		assert.Greater(t, before, 1)
+		_, err = n.relay.Call(t.Context(), acquire)
+		require.NoError(t, err)
+		assert.Equal(t, []message.MemberID{"far"}, n.targets()[before:])
+	})
+}
+
 func TestMemberThatNamesItselfIsNotAskedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
--- a/internal/controlplane/relay/watch_test.go
+++ b/internal/controlplane/relay/watch_test.go
@@ -141,6 +141,18 @@
 	})
 }
 
+func TestWatchThatAllDeclineEndsWithAnOutcomeThatIsNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		for _, m := range n.candidates.Voters {
+			n.members[m.Identity] = knowsNone
+		}
+		_, err := n.relay.Call(t.Context(), watch)
+		require.ErrorIs(t, err, coordinationapi.ErrOutcomeUnknown)
+		assert.Equal(t, 2*time.Second+callTimeout, n.elapsed())
+	})
+}
+
 func TestWatchEndsWhenItsClientHasGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
--- a/internal/coordinationclient/lock_test.go
+++ b/internal/coordinationclient/lock_test.go
@@ -127,6 +127,22 @@
 	})
 }
 
+func TestRenewalThatOvertakesAReleaseCountsForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, client := newNetwork(map[string]script{"a": inTurn(
+			reply(200, granted, 0), reply(200, `{}`, 100*time.Millisecond), reply(200, `{}`, 0),
+		)})
+		got, err := client.NewLock("l", "o", hold).Acquire(t.Context())
+		require.NoError(t, err)
+		renewed := make(chan error)
+		go func() { renewed <- got.Renew(t.Context()) }()
+		synctest.Wait()
+		require.NoError(t, got.Release(t.Context()))
+		require.ErrorIs(t, <-renewed, ErrLost)
+		assert.False(t, got.IsHeld())
+	})
+}
+
 func TestKeeperRenewsUntilReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, client := newNetwork(map[string]script{"a": inTurn(reply(200, granted, 0), reply(200, `{}`, time.Millisecond))})
