--- a/internal/controlplane/coordinationsim/fault_plan.go
+++ b/internal/controlplane/coordinationsim/fault_plan.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -14,8 +16,14 @@
 	shortFaultOneIn  = 2 // one in so many faults lasts at most shortFaultTime
 	shortFaultTime   = 400 * time.Millisecond
 	atIssuerOneIn    = 2
+	churnOneIn       = 4 // in one of so many runs most faults are losses of disks and replacements
 )
 
+// churnKinds are the faults of a run in which the voters change often.
+var churnKinds = []int{
+	int(DiskLoss), int(DiskLoss), int(PlannedReplacement), int(ClusterPowerLoss), int(ClusterPowerLoss), int(GracefulRestart),
+}
+
 // FaultPlan draws the faults of a run.
 func FaultPlan(options Options) []Fault {
 	if options.ScriptedFaults != nil {
@@ -23,6 +31,10 @@
 	}
 	random := rand.New(rand.NewPCG(options.Seed, planStream))
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	kinds := lo.Range(int(faultKindCount))
+	if random.IntN(churnOneIn) == 0 {
+		kinds = churnKinds
+	}
 	var plan []Fault
 	for at := firstFaultAt; at < options.FaultPhase; at += below(maxFaultInterval) {
 		duration := minFaultTime + below(faultTimeSpread)
@@ -30,7 +42,7 @@
 			duration = minFaultTime + below(shortFaultTime)
 		}
 		plan = append(plan, Fault{
-			Index: len(plan), At: at, Kind: FaultKind(random.IntN(int(faultKindCount))), Duration: duration,
+			Index: len(plan), At: at, Kind: FaultKind(kinds[random.IntN(len(kinds))]), Duration: duration,
 			Slots: random.Perm(options.Members), Count: min(options.Members, 1+random.IntN(max(1, options.Tolerance))),
 			AtIssuer: random.IntN(atIssuerOneIn) == 0, Draw: random.Uint64(),
 		})
--- a/internal/controlplane/coordinationsim/membership.go
+++ b/internal/controlplane/coordinationsim/membership.go
@@ -49,6 +49,7 @@
 			n.hearLater(c.membership.newest)
 		}
 	}
+	c.injectAfterView()
 }
 
 // hearLater lets the process know of a view after a random time.
--- a/internal/controlplane/coordinationsim/options.go
+++ b/internal/controlplane/coordinationsim/options.go
@@ -16,7 +16,7 @@
 	History    time.Duration `json:"History"`   // how long at least events are kept for watches
 	// WithoutFinalFault leaves out the loss of all power at the end.
 	WithoutFinalFault bool `json:"WithoutFinalFault,omitempty"`
-	// WithoutAnswerFaults leaves out the faults that follow at once on an answer.
+	// WithoutAnswerFaults leaves out the faults that follow on an answer or a view.
 	WithoutAnswerFaults bool `json:"WithoutAnswerFaults,omitempty"`
 	// OmittedFaults are left out of the fault plan, by their index.
 	OmittedFaults []int `json:"OmittedFaults,omitempty"`
