--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -149,6 +149,7 @@
 		n.restartDelay = step.For
 		f.recorder.fault(n.Name, FaultKill)
 		n.process.Kill()
+		n.process = nil // so that nobody takes it for one that runs; its watcher starts the next
 	case ActionHangup:
 		f.signal(n, FaultHangup, n.process.Hangup)
 	case ActionFreeze:
