Epochs: members that leave at the same time keep an issuer until one of them has ended

Acceptors now say that they leave, an issuer hands over only to one that does not, and goes on where there is none; a leaving acceptor still takes over, later than others. TestMember_LeavingMembersGoOnWithoutOthers failed before (no answer in 10 s) and passes.

--- a/internal/controlplane/epoch/acceptor.go
+++ b/internal/controlplane/epoch/acceptor.go
@@ -46,7 +46,7 @@
 	m.follower.heard(write, m.now)
 	m.acceptWrite(write)
 	response := &message.StateWriteResponse{
-		Epoch: write.Epoch, Round: write.Round, Promised: m.record.Promised, Position: m.position,
+		Epoch: write.Epoch, Round: write.Round, Promised: m.record.Promised, Position: m.position, Leaving: m.leaving,
 		Accepted: m.position.Epoch == write.Epoch && !m.position.Less(write.Position),
 	}
 	m.sendAfterSync(senderOf(received), message.Message{StateWriteResponse: response})
--- a/internal/controlplane/epoch/follower.go
+++ b/internal/controlplane/epoch/follower.go
@@ -43,13 +43,16 @@
 
 // electionDue reports whether it is this member's turn to look for a new issuer.
 func (m *Member) electionDue() bool {
-	if m.follower.idle || m.leaving || m.issuer != nil || m.candidate != nil || !m.isAcceptor() {
+	if m.follower.idle || m.issuer != nil || m.candidate != nil || !m.isAcceptor() {
 		return false
 	}
 	timeout := time.Duration(m.electionRank()) * rankDelay
 	if m.follower.issuer.Identity != "" || m.record.Promised.Counter > 0 {
 		timeout += issuerTimeout
 	}
+	if m.leaving {
+		timeout += leavingDelay
+	}
 	return m.now-m.follower.waitingSince >= timeout
 }
 
--- a/internal/controlplane/epoch/group.go
+++ b/internal/controlplane/epoch/group.go
@@ -50,11 +50,13 @@
 	return m.issuer.established && (m.leaving || isOutside)
 }
 
-// handOver ends the epoch in favour of an acceptor that holds the present state.
+// handOver ends the epoch in favour of an acceptor that holds the present state and does not leave itself. Without one this member
+// goes on until its process ends.
 func (m *Member) handOver() {
 	l := m.issuer
 	successor, found := lo.Find(m.group.Acceptors, func(a message.Member) bool {
-		return !m.isSelf(a) && l.acks[a.Identity].round >= l.round
+		acknowledged := l.acks[a.Identity]
+		return !m.isSelf(a) && acknowledged.round >= l.round && !acknowledged.isLeaving
 	})
 	if !found {
 		m.decideCalls()
--- a/internal/controlplane/epoch/issuer.go
+++ b/internal/controlplane/epoch/issuer.go
@@ -30,6 +30,7 @@
 	round      uint64        // the newest round that it accepted
 	stateSent  time.Duration // when it was last sent what it lacks
 	wasStateTo bool          // stateSent is set
+	isLeaving  bool          // it shuts down
 }
 
 // round is one write or question that is sent to the acceptors.
@@ -137,6 +138,7 @@
 	}
 	acknowledged := l.acks[received.From]
 	acknowledged.round = max(acknowledged.round, response.Round)
+	acknowledged.isLeaving = response.Leaving
 	l.acks[received.From] = acknowledged
 	m.completeRound()
 }
--- a/internal/controlplane/epoch/member_test.go
+++ b/internal/controlplane/epoch/member_test.go
@@ -197,6 +197,27 @@
 	assert.NotEqual(t, former, c.issuerName())
 }
 
+// Two of three are told to stop at the same time, and the third is lost: there is an issuer until one of the two has ended.
+func TestMember_LeavingMembersGoOnWithoutOthers(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.call(message.Call{Kind: message.CallNumber})
+	issuer := c.issuerName()
+	others := testMembers("a", "b", "c")
+	isLost := false
+	for _, other := range others {
+		switch {
+		case string(other.Identity) != issuer && !isLost:
+			c.blocked[other.Identity], isLost = true, true
+		default:
+			c.members[other.Identity].SetLeaving()
+		}
+	}
+	for range 20 {
+		c.run(time.Second)
+		assert.Equal(t, coordination.StatusOK, c.call(message.Call{Kind: message.CallNumber}).Status)
+	}
+}
+
 func TestMember_IssuerWithoutCallsStopsHeartbeats(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
 	c.call(message.Call{Kind: message.CallNumber})
--- a/internal/controlplane/epoch/timeouts.go
+++ b/internal/controlplane/epoch/timeouts.go
@@ -14,6 +14,8 @@
 	// rankDelay is how much longer each acceptor waits than the one before it. An election takes less where nothing fails, so
 	// two seldom compete.
 	rankDelay = 150 * time.Millisecond
+	// leavingDelay is how much longer an acceptor waits that shuts down: others go on without it.
+	leavingDelay = 600 * time.Millisecond
 	// queryTimeout is how long an acceptor waits for the answers of the others before it asks again.
 	queryTimeout = 150 * time.Millisecond
 	// prepareTimeout is how long a candidate waits for promises and for the newest state before it starts anew.
--- a/internal/message/coordination.go
+++ b/internal/message/coordination.go
@@ -243,6 +243,7 @@
 	Epoch    Epoch                `msg:"e"` // of the request
 	Round    uint64               `msg:"r"` // of the request
 	Accepted bool                 `msg:"a"` // the acceptor holds the position of the request, synced
+	Leaving  bool                 `msg:"l"` // the acceptor shuts down
 	Promised Epoch                `msg:"p"`
 	Position CoordinationPosition `msg:"s"`           // that it holds
 	Group    *AcceptorGroup       `msg:"g,omitempty"` // of Position, where it is a later one than the request's
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -19668,6 +19668,12 @@
 				err = msgp.WrapError(err, "Accepted")
 				return
 			}
+		case "l":
+			z.Leaving, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		case "p":
 			var zb0004 uint32
 			zb0004, err = dc.ReadMapHeader()
@@ -19745,12 +19751,12 @@
 // EncodeMsg implements msgp.Encodable
 func (z *StateWriteResponse) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Group == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
@@ -19806,6 +19812,16 @@
 			err = msgp.WrapError(err, "Accepted")
 			return
 		}
+		// write "l"
+		err = en.Append(0xa1, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Leaving)
+		if err != nil {
+			err = msgp.WrapError(err, "Leaving")
+			return
+		}
 		// write "p"
 		err = en.Append(0xa1, 0x70)
 		if err != nil {
@@ -19842,7 +19858,7 @@
 			err = msgp.WrapError(err, "Position")
 			return
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// write "g"
 			err = en.Append(0xa1, 0x67)
 			if err != nil {
@@ -19869,12 +19885,12 @@
 func (z *StateWriteResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Group == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -19896,6 +19912,9 @@
 		// string "a"
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendBool(o, z.Accepted)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendBool(o, z.Leaving)
 		// string "p"
 		o = append(o, 0xa1, 0x70)
 		// map header, size 2
@@ -19912,7 +19931,7 @@
 			err = msgp.WrapError(err, "Position")
 			return
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "g"
 			o = append(o, 0xa1, 0x67)
 			if z.Group == nil {
@@ -19998,6 +20017,12 @@
 				err = msgp.WrapError(err, "Accepted")
 				return
 			}
+		case "l":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		case "p":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
@@ -20074,7 +20099,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StateWriteResponse) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Promised.Issuer)) + 2 + z.Position.Msgsize() + 2
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Epoch.Issuer)) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Promised.Issuer)) + 2 + z.Position.Msgsize() + 2
 	if z.Group == nil {
 		s += msgp.NilSize
 	} else {
