--- a/internal/controlplane/coordinationsim/injection.go
+++ b/internal/controlplane/coordinationsim/injection.go
@@ -169,13 +169,17 @@
 	})
 }
 
-// heal ends all faults. Machines that are off come back at once, and all hear of the newest voters soon.
+// heal ends all faults. Machines that are off come back at once, those that were asked to stop restart, and all hear of the
+// newest voters soon.
 func (c *Cluster) heal() {
 	c.isHealing = true
 	c.network = newNetwork()
 	for _, n := range c.slots {
 		n.stalledUntil, n.fullUntil, n.freezeBeforeSend = 0, 0, 0
 		n.resume(n.generation)
+		if n.leaving {
+			n.stop()
+		}
 		if !n.isUp() {
 			n.start(nil)
 		}
--- a/internal/controlplane/coordinationsim/machine_faults.go
+++ b/internal/controlplane/coordinationsim/machine_faults.go
@@ -75,6 +75,7 @@
 	if !n.isUp() {
 		return
 	}
+	n.leaving = true
 	n.run(n.member.SetLeaving)
 	generation, deadline := n.generation, c.now+shutdownGrace
 	c.faultsUntil = max(c.faultsUntil, deadline)
--- a/internal/controlplane/coordinationsim/node.go
+++ b/internal/controlplane/coordinationsim/node.go
@@ -28,6 +28,7 @@
 	identityCount int // names the identity that a process takes where the disk is empty
 	relay         *relay
 
+	leaving          bool // it was asked to stop
 	frozen           bool
 	waiting          []func()      // what happened to the process while it was frozen, in order
 	freezeBeforeSend time.Duration // the process freezes for so long before it sends the next messages; 0: it does not
@@ -58,7 +59,7 @@
 	c := n.cluster
 	n.generation++
 	n.startedAt = c.now
-	n.frozen, n.waiting, n.freezeBeforeSend, n.wasIssuer = false, nil, 0, false
+	n.leaving, n.frozen, n.waiting, n.freezeBeforeSend, n.wasIssuer = false, false, nil, 0, false
 	n.ignoresWrites = n.identity == ""
 	if n.identity == "" {
 		n.identityCount++
