The soak extends bounds by the time for which the run itself stood still

Change: bounds that slowness extends grow by the time between samples beyond their interval, which the result shows; the time for which a process was held up has no cap; a kill before the grace time excuses the end; SIGTERM in a slow start too.

--- a/internal/soak/check_applied.go
+++ b/internal/soak/check_applied.go
@@ -12,7 +12,7 @@
 	if len(found) > 0 {
 		return found
 	}
-	return checkAppliedWithin(h, t.withoutSlowness(), t.bounds.Apply+t.bounds.SlowExtra)
+	return checkAppliedWithin(h, t.withoutSlowness(), t.bounds.Apply+t.slowExtra())
 }
 
 // checkAppliedWithin is checkApplied with a bound.
--- a/internal/soak/check_configuration.go
+++ b/internal/soak/check_configuration.go
@@ -152,7 +152,7 @@
 	if len(found) > 0 {
 		return found
 	}
-	return checkAcknowledgedWithin(h, t.withoutSlowness(), t.bounds.Acknowledge+t.bounds.SlowExtra)
+	return checkAcknowledgedWithin(h, t.withoutSlowness(), t.bounds.Acknowledge+t.slowExtra())
 }
 
 // checkAcknowledgedWithin is checkAcknowledgements with a bound.
--- a/internal/soak/check_processes.go
+++ b/internal/soak/check_processes.go
@@ -9,7 +9,7 @@
 		switch fault.Kind {
 		case FaultGraceKill:
 			terminated, _ := t.first(fault.Node, start, fault.At, FaultTerminate)
-			if !t.isFrozenWithin(fault.Node, terminated.At, fault.At) {
+			if !t.isFrozenWithin(fault.Node, terminated.At, fault.At) && !t.has(fault.Node, start, fault.At, FaultKill) {
 				found.add(RuleProcess, fault.At, "%s runs after the grace time, %v after SIGTERM", fault.Node,
 					fault.At-terminated.At)
 			}
@@ -27,8 +27,11 @@
 	if t.has(end.Node, start, end.At, FaultKill, FaultGraceKill) {
 		return ""
 	}
-	justStarted := start + t.bounds.OwnEndSlack // signals may come before the process can handle them
 	terminated, ok := t.first(end.Node, start, end.At, FaultTerminate)
+	justStarted := start + t.bounds.OwnEndSlack // signals may come before the process can handle them
+	if ok && t.isSlowed(end.Node, start, terminated.At) {
+		justStarted += t.slowExtra()
+	}
 	switch {
 	case ok && end.IsFailure && terminated.At > justStarted:
 		return "ended not in order after SIGTERM"
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -233,6 +233,11 @@
 		h.slow("c0", 36*second)
 		h.change("m9", 3, 9, 38*second, http.StatusServiceUnavailable)
 	}},
+	{"no clear answer while the run stood still", "", func(h *History) {
+		h.slow("c0", 34*second)
+		h.Delays = append(h.Delays, DelaySample{Node: runnerNode, From: 35 * second, To: 45 * second, Waited: second})
+		h.change("m9", 3, 9, 35*second, http.StatusServiceUnavailable)
+	}},
 	{"no clear answer near a coordinator's kill", "", func(h *History) {
 		h.change("m9", 3, 9, 45*second, http.StatusServiceUnavailable)
 		h.fault("c0", FaultKill, 42*second)
@@ -289,6 +294,17 @@
 		h.fault("p0", FaultGraceKill, 58*second)
 		h.end("p0", 58*second, true)
 	}},
+	{"killed after the grace time and before", "", func(h *History) {
+		h.fault("p0", FaultTerminate, 50*second)
+		h.fault("p0", FaultKill, 51*second)
+		h.fault("p0", FaultGraceKill, 58*second)
+		h.end("p0", 58*second, true)
+	}},
+	{"ended by SIGTERM at its slow start", "", func(h *History) {
+		h.slow("p0", 24*second)
+		h.fault("p0", FaultTerminate, 26*second)
+		h.end("p0", 26*second, true)
+	}},
 	{"frozen in the grace time", "", func(h *History) {
 		h.fault("p0", FaultFreeze, 49*second)
 		h.fault("p0", FaultTerminate, 50*second)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -182,7 +182,7 @@
 		if err != nil {
 			return // it has ended
 		}
-		f.killAfter(n, process, min(delay-delayBefore, n.Bounds.Grace))
+		f.killAfter(n, process, delay-delayBefore)
 	})
 }
 
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Result is the outcome of a run.
@@ -26,6 +27,7 @@
 	Watched    int             `json:"watch_answers"`
 	Samples    int             `json:"delay_samples"`
 	Slowed     int             `json:"slowed_samples"` // of these: the machine held up the process beyond the bound
+	Stood      time.Duration   `json:"stood_still"`    // for which the run itself stood still
 	CallCuts   int             `json:"call_cuts"`      // see countCallCuts
 	SlowCuts   int             `json:"slow_cuts"`      // requests whose cut nothing but slowness excuses
 	Violations []Violation     `json:"violations"`
@@ -62,6 +64,7 @@
 		r.PeakMemory = max(r.PeakMemory, sample.ResidentBytes)
 	}
 	r.countApplications(&h.Applications)
+	r.Stood = newTimeline(h).stood
 	r.CallCuts = countCallCuts(h)
 	r.SlowCuts = countSlowCuts(h)
 	r.Samples = len(h.Delays)
@@ -128,7 +131,7 @@
 // String returns the counts of the run in one line.
 func (r *Result) String() string {
 	return fmt.Sprintf("seed %d: %d processes, faults %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
-		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, %d cuts for slowness, "+
+		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, stood still for %v, %d cuts for slowness, "+
 		"%d calls cut, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
-		r.Acked, r.Rejected, r.Reads, r.Probes, r.Locked, r.Numbers, r.Puts, r.Gets, r.Watched, r.PeakMemory>>20, r.Slowed, r.Samples, r.SlowCuts, r.CallCuts, len(r.Violations))
+		r.Acked, r.Rejected, r.Reads, r.Probes, r.Locked, r.Numbers, r.Puts, r.Gets, r.Watched, r.PeakMemory>>20, r.Slowed, r.Samples, r.Stood.Round(time.Millisecond), r.SlowCuts, r.CallCuts, len(r.Violations))
 }
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -1,12 +1,16 @@
 package soak
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // timeline answers questions about the faults of a run.
 type timeline struct {
 	bounds       Bounds
 	byNode       map[string][]Fault // in the order of their times
 	slowed       map[string][]DelaySample
+	stood        time.Duration // for which the run itself stood still: between samples, beyond their interval
 	coordinators []string
 }
 
@@ -16,6 +20,9 @@
 		t.byNode[fault.Node] = append(t.byNode[fault.Node], fault)
 	}
 	for _, sample := range h.Delays {
+		if sample.Node == runnerNode {
+			t.stood += max(0, sample.To-sample.From-sampleInterval)
+		}
 		if sample.Waited > h.Bounds.MaxRunDelay {
 			t.slowed[sample.Node] = append(t.slowed[sample.Node], sample)
 		}
@@ -35,6 +42,9 @@
 	return &calm
 }
 
+// slowExtra is by how much bounds are extended where the machine held up processes.
+func (t *timeline) slowExtra() time.Duration { return t.bounds.SlowExtra + t.stood }
+
 // isRunning says whether a process ran at a moment: started, not told to stop, not frozen and not ended.
 func (t *timeline) isRunning(node string, at Moment) bool {
 	isStarted, isFrozen := false, false
