--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"text/template"
 	"time"
 
@@ -109,6 +110,7 @@
 		return nil, fmt.Errorf("write settings of %s: %w", n.Name, err)
 	}
 	command := exec.Command(n.program)
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a run that is killed leaves nothing behind
 	command.Env = append(os.Environ(), bootstrap.EnvironmentVariable+"="+path)
 	return command, nil
 }
