Ring: a folder above the state folder that may not be read does not stop a start

The sync of that folder, new since the folder of a new ring is synced, would have ended the start of a coordinator where only the state folder itself may be read.

--- a/internal/controlplane/storage/segment.go
+++ b/internal/controlplane/storage/segment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 
@@ -38,7 +39,8 @@
 		if err := syncDir(dir); err != nil {
 			return nil, err
 		}
-		if err := syncDir(filepath.Dir(dir)); err != nil { // the folder itself may be new
+		// The folder itself may be new. One above it that may not be read was there before.
+		if err := syncDir(filepath.Dir(dir)); err != nil && !errors.Is(err, fs.ErrPermission) {
 			return nil, err
 		}
 	}
