--- a/review/testdata/stand/votes.go
+++ b/review/testdata/stand/votes.go
@@ -14,7 +14,7 @@
 	adalatRecovery = 15 * time.Second // recoveryS
 
 	frozenFor  = 3500 * time.Millisecond
-	newStarts  = time.Second
+	newStarts  = 500 * time.Millisecond
 	oldIsGone  = newStarts + adalatSync + 100*time.Millisecond // the new machine has had syncS
 	disksLost  = frozenFor + adalatSync + 200*time.Millisecond // the frozen machine has had syncS too
 	disksAreIn = time.Second                                   // from the loss of the disks to the start on empty ones
