Review, case 2: a planned replacement hands over no vote, and one lost disk stops control

Looked at: how votes pass on when a machine is replaced by plan (internal/controlplane/replica/voters.go), after runs of real processes with replaced machines and lost disks, three coordinators, had stopped for good.

Holds: review/2 with its claim, script and the record of a broken run, and its scenario in review/testdata/stand. The configuration with text after its end is case 3 from now on, as the lesser one; it is unchanged.

--- a/review/testdata/stand/main.go
+++ b/review/testdata/stand/main.go
@@ -10,6 +10,7 @@
 var scenarios = map[string]func(c *cluster, trouble bool) (held bool, err error){
 	"votes":    votes,
 	"trailing": trailing,
+	"removed":  removed,
 }
 
 func main() {
