--- a/internal/controlplane/coordinator/replica_loop.go
+++ b/internal/controlplane/coordinator/replica_loop.go
@@ -39,8 +39,8 @@
 	coordination *coordinationLoop
 	snapshot     atomic.Pointer[membershipSnapshot]
 
-	publishedSequence uint64             // of the configuration that was last passed to the hub
-	loggedView        message.ViewNumber // the newest view that was logged
+	publishedSequence uint64       // of the configuration that was last passed to the hub
+	loggedView        message.View // the newest view that was logged
 }
 
 // membershipSnapshot is the state of the replica after its last step, for the rest of the process.
@@ -192,13 +192,22 @@
 	return s
 }
 
+// logNewView logs a view when it is entered, with the votes that moved since the view logged before.
 func (l *replicaLoop) logNewView(s *membershipSnapshot) {
-	if s.view.Number == l.loggedView {
+	if s.view.Number == l.loggedView.Number {
 		return
 	}
-	l.loggedView = s.view.Number
+	before, after := describeMembers(l.loggedView.EffectiveVoters()), describeMembers(s.view.EffectiveVoters())
+	lost, gained := lo.Difference(before, after)
+	l.loggedView = s.view
 	addresses := lo.Map(s.view.Members, func(m message.Member, _ int) string { return m.Address })
 	logrus.WithFields(logrus.Fields{
 		logkey.View: s.view.Number, logkey.Members: addresses, logkey.IsMember: s.isMember,
+		logkey.Voters: after, logkey.VotesGained: gained, logkey.VotesLost: lost,
+		logkey.ReplacedVoters: describeMembers(replacedMembers(s.view)),
 	}).Info("view entered")
 }
+
+func replacedMembers(view message.View) []message.Member {
+	return lo.Map(view.ReplacedVoters, func(r message.ReplacedVoter, _ int) message.Member { return r.Member })
+}
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -73,6 +73,8 @@
 	Reason = "reason"
 	// Rejection is the reason why a request was rejected; empty: it was not rejected.
 	Rejection = "rejection"
+	// ReplacedVoters is the voters that lost their vote while they were suspected, "identity address" each.
+	ReplacedVoters = "replaced_voters"
 	// Request is the ID of a client request.
 	Request = "request"
 	// Requests is a number of requests in flight.
@@ -95,6 +97,12 @@
 	Version = "version"
 	// View is the number of a membership view.
 	View = "view"
+	// Voters is the voters of a membership view, "identity address" each.
+	Voters = "voters"
+	// VotesGained is the voters of a membership view that had no vote in the view logged before.
+	VotesGained = "votes_gained"
+	// VotesLost is the voters of the view logged before that have no vote in this one.
+	VotesLost = "votes_lost"
 	// WaitReason is the reason why a request waited: none, model or capacity.
 	WaitReason = "wait_reason"
 )
