--- a/cmd/pumicectl/simulate.go
+++ b/cmd/pumicectl/simulate.go
@@ -27,6 +27,7 @@
 	length := flags.Duration("length", 20*time.Second, "simulated time during which faults are injected")
 	beyondTolerance := flags.Bool("wild", false, "let faults overlap beyond the tolerance; never more lost disks than it allows")
 	drawn := flags.Bool("drawn", false, "draw members, tolerance, disks and overlaps at random from each seed")
+	counted := flags.Bool("counted", false, "draw the shape and losses that are within the tolerance as operators count it")
 	shrink := flags.Bool("shrink", false, "reduce each failing run to the faults that it needs, and print its trace")
 	jobs := flags.Int("jobs", max(1, runtime.NumCPU()/2), "seeds that run in parallel")
 	measureRecovery := flags.Bool("pauses", false, "measure how long nothing is acknowledged after each kind of fault, over the seeds")
@@ -44,7 +45,10 @@
 			}
 			runner := seedRunner{first: *seed, count: *seeds, jobs: *jobs, asJSON: *asJSON, shrink: *shrink}
 			runner.options = func(seed uint64) simulation.Options {
-				if *drawn {
+				switch {
+				case *counted:
+					return simulation.DrawCountedLosses(seed)
+				case *drawn:
 					return simulation.DrawOptions(seed)
 				}
 				options := configured
--- a/internal/controlplane/simulation/cluster.go
+++ b/internal/controlplane/simulation/cluster.go
@@ -16,6 +16,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"pumiceline/internal/message"
 )
 
@@ -25,11 +27,13 @@
 	random  *rand.Rand
 	scheduler
 
-	slots   []*node // the current machine of each slot
-	nodes   []*node // all machines of the run, also those that were replaced
-	network network
-	clients []*client
-	proxies []*proxy
+	slots []*node // the current machine of each slot
+	nodes []*node // all machines of the run, also those that were replaced
+	// replaced are, with CountedLosses, the machines that were replaced. They may still run.
+	replaced []*node
+	network  network
+	clients  []*client
+	proxies  []*proxy
 
 	history        *history
 	leases         leaseChecker
@@ -69,13 +73,16 @@
 	c.startClients()
 	c.scheduleFaults()
 	c.runUntil(options.FaultPhase)
+	if options.CountedLosses {
+		c.endWithLosses()
+	}
 	c.heal()
-	c.runUntil(options.FaultPhase + recoveryBound)
+	c.runUntil(c.now + recoveryBound)
 	c.checkRecovery()
 	for _, client := range c.clients {
 		client.stop()
 	}
-	c.runUntil(options.FaultPhase + recoveryBound + drainTime)
+	c.runUntil(c.now + drainTime)
 	c.checkVoters()
 	c.finalRead()
 	return c.result()
@@ -100,10 +107,13 @@
 }
 
 func (c *Cluster) scheduleFaults() {
-	for i, fault := range c.FaultPlan() {
-		if !slices.Contains(c.options.OmittedFaults, i) {
-			c.after(fault.At, func() { c.injectWhenAllowed(fault) })
-		}
+	plan := lo.Reject(c.FaultPlan(), func(_ Fault, i int) bool { return slices.Contains(c.options.OmittedFaults, i) })
+	if c.options.CountedLosses {
+		c.injectLosses(plan)
+		return
+	}
+	for _, fault := range plan {
+		c.after(fault.At, func() { c.injectWhenAllowed(fault) })
 	}
 }
 
--- a/internal/controlplane/simulation/fault.go
+++ b/internal/controlplane/simulation/fault.go
@@ -29,6 +29,9 @@
 	ExcessPowerLoss                        // more machines than the tolerance allows are off
 	MessageKindLoss                        // every message of one kind is lost
 	faultKindCount
+	// OverlappingReplacement is planned only with CountedLosses: the other machine starts first, and the old one is
+	// removed when the other one counts as synced.
+	OverlappingReplacement
 )
 
 // faultNames are printed by pumicectl.
@@ -37,7 +40,7 @@
 	LongPartition: "long cut", OneWayPartition: "one-way cut", DiskLoss: "lost disk", Replacement: "replacement",
 	PlannedReplacement: "planned replacement", GracefulRestart: "leave", ClusterPowerLoss: "power off all",
 	PartitionThenDiskLoss: "cut behind", HalfPartition: "halves", ExcessPowerLoss: "darkness",
-	MessageKindLoss: "messages of one kind lost",
+	MessageKindLoss: "messages of one kind lost", OverlappingReplacement: "overlapping replacement",
 }
 
 // String returns the name of the kind.
@@ -66,7 +69,8 @@
 	Duration time.Duration `json:"Span"`
 	Slots    []int         `json:"Slots"` // all slots in random order; the first Count are affected
 	Count    int           `json:"Count"`
-	Draw     uint64        `json:"Draw"` // random number that determines other parameters of the kind
+	Margin   time.Duration `json:"Margin,omitempty"` // with CountedLosses: the wait until it is injected, once it is allowed
+	Draw     uint64        `json:"Draw"`             // random number that determines other parameters of the kind
 }
 
 // String describes the fault on one line.
--- a/internal/controlplane/simulation/fault_plan.go
+++ b/internal/controlplane/simulation/fault_plan.go
@@ -22,6 +22,9 @@
 	if c.options.ScriptedFaults != nil {
 		return c.options.ScriptedFaults
 	}
+	if c.options.CountedLosses {
+		return c.options.countedLossPlan()
+	}
 	random := rand.New(rand.NewPCG(c.options.Seed, planStream))
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
 	var plan []Fault
--- a/internal/controlplane/simulation/injection.go
+++ b/internal/controlplane/simulation/injection.go
@@ -99,12 +99,12 @@
 	case DiskStall:
 		n.stalledUntil = max(n.stalledUntil, c.now+f.Duration)
 	case Partition, LongPartition:
-		c.partition([]*node{n}, c.slots, f.Duration)
+		c.partition([]*node{n}, c.machines(), f.Duration)
 	case OneWayPartition:
 		if f.Draw%2 == 0 {
-			c.partitionOneWay([]*node{n}, c.slots, f.Duration)
+			c.partitionOneWay([]*node{n}, c.machines(), f.Duration)
 		} else {
-			c.partitionOneWay(c.slots, []*node{n}, f.Duration)
+			c.partitionOneWay(c.machines(), []*node{n}, f.Duration)
 		}
 	case DiskLoss:
 		c.restart(n, f.Duration, loseDisk)
@@ -161,7 +161,7 @@
 
 // injectAfterAck injects a fault right after some acknowledgements: no acknowledged change may be lost by it.
 func (c *Cluster) injectAfterAck(relay *node) {
-	if c.now >= c.options.FaultPhase || c.options.ScriptedFaults != nil || c.random.IntN(ackFaultOneIn) > 0 {
+	if c.now >= c.options.FaultPhase || c.options.ScriptedFaults != nil || c.options.CountedLosses || c.random.IntN(ackFaultOneIn) > 0 {
 		return
 	}
 	f := Fault{Index: -1, At: c.now, Kind: PowerLoss, Duration: ackFaultTime, Slots: []int{relay.slot}, Count: 1}
--- a/internal/controlplane/simulation/node.go
+++ b/internal/controlplane/simulation/node.go
@@ -15,7 +15,7 @@
 	diskStallThreshold = 600 * time.Millisecond
 	// seedCount is the length of the configured list of seeds.
 	seedCount = 3
-	// zoneCount is how many zones the machines are spread over.
+	// zoneCount is how many zones the machines are spread over, unless Options.Zones says otherwise.
 	zoneCount = 4
 	// machinesPerSubnet is how many machines have addresses with the same third octet.
 	machinesPerSubnet = 200
@@ -47,6 +47,7 @@
 	lostUntil     time.Duration // until then the machine counts as lost
 	diskLostUntil time.Duration // until then the slot's disk counts as lost
 	diskLostAt    time.Duration // when the disk was last lost
+	removableAt   time.Duration // with CountedLosses: when a replaced machine may be removed
 }
 
 func newNode(c *Cluster, index, slot int) *node {
@@ -57,7 +58,17 @@
 // clock returns the process's monotonic clock.
 func (n *node) clock() time.Duration { return n.cluster.now - n.startedAt }
 
-func (n *node) zone() string { return fmt.Sprintf("zone-%d", n.slot%zoneCount) }
+// zone returns the machine's zone, empty where the machines do not know their zones.
+func (n *node) zone() string {
+	switch zones := n.cluster.options.Zones; zones {
+	case NoZones:
+		return ""
+	case 0:
+		return fmt.Sprintf("zone-%d", n.slot%zoneCount)
+	default:
+		return fmt.Sprintf("zone-%d", n.slot%zones)
+	}
+}
 
 func (n *node) isDiskless() bool { return n.slot < n.cluster.options.Diskless }
 
--- a/internal/controlplane/simulation/options.go
+++ b/internal/controlplane/simulation/options.go
@@ -16,6 +16,10 @@
 	// BeyondTolerance lets losses of machines overlap beyond the tolerance. The tolerance still bounds how many disks
 	// are lost at a time, so no acknowledged change may be lost, but response times are unbounded.
 	BeyondTolerance bool
+	// CountedLosses draws losses that are counted as the operators count them, in place of the other faults.
+	CountedLosses bool
+	// Zones is the number of zones over which the machines are spread, in turn; 0: zoneCount. See NoZones.
+	Zones int
 	// MaxSyncTime bounds the random time that a sync takes longer than minSyncTime. Values below defaultSyncTime have
 	// no effect.
 	MaxSyncTime time.Duration
@@ -29,6 +33,9 @@
 	Defect Defect
 }
 
+// NoZones as Options.Zones means that the machines do not know their zones.
+const NoZones = -1
+
 // Parameters of drawn options.
 const (
 	shapeStream       = 0x73686170 // stream of the generator
