A newcomer takes the vote of the member it replaces while that member still lives

Cause: whose vote a newcomer takes was guessed from the order of events. A member that lost its vote to a newcomer of its zone was barred from any other vote for 10 s, so the vote of a removed machine went to nobody; and where old and new machine ran side by side, no vote passed at all. Losses within the tolerance then took a majority of the voters.

Now the vote passes to the newcomer as it is admitted, the view records the replacement, and no time-out bars a live member: a vote that went to the wrong member moves on by evidence. A transfer to a live member without a vote adds no lost voter, so it needs no guard.

--- a/internal/controlplane/replica/failure_detector.go
+++ b/internal/controlplane/replica/failure_detector.go
@@ -18,9 +18,11 @@
 	members      map[message.MemberID]*memberRecord
 	reports      map[reportKey]time.Duration // when each report was last received
 	joinRequests map[message.MemberID]joinRequest
-	monitors     []message.Member // members to which this one sends its heartbeats
-	monitored    []message.Member // members whose heartbeats this one expects
-	resumedAt    instant          // when this process resumed after a pause longer than suspicionTimeout
+	// memberAddresses has for each address of a former member the time until which that member was in the view.
+	memberAddresses map[string]time.Duration
+	monitors        []message.Member // members to which this one sends its heartbeats
+	monitored       []message.Member // members whose heartbeats this one expects
+	resumedAt       instant          // when this process resumed after a pause longer than suspicionTimeout
 }
 
 func newFailureDetector() failureDetector {
@@ -28,6 +30,8 @@
 		members:      map[message.MemberID]*memberRecord{},
 		reports:      map[reportKey]time.Duration{},
 		joinRequests: map[message.MemberID]joinRequest{},
+
+		memberAddresses: map[string]time.Duration{},
 	}
 }
 
@@ -88,25 +92,18 @@
 		}
 		delete(d.joinRequests, member.Identity)
 	}
-	d.recordLostVotes(old, view, now)
 	for _, member := range membersAndVoters(old) {
 		d.record(member.Identity).wasMember = true
+		d.memberAddresses[member.Address] = now
 	}
 	d.assignMonitors(view, self)
 	clear(d.reports)
 }
 
-// recordLostVotes records the voters that lost their vote to a newcomer of their zone. They were probably replaced on
-// purpose, and will be stopped.
-func (d *failureDetector) recordLostVotes(old, view message.View, now time.Duration) {
-	isNewcomer := func(m message.Member) bool { return !containsMember(membersAndVoters(old), m.Identity) }
-	voters := view.EffectiveVoters()
-	for _, voter := range old.EffectiveVoters() {
-		isReplacement := func(m message.Member) bool { return isNewcomer(m) && m.Zone == voter.Zone }
-		if !containsMember(voters, voter.Identity) && lo.ContainsBy(voters, isReplacement) {
-			d.record(voter.Identity).lostVoteToNewcomer = instantAt(now)
-		}
-	}
+// wasMemberAddress reports whether a member of an earlier view had the address.
+func (d *failureDetector) wasMemberAddress(address string) bool {
+	_, ok := d.memberAddresses[address]
+	return ok
 }
 
 // assignMonitors sets the monitors of self, and the members that self monitors, for a view.
@@ -124,6 +121,7 @@
 			record.memberHistory = memberHistory{}
 		}
 	}
+	maps.DeleteFunc(d.memberAddresses, func(_ string, at time.Duration) bool { return now-at > identityRetention })
 	maps.DeleteFunc(d.reports, func(_ reportKey, at time.Duration) bool { return now-at > reportTimeout })
 }
 
--- a/internal/controlplane/replica/member_record.go
+++ b/internal/controlplane/replica/member_record.go
@@ -48,18 +48,11 @@
 // memberHistory is the part of a record that is dropped if no message has arrived from an identity for
 // identityRetention.
 type memberHistory struct {
-	lastMessage        instant // when its last message arrived
-	wasMember          bool    // it was a member or voter of an earlier view
-	firstJoinRequest   instant // unknown if it had been a member before
-	lastJoinRequest    instant // when its last request arrived: it is new, restarted, or removed from the chain
-	announcedLeaving   instant // when it last announced its shutdown; unknown if it has rejoined since
-	lostVoteToNewcomer instant // when a newcomer of its zone received its vote
-}
-
-// newcomerAge returns the time since the identity's first join request. isNewcomer is false if it was a member before,
-// or if the request arrived more than newcomerPeriod ago.
-func (m memberRecord) newcomerAge(now time.Duration) (age time.Duration, isNewcomer bool) {
-	return now - m.firstJoinRequest.at, m.firstJoinRequest.isWithin(newcomerPeriod, now)
+	lastMessage      instant // when its last message arrived
+	wasMember        bool    // it was a member or voter of an earlier view
+	firstJoinRequest instant // unknown if it had been a member before
+	lastJoinRequest  instant // when its last request arrived: it is new, restarted, or removed from the chain
+	announcedLeaving instant // when it last announced its shutdown; unknown if it has rejoined since
 }
 
 // recordLeaving records that the member announced its shutdown. An announcement within newcomerTimeout of a join
--- a/internal/controlplane/replica/next_view.go
+++ b/internal/controlplane/replica/next_view.go
@@ -113,16 +113,16 @@
 	present := lo.Filter(staying, func(m message.Member, _ int) bool {
 		return containsMember(alive, m.Identity) && r.hasRecentMessage(m) && !r.yieldsToDurableMembers(m)
 	})
-	// This selection only pairs joining machines with the voters that they replace. The voters are selected below, once
-	// the admitted machines are known.
 	admitted := r.admissibleMembers(joining, len(staying), r.newVoterSelection(present))
 	next.Members = slices.Concat(staying, admitted)
 	r.fillInDetails(next.Members)
 
 	selection := r.newVoterSelection(slices.Concat(present, admitted))
+	selection.newcomers = lo.Filter(admitted, func(m message.Member, _ int) bool { return r.isNewcomer(m) })
 	selection.canGrow = !r.hasLateMember(staying)
 	next.Voters = selection.nextVoters()
 	next.ReplacedVoters = selection.remainingReplaced(r.yieldsToDurableMembers)
+	next.Replacements = selection.remainingReplacements(next.ReplacedVoters)
 	r.fillInDetails(next.Voters)
 	return next
 }
@@ -132,69 +132,60 @@
 func (r *Replica) newVoterSelection(present []message.Member) *voterSelection {
 	view := r.control.View
 	return &voterSelection{
-		minVoters: r.minVoters(),
-		voters:    slices.Clone(view.EffectiveVoters()),
-		present:   present,
-		replaced:  slices.Clone(view.ReplacedVoters),
+		minVoters:    r.minVoters(),
+		voters:       slices.Clone(view.EffectiveVoters()),
+		present:      present,
+		replaced:     slices.Clone(view.ReplacedVoters),
+		replacements: slices.Clone(view.Replacements),
 
 		isLeaving:        r.hasAnnouncedLeaving,
 		timeSinceMessage: r.timeSinceMessage,
-		newcomerAge:      r.newcomerAge,
-		canReceiveVote:   r.canReceiveVote,
+		isAlive:          r.isAlive,
 	}
 }
 
 // admissibleMembers returns the joining machines that are admitted now. A returning voter, a machine whose disk was
-// lost and a machine that certainly replaces a member of its zone are admitted at once, as is any machine while the
-// chain is too short. Any other newcomer is admitted newcomerTimeout after its first request: the member that it
-// replaces is suspected or leaving by then.
+// lost and a machine that replaces a missing member of its zone are admitted at once, as is any machine while the chain
+// is too short. Any other newcomer is admitted newcomerTimeout after its first request: the member that it replaces is
+// suspected or leaving by then, or it lives and the chain need not wait for the newcomer.
 func (r *Replica) admissibleMembers(joining []message.Member, stayingCount int, selection *voterSelection) []message.Member {
 	var admitted []message.Member
 	known := membersAndVoters(r.control.View)
 	for _, member := range joining {
-		isKnown := lo.ContainsBy(known, func(m message.Member) bool { return m.Address == member.Address })
+		isKnown := containsAddress(known, member.Address)
 		isShort := stayingCount+len(admitted) < r.minChainLength()
-		predecessor, isCertain := selection.certainPredecessor(member)
-		switch {
-		case isKnown || isShort || r.isEstablished(member):
-		case isCertain:
-			selection.transferVote(predecessor, member) // so that no other machine is paired with the same predecessor
-		default:
-			continue
+		if isKnown || isShort || r.isEstablished(member) || selection.hasMissingPredecessor(member) {
+			admitted = append(admitted, member)
 		}
-		admitted = append(admitted, member)
 	}
 	return admitted
 }
 
-// newcomerAge returns the time since a machine's first join request. isNewcomer is false if the machine was a member
-// before, or if the request arrived more than newcomerPeriod ago.
-func (r *Replica) newcomerAge(member message.Member) (age time.Duration, isNewcomer bool) {
-	return r.detector.lookup(member.Identity).newcomerAge(r.now)
+// isNewcomer reports whether a joining machine is a new one. During the first start of the system there are none.
+func (r *Replica) isNewcomer(joining message.Member) bool {
+	known := append(membersAndVoters(r.control.View), replacedMembers(r.control.View)...)
+	hasBeenMember := containsAddress(known, joining.Address) || r.detector.wasMemberAddress(joining.Address)
+	return !hasBeenMember && r.detector.lookup(joining.Identity).firstJoinRequest.known && !r.isInitialStart()
 }
 
+// isInitialStart reports whether joining machines are members of a system that starts for the first time.
+func (r *Replica) isInitialStart() bool { return r.options.FirstStart && r.now <= initialStartPeriod }
+
 // hasAnnouncedLeaving reports whether a member announced its shutdown within leavingPeriod and has not rejoined since.
 func (r *Replica) hasAnnouncedLeaving(member message.Member) bool {
 	return r.detector.lookup(member.Identity).announcedLeaving.isWithin(leavingPeriod, r.now)
 }
 
-// isEstablished reports whether a member without a vote is no newcomer, or is old enough that any member that it
-// replaces has been detected as failed or leaving. During the first start of the system no machine replaces another.
+// isEstablished reports whether a machine was a member before, or has asked for long enough that a member that it
+// replaces has been detected as failed or leaving.
 func (r *Replica) isEstablished(member message.Member) bool {
-	age, isNewcomer := r.newcomerAge(member)
-	isInitialStart := r.options.FirstStart && r.now <= initialStartPeriod
-	return !isNewcomer || isInitialStart || age >= newcomerTimeout
+	firstRequest := r.detector.lookup(member.Identity).firstJoinRequest
+	return !firstRequest.known || r.isInitialStart() || r.now-firstRequest.at >= newcomerTimeout
 }
 
-// canReceiveVote reports whether a member without a vote may receive the vote of any suspected member. It must be
-// alive and established, and must not have lost its own vote to a newcomer within newcomerPeriod.
-func (r *Replica) canReceiveVote(member message.Member) bool {
-	record := r.detector.lookup(member.Identity)
-	if record.lostVoteToNewcomer.isWithin(newcomerPeriod, r.now) {
-		return false
-	}
-	isAlive := r.isSelf(member) || record.lastMessage.isWithin(unmonitoredSuspicionTimeout, r.now)
-	return isAlive && r.isEstablished(member)
+// isAlive reports whether a member has sent a message lately.
+func (r *Replica) isAlive(member message.Member) bool {
+	return r.isSelf(member) || r.detector.lookup(member.Identity).lastMessage.isWithin(unmonitoredSuspicionTimeout, r.now)
 }
 
 // timeSinceMessage returns the time since the last message from a voter.
--- a/internal/controlplane/replica/next_view_test.go
+++ b/internal/controlplane/replica/next_view_test.go
@@ -179,3 +179,71 @@
 	c.advance(2 * time.Second)
 	assert.Equal(t, number, c.members[0].View().Number)
 }
+
+// newZonedCluster makes a cluster whose members are of the given zones. The first three are its seeds.
+func newZonedCluster(t *testing.T, tolerance int, zones ...string) *testCluster {
+	t.Helper()
+	c := newTolerantCluster(t, 3, tolerance)
+	for range zones[3:] {
+		index := c.addMachine(0, 1, 2)
+		c.members[index].options.FirstStart = true
+	}
+	for i, zone := range zones {
+		c.members[i].options.Self.Zone = zone
+		c.members[i].detector.record(c.members[i].Identity()).zone = zone
+	}
+	c.advance(2 * time.Second)
+	require.Len(t, c.members[0].View().Members, len(zones))
+	return c
+}
+
+// addMachineToZone adds a machine with an empty disk at a new address.
+func (c *testCluster) addMachineToZone(zone string) int {
+	index := c.addMachine(0, 1, 2)
+	c.members[index].options.Self.Zone = zone
+	c.members[index].detector.record(c.members[index].Identity()).zone = zone
+	return index
+}
+
+func (c *testCluster) hasVote(observer, member int) bool {
+	return containsMember(c.members[observer].View().EffectiveVoters(), c.members[member].Identity())
+}
+
+// A removed member must not keep its vote while a member that was frozen is back without one, even if a newcomer of
+// their zone has the vote of the frozen one. Otherwise the loss of two disks leaves two of five voters.
+func TestNextView_ReturnedMemberGetsVoteOfRemovedMember(t *testing.T) {
+	const frozen, removed = 0, 4
+	c := newZonedCluster(t, 2, "a", "b", "c", "d", "a")
+	c.advance(500*time.Millisecond, frozen)
+	newcomer := c.addMachineToZone("a")
+	c.advance(3*time.Second, frozen)
+	require.True(t, c.hasVote(newcomer, newcomer), "the newcomer must have the vote of the frozen member")
+	c.advance(3 * time.Second)
+	c.unreachable = []int{removed}
+	c.advance(3*time.Second, removed)
+	assert.False(t, c.hasVote(newcomer, removed))
+	assert.True(t, c.hasVote(newcomer, frozen))
+	c.restartWithEmptyDisk(1, "second-m1")
+	c.restartWithEmptyDisk(2, "second-m2")
+	c.advance(4*time.Second, removed)
+	c.put(newcomer, 0, testDocument(5, "x"))
+	assert.Len(t, c.responses, 1, "a majority of the voters must be left")
+}
+
+// A newcomer must have the vote of the member that it replaces before that member is removed. Otherwise one more loss
+// directly after the removal of two replaced members leaves no majority.
+func TestNextView_NewcomerGetsVoteBeforePredecessorIsRemoved(t *testing.T) {
+	c := newZonedCluster(t, 1, "a", "b", "c", "d")
+	third := c.addMachineToZone("c")
+	c.advance(4 * time.Second)
+	fourth := c.addMachineToZone("d")
+	c.advance(4 * time.Second)
+	assert.False(t, c.hasVote(third, 2), "m2 was replaced")
+	assert.False(t, c.hasVote(third, 3), "m3 was replaced")
+	c.unreachable = []int{2, 3}
+	c.advance(500*time.Millisecond, 2, 3)
+	c.restartWithEmptyDisk(1, "second-m1")
+	c.advance(4*time.Second, 2, 3)
+	c.put(fourth, 0, testDocument(5, "x"))
+	assert.Len(t, c.responses, 1, "a majority of the voters must be left")
+}
--- a/internal/controlplane/replica/timeouts.go
+++ b/internal/controlplane/replica/timeouts.go
@@ -35,11 +35,6 @@
 	// newcomerTimeout is how long a newcomer waits for admission if it is uncertain which member it replaces. A failed
 	// member is suspected by then.
 	newcomerTimeout = 2 * suspicionTimeout
-	// newcomerPeriod is how long after its first join request a machine counts as a newcomer. It is also how long a member
-	// that lost its vote to a newcomer cannot receive another vote: it was probably replaced, and is about to be stopped.
-	newcomerPeriod = 10 * time.Second
-	// plannedReplacementLead bounds how long a planned replacement is started before its predecessor is stopped.
-	plannedReplacementLead = 3 * time.Second
 	// leavingPeriod bounds the time from the request to stop a member to the end of its process.
 	leavingPeriod = 5 * time.Second
 	// withdrawalTimeout bounds the time from the last join request of a machine to its admission: the request is valid for
--- a/internal/controlplane/replica/view.go
+++ b/internal/controlplane/replica/view.go
@@ -106,6 +106,10 @@
 	return indexOfMember(members, identity) >= 0
 }
 
+func containsAddress(members []message.Member, address string) bool {
+	return slices.ContainsFunc(members, func(m message.Member) bool { return m.Address == address })
+}
+
 // removeMember returns the members except one.
 func removeMember(members []message.Member, identity message.MemberID) []message.Member {
 	return lo.Reject(members, func(m message.Member, _ int) bool { return m.Identity == identity })
--- a/internal/controlplane/replica/voters.go
+++ b/internal/controlplane/replica/voters.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -10,62 +11,91 @@
 	"pumiceline/internal/message"
 )
 
-// voterSelection selects the voters of the next view. It has three aims:
+// voterSelection selects the voters of the next view. Its aim is that a machine that may be removed without counting as
+// a loss has no vote that a live machine could have: a majority then remains after the tolerated losses. A vote moves
+// only to a live member without one, so no transfer adds a lost voter, and a transfer that was not needed costs
+// nothing. In this order:
 //
-//   - A lost member and its replacement do not both have a vote. A voter whose address another process has is certainly
-//     lost. Otherwise a newcomer receives the vote of the member that it probably replaces: a leaving or suspected
-//     member of its zone if there is one, otherwise one of another zone.
-//   - The vote of a suspected member goes to a live member without a vote, so that a majority survives successive
-//     losses as long as there is such a member.
+//   - The vote of a member whose address another process has goes to that process.
+//   - A newcomer receives the vote of the member of its zone that it replaces, while that member still lives: it may be
+//     removed at any time from then on.
+//   - The votes of absent and of leaving members go to standby members, members that were replaced last.
+//   - A replaced member gives its vote back as soon as a standby member that was not replaced is there.
 //   - The number of voters is odd if there could be more than minVoters: an even number tolerates no more losses than
 //     the odd number below it.
+//
+// docs/design/control-state.md (V7) has the argument.
 type voterSelection struct {
-	minVoters int              // a majority of them remains after the tolerated number is permanently lost
-	voters    []message.Member // initially those of the current view
-	present   []message.Member // live members that are in the next chain
-	replaced  []message.ReplacedVoter
-	canGrow   bool // no member is late: a new member could turn out to be the replacement of a late one
+	minVoters    int              // a majority of them remains after the tolerated number is permanently lost
+	voters       []message.Member // initially those of the current view
+	present      []message.Member // live members that are in the next chain
+	newcomers    []message.Member // present machines that the next view admits for the first time
+	replaced     []message.ReplacedVoter
+	replacements []message.Replacement
+	canGrow      bool // no member is late: a new member could turn out to be the replacement of a late one
 
 	isLeaving        func(message.Member) bool
-	timeSinceMessage func(message.Member) time.Duration         // time since the last message from an absent voter
-	newcomerAge      func(message.Member) (time.Duration, bool) // age since the first join request; false: no newcomer
-	canReceiveVote   func(message.Member) bool                  // reports whether it may receive any suspected one's vote
+	timeSinceMessage func(message.Member) time.Duration // time since the last message from an absent voter
+	isAlive          func(message.Member) bool          // reports whether a standby member has sent a message lately
 }
 
-// nextVoters returns the voters of the next view. The most certain transfers come first, because each uses up one vote
-// and one standby member.
+// nextVoters returns the voters of the next view.
 func (s *voterSelection) nextVoters() []message.Member {
 	s.transferByAddress()
 	s.transferToNewcomers()
-	s.transferToStandbys()
-	s.restoreReplacedVoters()
+	s.transferToStandbys(append(s.absentVoters(), s.leavingVoters()...))
+	s.transferFromReplaced()
 	s.addVoters()
-	s.dropLeavingVoters()
-	s.dropAbsentVoters()
+	s.dropVoters(s.leavingVoters())
+	s.dropVoters(s.presentReplacedVoters())
+	s.dropVoters(s.absentVoters())
+	s.dropEvenVoter()
 	return s.voters
 }
 
-// standbyMembers returns the present members that have no vote and are not leaving.
+// standbyMembers returns the present members that have no vote and are not leaving, those that were replaced last.
 func (s *voterSelection) standbyMembers() []message.Member {
-	return lo.Reject(s.present, func(m message.Member, _ int) bool {
+	standbys := lo.Reject(s.present, func(m message.Member, _ int) bool {
 		return containsMember(s.voters, m.Identity) || s.isLeaving(m)
 	})
+	current, replaced := lo.FilterReject(standbys, func(m message.Member, _ int) bool { return !s.isReplaced(m) })
+	return append(current, replaced...)
 }
 
-// eligibleStandbys returns the standby members that may receive the vote of any suspected member.
-func (s *voterSelection) eligibleStandbys() []message.Member {
-	return lo.Filter(s.standbyMembers(), func(m message.Member, _ int) bool { return s.canReceiveVote(m) })
+// currentStandbys returns the live standby members that were not replaced.
+func (s *voterSelection) currentStandbys() []message.Member {
+	return lo.Filter(s.standbyMembers(), func(m message.Member, _ int) bool { return s.isAlive(m) && !s.isReplaced(m) })
 }
 
 func (s *voterSelection) isPresent(voter message.Member) bool {
 	return containsMember(s.present, voter.Identity)
 }
 
+// isReplaced reports whether a present member that is not leaving replaced a machine.
+func (s *voterSelection) isReplaced(m message.Member) bool {
+	staying := lo.Reject(s.present, func(m message.Member, _ int) bool { return s.isLeaving(m) })
+	return wasReplaced(s.replacements, m, staying)
+}
+
+// wasReplaced reports whether one of the members replaced a machine.
+func wasReplaced(replacements []message.Replacement, machine message.Member, members []message.Member) bool {
+	return lo.ContainsBy(replacements, func(r message.Replacement) bool {
+		return r.Old == machine.Address && containsAddress(members, r.New)
+	})
+}
+
 // leavingVoters returns the voters that are shutting down.
 func (s *voterSelection) leavingVoters() []message.Member {
 	return lo.Filter(s.voters, func(m message.Member, _ int) bool { return s.isLeaving(m) })
 }
 
+// presentReplacedVoters returns the present voters that were replaced.
+func (s *voterSelection) presentReplacedVoters() []message.Member {
+	return lo.Filter(s.voters, func(m message.Member, _ int) bool {
+		return s.isPresent(m) && !s.isLeaving(m) && s.isReplaced(m)
+	})
+}
+
 // absentVoters returns the voters that are neither present nor leaving, those with the oldest last message first.
 func (s *voterSelection) absentVoters() []message.Member {
 	absent := lo.Reject(s.voters, func(m message.Member, _ int) bool { return s.isPresent(m) || s.isLeaving(m) })
@@ -91,58 +121,77 @@
 	}
 }
 
-// transferToNewcomers transfers to each newcomer the vote of the member that it probably replaces.
+// transferToNewcomers transfers to each newcomer the vote of the machine of its zone that it replaces. If there is only
+// one such machine, the replacement is recorded. If there are several, the vote of the likeliest one is transferred: it
+// becomes a standby member, and may receive the vote of another one as soon as that is missing. If there is none, the
+// newcomer probably replaces a leaving member of another zone.
 func (s *voterSelection) transferToNewcomers() {
-	for _, standby := range s.standbyMembers() {
-		age, isNewcomer := s.newcomerAge(standby)
-		if !isNewcomer {
-			continue
-		}
-		if predecessor, ok := s.certainPredecessor(standby); ok {
-			s.transferVote(predecessor, standby)
-			continue
+	for _, newcomer := range s.newcomers {
+		predecessors := s.predecessors(newcomer)
+		switch len(predecessors) {
+		case 0:
+			predecessors = s.leavingVoters()
+		case 1:
+			replacement := message.Replacement{Old: predecessors[0].Address, New: newcomer.Address}
+			s.replacements = append(s.replacements, replacement)
 		}
-		candidates := s.likelyPredecessors(age)
-		if len(candidates) > 0 && s.canReceiveVote(standby) {
-			s.transferVote(preferZone(candidates, standby.Zone), standby)
+		voter, ok := lo.Find(predecessors, func(m message.Member) bool { return containsMember(s.voters, m.Identity) })
+		if ok && !containsMember(s.voters, newcomer.Identity) {
+			s.transferVote(voter, newcomer)
 		}
 	}
 }
 
-// certainPredecessor returns the voter of a newcomer's zone that the newcomer almost certainly replaces. It is a
-// leaving voter if the newcomer's age is at most plannedReplacementLead, or else an absent voter that is the only
-// other member or voter of the zone.
-func (s *voterSelection) certainPredecessor(newcomer message.Member) (message.Member, bool) {
-	isOfZone := func(m message.Member) bool { return m.Zone == newcomer.Zone }
-	if age, _ := s.newcomerAge(newcomer); age <= plannedReplacementLead {
-		if leaving, ok := lo.Find(s.leavingVoters(), isOfZone); ok {
-			return leaving, true
+// predecessors returns the machines that a newcomer may replace, the likeliest first: those of its zone that no present
+// member has replaced yet. Machines that leave or are absent come first, then those that have been members for longest.
+func (s *voterSelection) predecessors(newcomer message.Member) []message.Member {
+	if newcomer.Zone == "" {
+		return nil
+	}
+	replaced := lo.Map(s.replaced, func(r message.ReplacedVoter, _ int) message.Member { return r.Member })
+	known := lo.UniqBy(slices.Concat(s.voters, s.present, replaced), func(m message.Member) string { return m.Address })
+	candidates := lo.Filter(known, func(m message.Member, _ int) bool {
+		return m.Zone == newcomer.Zone && !containsAddress(s.newcomers, m.Address) && !s.isReplaced(m)
+	})
+	rank := func(m message.Member) int {
+		switch {
+		case s.isLeaving(m):
+			return 0
+		case !s.isPresent(m):
+			return 1
 		}
+		return 2
 	}
-	absent, ok := lo.Find(s.absentVoters(), isOfZone)
-	hasOthers := lo.ContainsBy(slices.Concat(s.voters, s.present), func(m message.Member) bool {
-		return isOfZone(m) && m.Identity != absent.Identity && m.Identity != newcomer.Identity
+	slices.SortStableFunc(candidates, func(a, b message.Member) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.SinceView, b.SinceView))
 	})
-	return absent, ok && !hasOthers
+	return candidates
 }
 
-// likelyPredecessors returns the voters that a newcomer of the given age may replace, the likeliest first. A newcomer
-// that joined just before a member was asked to stop probably replaces that member. A suspected member may only be
-// partitioned, and needs its vote when it returns.
-func (s *voterSelection) likelyPredecessors(newcomerAge time.Duration) []message.Member {
-	if newcomerAge <= plannedReplacementLead {
-		return append(s.leavingVoters(), s.absentVoters()...)
+// hasMissingPredecessor reports whether a voter of a joining machine's zone is leaving, or is absent and the only
+// machine of that zone.
+func (s *voterSelection) hasMissingPredecessor(joining message.Member) bool {
+	isOfZone := func(m message.Member) bool { return m.Zone == joining.Zone }
+	if lo.ContainsBy(s.leavingVoters(), isOfZone) {
+		return true
 	}
-	return append(s.absentVoters(), s.leavingVoters()...)
+	absent, ok := lo.Find(s.absentVoters(), isOfZone)
+	hasOthers := lo.ContainsBy(slices.Concat(s.voters, s.present), func(m message.Member) bool {
+		return isOfZone(m) && m.Identity != absent.Identity && m.Identity != joining.Identity
+	})
+	return ok && !hasOthers
 }
 
-// transferToStandbys transfers the votes of absent voters, and then those of leaving voters, to standby members.
-func (s *voterSelection) transferToStandbys() {
-	for _, voter := range append(s.absentVoters(), s.leavingVoters()...) {
-		standbys := s.eligibleStandbys()
+// transferToStandbys transfers votes to live standby members.
+func (s *voterSelection) transferToStandbys(voters []message.Member) {
+	for _, voter := range voters {
+		standbys := lo.Filter(s.standbyMembers(), func(m message.Member, _ int) bool { return s.isAlive(m) })
 		if len(standbys) == 0 {
 			return
 		}
+		if current := s.currentStandbys(); len(current) > 0 {
+			standbys = current
+		}
 		s.transferVote(voter, preferZone(standbys, voter.Zone))
 	}
 }
@@ -152,34 +201,17 @@
 	return lo.FindOrElse(members, members[0], func(m message.Member) bool { return m.Zone == zone })
 }
 
-// restoreReplacedVoters transfers the remaining votes of leaving members back to replaced voters (see
-// wasReplacedInsteadOf).
-func (s *voterSelection) restoreReplacedVoters() {
-	for _, leaving := range s.leavingVoters() {
-		replaced, ok := lo.Find(s.replaced, func(replaced message.ReplacedVoter) bool {
-			return s.wasReplacedInsteadOf(replaced, leaving)
-		})
-		if ok && len(s.voters) <= s.minVoters {
-			s.transferVote(leaving, replaced.Member)
+// transferFromReplaced transfers the votes of present replaced voters to standby members that were not replaced.
+func (s *voterSelection) transferFromReplaced() {
+	for _, voter := range s.presentReplacedVoters() {
+		if standbys := s.currentStandbys(); len(standbys) > 0 {
+			s.transferVote(voter, preferZone(standbys, voter.Zone))
 		}
 	}
 }
 
-// wasReplacedInsteadOf reports whether a newcomer received the vote of a replaced voter although it probably replaces
-// the leaving member: the newcomer and the leaving member are of the same zone, and the replaced voter is of another
-// one.
-func (s *voterSelection) wasReplacedInsteadOf(replaced message.ReplacedVoter, leaving message.Member) bool {
-	newcomer, isVoter := lo.Find(s.voters, func(m message.Member) bool {
-		return m.Identity == replaced.ReplacedBy && m.Identity != leaving.Identity
-	})
-	_, isNewcomer := s.newcomerAge(newcomer)
-	isOfOtherZone := replaced.Member.Zone != "" && replaced.Member.Zone != leaving.Zone
-	hasVote := containsMember(s.voters, replaced.Member.Identity)
-	return isVoter && isNewcomer && newcomer.Zone == leaving.Zone && isOfOtherZone && !hasVote
-}
-
 // addVoters gives additional votes to standby members. It adds up to minVoters voters at once. Beyond that it adds only
-// eligible standby members, and only if canGrow is set, so that the number of voters is odd.
+// live standby members that were not replaced, and only if canGrow is set, so that the number of voters is odd.
 func (s *voterSelection) addVoters() {
 	for _, standby := range s.standbyMembers() {
 		if len(s.voters) < s.minVoters {
@@ -189,32 +221,29 @@
 	if !s.canGrow {
 		return
 	}
-	standbys := s.eligibleStandbys()
+	standbys := s.currentStandbys()
 	if (len(s.voters)+len(standbys))%2 == 0 && len(standbys) > 0 {
 		standbys = standbys[:len(standbys)-1]
 	}
 	s.voters = append(s.voters, standbys...)
 }
 
-// dropLeavingVoters drops the remaining votes of leaving members while there are more than minVoters voters. Otherwise
-// they keep their votes, as they may only be restarting.
-func (s *voterSelection) dropLeavingVoters() {
-	for _, leaving := range s.leavingVoters() {
-		if len(s.voters) > s.minVoters {
-			s.voters = removeMember(s.voters, leaving.Identity)
+// dropVoters drops the given votes while there are more than minVoters voters. Otherwise leaving members keep their
+// votes, as they may only be restarting, and so do absent ones, as they may return.
+func (s *voterSelection) dropVoters(voters []message.Member) {
+	for _, voter := range voters {
+		if len(s.voters) <= s.minVoters {
+			return
+		}
+		s.voters = removeMember(s.voters, voter.Identity)
+		if !s.isPresent(voter) && !s.isLeaving(voter) {
+			s.replaced = append(s.replaced, message.ReplacedVoter{Member: voter})
 		}
 	}
 }
 
-// dropAbsentVoters drops the votes of absent voters while there are more than minVoters voters. If the remaining
-// number is even and still above minVoters, the last voter loses its vote too.
-func (s *voterSelection) dropAbsentVoters() {
-	for _, absent := range s.absentVoters() {
-		if len(s.voters) > s.minVoters {
-			s.voters = removeMember(s.voters, absent.Identity)
-			s.replaced = append(s.replaced, message.ReplacedVoter{Member: absent})
-		}
-	}
+// dropEvenVoter drops the last vote if the number of voters is even and above minVoters.
+func (s *voterSelection) dropEvenVoter() {
 	if len(s.voters) > s.minVoters && len(s.voters)%2 == 0 {
 		s.voters = s.voters[:len(s.voters)-1]
 	}
@@ -234,26 +263,45 @@
 	return replaced[max(0, len(replaced)-maxReplacedVoters):]
 }
 
+// maxReplacements bounds how many replacements a view keeps.
+const maxReplacements = 16
+
+// remainingReplacements returns the most recent replacements of which a machine is still known.
+func (s *voterSelection) remainingReplacements(replaced []message.ReplacedVoter) []message.Replacement {
+	known := slices.Concat(s.present, s.voters)
+	for _, r := range replaced {
+		known = append(known, r.Member)
+	}
+	remaining := lo.Filter(s.replacements, func(r message.Replacement, _ int) bool {
+		return containsAddress(known, r.Old) || containsAddress(known, r.New)
+	})
+	return remaining[max(0, len(remaining)-maxReplacements):]
+}
+
 func replacedMembers(view message.View) []message.Member {
 	return lo.Map(view.ReplacedVoters, func(r message.ReplacedVoter, _ int) message.Member { return r.Member })
 }
 
 // needsVoteTransfer reports whether votes should change although there is no report or join request. This is so if a
-// voter is outside the chain and its vote could be transferred or dropped, or if the number of voters is not the
-// intended one.
+// voter is outside the chain or was replaced and its vote could be transferred or dropped, or if the number of voters is
+// not the intended one.
 func (r *Replica) needsVoteTransfer() bool {
 	view := r.control.View
 	voters := view.EffectiveVoters()
-	standbys := lo.CountBy(view.Members, func(m message.Member) bool { return !r.hasVote(m.Identity) })
+	isReplaced := func(m message.Member) bool { return wasReplaced(view.Replacements, m, view.Members) }
+	standbys := lo.Reject(view.Members, func(m message.Member, _ int) bool { return r.hasVote(m.Identity) })
+	current := lo.CountBy(standbys, func(m message.Member) bool { return !isReplaced(m) })
 	absent := lo.CountBy(voters, func(m message.Member) bool { return !r.isInChain(m.Identity) })
 	hasTooMany := len(voters) > r.minVoters()
 	switch {
-	case absent > 0 && (standbys > 0 || hasTooMany):
+	case absent > 0 && (len(standbys) > 0 || hasTooMany):
+		return true
+	case lo.ContainsBy(voters, isReplaced) && (current > 0 || hasTooMany):
 		return true
 	case len(voters) < r.minVoters():
-		return standbys > 0
+		return len(standbys) > 0
 	case len(voters)%2 == 0:
-		return standbys > 0 || hasTooMany
+		return current > 0 || hasTooMany
 	}
-	return standbys > 1
+	return current > 1
 }
--- a/internal/message/membership.go
+++ b/internal/message/membership.go
@@ -20,6 +20,8 @@
 	Voters []Member `msg:"v"`
 	// ReplacedVoters are suspected members that lost their vote, the most recent last.
 	ReplacedVoters []ReplacedVoter `msg:"dp"`
+	// Replacements are the machines that probably replaced others, the most recent last.
+	Replacements []Replacement `msg:"rp,omitempty"`
 }
 
 // EffectiveVoters returns the members whose majority decides on the next view, confirms this one and grants the lease.
@@ -30,13 +32,20 @@
 	return v.Voters
 }
 
-// ReplacedVoter is a member that lost its vote while it was suspected. Views are still announced to it. It gets a
-// vote back when the member that took its vote turns out to replace a leaving voter of the same zone as itself.
+// ReplacedVoter is a member that lost its vote while it was suspected. Views are still announced to it.
 type ReplacedVoter struct {
 	Member     Member   `msg:"m"`
 	ReplacedBy MemberID `msg:"b"` // the member that got the vote; empty: the number of voters was reduced
 }
 
+// Replacement says that a new machine was admitted to a zone in which exactly one other machine had not been replaced.
+// It probably replaces that machine, which may go on running for a while. Both are named by their addresses, as a
+// machine that loses its disk returns at the same address under another identity.
+type Replacement struct {
+	Old string `msg:"o"`
+	New string `msg:"n"`
+}
+
 // Heartbeat shows that the sender is alive, and carries its health. A member sends it to its monitors.
 type Heartbeat struct {
 	Complete    bool `msg:"c"` // it holds all changes acknowledged in earlier views
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -18241,6 +18241,134 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Replacement) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			z.Old, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Old")
+				return
+			}
+		case "n":
+			z.New, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "New")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Replacement) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "o"
+	err = en.Append(0x82, 0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Old)
+	if err != nil {
+		err = msgp.WrapError(err, "Old")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.New)
+	if err != nil {
+		err = msgp.WrapError(err, "New")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Replacement) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "o"
+	o = append(o, 0x82, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Old)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.New)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Replacement) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			z.Old, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Old")
+				return
+			}
+		case "n":
+			z.New, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "New")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Replacement) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Old) + 2 + msgp.StringPrefixSize + len(z.New)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Replicate) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -20522,6 +20650,54 @@
 					}
 				}
 			}
+		case "rp":
+			var zb0008 uint32
+			zb0008, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Replacements")
+				return
+			}
+			if cap(z.Replacements) >= int(zb0008) {
+				z.Replacements = (z.Replacements)[:zb0008]
+			} else {
+				z.Replacements = make([]Replacement, zb0008)
+			}
+			for za0004 := range z.Replacements {
+				var zb0009 uint32
+				zb0009, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Replacements", za0004)
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Replacements", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "o":
+						z.Replacements[za0004].Old, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Replacements", za0004, "Old")
+							return
+						}
+					case "n":
+						z.Replacements[za0004].New, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Replacements", za0004, "New")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Replacements", za0004)
+							return
+						}
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -20535,83 +20711,134 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *View) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "n"
-	err = en.Append(0x84, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(uint64(z.Number))
-	if err != nil {
-		err = msgp.WrapError(err, "Number")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Replacements == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Members")
 		return
 	}
-	for za0001 := range z.Members {
-		err = z.Members[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Voters)))
-	if err != nil {
-		err = msgp.WrapError(err, "Voters")
-		return
-	}
-	for za0002 := range z.Voters {
-		err = z.Voters[za0002].EncodeMsg(en)
+		err = en.WriteUint64(uint64(z.Number))
 		if err != nil {
-			err = msgp.WrapError(err, "Voters", za0002)
+			err = msgp.WrapError(err, "Number")
 			return
 		}
-	}
-	// write "dp"
-	err = en.Append(0xa2, 0x64, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.ReplacedVoters)))
-	if err != nil {
-		err = msgp.WrapError(err, "ReplacedVoters")
-		return
-	}
-	for za0003 := range z.ReplacedVoters {
-		// map header, size 2
 		// write "m"
-		err = en.Append(0x82, 0xa1, 0x6d)
+		err = en.Append(0xa1, 0x6d)
 		if err != nil {
 			return
 		}
-		err = z.ReplacedVoters[za0003].Member.EncodeMsg(en)
+		err = en.WriteArrayHeader(uint32(len(z.Members)))
 		if err != nil {
-			err = msgp.WrapError(err, "ReplacedVoters", za0003, "Member")
+			err = msgp.WrapError(err, "Members")
 			return
 		}
-		// write "b"
-		err = en.Append(0xa1, 0x62)
+		for za0001 := range z.Members {
+			err = z.Members[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Voters)))
 		if err != nil {
+			err = msgp.WrapError(err, "Voters")
 			return
 		}
-		err = en.WriteString(string(z.ReplacedVoters[za0003].ReplacedBy))
+		for za0002 := range z.Voters {
+			err = z.Voters[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Voters", za0002)
+				return
+			}
+		}
+		// write "dp"
+		err = en.Append(0xa2, 0x64, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.ReplacedVoters)))
 		if err != nil {
-			err = msgp.WrapError(err, "ReplacedVoters", za0003, "ReplacedBy")
+			err = msgp.WrapError(err, "ReplacedVoters")
 			return
 		}
+		for za0003 := range z.ReplacedVoters {
+			// map header, size 2
+			// write "m"
+			err = en.Append(0x82, 0xa1, 0x6d)
+			if err != nil {
+				return
+			}
+			err = z.ReplacedVoters[za0003].Member.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "ReplacedVoters", za0003, "Member")
+				return
+			}
+			// write "b"
+			err = en.Append(0xa1, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(string(z.ReplacedVoters[za0003].ReplacedBy))
+			if err != nil {
+				err = msgp.WrapError(err, "ReplacedVoters", za0003, "ReplacedBy")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "rp"
+			err = en.Append(0xa2, 0x72, 0x70)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Replacements)))
+			if err != nil {
+				err = msgp.WrapError(err, "Replacements")
+				return
+			}
+			for za0004 := range z.Replacements {
+				// map header, size 2
+				// write "o"
+				err = en.Append(0x82, 0xa1, 0x6f)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Replacements[za0004].Old)
+				if err != nil {
+					err = msgp.WrapError(err, "Replacements", za0004, "Old")
+					return
+				}
+				// write "n"
+				err = en.Append(0xa1, 0x6e)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Replacements[za0004].New)
+				if err != nil {
+					err = msgp.WrapError(err, "Replacements", za0004, "New")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -20619,45 +20846,72 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "n"
-	o = append(o, 0x84, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, uint64(z.Number))
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
-	}
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
-	for za0002 := range z.Voters {
-		o, err = z.Voters[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Voters", za0002)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Replacements == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "dp"
-	o = append(o, 0xa2, 0x64, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.ReplacedVoters)))
-	for za0003 := range z.ReplacedVoters {
-		// map header, size 2
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, uint64(z.Number))
 		// string "m"
-		o = append(o, 0x82, 0xa1, 0x6d)
-		o, err = z.ReplacedVoters[za0003].Member.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "ReplacedVoters", za0003, "Member")
-			return
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0001 := range z.Members {
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
+		for za0002 := range z.Voters {
+			o, err = z.Voters[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Voters", za0002)
+				return
+			}
+		}
+		// string "dp"
+		o = append(o, 0xa2, 0x64, 0x70)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.ReplacedVoters)))
+		for za0003 := range z.ReplacedVoters {
+			// map header, size 2
+			// string "m"
+			o = append(o, 0x82, 0xa1, 0x6d)
+			o, err = z.ReplacedVoters[za0003].Member.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "ReplacedVoters", za0003, "Member")
+				return
+			}
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendString(o, string(z.ReplacedVoters[za0003].ReplacedBy))
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "rp"
+			o = append(o, 0xa2, 0x72, 0x70)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Replacements)))
+			for za0004 := range z.Replacements {
+				// map header, size 2
+				// string "o"
+				o = append(o, 0x82, 0xa1, 0x6f)
+				o = msgp.AppendString(o, z.Replacements[za0004].Old)
+				// string "n"
+				o = append(o, 0xa1, 0x6e)
+				o = msgp.AppendString(o, z.Replacements[za0004].New)
+			}
 		}
-		// string "b"
-		o = append(o, 0xa1, 0x62)
-		o = msgp.AppendString(o, string(z.ReplacedVoters[za0003].ReplacedBy))
 	}
 	return
 }
@@ -20780,6 +21034,54 @@
 					}
 				}
 			}
+		case "rp":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replacements")
+				return
+			}
+			if cap(z.Replacements) >= int(zb0008) {
+				z.Replacements = (z.Replacements)[:zb0008]
+			} else {
+				z.Replacements = make([]Replacement, zb0008)
+			}
+			for za0004 := range z.Replacements {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replacements", za0004)
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Replacements", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "o":
+						z.Replacements[za0004].Old, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replacements", za0004, "Old")
+							return
+						}
+					case "n":
+						z.Replacements[za0004].New, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replacements", za0004, "New")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replacements", za0004)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -20806,6 +21108,10 @@
 	for za0003 := range z.ReplacedVoters {
 		s += 1 + 2 + z.ReplacedVoters[za0003].Member.Msgsize() + 2 + msgp.StringPrefixSize + len(string(z.ReplacedVoters[za0003].ReplacedBy))
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0004 := range z.Replacements {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Replacements[za0004].Old) + 2 + msgp.StringPrefixSize + len(z.Replacements[za0004].New)
+	}
 	return
 }
 
--- a/internal/message/stored_test.go
+++ b/internal/message/stored_test.go
@@ -27,6 +27,7 @@
 	firstGeneration = iota
 	backendsRevisionGeneration
 	coordinationGeneration
+	replacementsGeneration
 )
 
 // addedFields are the fields that were added after the first samples were stored.
@@ -43,6 +44,7 @@
 	"Message.StateWrite":            coordinationGeneration,
 	"Message.StateWriteResponse":    coordinationGeneration,
 	"Message.IssuerHandOver":        coordinationGeneration,
+	"View.Replacements":             replacementsGeneration,
 }
 
 func (f *filler) fill(v reflect.Value) {
@@ -129,11 +131,12 @@
 
 func addedSamples() map[string]addedSample {
 	return map[string]addedSample{
-		"message-backends-revision.msgp": {&Message{}, backendsRevisionGeneration},
-		"message-coordination.msgp":      {&Message{}, coordinationGeneration},
-		"coordination-record.msgp":       {&CoordinationRecord{}, coordinationGeneration},
-		"coordination-state.msgp":        {&CoordinationState{}, coordinationGeneration},
-		"coordination-write.msgp":        {&CoordinationWrite{}, coordinationGeneration},
+		"message-backends-revision.msgp":  {&Message{}, backendsRevisionGeneration},
+		"message-coordination.msgp":       {&Message{}, coordinationGeneration},
+		"coordination-record.msgp":        {&CoordinationRecord{}, coordinationGeneration},
+		"coordination-state.msgp":         {&CoordinationState{}, coordinationGeneration},
+		"coordination-write.msgp":         {&CoordinationWrite{}, coordinationGeneration},
+		"control-state-replacements.msgp": {&ControlState{}, replacementsGeneration},
 	}
 }
 
