A configuration must be strict JSON to its last byte to come into force

Cause: json.Decoder.More is false before a closing bracket at the top level, so '}' or ']' with anything behind it was passed over. Keys that stand twice and bytes that are no UTF-8 were acknowledged too, though readers differ about them.

--- a/cmd/pumicectl/check.go
+++ b/cmd/pumicectl/check.go
@@ -20,7 +20,7 @@
 		Name: "check", ShortUsage: "pumicectl config check FILE", ShortHelp: "show every fault of a configuration and its path",
 		Exec: func(_ context.Context, args []string) error {
 			return checkFile(args, func(document []byte) (string, error) {
-				config, err := configuration.Parse(document)
+				config, err := configuration.ParseNew(document)
 				if err != nil {
 					return "", err
 				}
--- a/internal/controlplane/configuration/change.go
+++ b/internal/controlplane/configuration/change.go
@@ -54,7 +54,7 @@
 // is invalid on every state.
 func validateAhead(request *message.ConfigRequest) replica.ValidationResult {
 	if request.Method == http.MethodPut {
-		if _, err := Parse(request.Body); err != nil {
+		if _, err := ParseNew(request.Body); err != nil {
 			return reject(http.StatusBadRequest, err)
 		}
 	}
@@ -74,7 +74,7 @@
 		err := errors.Errorf("%d bytes; at most %d are kept", size, replica.MaxDocumentBytes)
 		return reject(http.StatusRequestEntityTooLarge, err)
 	}
-	config, err := Parse(document)
+	config, err := ParseNew(document)
 	if err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
--- a/internal/controlplane/configuration/parse.go
+++ b/internal/controlplane/configuration/parse.go
@@ -21,8 +21,18 @@
 	defaultIdleTimeout   = 15 * time.Second
 )
 
-// Parse reads a document. If the document is one JSON object, the error is a *docreader.Error with every fault and its
-// path.
+// ParseNew reads a document that is to come into force. It is Parse and refuses in addition what some readers of JSON
+// could not read, or would read differently.
+func ParseNew(document []byte) (*Config, error) {
+	if err := checkStrictJSON(document); err != nil {
+		return nil, err
+	}
+	return Parse(document)
+}
+
+// Parse reads a document that is in force. If the document is one JSON object, the error is a *docreader.Error with every
+// fault and its path. Earlier versions put documents in force that ParseNew refuses, so Parse passes over text after the
+// object that begins with a closing bracket.
 func Parse(document []byte) (*Config, error) {
 	findings := &docreader.Findings{}
 	root, err := decode(document, findings)
--- a/internal/controlplane/configuration/parse_test.go
+++ b/internal/controlplane/configuration/parse_test.go
@@ -1,11 +1,18 @@
 package configuration
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pumiceline/internal/message"
 )
 
 // service is the only service in the test configurations.
@@ -43,10 +50,84 @@
 			_, err := Parse([]byte(c.document))
 			require.Error(t, err)
 			assert.Equal(t, c.want, err.Error())
+			_, err = ParseNew([]byte(c.document))
+			assert.Error(t, err)
+		})
+	}
+}
+
+// A document that is not one JSON value to its last byte must not come into force: readers that keep to JSON could not
+// read it back, and changes on top of it would be refused.
+func TestParseNew_RefusesWhatReadersCannotRead(t *testing.T) {
+	good := document(1, route("r", "/a/", `"timeoutMs":100,"service":"s"`))
+	_, err := ParseNew([]byte(good + " \n\t"))
+	require.NoError(t, err, "space after the document")
+	cases := []struct{ name, document, want string }{
+		{"a closing brace too many", good + "}", "text after the JSON value"},
+		{"a closing bracket too many", good + "]", "text after the JSON value"},
+		{"a closing brace after blank lines", good + "\n\n }", "text after the JSON value"},
+		{"text behind a closing brace", good + "} rest", "text after the JSON value"},
+		{"a second document", good + good, "text after the JSON value"},
+		{"a byte that is no text", good + "\x00", "text after the JSON value"},
+		{"not UTF-8", strings.Replace(good, `"r"`, "\"\xff\"", 1), "not UTF-8"},
+		{"a key twice", strings.Replace(good, `"timeoutMs":100`, `"timeoutMs":100,"timeoutMs":200`, 1),
+			`routes[]: the key "timeoutMs" stands twice`},
+		{"a key twice in the document", `{"version":1,` + good[1:], `the document: the key "version" stands twice`},
+		{"nested too deeply", strings.Replace(good, `"version":1`, `"version":1,"x":`+strings.Repeat("[", 40)+strings.Repeat("]", 40), 1),
+			"more than 32 levels"},
+		{"nothing", "", "not a whole JSON object: unexpected EOF"},
+		{"cut in a list", `{"version":1,"routes":[`, "not a whole JSON object: unexpected EOF"},
+		{"no object", "[]", "not a whole JSON object"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := ParseNew([]byte(c.document))
+			assert.ErrorContains(t, err, c.want)
+			result := Validate(&message.ChainState{}, &message.ConfigRequest{Method: http.MethodPut, IfMatch: "0", Body: []byte(c.document)})
+			assert.Equal(t, http.StatusBadRequest, result.Status)
 		})
 	}
 }
 
+// A change on top of a document that an earlier version accepted with a closing brace too many must be possible.
+func TestValidate_PatchOfDocumentWithTextAfterIt(t *testing.T) {
+	state := &message.ChainState{Version: 3, Document: []byte(document(3, "") + "}")}
+	_, err := Parse(state.Document)
+	require.NoError(t, err, "proxies go on with the document in force")
+	result := Validate(state, &message.ConfigRequest{
+		Method: http.MethodPatch, IfMatch: "3", Body: []byte(`{"version":5,"add":{"routes":[]}}`),
+	})
+	assert.Equal(t, http.StatusOK, result.Status, string(result.Body))
+	assert.True(t, json.Valid(result.Document))
+}
+
+func TestValidate_RefusesPatchThatReadersReadDifferently(t *testing.T) {
+	state := &message.ChainState{Version: 3, Document: []byte(document(3, ""))}
+	for _, body := range []string{`{"version":5,"version":6}`, `{"version":5}}`, `{"version":5,"add":{"routes":[{"name":"a","name":"b"}]}}`} {
+		result := Validate(state, &message.ConfigRequest{Method: http.MethodPatch, IfMatch: "3", Body: []byte(body)})
+		assert.Equal(t, http.StatusBadRequest, result.Status, body)
+	}
+}
+
+// requireReadable fails unless a document that was accepted can be read, means the same when it is read again, and can be
+// patched.
+func requireReadable(t *testing.T, text []byte, accepted *Config) {
+	t.Helper()
+	require.True(t, json.Valid(text), "readers that keep to JSON must be able to read it")
+	again, err := Parse(text)
+	require.NoError(t, err)
+	assert.Equal(t, accepted, again)
+	if accepted.Version == math.MaxUint64 {
+		return // no version is above it
+	}
+	state := &message.ChainState{Version: uint64(accepted.Version), Document: text}
+	next := strconv.FormatUint(uint64(accepted.Version)+1, 10)
+	result := Validate(state, &message.ConfigRequest{
+		Method: http.MethodPatch, IfMatch: strconv.FormatUint(uint64(accepted.Version), 10), Body: []byte(`{"version":` + next + `}`),
+	})
+	assert.Equal(t, http.StatusOK, result.Status, string(result.Body))
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(document(1, route("r", "/a/", `"timeoutMs":100,"service":"s"`))))
 	f.Add([]byte(`{"version":1e99,"routes":{},"services":[null]}`))
@@ -55,5 +136,10 @@
 		if (config == nil) == (err == nil) {
 			t.Fatal("Parse must return either a configuration or an error")
 		}
+		accepted, err := ParseNew(text)
+		if err != nil {
+			return
+		}
+		requireReadable(t, text, accepted)
 	})
 }
--- a/internal/controlplane/configuration/patch.go
+++ b/internal/controlplane/configuration/patch.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"bytes"
 	"encoding/json"
 	"slices"
 
@@ -18,13 +19,17 @@
 
 // patch applies the body of a PATCH to a document.
 func patch(document, body []byte) ([]byte, error) {
+	if err := checkStrictJSON(body); err != nil {
+		return nil, err
+	}
 	var request patchBody
 	if err := json.Unmarshal(body, &request); err != nil {
 		return nil, errors.Wrap(err, "not a whole JSON object")
 	}
 	fields := map[string]json.RawMessage{}
 	if len(document) > 0 {
-		if err := json.Unmarshal(document, &fields); err != nil {
+		// Only the first value is read: an earlier version accepted closing brackets after it.
+		if err := json.NewDecoder(bytes.NewReader(document)).Decode(&fields); err != nil {
 			return nil, errors.Wrap(err, "the configuration in force")
 		}
 	}
