Lines of replaced machines outlive absences; members without votes exchange heartbeats

Replacements form lines of machines; a line is kept as long as one of them is known. Members without votes send each other heartbeats.

--- a/internal/controlplane/replica/heartbeat.go
+++ b/internal/controlplane/replica/heartbeat.go
@@ -50,16 +50,32 @@
 	}
 }
 
+// sendHeartbeats sends this member's heartbeat to its monitors and, if it has no vote, to the others without one.
 func (r *Replica) sendHeartbeats() {
 	heartbeat := &message.Heartbeat{
 		Complete: r.control.Complete, DiskStalled: r.diskStalled, Leaving: r.leaving, Diskless: r.options.Diskless,
 		Isolated: r.isIsolated(),
 	}
-	for _, monitor := range r.detector.monitors {
-		r.send(monitor, message.Message{Heartbeat: heartbeat})
+	for _, recipient := range r.heartbeatRecipients() {
+		r.send(recipient, message.Message{Heartbeat: heartbeat})
 	}
 }
 
+// heartbeatRecipients returns the monitors. A member without a vote also sends heartbeats to the others without one, as
+// no confirmation of the view passes between them: see hasRecentMessage.
+func (r *Replica) heartbeatRecipients() []message.Member {
+	recipients := slices.Clone(r.detector.monitors)
+	if r.isVoter() {
+		return recipients
+	}
+	for _, member := range r.control.View.Members {
+		if !r.isSelf(member) && !r.hasVote(member.Identity) && !containsMember(recipients, member.Identity) {
+			recipients = append(recipients, member)
+		}
+	}
+	return recipients
+}
+
 func (r *Replica) onHeartbeat(m *message.Message) {
 	r.detector.record(m.From).recordHeartbeat(m.Heartbeat, m.View, m.FromZone, r.now)
 }
--- a/internal/controlplane/replica/next_view_test.go
+++ b/internal/controlplane/replica/next_view_test.go
@@ -247,3 +247,17 @@
 	c.put(fourth, 0, testDocument(5, "x"))
 	assert.Len(t, c.responses, 1, "a majority of the voters must be left")
 }
+
+// Members without votes must not suspect one another: no confirmation of the view passes between them.
+func TestNextView_MembersWithoutVotesStay(t *testing.T) {
+	c := newZonedCluster(t, 1, "a", "b", "c", "d")
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		c.addMachineToZone(zone)
+		c.advance(3 * time.Second)
+	}
+	view := c.members[0].View()
+	require.Len(t, view.Members, 8)
+	require.Len(t, view.EffectiveVoters(), 3)
+	c.advance(10 * time.Second)
+	assert.Equal(t, view.Number, c.members[0].View().Number)
+}
--- a/internal/controlplane/replica/suspicion.go
+++ b/internal/controlplane/replica/suspicion.go
@@ -105,7 +105,7 @@
 // counted from the other member's timeoutStart. It is how this member detects a failed member whose monitors have all
 // failed too. It also works between members that do not monitor each other: every member asks all voters to confirm
 // its view, so each voter receives messages from all members, and each member receives responses from all voters. Two
-// members without a vote may receive no messages from each other, but as a rule there is at most one such member.
+// members without a vote send each other heartbeats (heartbeatRecipients).
 func (r *Replica) hasRecentMessage(member message.Member) bool {
 	timeoutStart := r.detector.lookup(member.Identity).timeoutStart
 	return r.isSelf(member) || r.now-timeoutStart.at <= unmonitoredSuspicionTimeout
--- a/internal/controlplane/replica/voters.go
+++ b/internal/controlplane/replica/voters.go
@@ -31,7 +31,7 @@
 	present      []message.Member // live members that are in the next chain
 	newcomers    []message.Member // present machines that the next view admits for the first time
 	replaced     []message.ReplacedVoter
-	replacements []message.Replacement
+	replacements replacements
 	canGrow      bool // no member is late: a new member could turn out to be the replacement of a late one
 
 	isLeaving        func(message.Member) bool
@@ -74,14 +74,7 @@
 // isReplaced reports whether a present member that is not leaving replaced a machine.
 func (s *voterSelection) isReplaced(m message.Member) bool {
 	staying := lo.Reject(s.present, func(m message.Member, _ int) bool { return s.isLeaving(m) })
-	return wasReplaced(s.replacements, m, staying)
-}
-
-// wasReplaced reports whether one of the members replaced a machine.
-func wasReplaced(replacements []message.Replacement, machine message.Member, members []message.Member) bool {
-	return lo.ContainsBy(replacements, func(r message.Replacement) bool {
-		return r.Old == machine.Address && containsAddress(members, r.New)
-	})
+	return s.replacements.isReplacedBy(m, staying)
 }
 
 // leavingVoters returns the voters that are shutting down.
@@ -128,12 +121,10 @@
 func (s *voterSelection) transferToNewcomers() {
 	for _, newcomer := range s.newcomers {
 		predecessors := s.predecessors(newcomer)
-		switch len(predecessors) {
-		case 0:
+		if len(predecessors) == 0 {
 			predecessors = s.leavingVoters()
-		case 1:
-			replacement := message.Replacement{Old: predecessors[0].Address, New: newcomer.Address}
-			s.replacements = append(s.replacements, replacement)
+		} else if old, ok := s.certainPredecessor(predecessors); ok {
+			s.replacements = s.replacements.add(old, newcomer.Address)
 		}
 		voter, ok := lo.Find(predecessors, func(m message.Member) bool { return containsMember(s.voters, m.Identity) })
 		if ok && !containsMember(s.voters, newcomer.Identity) {
@@ -142,6 +133,13 @@
 	}
 }
 
+// certainPredecessor returns the address of the newest machine of the only line to which all predecessors belong. ok is
+// false if there are several lines: each of them has a machine that the newcomer may replace.
+func (s *voterSelection) certainPredecessor(predecessors []message.Member) (address string, ok bool) {
+	lines := lo.Uniq(lo.Map(predecessors, func(m message.Member, _ int) string { return s.replacements.newestOf(m.Address) }))
+	return lines[0], len(lines) == 1
+}
+
 // predecessors returns the machines that a newcomer may replace, the likeliest first: those of its zone that no present
 // member has replaced yet. Machines that leave or are absent come first, then those that have been members for longest.
 func (s *voterSelection) predecessors(newcomer message.Member) []message.Member {
@@ -263,19 +261,14 @@
 	return replaced[max(0, len(replaced)-maxReplacedVoters):]
 }
 
-// maxReplacements bounds how many replacements a view keeps.
-const maxReplacements = 16
-
-// remainingReplacements returns the most recent replacements of which a machine is still known.
-func (s *voterSelection) remainingReplacements(replaced []message.ReplacedVoter) []message.Replacement {
+// remainingReplacements returns the replacements of the lines of machines in which there is a member, a voter or a
+// replaced voter.
+func (s *voterSelection) remainingReplacements(replaced []message.ReplacedVoter) replacements {
 	known := slices.Concat(s.present, s.voters)
 	for _, r := range replaced {
 		known = append(known, r.Member)
 	}
-	remaining := lo.Filter(s.replacements, func(r message.Replacement, _ int) bool {
-		return containsAddress(known, r.Old) || containsAddress(known, r.New)
-	})
-	return remaining[max(0, len(remaining)-maxReplacements):]
+	return s.replacements.remaining(known)
 }
 
 func replacedMembers(view message.View) []message.Member {
@@ -288,7 +281,7 @@
 func (r *Replica) needsVoteTransfer() bool {
 	view := r.control.View
 	voters := view.EffectiveVoters()
-	isReplaced := func(m message.Member) bool { return wasReplaced(view.Replacements, m, view.Members) }
+	isReplaced := func(m message.Member) bool { return replacements(view.Replacements).isReplacedBy(m, view.Members) }
 	standbys := lo.Reject(view.Members, func(m message.Member, _ int) bool { return r.hasVote(m.Identity) })
 	current := lo.CountBy(standbys, func(m message.Member) bool { return !isReplaced(m) })
 	absent := lo.CountBy(voters, func(m message.Member) bool { return !r.isInChain(m.Identity) })
--- a/internal/controlplane/replica/voters_test.go
+++ b/internal/controlplane/replica/voters_test.go
@@ -52,7 +52,7 @@
 	return s
 }
 
-func namedReplacements(pairs [][2]string) []message.Replacement {
+func namedReplacements(pairs [][2]string) replacements {
 	return lo.Map(pairs, func(pair [2]string, _ int) message.Replacement {
 		return message.Replacement{Old: "at-" + pair[0], New: "at-" + pair[1]}
 	})
@@ -109,6 +109,16 @@
 		voters: []string{"a1", "b1", "c2"}, present: []string{"a1", "b1", "c1", "c2", "c3"}, minVoters: 3,
 		newcomers: []string{"c3"}, replacements: [][2]string{{"c1", "c2"}},
 		want: []string{"a1", "b1", "c3"}, wantReplacements: [][2]string{{"c1", "c2"}, {"c2", "c3"}},
+	}, {
+		name:   "a newcomer replaces the lost successor of a member that still lives",
+		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "c1", "c3"}, minVoters: 3,
+		newcomers: []string{"c3"}, replacements: [][2]string{{"c1", "c2"}}, replaced: map[string]string{"c2": "c1"},
+		want: []string{"a1", "b1", "c3"}, wantReplacements: [][2]string{{"c1", "c2"}, {"c2", "c3"}},
+	}, {
+		name:   "a member is replaced as long as a later machine of its line is present",
+		voters: []string{"a1", "c1", "c3"}, present: []string{"a1", "b1", "c1", "c3"}, minVoters: 3,
+		replacements: [][2]string{{"c1", "c2"}, {"c2", "c3"}},
+		want:         []string{"a1", "b1", "c3"},
 	}, {
 		name:   "of two newcomers of a zone one replaces its member",
 		voters: []string{"a1", "b1", "c1"}, present: []string{"a1", "b1", "c2", "c3"}, minVoters: 3,
--- a/internal/controlplane/simulation/result.go
+++ b/internal/controlplane/simulation/result.go
@@ -108,6 +108,9 @@
 	}
 	line := fmt.Sprintf("    %6.2fs view %d: chain %v, voters %v", n.cluster.now.Seconds(), view.Number,
 		identities(view.Members), identities(view.EffectiveVoters()))
+	for _, r := range view.Replacements {
+		line += fmt.Sprintf(", %s by %s", r.Old, r.New)
+	}
 	n.cluster.viewChanges = append(n.cluster.viewChanges, line)
 }
 
