Refuse numbers of a configuration that no plan can be made from; keep versions exactly

Found by the review by reading: a version above 2^53 was rounded when it was read, so every change on top of it was undecided for good, and a negative or enormous number of adapters was acknowledged, of which placement makes a table: a panic or no memory at the lease holder. Cause: the check read each number as a float and took any.

Each number of a document has its bounds in one table (number_fields.go), checked by ParseNew with the path of each fault; Parse clamps what an earlier version put in force. Versions are read as whole numbers up to 2^64-1. A fault is reported once.

--- /dev/null
+++ b/internal/controlplane/configuration/number_fields.go
@@ -0,0 +1,130 @@
+package configuration
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"pumiceline/internal/docreader"
+)
+
+// Bounds of the numbers in a document. They are far above what a deployment has, and low enough that no plan or table
+// made from a document exhausts the memory.
+const (
+	maxCount = 1 << 31
+	// maxAdapters bounds the adapters of one model, and maxAllAdapters those of all: placement ranks each of them.
+	maxAdapters    = 100_000
+	maxAllAdapters = 200_000
+	maxMB          = 1e12
+	maxSeconds     = 24 * 60 * 60
+	maxMs          = maxSeconds * 1000
+	maxRate        = 1e9
+	maxShare       = 1e9
+	// maxWholeFloat is the largest number below which a floating-point number has no fraction lost: 2^53.
+	maxWholeFloat = 1 << 53
+)
+
+// numberField is a number that a document may have: its key, its value where it is missing, and what it may be. The
+// lowest value is 0.
+type numberField struct {
+	key      string
+	fallback float64
+	max      float64
+	isWhole  bool
+}
+
+// The numbers of services and their models.
+var (
+	maxConnectionsField = numberField{key: "maxConns", max: maxCount, isWhole: true}
+	batchSizeField      = numberField{key: "capacity", fallback: 1, max: maxCount, isWhole: true}
+	cacheTokensField    = numberField{key: "cacheTokens", max: maxCount, isWhole: true}
+	weightCapacityField = numberField{key: "weightsMb", max: maxMB}
+	adapterSlotsField   = numberField{key: "adapterSlots", max: maxCount, isWhole: true}
+	loadsPerSecondField = numberField{key: "loadsPerS", fallback: 1, max: maxRate}
+	modelWeightsField   = numberField{key: "weightsMb", max: maxMB}
+	loadSecondsField    = numberField{key: "loadS", max: maxSeconds}
+	adaptersField       = numberField{key: "adapters", max: maxAdapters, isWhole: true}
+	adapterMBField      = numberField{key: "adapterMb", max: maxMB}
+)
+
+// The numbers of routes and limits.
+var (
+	timeoutField       = numberField{key: "timeoutMs", max: maxMs}
+	latencyTargetField = numberField{key: "targetMs", max: maxMs}
+	maxEventGapField   = numberField{key: "gap_aim_ms", max: maxMs}
+	priorityField      = numberField{key: "priority", fallback: defaultPriority, max: maxCount, isWhole: true}
+	maxAttemptsField   = numberField{key: "tries", fallback: 1, max: maxCount, isWhole: true}
+	headerBytesField   = numberField{key: "headerBytes", fallback: defaultHeaderBytes, max: maxCount, isWhole: true}
+	bodyBytesField     = numberField{key: "bodyBytes", fallback: defaultBodyBytes, max: maxCount, isWhole: true}
+	headerTimeoutField = numberField{key: "headerWaitMs", fallback: float64(defaultHeaderTimeout / time.Millisecond), max: maxMs}
+	idleTimeoutField   = numberField{key: "idleTimeoutMs", fallback: float64(defaultIdleTimeout / time.Millisecond), max: maxMs}
+)
+
+// read returns the number of an object. A number out of its bounds, which an earlier version may have put in force, reads
+// as the nearest bound.
+func (f numberField) read(object docreader.Node) float64 {
+	return min(f.max, max(0, object.Field(f.key).Number(f.fallback)))
+}
+
+func (f numberField) count(object docreader.Node) int { return int(f.read(object)) }
+
+func (f numberField) milliseconds(object docreader.Node) time.Duration {
+	return time.Duration(f.read(object) * float64(time.Millisecond))
+}
+
+func (f numberField) seconds(object docreader.Node) time.Duration {
+	return time.Duration(f.read(object) * float64(time.Second))
+}
+
+// check records a fault if the number of an object is out of its bounds.
+func (f numberField) check(object docreader.Node) {
+	node := object.Field(f.key)
+	number, ok := node.FiniteNumber()
+	switch {
+	case !ok: // reported when it is read, or missing
+	case number < 0:
+		node.AddFault("must not be negative")
+	case number > f.max:
+		node.AddFault("must be at most %s", strconv.FormatFloat(f.max, 'f', -1, 64))
+	case f.isWhole && number != math.Trunc(number):
+		node.AddFault("a whole number is wanted")
+	}
+}
+
+// checkNumbers records a fault for each number of a document that is out of its bounds.
+func checkNumbers(root docreader.Node) {
+	check := func(object docreader.Node, fields ...numberField) {
+		for _, field := range fields {
+			field.check(object)
+		}
+	}
+	adapters := 0
+	for _, service := range root.Field("services").Items() {
+		check(service, maxConnectionsField)
+		runtime := service.Field("runtime")
+		check(runtime, batchSizeField, cacheTokensField, weightCapacityField, adapterSlotsField, loadsPerSecondField)
+		for _, model := range runtime.Field("models").Items() {
+			check(model, modelWeightsField, loadSecondsField, adaptersField, adapterMBField)
+			adapters += adaptersField.count(model)
+		}
+	}
+	if adapters > maxAllAdapters {
+		root.Field("services").AddFault("%d adapters in all; at most %d are placed", adapters, maxAllAdapters)
+	}
+	for _, route := range root.Field("routes").Items() {
+		check(route, timeoutField, latencyTargetField, maxEventGapField, priorityField, maxAttemptsField)
+	}
+	check(root.Field("limits"), headerBytesField, bodyBytesField, headerTimeoutField, idleTimeoutField)
+}
+
+// readVersion returns the version of a document without rounding it. 0 means that there is none.
+func readVersion(node docreader.Node) Version {
+	if version, ok := node.WholeNumber(); ok {
+		return Version(version)
+	}
+	number := node.Number(0) // such as 1e3
+	if number < 1 || number > maxWholeFloat || number != math.Trunc(number) {
+		return 0
+	}
+	return Version(number)
+}
--- a/internal/controlplane/configuration/parse.go
+++ b/internal/controlplane/configuration/parse.go
@@ -22,23 +22,29 @@
 )
 
 // ParseNew reads a document that is to come into force. It is Parse and refuses in addition what some readers of JSON
-// could not read, or would read differently.
+// could not read, or would read differently, and numbers out of their bounds.
 func ParseNew(document []byte) (*Config, error) {
 	if err := checkStrictJSON(document); err != nil {
 		return nil, err
 	}
-	return Parse(document)
+	return parse(document, checkNumbers)
 }
 
 // Parse reads a document that is in force. If the document is one JSON object, the error is a *docreader.Error with every
 // fault and its path. Earlier versions put documents in force that ParseNew refuses, so Parse passes over text after the
-// object that begins with a closing bracket.
+// object that begins with a closing bracket, and takes a number out of its bounds for the nearest bound.
 func Parse(document []byte) (*Config, error) {
+	return parse(document, func(docreader.Node) {})
+}
+
+// parse reads a document after a further check of it.
+func parse(document []byte, check func(root docreader.Node)) (*Config, error) {
 	findings := &docreader.Findings{}
 	root, err := decode(document, findings)
 	if err != nil {
 		return nil, err
 	}
+	check(root)
 	config := readConfig(root, findings)
 	if err := findings.Err(); err != nil {
 		return nil, err
@@ -63,11 +69,10 @@
 
 func readConfig(root docreader.Node, findings *docreader.Findings) *Config {
 	config := &Config{Services: map[string]*Service{}}
-	version := root.Field("version").Number(0)
-	if version < 1 || version != float64(uint64(version)) {
+	config.Version = readVersion(root.Field("version"))
+	if config.Version == 0 {
 		root.Field("version").AddFault("a whole number above 0 is wanted")
 	}
-	config.Version = Version(version)
 	for _, node := range root.Field("services").Items() {
 		service := readService(node)
 		if config.Services[service.Name] != nil {
@@ -87,7 +92,7 @@
 	service := &Service{
 		Name:           node.Field("name").RequiredText(),
 		HealthPath:     node.Field("healthPath").Text(""),
-		MaxConnections: int(node.Field("maxConns").Number(0)),
+		MaxConnections: maxConnectionsField.count(node),
 	}
 	if runtime := node.Field("runtime"); runtime.IsPresent() {
 		service.Runtime = readRuntime(runtime)
@@ -97,19 +102,19 @@
 
 func readRuntime(node docreader.Node) *Runtime {
 	runtime := &Runtime{
-		BatchSize:        int(node.Field("capacity").Number(1)),
-		CacheTokens:      int(node.Field("cacheTokens").Number(0)),
-		WeightCapacityMB: node.Field("weightsMb").Number(0),
-		AdapterSlots:     int(node.Field("adapterSlots").Number(0)),
-		LoadsPerSecond:   node.Field("loadsPerS").Number(1),
+		BatchSize:        batchSizeField.count(node),
+		CacheTokens:      cacheTokensField.count(node),
+		WeightCapacityMB: weightCapacityField.read(node),
+		AdapterSlots:     adapterSlotsField.count(node),
+		LoadsPerSecond:   loadsPerSecondField.read(node),
 	}
 	for _, model := range node.Field("models").Items() {
 		runtime.Models = append(runtime.Models, Model{
 			Name:      message.ModelName(model.Field("name").RequiredText()),
-			WeightsMB: model.Field("weightsMb").Number(0),
-			LoadTime:  time.Duration(model.Field("loadS").Number(0) * float64(time.Second)),
-			Adapters:  int(model.Field("adapters").Number(0)),
-			AdapterMB: model.Field("adapterMb").Number(0),
+			WeightsMB: modelWeightsField.read(model),
+			LoadTime:  loadSecondsField.seconds(model),
+			Adapters:  adaptersField.count(model),
+			AdapterMB: adapterMBField.read(model),
 		})
 	}
 	return runtime
@@ -121,11 +126,11 @@
 		Host:          strings.ToLower(node.Field("host").RequiredText()),
 		Prefix:        node.Field("pathStart").RequiredText(),
 		Kind:          RouteKind(node.Field("kind").Text(string(Changing))),
-		Timeout:       milliseconds(node.Field("timeoutMs"), 0),
-		LatencyTarget: milliseconds(node.Field("targetMs"), 0),
-		MaxEventGap:   milliseconds(node.Field("gap_aim_ms"), 0),
-		Priority:      int(node.Field("priority").Number(defaultPriority)),
-		MaxAttempts:   max(1, int(node.Field("tries").Number(1))),
+		Timeout:       timeoutField.milliseconds(node),
+		LatencyTarget: latencyTargetField.milliseconds(node),
+		MaxEventGap:   maxEventGapField.milliseconds(node),
+		Priority:      priorityField.count(node),
+		MaxAttempts:   max(1, maxAttemptsField.count(node)),
 		Resumable:     node.Field("resumable").Bool(false),
 	}
 	if route.Timeout <= 0 {
@@ -145,19 +150,15 @@
 	if weight < 0 {
 		node.Field("share").AddFault("must not be negative")
 	}
-	return WeightedService{Service: node.Field("service").RequiredText(), Weight: weight}
-}
-
-func milliseconds(node docreader.Node, fallback time.Duration) time.Duration {
-	return time.Duration(node.Number(float64(fallback.Milliseconds())) * float64(time.Millisecond))
+	return WeightedService{Service: node.Field("service").RequiredText(), Weight: min(weight, maxShare)}
 }
 
 func readLimits(node docreader.Node) Limits {
 	return Limits{
-		HeaderBytes:   int(node.Field("headerBytes").Number(defaultHeaderBytes)),
-		BodyBytes:     int(node.Field("bodyBytes").Number(defaultBodyBytes)),
-		HeaderTimeout: milliseconds(node.Field("headerWaitMs"), defaultHeaderTimeout),
-		IdleTimeout:   milliseconds(node.Field("idleTimeoutMs"), defaultIdleTimeout),
+		HeaderBytes:   headerBytesField.count(node),
+		BodyBytes:     bodyBytesField.count(node),
+		HeaderTimeout: headerTimeoutField.milliseconds(node),
+		IdleTimeout:   idleTimeoutField.milliseconds(node),
 	}
 }
 
--- a/internal/controlplane/configuration/parse_test.go
+++ b/internal/controlplane/configuration/parse_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -89,6 +90,72 @@
 	}
 }
 
+// Numbers out of their bounds must not come into force: placement could not make a plan from them, or would need more
+// memory than there is. A document that an earlier version put in force reads as the nearest bound.
+func TestParseNew_RefusesNumbersOutOfBounds(t *testing.T) {
+	withService := func(fields string) string {
+		return `{"version":1,"routes":[],"services":[{"name":"s",` + fields + `}]}`
+	}
+	withModel := func(fields string) string { return withService(`"runtime":{"models":[{"name":"m",` + fields + `}]}`) }
+	withRoute := func(fields string) string { return document(1, route("r", "/a/", `"service":"s",`+fields)) }
+	const inModel = "services[0].runtime.models[0]."
+	cases := []struct{ name, document, want string }{
+		{"negative adapters", withModel(`"adapters":-3`), inModel + "adapters: must not be negative"},
+		{"half an adapter", withModel(`"adapters":2.5`), inModel + "adapters: a whole number is wanted"},
+		{"too many adapters", withModel(`"adapters":1e12`), inModel + "adapters: must be at most 100000"},
+		{"too many adapters in all", withService(`"runtime":{"models":[{"name":"m","adapters":100000},{"name":"n","adapters":100000},{"name":"o","adapters":1}]}`),
+			"services: 200001 adapters in all; at most 200000 are placed"},
+		{"negative size of adapters", withModel(`"adapterMb":-5`), inModel + "adapterMb: must not be negative"},
+		{"negative weights", withModel(`"weightsMb":-5`), inModel + "weightsMb: must not be negative"},
+		{"negative time of a load", withModel(`"loadS":-1`), inModel + "loadS: must not be negative"},
+		{"time of a load that overflows", withModel(`"loadS":1e200`), inModel + "loadS: must be at most 86400"},
+		{"negative connections", withService(`"maxConns":-1`), "services[0].maxConns: must not be negative"},
+		{"negative slots", withService(`"runtime":{"adapterSlots":-1}`), "services[0].runtime.adapterSlots: must not be negative"},
+		{"time-out that overflows", withRoute(`"timeoutMs":1e300`), "routes[0].timeoutMs: must be at most 86400000"},
+		{"half an attempt", withRoute(`"timeoutMs":1,"tries":1.5`), "routes[0].tries: a whole number is wanted"},
+		{"negative body", `{"version":1,"routes":[],"services":[],"limits":{"bodyBytes":-1}}`, "limits.bodyBytes: must not be negative"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := ParseNew([]byte(c.document))
+			require.Error(t, err)
+			assert.Equal(t, c.want, err.Error())
+			inForce, err := Parse([]byte(c.document))
+			require.NoError(t, err)
+			for _, service := range inForce.Services {
+				for _, model := range service.models() {
+					assert.GreaterOrEqual(t, model.Adapters, 0)
+					assert.LessOrEqual(t, model.Adapters, maxAdapters)
+					assert.GreaterOrEqual(t, model.LoadTime, time.Duration(0))
+				}
+			}
+		})
+	}
+}
+
+func (s *Service) models() []Model {
+	if s.Runtime == nil {
+		return nil
+	}
+	return s.Runtime.Models
+}
+
+// A version must be kept exactly: if it is rounded, the operator's next change builds on a version that never was.
+func TestParse_KeepsVersionsExactly(t *testing.T) {
+	for text, want := range map[string]Version{
+		"7": 7, "7.0": 7, "1e3": 1000, "9007199254740993": 9007199254740993, "18446744073709551615": math.MaxUint64,
+		"0": 0, "-1": 0, "2.5": 0, "18446744073709551616": 0, "9.007199254740994e15": 0, "1e300": 0, `"7"`: 0,
+	} {
+		config, err := ParseNew([]byte(`{"version":` + text + `,"routes":[],"services":[]}`))
+		if want == 0 {
+			assert.Error(t, err, text)
+			continue
+		}
+		require.NoError(t, err, text)
+		assert.Equal(t, want, config.Version, text)
+	}
+}
+
 // A change on top of a document that an earlier version accepted with a closing brace too many must be possible.
 func TestValidate_PatchOfDocumentWithTextAfterIt(t *testing.T) {
 	state := &message.ChainState{Version: 3, Document: []byte(document(3, "") + "}")}
--- a/internal/docreader/docreader.go
+++ b/internal/docreader/docreader.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -24,9 +26,12 @@
 // Findings collects the faults of one document.
 type Findings struct{ all []Finding }
 
-// Add records a fault at a path.
+// Add records a fault at a path. A fault that is recorded already is not repeated.
 func (f *Findings) Add(path, format string, args ...any) {
-	f.all = append(f.all, Finding{Path: path, Message: fmt.Sprintf(format, args...)})
+	finding := Finding{Path: path, Message: fmt.Sprintf(format, args...)}
+	if !slices.Contains(f.all, finding) {
+		f.all = append(f.all, finding)
+	}
 }
 
 // Err returns an *Error with all faults, or nil if there are none.
@@ -133,14 +138,31 @@
 	if n.isMissing() {
 		return fallback
 	}
-	number, ok := toFloat(n.value)
-	if !ok || math.IsNaN(number) || math.IsInf(number, 0) {
+	number, ok := n.FiniteNumber()
+	if !ok {
 		n.AddFault("a number is wanted")
 		return fallback
 	}
 	return number
 }
 
+// FiniteNumber returns the number at the node. ok is false if there is none; this is not recorded as a fault.
+func (n Node) FiniteNumber() (number float64, ok bool) {
+	number, ok = toFloat(n.value)
+	return number, ok && !math.IsNaN(number) && !math.IsInf(number, 0)
+}
+
+// WholeNumber returns the number at the node, without rounding it, if it is written as digits only and below 2^64. This
+// holds for decoded JSON whose numbers are kept as json.Number.
+func (n Node) WholeNumber() (number uint64, ok bool) {
+	text, isNumber := n.value.(json.Number)
+	if !isNumber {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(text.String(), 10, 64)
+	return number, err == nil
+}
+
 // isMissing reports whether the node is absent or null.
 func (n Node) isMissing() bool { return !n.isPresent || n.value == nil }
 
