A draining proxy accepts no stream that one in fifty of its kind could not finish

The time per token was tracked at its 95th percentile, so one in twenty of the streams accepted with no time to spare is cut.

TestDrain_RejectsWhatOneSlowStreamInFiftyCouldNotFinish fails without it.

--- a/internal/dataplane/ingress/drain.go
+++ b/internal/dataplane/ingress/drain.go
@@ -15,9 +15,10 @@
 	minTokenTime = 2 * time.Millisecond
 	maxTokenTime = 200 * time.Millisecond
 	// tokenTimeUp and tokenTimeDown are the factors on the estimate after a slower and a faster stream. They are
-	// 1 + q*step and 1 - (1-q)*step with q = 0.95 and step = 0.2, so the estimate tracks the 95th percentile.
-	tokenTimeUp   = 1.19
-	tokenTimeDown = 0.99
+	// 1 + q*step and 1 - (1-q)*step with q = 0.99 and step = 0.2, so the estimate tracks the 99th percentile: a stream
+	// that is cut costs far more than one that another proxy accepts.
+	tokenTimeUp   = 1.198
+	tokenTimeDown = 0.998
 	// streamOverhead is the assumed time of a stream in addition to the time of its tokens.
 	streamOverhead = 300 * time.Millisecond
 	// responseTime is the assumed time of a response that is not a stream.
--- a/internal/dataplane/ingress/drain_test.go
+++ b/internal/dataplane/ingress/drain_test.go
@@ -45,6 +45,21 @@
 	assert.Less(t, d.timePerToken(), maxTokenTime, "a stream without a token count must not be observed")
 }
 
+// A stream that is as slow as one in fifty must not be accepted when it cannot be complete: it would be cut when the
+// grace time expires.
+func TestDrain_RejectsWhatOneSlowStreamInFiftyCouldNotFinish(t *testing.T) {
+	var d drain
+	for range 40 {
+		for range 49 {
+			d.observeStream(time.Second, 100)
+		}
+		d.observeStream(3*time.Second, 100)
+	}
+	d.begin(2 * time.Second)
+	assert.False(t, d.canFinish(0, configuration.Streaming, 100, time.Minute))
+	assert.True(t, d.canFinish(0, configuration.Streaming, 20, time.Minute))
+}
+
 // The rejection must be a 503 with Retry-After, which promises that the request has not run. So the request must not
 // reach a backend.
 func TestDraining_RejectsWithRetryAfter(t *testing.T) {
