--- a/internal/controlplane/simulation/counted_losses.go
+++ b/internal/controlplane/simulation/counted_losses.go
@@ -27,9 +27,11 @@
 	keepReplacedOneIn = 3
 	// announcedRemovalOneIn says that one in so many removals of a replaced machine is announced by a request to stop.
 	announcedRemovalOneIn = 3
-	countedLossPhase      = 45 * time.Second
-	lossStream            = 0x6c6f7373 // stream of the generator
-	maxFinalDowntime      = time.Second
+	// replacedTargetOneIn says that one in so many losses hits a replaced machine, if one runs.
+	replacedTargetOneIn = 3
+	countedLossPhase    = 45 * time.Second
+	lossStream          = 0x6c6f7373 // stream of the generator
+	maxFinalDowntime    = time.Second
 	// finalAckTimeout is how long a change may take to be acknowledged when no machine is lost.
 	finalAckTimeout = maxResponseTime
 )
@@ -89,7 +91,7 @@
 }
 
 func (c *Cluster) injectLossWhenAllowed(f Fault, onDone func()) {
-	targets := lo.Map(f.Slots[:f.Count], func(slot int, _ int) *node { return c.slots[slot] })
+	targets := c.lossTargets(f)
 	switch {
 	case c.now >= c.options.FaultPhase:
 		return
@@ -114,6 +116,18 @@
 	onDone()
 }
 
+// lossTargets returns the machines that a loss hits: the current ones of its slots. In one of replacedTargetOneIn losses
+// that a machine survives without a restart, a replaced machine that still runs takes the place of the first one.
+func (c *Cluster) lossTargets(f Fault) []*node {
+	targets := lo.Map(f.Slots[:f.Count], func(slot int, _ int) *node { return c.slots[slot] })
+	running := lo.Filter(c.replaced, func(n *node, _ int) bool { return n.replica != nil })
+	isSurvived := slices.Contains([]FaultKind{Freeze, DiskStall, Partition, OneWayPartition}, f.Kind)
+	if len(running) > 0 && isSurvived && f.Draw%replacedTargetOneIn == 0 {
+		targets[0] = running[f.Draw/replacedTargetOneIn%uint64(len(running))]
+	}
+	return targets
+}
+
 // isCountAllowed reports whether the tolerance allows a loss of the targets. An overlapping replacement adds machines,
 // and the replaced ones go on counting if they are lost already.
 func (c *Cluster) isCountAllowed(kind FaultKind, targets []*node) bool {
