A planner that panics over one service no longer ends the lease holder

Cause: planner.Plan ran in the goroutine of the lease holder without a guard. What was accepted and cannot be planned ended the process, and each next lease holder got the same input.

Change: Plan returns a panic as a failure of its service, with the stack. The lease holder logs it at error level, leaves the service out for 5 s and plans the others; the lease stays.

--- a/internal/controlplane/coordinator/controller.go
+++ b/internal/controlplane/coordinator/controller.go
@@ -38,6 +38,8 @@
 	leaseHolderPollWait = 400 * time.Millisecond
 	// failedTaskBackoff is how long a backend whose task failed gets no other task.
 	failedTaskBackoff = 1500 * time.Millisecond
+	// failedPlanBackoff is how long a service whose plan failed is not planned.
+	failedPlanBackoff = 5 * time.Second
 )
 
 // controller polls discovery and places models while this member holds the controller lease. Without the lease it
@@ -65,9 +67,10 @@
 	demand         *planner.DemandTable
 	loadLimiters   map[string]*planner.LoadRateLimiter // by service
 
-	client       *executor.BackendClient
-	running      map[message.BackendID]*runningTask
-	backoffUntil map[message.BackendID]time.Time // of backends whose task failed
+	client           *executor.BackendClient
+	running          map[message.BackendID]*runningTask
+	backoffUntil     map[message.BackendID]time.Time // of backends whose task failed
+	planBackoffUntil map[string]time.Time            // of services whose plan failed
 }
 
 func newController(loop *replicaLoop, settings *bootstrap.Settings) *controller {
@@ -76,7 +79,7 @@
 		reader: discovery.NewReader(settings.Platform.Address), observed: map[message.BackendID]observedModels{},
 		demand: planner.NewDemandTable(), loadLimiters: map[string]*planner.LoadRateLimiter{},
 		client: executor.NewBackendClient(), running: map[message.BackendID]*runningTask{},
-		backoffUntil: map[message.BackendID]time.Time{},
+		backoffUntil: map[message.BackendID]time.Time{}, planBackoffUntil: map[string]time.Time{},
 	}
 }
 
@@ -218,6 +221,7 @@
 	c.demand = planner.NewDemandTable()
 	clear(c.observed)
 	clear(c.backoffUntil)
+	clear(c.planBackoffUntil)
 	clear(c.loadLimiters)
 	logrus.WithField(logkey.Token, s.leaseToken).Info("controller lease acquired")
 }
--- a/internal/controlplane/coordinator/placement_tasks.go
+++ b/internal/controlplane/coordinator/placement_tasks.go
@@ -35,17 +35,37 @@
 		return
 	}
 	input := &planner.Input{
-		Now: now, Services: c.config.Services, Backends: c.placementBackends(now), Demand: c.demand,
+		Now: now, Services: c.plannedServices(now), Backends: c.placementBackends(now), Demand: c.demand,
 		InFlight: lo.SliceToMap(reported.Loads, func(l message.BackendLoad) (message.BackendID, int) {
 			return l.Backend, l.InFlight
 		}),
 		Loading: c.loadingReplicas(), ModelLoadsAllowed: c.modelLoadsAllowed(now),
 	}
-	for _, task := range planner.Plan(input) {
+	tasks, failures := planner.Plan(input)
+	for _, failure := range failures {
+		c.onPlanFailure(failure, now)
+	}
+	for _, task := range tasks {
 		c.startTask(ctx, task, now)
 	}
 }
 
+// plannedServices returns the configured services without those whose last plan failed less than failedPlanBackoff ago.
+func (c *controller) plannedServices(now time.Time) map[string]*configuration.Service {
+	return lo.OmitBy(c.config.Services, func(name string, _ *configuration.Service) bool {
+		return now.Before(c.planBackoffUntil[name])
+	})
+}
+
+// onPlanFailure leaves a service out of the plans for a while. The lease stays: the next holder would fail alike, and
+// the other services and the list of backends need a holder.
+func (c *controller) onPlanFailure(failure *planner.ServiceFailure, now time.Time) {
+	c.planBackoffUntil[failure.Service] = now.Add(failedPlanBackoff)
+	logrus.WithError(failure).WithFields(logrus.Fields{
+		logkey.Service: failure.Service, logkey.Stack: failure.Stack,
+	}).Error("planning a service failed; its models stay where they are")
+}
+
 // refreshConfig parses the newest acknowledged configuration if it has changed. It reports whether a configuration is
 // known.
 func (c *controller) refreshConfig() bool {
--- a/internal/controlplane/placement/planner/planner.go
+++ b/internal/controlplane/placement/planner/planner.go
@@ -9,6 +9,8 @@
 package planner
 
 import (
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -73,10 +75,24 @@
 	tasks      []Task
 }
 
+// ServiceFailure is a service for which no plan could be made because the planner panicked.
+type ServiceFailure struct {
+	Service string
+	Cause   any // the value of the panic
+	Stack   string
+}
+
+// Error returns the service and the cause, without the stack.
+func (f *ServiceFailure) Error() string {
+	return fmt.Sprintf("plan service %q: %v", f.Service, f.Cause)
+}
+
 // Plan returns the tasks that should start now: service by service, adapter tasks first, then model tasks in
-// descending order of value.
-func Plan(in *Input) []Task {
+// descending order of value. A service whose plan panics gets no task and is among the failures; the plans of the
+// others are not affected.
+func Plan(in *Input) ([]Task, []*ServiceFailure) {
 	var tasks []Task
+	var failures []*ServiceFailure
 	names := make([]string, 0, len(in.Services))
 	for name, service := range in.Services {
 		if service.Runtime != nil {
@@ -85,13 +101,29 @@
 	}
 	slices.Sort(names) // in a fixed order, so that the same input gives the same plan
 	for _, name := range names {
-		p := newServicePlan(in, in.Services[name])
-		// Adapters first: they load within milliseconds, while a model's load keeps its backend busy for seconds.
-		p.placeAdapters()
-		p.placeModels()
-		tasks = append(tasks, p.tasks...)
+		planned, failure := planService(in, in.Services[name])
+		if failure != nil {
+			failures = append(failures, failure)
+			continue
+		}
+		tasks = append(tasks, planned...)
 	}
-	return tasks
+	return tasks, failures
+}
+
+// planService plans one service. A panic becomes a failure: it would end the process, and the next lease holder would
+// panic over the same input.
+func planService(in *Input, service *configuration.Service) (tasks []Task, failure *ServiceFailure) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			failure = &ServiceFailure{Service: service.Name, Cause: cause, Stack: string(debug.Stack())}
+		}
+	}()
+	p := newServicePlan(in, service)
+	// Adapters first: they load within milliseconds, while a model's load keeps its backend busy for seconds.
+	p.placeAdapters()
+	p.placeModels()
+	return p.tasks, nil
 }
 
 // newServicePlan counts the replicas and sets the targets. Replicas at backends that are draining or about to end are
--- a/internal/controlplane/placement/planner/planner_test.go
+++ b/internal/controlplane/placement/planner/planner_test.go
@@ -66,11 +66,15 @@
 }
 
 func (f *fleet) plan(loadsAllowed int) []Task {
-	return Plan(&Input{
+	tasks, failures := Plan(&Input{
 		Now: f.now, Services: map[string]*configuration.Service{"s": {Name: "s", Runtime: f.runtime}},
 		Backends: append([]Backend{}, f.backends...), Demand: f.demand, Loading: map[string]map[message.ModelName]int{},
 		ModelLoadsAllowed: map[string]int{"s": loadsAllowed},
 	})
+	if len(failures) > 0 {
+		panic(failures[0].Error())
+	}
+	return tasks
 }
 
 // loads returns the backend of each load, by model.
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -85,6 +85,10 @@
 	Seed = "seed"
 	// SentMs is the time from the arrival of a request until its last attempt began.
 	SentMs = "sent_ms"
+	// Service is the name of a service of the configuration.
+	Service = "service"
+	// Stack is the stack of the goroutine that panicked.
+	Stack = "stack"
 	// Status is the HTTP status of an answer; 0: no answer was sent.
 	Status = "status"
 	// Token is the fencing token of the controller lease.
