Soak of real coordinators under losses counted as operators count them

Every change must get a clear answer within recoveryS. Settings of the soak name three seeds, as the operators' do. A run whose first change is not acknowledged is an error, with the last output of each process.

--- a/cmd/pumicectl/soak.go
+++ b/cmd/pumicectl/soak.go
@@ -30,6 +30,7 @@
 	seeds := flags.Uint64("seeds", 1, "number of seeds")
 	phase := flags.Duration("duration", defaultSoakPhase, "how long faults are injected in a run")
 	processes := flags.Int("processes", defaultSoakProcesses, "coordinators and proxies together")
+	losses := flags.Bool("losses", false, "run coordinators alone under losses within the tolerance, counted as operators count them; the seed draws their number")
 	applications := flags.Bool("applications", true, "call for locks, numbers, keys and watches too")
 	asJSON := flags.Bool("json", false, "print one JSON object per seed")
 	histories := flags.String("histories", "", "folder that gets the history of each run, as SEED.json")
@@ -39,7 +40,7 @@
 		ShortHelp: "run the system on loopback under series of signals, restarts and changes, and check the rules",
 		Exec: func(ctx context.Context, _ []string) error {
 			options := soak.Options{Programs: *programs, FaultPhase: *phase, Processes: *processes, Applications: *applications,
-				HistoryDir: *histories}
+				Losses: *losses, HistoryDir: *histories}
 			if options.Programs == "" {
 				own, err := os.Executable()
 				if err != nil {
--- a/internal/controlplane/simulation/counted_losses.go
+++ b/internal/controlplane/simulation/counted_losses.go
@@ -62,8 +62,9 @@
 	return options
 }
 
-// countedLossPlan draws the losses of a run. They are injected one after the other.
-func (o Options) countedLossPlan() []Fault {
+// CountedLossPlan draws the losses of a run, which are injected one after the other. The soak of real processes injects
+// the same plans.
+func (o Options) CountedLossPlan() []Fault {
 	random := rand.New(rand.NewPCG(o.Seed, lossStream))
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
 	var plan []Fault
--- a/internal/controlplane/simulation/fault_plan.go
+++ b/internal/controlplane/simulation/fault_plan.go
@@ -23,7 +23,7 @@
 		return c.options.ScriptedFaults
 	}
 	if c.options.CountedLosses {
-		return c.options.countedLossPlan()
+		return c.options.CountedLossPlan()
 	}
 	random := rand.New(rand.NewPCG(c.options.Seed, planStream))
 	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
--- a/internal/controlplane/simulation/options.go
+++ b/internal/controlplane/simulation/options.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -68,3 +69,14 @@
 	}
 	return options
 }
+
+// ZoneOf returns the zone of the machines of a slot; empty: they do not know it.
+func (o Options) ZoneOf(slot int) string {
+	switch {
+	case o.Zones == NoZones:
+		return ""
+	case o.Zones == 0:
+		return fmt.Sprintf("zone-%d", slot%zoneCount)
+	}
+	return fmt.Sprintf("zone-%d", slot%o.Zones)
+}
--- a/internal/soak/application_caller.go
+++ b/internal/soak/application_caller.go
@@ -53,14 +53,14 @@
 // applicationCaller makes the calls of one application. After a call without a clear answer it uses the next
 // coordinator.
 type applicationCaller struct {
-	coordinators     []*node
+	coordinators     *coordinatorList
 	recorder         *recorder
 	http             *http.Client
 	random           *rand.Rand // used by the application's goroutine only
 	coordinatorIndex int        // index of the coordinator in use, modulo their number
 }
 
-func newApplicationCaller(coordinators []*node, r *recorder, seed, number uint64) *applicationCaller {
+func newApplicationCaller(coordinators *coordinatorList, r *recorder, seed, number uint64) *applicationCaller {
 	return &applicationCaller{coordinators: coordinators, recorder: r, http: &http.Client{Transport: &http.Transport{}},
 		random: rand.New(rand.NewPCG(seed, number)), coordinatorIndex: int(number)}
 }
@@ -74,7 +74,7 @@
 	body applicationBody) answer {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	coordinator := c.coordinators[c.coordinatorIndex%len(c.coordinators)]
+	coordinator := c.coordinators.at(c.coordinatorIndex)
 	result := answer{sentAt: c.recorder.now()}
 	status, text, err := c.exchange(ctx, method, "http://"+coordinator.ControlAddress()+path, body)
 	if err == nil {
--- a/internal/soak/applications.go
+++ b/internal/soak/applications.go
@@ -21,7 +21,7 @@
 
 // applications are the callers of locks, numbers, keys and watches.
 type applications struct {
-	coordinators []*node
+	coordinators *coordinatorList
 	recorder     *recorder
 	seed         uint64
 	callerCount  uint64 // numbers the callers, which is part of their random seeds
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -15,6 +15,7 @@
 	Stretch     time.Duration // stretchMs: added to Apply while the core is not stable
 	Recovery    time.Duration // recoveryS: the system serves again within this time after the last fault
 	History     time.Duration // historyS: a watch that resumes within this time misses no event
+	Sync        time.Duration // syncS: a machine counts as lost for this long after its return, or its start if it is new
 	Lease       time.Duration // leaseMs
 	Thaw        time.Duration // thawMs
 	MemoryBytes int64         // memory limit of a machine
@@ -33,7 +34,7 @@
 	return Bounds{
 		Quiet: 4 * time.Second, Acknowledge: 5 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
 		Apply: 2500 * time.Millisecond, Downgrade: 250 * time.Millisecond, Stretch: 6 * time.Second,
-		Recovery: 15 * time.Second, History: 20 * time.Second, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, MemoryBytes: memoryLimitMB << 20,
+		Recovery: 15 * time.Second, History: 20 * time.Second, Sync: 4 * time.Second, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, MemoryBytes: memoryLimitMB << 20,
 		DrainExtra: time.Second, OwnEndSlack: time.Second, MaxRunDelay: 100 * time.Millisecond, SlowExtra: 15 * time.Second,
 		SlowThawShare: 8,
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -50,7 +50,7 @@
 // checkers are the checks of the rules. Each one reads the history independently of the others.
 var checkers = []func(h *History, t *timeline) violations{
 	checkLost, checkResponses, checkExecutions, checkDenied,
-	checkSettled, checkReads, checkRejectedChanges, checkAcknowledgements, checkApplied, checkRegress,
+	checkSettled, checkReads, checkRejectedChanges, checkAcknowledgements, checkAnswersAmidLosses, checkApplied, checkRegress,
 	checkEnds, checkMemory, checkRecovery,
 	checkHolds, checkTokens, checkNumbers, checkKeys, checkWatches, checkLate,
 }
--- a/internal/soak/check_processes.go
+++ b/internal/soak/check_processes.go
@@ -1,5 +1,10 @@
 package soak
 
+import (
+	"maps"
+	"slices"
+)
+
 // checkEnds checks that processes exit cleanly within the grace time after SIGTERM, and never exit by themselves. The
 // fleet extends the grace time by the time that the machine held up the process, so slowness does not excuse a process
 // that is killed after it.
@@ -83,7 +88,8 @@
 				count.served, count.sent, t.bounds.Recovery)
 		}
 	}
-	if len(h.Requests) == 0 {
+	hasProxies := slices.Contains(slices.Collect(maps.Values(h.Roles)), RoleProxy)
+	if hasProxies && len(h.Requests) == 0 {
 		found.add(RuleRecover, recovered, "no request was sent")
 	}
 	return found
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,15 +23,18 @@
 	endReasonLength      = 300                    // bytes of the last output that are recorded with the end of a process
 )
 
+// maxSeeds is how many control addresses the settings of a machine have.
+const maxSeeds = 3
+
 // fleet supervises the processes of a run. It carries out steps, and restarts each process after its end, as the
 // platform does.
 type fleet struct {
 	dir      string // folder of settings and state
 	harness  *faulttest.Harness
 	recorder *recorder
-	nodes    []*node // coordinators first
 
 	mu         sync.Mutex
+	nodes      []*node        // coordinators first, then proxies, then machines that were added
 	isStopping bool           // no process is restarted
 	running    sync.WaitGroup // goroutines that run awaitEnd
 }
@@ -39,7 +43,7 @@
 func newFleet(shape Shape, programs, dir, platform string, r *recorder) *fleet {
 	f := &fleet{dir: dir, harness: faulttest.New(), recorder: r}
 	var seeds []string
-	for i := range shape.Coordinators {
+	for i := range min(maxSeeds, shape.Coordinators) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", nodeIP(i), controlPort))
 	}
 	for i := range shape.Processes() {
@@ -58,9 +62,16 @@
 	return f
 }
 
+// all returns the nodes that were made so far.
+func (f *fleet) all() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.nodes)
+}
+
 func (f *fleet) ofRole(role Role) []*node {
 	var nodes []*node
-	for _, n := range f.nodes {
+	for _, n := range f.all() {
 		if n.role == role {
 			nodes = append(nodes, n)
 		}
@@ -70,7 +81,7 @@
 
 // startAll starts the processes of all nodes.
 func (f *fleet) startAll() error {
-	for _, n := range f.nodes {
+	for _, n := range f.all() {
 		if _, err := os.Stat(n.program); err != nil {
 			return fmt.Errorf("locate the program of %s: %w", n.Name, err)
 		}
@@ -91,6 +102,12 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.isRemoved {
+		return nil
+	}
+	if err := n.emptyLostDisk(); err != nil {
+		return err
+	}
 	command, err := n.command(f.dir)
 	if err != nil {
 		return err
@@ -101,6 +118,7 @@
 		return err
 	}
 	n.process, n.hasStarted, n.isTerminated, n.isFrozen, n.restartDelay = process, true, false, false, selfExitRestartDelay
+	n.backAt = f.recorder.now()
 	f.running.Go(func() { f.awaitEnd(n, process) })
 	return nil
 }
@@ -135,19 +153,38 @@
 	return f.isStopping
 }
 
-// apply carries out a step on a process. A step on a node without a process does nothing.
-func (f *fleet) apply(step Step) {
-	n := f.nodes[step.Node]
+// lastOutputs returns the end of the output of each process that runs.
+func (f *fleet) lastOutputs() string {
+	var outputs strings.Builder
+	for _, n := range f.all() {
+		n.mu.Lock()
+		if n.process != nil {
+			output := strings.TrimSpace(n.process.Log())
+			fmt.Fprintf(&outputs, "%s: %s\n", n.Name, output[max(0, len(output)-endReasonLength):])
+		}
+		n.mu.Unlock()
+	}
+	return outputs.String()
+}
+
+// apply carries out a step on the process of the step's node.
+func (f *fleet) apply(step Step) { f.applyTo(f.all()[step.Node], step) }
+
+// applyTo carries out a step on a process. A step on a node without a process does nothing, but for what becomes of the
+// node afterwards.
+func (f *fleet) applyTo(n *node, step Step) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.isRemoved = n.isRemoved || step.Action == ActionRemove || step.Action == ActionRetire
+	n.hasLostDisk = n.hasLostDisk || step.Action == ActionLoseDisk
 	if n.process == nil {
 		return
 	}
 	switch step.Action {
-	case ActionTerminate:
+	case ActionTerminate, ActionRetire:
 		n.restartDelay = step.For
 		f.terminate(n)
-	case ActionKill:
+	case ActionKill, ActionLoseDisk, ActionRemove:
 		n.restartDelay = step.For
 		f.recorder.fault(n.Name, FaultKill)
 		n.process.Kill()
@@ -215,6 +252,7 @@
 			return
 		}
 		n.isFrozen = false
+		n.backAt = f.recorder.now()
 		_ = process.Thaw() // it may have ended
 		f.recorder.fault(n.Name, FaultThaw)
 	})
@@ -224,7 +262,7 @@
 func (f *fleet) awaitSettled(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.recorder.history.Bounds.Grace+settleExtra)
 	defer cancel()
-	for _, n := range f.nodes {
+	for _, n := range f.all() {
 		for !n.isSettled() {
 			if err := ctxtime.Sleep(ctx, settlePoll); err != nil {
 				return fmt.Errorf("%s does not run again: %w", n.Name, err)
@@ -234,9 +272,13 @@
 	return nil
 }
 
+// isSettled reports whether the node's process runs undisturbed, or has ended for good.
 func (n *node) isSettled() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.isRemoved {
+		return n.process == nil
+	}
 	return n.process != nil && !n.isTerminated && !n.isFrozen
 }
 
@@ -245,7 +287,7 @@
 	f.mu.Lock()
 	f.isStopping = true
 	f.mu.Unlock()
-	for _, n := range f.nodes {
+	for _, n := range f.all() {
 		n.mu.Lock()
 		if n.process != nil {
 			f.terminate(n)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -137,6 +137,7 @@
 // History is the record of a run. The checkers have no other input.
 type History struct {
 	Bounds     Bounds
+	HasLosses  bool            // the run has counted losses, which the tolerance covers at every moment
 	Roles      map[string]Role // by node
 	Faults     []Fault         // in the order of their times
 	Requests   []Request
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -42,6 +42,11 @@
 	process      *faulttest.Process // nil: none runs
 	isTerminated bool               // the process was sent SIGTERM
 	isFrozen     bool
+	isAdded      bool          // the machine was not there at the first start of the system
+	addedAt      Moment        // when an added machine was first started
+	isRemoved    bool          // the machine is gone for good, or will be when its process has ended
+	hasLostDisk  bool          // the next start finds an empty disk
+	backAt       Moment        // when the process was last started or thawed
 	restartDelay time.Duration // between the end of the process and its restart
 }
 
@@ -96,8 +101,20 @@
 // MemoryMB is the node's memory, in MiB.
 func (n *node) MemoryMB() int { return memoryLimitMB }
 
-// IsFirstStart reports whether the node's process has never been started.
-func (n *node) IsFirstStart() bool { return !n.hasStarted }
+// IsFirstStart reports whether the node's process starts with the first start of the whole system.
+func (n *node) IsFirstStart() bool { return !n.hasStarted && !n.isAdded }
+
+// emptyLostDisk empties the disk if it was lost. The caller holds n.mu.
+func (n *node) emptyLostDisk() error {
+	if !n.hasLostDisk {
+		return nil
+	}
+	if err := os.RemoveAll(n.StateDir); err != nil {
+		return fmt.Errorf("empty the disk of %s: %w", n.Name, err)
+	}
+	n.hasLostDisk = false
+	return nil
+}
 
 // command writes the settings file into a folder and returns the command that starts the node's process.
 func (n *node) command(dir string) (*exec.Cmd, error) {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -23,7 +23,7 @@
 
 // operators change and read the configuration. Changes are numbered in the order in which they begin.
 type operators struct {
-	coordinators []*node
+	coordinators *coordinatorList
 	recorder     *recorder
 	http         *http.Client
 	slots        chan struct{} // semaphore; one element for each change in progress
@@ -36,7 +36,7 @@
 	marker      string // marker of that version
 }
 
-func newOperators(coordinators []*node, r *recorder) *operators {
+func newOperators(coordinators *coordinatorList, r *recorder) *operators {
 	return &operators{
 		coordinators: coordinators, recorder: r, slots: make(chan struct{}, maxConcurrentChanges),
 		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxConcurrentChanges}},
@@ -161,7 +161,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.callCount++
-	return o.coordinators[o.callCount%len(o.coordinators)]
+	return o.coordinators.at(o.callCount)
 }
 
 func (o *operators) updateNewest(version uint64, marker string) {
@@ -211,7 +211,7 @@
 func (o *operators) readAtEnd(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, o.recorder.history.Bounds.Quiet)
 	defer cancel()
-	for _, n := range o.coordinators {
+	for _, n := range o.coordinators.all() {
 		for ctx.Err() == nil && !o.read(ctx, n, true) {
 			_ = ctxtime.Sleep(ctx, firstBackoff) // the loop ends with ctx
 		}
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -11,7 +11,8 @@
 	Seed          uint64          `json:"seed"`
 	Processes     int             `json:"processes"`
 	Steps         map[Action]int  `json:"steps"`
-	Faults        map[string]int  `json:"faults"` // by kind, with starts and ends
+	Faults        map[string]int  `json:"faults"`           // by kind, with starts and ends
+	Losses        map[string]int  `json:"losses,omitempty"` // counted losses by kind
 	Requests      map[Outcome]int `json:"requests"`
 	Served        int             `json:"served"`
 	Changes       int             `json:"changes"`
@@ -132,8 +133,8 @@
 
 // String returns the counts of the run in one line.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed %d: %d processes, faults %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
+	return fmt.Sprintf("seed %d: %d processes, faults %v, losses %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
 		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, stood still for %v, %d cuts for slowness, "+
-		"%d calls cut, %d violations", r.Seed, r.Processes, r.Faults, r.Requests, r.Served, r.Changes,
+		"%d calls cut, %d violations", r.Seed, r.Processes, r.Faults, r.Losses, r.Requests, r.Served, r.Changes,
 		r.Acknowledged, r.Rejected, r.Reads, r.Probes, r.LockHolds, r.Numbers, r.Puts, r.Gets, r.WatchAnswers, r.PeakMemory>>20, r.SlowedSamples, r.DelaySamples, r.StoodStill.Round(time.Millisecond), r.SlowCuts, r.CallCuts, len(r.Violations))
 }
--- a/internal/soak/sampler.go
+++ b/internal/soak/sampler.go
@@ -45,7 +45,7 @@
 	if delay, err := faulttest.RunDelay(os.Getpid()); err == nil {
 		s.recordDelay(runnerNode, processDelay{delay: delay}, now)
 	}
-	for _, n := range s.fleet.nodes {
+	for _, n := range s.fleet.all() {
 		n.mu.Lock()
 		process := n.process
 		n.mu.Unlock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -21,6 +21,13 @@
 	ActionInvalid   Action = "invalid"   // a configuration that must be rejected
 )
 
+// The actions of counted losses; no schedule has them.
+const (
+	ActionLoseDisk Action = "lose disk" // SIGKILL, and a start with an empty disk
+	ActionRemove   Action = "remove"    // SIGKILL, and no other start
+	ActionRetire   Action = "retire"    // SIGTERM, SIGKILL after the grace time, and no other start
+)
+
 // IsChange reports whether the action is a change of the configuration, not a fault of a process.
 func (a Action) IsChange() bool { return a == ActionPut || a == ActionPatch || a == ActionInvalid }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"pumiceline/internal/controlplane/simulation"
 	"pumiceline/internal/ctxtime"
 )
 
@@ -29,16 +30,35 @@
 	Processes  int           // coordinators and proxies together
 	// Applications enables callers of locks, numbers, keys and watches.
 	Applications bool
-	Progress     io.Writer // receives a line about each phase; nil: discarded
-	HistoryDir   string    // folder in which the history is written as SEED.json; empty: it is not written
+	// Losses runs coordinators alone under counted losses, in place of a schedule of signals for coordinators and proxies.
+	// The seed draws the number of coordinators, the tolerance and the zones.
+	Losses     bool
+	Progress   io.Writer // receives a line about each phase; nil: discarded
+	HistoryDir string    // folder in which the history is written as SEED.json; empty: it is not written
 }
 
-func (o Options) shape() Shape { return NewShape(o.Processes, o.FaultPhase) }
+func (o Options) shape() Shape {
+	if o.Losses {
+		return Shape{Coordinators: o.lossOptions().Members, FaultPhase: o.FaultPhase}
+	}
+	return NewShape(o.Processes, o.FaultPhase)
+}
+
+// lossOptions returns the options of a run with counted losses.
+func (o Options) lossOptions() simulation.Options {
+	options := simulation.DrawCountedLosses(o.Seed)
+	options.FaultPhase = o.FaultPhase
+	return options
+}
 
 // command returns the command that repeats the run.
 func (o Options) command() string {
-	return fmt.Sprintf("pumicectl soak --programs %s --first-seed %d --seeds 1 --duration %v --processes %d --applications=%t",
-		o.Programs, o.Seed, o.FaultPhase, o.Processes, o.Applications)
+	size := fmt.Sprintf("--processes %d", o.Processes)
+	if o.Losses {
+		size = "--losses"
+	}
+	return fmt.Sprintf("pumicectl soak --programs %s --first-seed %d --seeds 1 --duration %v %s --applications=%t",
+		o.Programs, o.Seed, o.FaultPhase, size, o.Applications)
 }
 
 // Times of a run's phases.
@@ -59,6 +79,7 @@
 	fleet            *fleet
 	operators        *operators
 	applications     *applications
+	losses           *lossRunner    // nil: the run plays a schedule
 	background       sync.WaitGroup // goroutines of the load
 	applicationCalls sync.WaitGroup // goroutines of the applications
 	changes          sync.WaitGroup
@@ -86,10 +107,17 @@
 	r := &run{opts: opts, recorder: newRecorder(StatedBounds()), fakes: fakes}
 	r.fleet = newFleet(opts.shape(), opts.Programs, dir, fakes.platform.Address, r.recorder)
 	defer r.fleet.close()
-	coordinators := r.fleet.ofRole(RoleCoordinator)
+	coordinators := newCoordinatorList(r.fleet.ofRole(RoleCoordinator))
 	r.operators = newOperators(coordinators, r.recorder)
 	r.applications = &applications{coordinators: coordinators, recorder: r.recorder, seed: opts.Seed}
-	schedule := DrawSchedule(opts.Seed, opts.shape())
+	var schedule Schedule
+	if opts.Losses {
+		r.fleet.setLossOptions(opts.lossOptions())
+		r.losses = newLossRunner(r, coordinators, opts.lossOptions())
+		r.recorder.history.HasLosses = true
+	} else {
+		schedule = DrawSchedule(opts.Seed, opts.shape())
+	}
 	if err := r.play(ctx, schedule); err != nil {
 		return nil, err
 	}
@@ -99,7 +127,11 @@
 			return nil, err
 		}
 	}
-	return newResult(opts, schedule, &r.recorder.history), nil
+	result := newResult(opts, schedule, &r.recorder.history)
+	if r.losses != nil {
+		result.Losses = r.losses.injected
+	}
+	return result, nil
 }
 
 // writeHistory writes the history to a file, by which a violation can be traced.
@@ -144,7 +176,7 @@
 	}
 	r.mark(func(h *History) { h.FaultsFrom = r.recorder.now() })
 	r.progress("fault phase of %v with %d steps", r.opts.FaultPhase, len(schedule))
-	if err := r.playSteps(ctx, changeContext, schedule); err != nil {
+	if err := r.playFaults(ctx, changeContext, schedule); err != nil {
 		return err
 	}
 	if err := r.fleet.awaitSettled(ctx); err != nil {
@@ -177,13 +209,16 @@
 func (r *run) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	r.progress("start of %d processes", len(r.fleet.nodes))
+	r.progress("start of %d processes", len(r.fleet.all()))
 	if err := r.fleet.startAll(); err != nil {
 		return err
 	}
 	if err := r.operators.change(ctx, Step{Action: ActionPut, VersionStep: firstChangeStep}); err != nil {
 		return err
 	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("the first change is not acknowledged: %w\n%s", ctx.Err(), r.fleet.lastOutputs())
+	}
 	client := &http.Client{Timeout: callTimeout}
 	for _, proxy := range r.fleet.ofRole(RoleProxy) {
 		for !isReady(client, proxy) {
@@ -208,16 +243,35 @@
 // sampler.
 func (r *run) startLoad(ctx context.Context) {
 	proxies := r.fleet.ofRole(RoleProxy)
-	for _, client := range newClients(proxies, r.recorder) {
-		r.background.Go(func() { client.run(ctx) })
+	if len(proxies) > 0 {
+		for _, client := range newClients(proxies, r.recorder) {
+			r.background.Go(func() { client.run(ctx) })
+		}
+		prober := newProber(proxies, r.recorder)
+		r.background.Go(func() { prober.run(ctx) })
 	}
-	prober := newProber(proxies, r.recorder)
-	r.background.Go(func() { prober.run(ctx) })
 	r.background.Go(func() { r.operators.poll(ctx) })
 	sampler := newSampler(r.fleet, r.recorder)
 	r.background.Go(func() { sampler.run(ctx) })
 }
 
+// playFaults injects the counted losses of the run, or carries out the schedule.
+func (r *run) playFaults(ctx, changeContext context.Context, schedule Schedule) error {
+	if r.losses == nil {
+		return r.playSteps(ctx, changeContext, schedule)
+	}
+	r.changes.Go(func() {
+		if err := r.losses.changeContinually(changeContext); err != nil {
+			r.progress("%v", err)
+		}
+	})
+	if err := r.losses.play(ctx); err != nil {
+		return err
+	}
+	r.progress("final losses")
+	return r.losses.end(ctx)
+}
+
 // playSteps carries out the schedule. Each change runs in its own goroutine until it is settled or changeContext ends.
 func (r *run) playSteps(ctx, changeContext context.Context, schedule Schedule) error {
 	started := time.Now()
