A kill during a start leaves no unreadable mark; the start's disk is in the log

Callers saw: a member of a singleton group that was killed in its start waits for all other members, so with one of three down no role has a holder.

Cause: the mark that proves the store to be the newest was truncated and then written. The test's step before hid that the member was still starting: a lease from before the failure met its condition.

Change: the mark is replaced by a rename. The lines of a member's start say whether its disk is proven, a failure of the cluster test prints the last lines of each process, and the test waits for effects that no earlier lease explains.

--- a/internal/faulttest/clustertest/cluster_test.go
+++ b/internal/faulttest/clustertest/cluster_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -66,10 +68,34 @@
 func eventually(t *testing.T, c *cluster, description string, condition func() bool) {
 	t.Helper()
 	if !waitFor(time.Now().Add(eventuallyTimeout), condition) {
-		t.Fatalf("not within %v: %s\n%s", eventuallyTimeout, description, c)
+		t.Fatalf("not within %v: %s\n%s%s", eventuallyTimeout, description, c, c.logTails())
 	}
 }
 
+// logTailLines is how many lines of the log of each process a failure shows.
+const logTailLines = 12
+
+// logTails returns the last lines that each process has logged since its latest start.
+func (c *cluster) logTails() string {
+	var tails strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(c.processes)) {
+		lines := strings.Split(strings.TrimSpace(c.processes[name].Log()), "\n")
+		lines = lines[max(0, len(lines)-logTailLines):]
+		fmt.Fprintf(&tails, "%s logged last:\n\t%s\n", name, strings.Join(lines, "\n\t"))
+	}
+	return tails.String()
+}
+
+// awaitRoleHeldByQuorum waits until effects show that the role is held with the members that run now. A lease that a
+// holder received before has ended by then.
+func awaitRoleHeldByQuorum(t *testing.T, c *cluster) {
+	t.Helper()
+	leasesEnd := time.Now().Add(2 * c.lease)
+	eventually(t, c, "the role is held with the members that run", func() bool {
+		return c.lastAccepted(testRole).At.After(leasesEnd)
+	})
+}
+
 // holder returns the instance whose effect was accepted last.
 func (c *cluster) holder() string { return c.lastAccepted(testRole).From }
 
@@ -322,10 +348,7 @@
 	if err := f.startMember(member); err != nil {
 		t.Fatal(err)
 	}
-	restartedAt := time.Now()
-	eventually(t, f.cluster, "the role is held once there is room", func() bool {
-		return f.lastAccepted(testRole).At.After(restartedAt)
-	})
+	awaitRoleHeldByQuorum(t, f.cluster)
 }
 
 // loseQuorum kills a second of the three members: the holder stops, and the status command fails without a quorum.
--- a/internal/singleton/raftmember/freshness.go
+++ b/internal/singleton/raftmember/freshness.go
@@ -29,6 +29,14 @@
 	freshnessProven                   // the store has every write that the mark records
 )
 
+// String returns the name of the result for log records.
+func (f freshness) String() string {
+	if f == freshnessProven {
+		return "proven"
+	}
+	return "unknown"
+}
+
 // freshnessMark is the mark of one store. The zero value is a mark that never exists.
 type freshnessMark struct{ path string }
 
@@ -75,14 +83,14 @@
 }
 
 // update records a write that the store has synced. It must return before anything that the write allows is sent:
-// otherwise, after a crash, an older copy without that write would match the mark and count as the newest. If the mark
-// can't be written it is removed, so that the next start asks the peers.
+// otherwise, after a crash, an older copy without that write would match the mark and count as the newest. The mark is
+// replaced by a rename, so that a process that is killed meanwhile leaves the mark before the update or the one after
+// it. If the mark can't be written it is removed, so that the next start asks the peers.
 func (f freshnessMark) update(writes uint64) error {
 	if f.path == "" {
 		return nil
 	}
-	text := fmt.Sprintf("%s %d\n", bootID(), writes)
-	if err := os.WriteFile(f.path, []byte(text), 0o600); err == nil {
+	if err := f.replace(fmt.Sprintf("%s %d\n", bootID(), writes)); err == nil {
 		return nil
 	}
 	if err := os.Remove(f.path); err != nil && !errors.Is(err, fs.ErrNotExist) {
@@ -91,6 +99,18 @@
 	return nil
 }
 
+// replace replaces the mark in one step. There is no sync, as no mark outlives a restart of the machine.
+func (f freshnessMark) replace(text string) error {
+	next := f.path + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write the next mark of the store: %w", err)
+	}
+	if err := os.Rename(next, f.path); err != nil {
+		return fmt.Errorf("replace the mark of the store: %w", err)
+	}
+	return nil
+}
+
 // bootID returns the ID of the machine's current boot, or "unknown" if the system does not provide it.
 func bootID() string {
 	text, err := os.ReadFile(bootIDFile)
--- a/internal/singleton/raftmember/freshness_test.go
+++ b/internal/singleton/raftmember/freshness_test.go
@@ -150,6 +150,43 @@
 	}
 }
 
+// A kill can end a process at any step of an update. What another process reads at that step is what the next start
+// finds: it must be the mark before the update or the one after it. With an unreadable mark a member needs every other
+// member, so one that was killed during its start stays out until all of them run.
+func TestFreshnessMark_IsReadableDuringUpdate(t *testing.T) {
+	mark, err := newFreshnessMark(t.TempDir(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := mark.update(1); err != nil {
+		t.Fatal(err)
+	}
+	const updates = 2_000
+	updated := make(chan error, 1)
+	go func() {
+		for writes := uint64(2); writes <= updates; writes++ {
+			if err := mark.update(writes); err != nil {
+				updated <- err
+				return
+			}
+		}
+		updated <- nil
+	}()
+	for {
+		select {
+		case err := <-updated:
+			if err != nil {
+				t.Error(err)
+			}
+			return
+		default:
+		}
+		if got, err := mark.check(updates); got != freshnessProven || err != nil {
+			t.Fatalf("during an update: %v, %v", got, err)
+		}
+	}
+}
+
 // openOptions returns options with which Open can be called directly.
 func (c *cluster) openOptions(id uint64) Options {
 	options := c.options(id, c.dirs[id])
--- a/internal/singleton/raftmember/handshake.go
+++ b/internal/singleton/raftmember/handshake.go
@@ -83,11 +83,11 @@
 		acceptedBy := slices.Sorted(maps.Keys(accepted))
 		if len(accepted) >= needed {
 			m.opts.Log.Info("member takes part in the raft group", "member", m.opts.ID, "start", m.store.startCount,
-				"accepted_by", acceptedBy)
+				"accepted_by", acceptedBy, "disk", m.store.freshness)
 			return nil
 		}
 		m.opts.Log.Warn("member waits for its peers to accept its disk", "member", m.opts.ID, "accepted_by", acceptedBy,
-			"needed", needed)
+			"needed", needed, "disk", m.store.freshness)
 		select {
 		case <-ctx.Done():
 			return nil
