--- a/internal/soak/applications.go
+++ b/internal/soak/applications.go
@@ -26,6 +26,7 @@
 	seed         uint64
 	callerCount  uint64 // numbers the callers, which is part of their random seeds
 	watchers     []*watcher
+	isUnanswered bool // a call at the end got no answer
 }
 
 func (a *applications) newCaller() *applicationCaller {
@@ -99,17 +100,23 @@
 	})
 }
 
-// repeatUntilAnswered repeats a call until there is an answer, for at most finalTimeout plus SlowExtra. It records a
-// call that took longer than finalTimeout, which is the time that callers wait at the end of a test day.
+// repeatUntilAnswered repeats a call until there is an answer, for at most finalTimeout plus SlowExtra, and for at most
+// finalTimeout once another call got none. It records a call that took longer than finalTimeout, which is the time that
+// callers wait at the end of a test day.
 func (a *applications) repeatUntilAnswered(ctx context.Context, what string, call func() (isAnswered bool)) {
 	started := a.recorder.now()
 	late := LateAnswer{What: what}
-	for ctx.Err() == nil && !late.IsAnswered && late.Waited < finalTimeout+a.recorder.history.Bounds.SlowExtra {
+	longestWait := finalTimeout
+	if !a.isUnanswered {
+		longestWait += a.recorder.history.Bounds.SlowExtra
+	}
+	for ctx.Err() == nil && !late.IsAnswered && late.Waited < longestWait {
 		if late.IsAnswered = call(); !late.IsAnswered {
 			_ = ctxtime.Sleep(ctx, applicationBackoff) // the loop ends with ctx
 		}
 		late.Waited = a.recorder.now() - started
 	}
+	a.isUnanswered = a.isUnanswered || !late.IsAnswered
 	if !late.IsAnswered || late.Waited > finalTimeout {
 		a.recorder.edit(func(h *History) { h.Applications.Late = append(h.Applications.Late, late) })
 	}
