Concurrent runs of the soak never share addresses

Cause: a run chose its loopback network by process ID modulo 128.

Change: a run claims its network by a listener on the network's last address, and takes the next one if it is in use.

--- a/internal/soak/document_test.go
+++ b/internal/soak/document_test.go
@@ -46,7 +46,9 @@
 
 // The programs' parser accepts the settings of nodes, with the bounds that the checkers use.
 func TestNode_SettingsAreValid(t *testing.T) {
-	fleet := newFleet(NewShape(12, time.Minute), "programs", t.TempDir(), "127.0.0.1:4", newRecorder(StatedBounds()))
+	fleet, err := newFleet(NewShape(12, time.Minute), "programs", t.TempDir(), "127.0.0.1:4", newRecorder(StatedBounds()))
+	require.NoError(t, err)
+	t.Cleanup(fleet.close)
 	for _, n := range fleet.nodes {
 		command, err := n.command(fleet.dir)
 		require.NoError(t, err)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -30,6 +30,7 @@
 // platform does.
 type fleet struct {
 	dir      string // folder of settings and state
+	net      *loopbackNet
 	harness  *faulttest.Harness
 	recorder *recorder
 
@@ -39,15 +40,19 @@
 	running    sync.WaitGroup // goroutines that run awaitEnd
 }
 
-// newFleet returns the nodes of a shape, with no process started.
-func newFleet(shape Shape, programs, dir, platform string, r *recorder) *fleet {
-	f := &fleet{dir: dir, harness: faulttest.New(), recorder: r}
+// newFleet returns the nodes of a shape, with no process started. The caller closes it.
+func newFleet(shape Shape, programs, dir, platform string, r *recorder) (*fleet, error) {
+	loopback, err := claimLoopbackNet()
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{dir: dir, net: loopback, harness: faulttest.New(), recorder: r}
 	var seeds []string
 	for i := range min(maxSeeds, shape.Coordinators) {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", nodeIP(i), controlPort))
+		seeds = append(seeds, fmt.Sprintf("%s:%d", f.net.address(i), controlPort))
 	}
 	for i := range shape.Processes() {
-		n := &node{IP: nodeIP(i), Zone: zoneOf(i), SeedNodes: seeds, PlatformAddress: platform,
+		n := &node{IP: f.net.address(i), Zone: zoneOf(i), SeedNodes: seeds, PlatformAddress: platform,
 			Tolerance: min(maxTolerance, (shape.Coordinators-1)/2), Bounds: r.history.Bounds}
 		if i < shape.Coordinators {
 			n.Name, n.role = fmt.Sprintf("coordinator-%d", i), RoleCoordinator
@@ -59,7 +64,7 @@
 		f.nodes = append(f.nodes, n)
 		r.history.Roles[n.Name] = n.role
 	}
-	return f
+	return f, nil
 }
 
 // all returns the nodes that were made so far.
@@ -304,4 +309,5 @@
 	f.mu.Unlock()
 	f.harness.Close()
 	f.running.Wait()
+	f.net.close()
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -29,7 +29,8 @@
 	bounds := StatedBounds()
 	bounds.Grace, bounds.OwnEndSlack = grace, 0
 	r := newRecorder(bounds)
-	f := newFleet(NewShape(6, time.Second), programs, t.TempDir(), "127.0.0.1:1", r)
+	f, err := newFleet(NewShape(6, time.Second), programs, t.TempDir(), "127.0.0.1:1", r)
+	require.NoError(t, err)
 	t.Cleanup(f.close)
 	require.NoError(t, f.startAll())
 	for _, n := range f.nodes {
--- a/internal/soak/loss_replacements.go
+++ b/internal/soak/loss_replacements.go
@@ -28,7 +28,7 @@
 	f.mu.Lock()
 	first := f.nodes[0]
 	n := &node{
-		Name: fmt.Sprintf("coordinator-%d", len(f.nodes)), IP: nodeIP(len(f.nodes)), Zone: zone, SeedNodes: seeds,
+		Name: fmt.Sprintf("coordinator-%d", len(f.nodes)), IP: f.net.address(len(f.nodes)), Zone: zone, SeedNodes: seeds,
 		PlatformAddress: first.PlatformAddress, Tolerance: first.Tolerance, Bounds: first.Bounds,
 		role: RoleCoordinator, program: first.program, isAdded: true, addedAt: f.recorder.now(),
 	}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -132,17 +132,3 @@
 	command.Env = append(os.Environ(), bootstrap.EnvironmentVariable+"="+path)
 	return command, nil
 }
-
-// addressesPerSubnet is how many nodes have the same first three bytes of their addresses.
-const addressesPerSubnet = 250
-
-// Range of the second byte of the nodes' addresses. It is chosen by process ID, so that concurrent runs usually differ.
-const (
-	firstLoopbackNet  = 64
-	loopbackNetsTaken = 128
-)
-
-func nodeIP(index int) string {
-	return fmt.Sprintf("127.%d.%d.%d", firstLoopbackNet+os.Getpid()%loopbackNetsTaken, index/addressesPerSubnet,
-		1+index%addressesPerSubnet)
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -105,7 +105,9 @@
 		return nil, err
 	}
 	r := &run{opts: opts, recorder: newRecorder(StatedBounds()), fakes: fakes}
-	r.fleet = newFleet(opts.shape(), opts.Programs, dir, fakes.platform.Address, r.recorder)
+	if r.fleet, err = newFleet(opts.shape(), opts.Programs, dir, fakes.platform.Address, r.recorder); err != nil {
+		return nil, err
+	}
 	defer r.fleet.close()
 	coordinators := newCoordinatorList(r.fleet.ofRole(RoleCoordinator))
 	r.operators = newOperators(coordinators, r.recorder)
