--- a/internal/soak/applications.go
+++ b/internal/soak/applications.go
@@ -103,9 +103,9 @@
 // repeatUntilAnswered repeats a call until there is an answer, for at most finalTimeout plus SlowExtra, and for at most
 // finalTimeout once another call got none. It records a call that took longer than finalTimeout, which is the time that
 // callers wait at the end of a test day.
-func (a *applications) repeatUntilAnswered(ctx context.Context, what string, call func() (isAnswered bool)) {
+func (a *applications) repeatUntilAnswered(ctx context.Context, description string, call func() (isAnswered bool)) {
 	started := a.recorder.now()
-	late := LateAnswer{What: what}
+	late := LateAnswer{What: description}
 	longestWait := finalTimeout
 	if !a.isUnanswered {
 		longestWait += a.recorder.history.Bounds.SlowExtra
