--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -50,7 +50,6 @@
 // SetConfig replaces the configuration.
 func (b *Balancer) SetConfig(config *configuration.Config, now time.Time) {
 	b.config = config
-	b.budget.RemoveIdle(now)
 	b.updateConnectionLimits()
 	b.answerQueued(now)
 }
--- a/internal/dataplane/balancer/retrybudget.go
+++ b/internal/dataplane/balancer/retrybudget.go
@@ -1,54 +1,30 @@
 package balancer
 
-import (
-	"maps"
-	"math"
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
-// RetryBudgetOptions are the parameters of a RetryBudget.
-type RetryBudgetOptions struct {
-	Window    time.Duration
-	Ratio     float64   // retries per request, in each window
-	Allowance float64   // retries of all proxies together besides, for each service in each window
-	Started   time.Time // of the proxy
-	// Uniform returns a random number in [0, 1). nil: rand.Float64.
-	Uniform func() float64
-}
-
-// RetryBudget limits the retries of a proxy, which are the attempts after the first of each request. Each service has
-// retries of its own: a busy service must not lend the ratio of its requests to a small one that fails. In a sliding
-// window, a proxy may make retries for a ratio of its own requests for the service, and use its share of an allowance
-// of all proxies together:
+// RetryBudget limits the retries of a proxy, which are the attempts after the first of each request. In a sliding
+// window, a proxy may make retries for a ratio of its own requests, and use its share of an allowance of all proxies
+// together:
 //
-//	retries <= requests*ratio + allowance/proxies, for each service in each window
+//	retries <= requests*ratio + allowance/proxies, in each window
 //
 // Both terms are reduced by the safety margins ratioMargin and allowanceMargin. A proxy has no allowance in its first
 // window, because the process that it replaces may have spent it.
-//
-// Where many proxies share a service, the right side is often below 1 at each of them. A proxy therefore rounds it by a
-// random number that it draws once for each service: of n proxies with a right side of x, about n*x may make a retry.
 type RetryBudget struct {
-	options     RetryBudgetOptions
-	services    map[string]*serviceRetries
+	window    time.Duration
+	ratio     float64
+	allowance float64 // retries in a window, of all proxies together
+	started   time.Time
+
+	requests    []time.Time // first attempts in the window
+	retries     []time.Time // retries in the window
 	proxies     int
 	confirmedAt time.Time // when the coordinators last reported at least proxies, or when proxies was last lowered
 }
 
-// serviceRetries are the attempts for one service in the window.
-type serviceRetries struct {
-	requests []time.Time // first attempts
-	retries  []time.Time
-	rounding float64 // added before rounding down, in [0, 1)
-}
-
-// NewRetryBudget returns a budget of a proxy that shares the allowance with no other proxy.
-func NewRetryBudget(options RetryBudgetOptions) *RetryBudget {
-	if options.Uniform == nil {
-		options.Uniform = rand.Float64
-	}
-	return &RetryBudget{options: options, services: map[string]*serviceRetries{}, proxies: 1}
+// NewRetryBudget returns a budget of ratio retries per request, and allowance retries of all proxies, in each window.
+func NewRetryBudget(window time.Duration, ratio, allowance float64, now time.Time) *RetryBudget {
+	return &RetryBudget{window: window, ratio: ratio, allowance: allowance, started: now, proxies: 1}
 }
 
 // SetProxies sets how many proxies share the allowance. A lower count takes effect only after two windows without a
@@ -56,7 +32,7 @@
 // proxies yet, and a proxy behind a partition still uses its share. Otherwise the proxies could exceed the allowance
 // together.
 func (b *RetryBudget) SetProxies(count int, now time.Time) {
-	if count >= b.proxies || now.Sub(b.confirmedAt) > 2*b.options.Window {
+	if count >= b.proxies || now.Sub(b.confirmedAt) > 2*b.window {
 		b.proxies, b.confirmedAt = max(1, count), now
 	}
 }
@@ -64,46 +40,29 @@
 // Proxies returns how many proxies share the allowance, at least 1.
 func (b *RetryBudget) Proxies() int { return b.proxies }
 
-// AddRequest records the first attempt of a request for a service.
-func (b *RetryBudget) AddRequest(service string, now time.Time) {
-	s := b.service(service)
-	s.requests = append(b.inWindow(s.requests, now), now)
+// AddRequest records the first attempt of a request.
+func (b *RetryBudget) AddRequest(now time.Time) {
+	b.requests = append(b.inWindow(b.requests, now), now)
 }
 
-// TryRetry takes a retry from the budget of a service. If it returns false, the retry must not be made.
-func (b *RetryBudget) TryRetry(service string, now time.Time) bool {
-	s := b.service(service)
-	s.requests, s.retries = b.inWindow(s.requests, now), b.inWindow(s.retries, now)
-	allowed := float64(len(s.requests)) * b.options.Ratio * ratioMargin
-	if now.Sub(b.options.Started) >= b.options.Window {
-		allowed += b.options.Allowance * allowanceMargin / float64(b.proxies)
+// TryRetry takes a retry from the budget. If it returns false, the retry must not be made.
+func (b *RetryBudget) TryRetry(now time.Time) bool {
+	b.requests, b.retries = b.inWindow(b.requests, now), b.inWindow(b.retries, now)
+	allowed := float64(len(b.requests)) * b.ratio * ratioMargin
+	if now.Sub(b.started) >= b.window {
+		allowed += b.allowance * allowanceMargin / float64(b.proxies)
 	}
-	if float64(len(s.retries)+1) > math.Floor(allowed+s.rounding) {
+	if float64(len(b.retries)+1) > allowed {
 		return false
 	}
-	s.retries = append(s.retries, now)
+	b.retries = append(b.retries, now)
 	return true
 }
 
-// RemoveIdle removes the services without attempts in the window.
-func (b *RetryBudget) RemoveIdle(now time.Time) {
-	maps.DeleteFunc(b.services, func(_ string, s *serviceRetries) bool {
-		s.requests, s.retries = b.inWindow(s.requests, now), b.inWindow(s.retries, now)
-		return len(s.requests)+len(s.retries) == 0
-	})
-}
-
-func (b *RetryBudget) service(name string) *serviceRetries {
-	if b.services[name] == nil {
-		b.services[name] = &serviceRetries{rounding: b.options.Uniform()}
-	}
-	return b.services[name]
-}
-
 // inWindow returns the times that are in the window. times must be in ascending order.
 func (b *RetryBudget) inWindow(times []time.Time, now time.Time) []time.Time {
 	expired := 0
-	for expired < len(times) && now.Sub(times[expired]) > b.options.Window {
+	for expired < len(times) && now.Sub(times[expired]) > b.window {
 		expired++
 	}
 	return times[expired:]
--- a/internal/dataplane/proxy/subscription_test.go
+++ b/internal/dataplane/proxy/subscription_test.go
@@ -19,9 +19,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	budget := balancer.NewRetryBudget(balancer.RetryBudgetOptions{
-		Window: time.Second, Ratio: 1, Allowance: 1, Started: time.Now(),
-	})
+	budget := balancer.NewRetryBudget(time.Second, 1, 1, time.Now())
 	dispatcher := balancer.NewDispatcher(ctx, balancer.New(budget), balancer.DispatcherOptions{})
 	pool := backend.NewPool()
 	return newSubscription(subscriptionOptions{
