The soak takes a loss's details from the plan that the simulation uses

Change: simulation.Fault answers these questions for both. Names of the runner say what they hold; the two errors of the client library have doc comments.

--- a/internal/controlplane/simulation/counted_losses.go
+++ b/internal/controlplane/simulation/counted_losses.go
@@ -82,6 +82,34 @@
 	return plan
 }
 
+// KeepsReplaced reports whether the machine that an overlapping replacement replaces runs until a later removal.
+func (f Fault) KeepsReplaced() bool { return f.Draw%keepReplacedOneIn == 0 }
+
+// RemovalMargin is the time from the moment at which a replaced machine may be removed to its removal.
+func (f Fault) RemovalMargin() time.Duration {
+	if f.Draw%noMarginOneIn == 1 {
+		return 0
+	}
+	return time.Duration(f.Draw % uint64(maxLossMargin))
+}
+
+// IsRemovalAnnounced reports whether a replaced machine is asked to stop before it is removed.
+func (f Fault) IsRemovalAnnounced() bool { return f.Draw/7%announcedRemovalOneIn == 0 }
+
+// ReplacedTarget returns the index of the replaced machine that the loss hits in place of its first target, if a number
+// of replaced machines run. ok is false if it hits none: most losses do, and all that end a process.
+func (f Fault) ReplacedTarget(running int) (index int, ok bool) {
+	if running == 0 || !f.Kind.isSurvivedWithoutRestart() || f.Draw%replacedTargetOneIn != 0 {
+		return 0, false
+	}
+	return int(f.Draw / replacedTargetOneIn % uint64(running)), true
+}
+
+// isSurvivedWithoutRestart reports whether the process of a machine goes on after the loss.
+func (k FaultKind) isSurvivedWithoutRestart() bool {
+	return slices.Contains([]FaultKind{Freeze, DiskStall, Partition, OneWayPartition}, k)
+}
+
 // injectLosses injects the losses of a plan, each when it is due and enough machines have stopped counting as lost.
 func (c *Cluster) injectLosses(plan []Fault) {
 	if len(plan) == 0 {
@@ -122,9 +150,8 @@
 func (c *Cluster) lossTargets(f Fault) []*node {
 	targets := lo.Map(f.Slots[:f.Count], func(slot int, _ int) *node { return c.slots[slot] })
 	running := lo.Filter(c.replaced, func(n *node, _ int) bool { return n.replica != nil })
-	isSurvived := slices.Contains([]FaultKind{Freeze, DiskStall, Partition, OneWayPartition}, f.Kind)
-	if len(running) > 0 && isSurvived && f.Draw%replacedTargetOneIn == 0 {
-		targets[0] = running[f.Draw/replacedTargetOneIn%uint64(len(running))]
+	if index, ok := f.ReplacedTarget(len(running)); ok {
+		targets[0] = running[index]
 	}
 	return targets
 }
@@ -154,14 +181,10 @@
 	c.slots[n.slot] = successor
 	c.replaced = append(c.replaced, n)
 	n.removableAt = successor.lostUntil
-	if f.Draw%keepReplacedOneIn == 0 {
+	if f.KeepsReplaced() {
 		return
 	}
-	margin := time.Duration(f.Draw % uint64(maxLossMargin))
-	if f.Draw%noMarginOneIn == 1 {
-		margin = 0
-	}
-	c.after(resyncTime+margin, func() { c.removeReplaced(f.Draw/7%announcedRemovalOneIn == 0) })
+	c.after(resyncTime+f.RemovalMargin(), func() { c.removeReplaced(f.IsRemovalAnnounced()) })
 }
 
 // removeReplaced removes all replaced machines that may be removed. If it is announced, they are asked to stop first.
--- a/internal/coordinationclient/errors.go
+++ b/internal/coordinationclient/errors.go
@@ -29,6 +29,7 @@
 	Revision message.Revision // current revision of the key; 0: it was never put
 }
 
+// Error returns the current revision of the key.
 func (e *RevisionMismatchError) Error() string {
 	return fmt.Sprintf("the key is at revision %d", e.Revision)
 }
@@ -40,4 +41,5 @@
 	Text   string // the coordinator's explanation
 }
 
+// Error returns the status and the explanation of the rejection.
 func (e *RejectedError) Error() string { return fmt.Sprintf("rejected with %d: %s", e.Status, e.Text) }
--- a/internal/soak/loss_replacements.go
+++ b/internal/soak/loss_replacements.go
@@ -90,7 +90,7 @@
 }
 
 // replaceWithOverlap starts the successor of a machine, which goes on running and is removed later.
-func (l *lossRunner) replaceWithOverlap(target *node) error {
+func (l *lossRunner) replaceWithOverlap(target *node, f simulation.Fault) error {
 	slot := lo.IndexOf(l.slots, target)
 	if slot < 0 || !target.isRunning() {
 		return nil
@@ -99,14 +99,10 @@
 	if err != nil {
 		return err
 	}
-	r := &replacement{
-		old: target, successor: successor, slot: slot, isKept: l.random.IntN(keepReplacedOneIn) == 0,
-		isAnnounced: l.random.IntN(announcedOneIn) == 0,
-	}
-	if l.random.IntN(noMarginOneIn) > 0 {
-		r.margin = time.Duration(l.random.Int64N(int64(maxRemovalMargin)))
-	}
-	l.replaced = append(l.replaced, r)
+	l.replaced = append(l.replaced, &replacement{
+		old: target, successor: successor, margin: f.RemovalMargin(), isDeferred: f.KeepsReplaced(),
+		isAnnounced: f.IsRemovalAnnounced(),
+	})
 	return nil
 }
 
@@ -119,16 +115,16 @@
 // counts by itself.
 func (r *replacement) removableAt() Moment { return r.successor.addedAt + r.successor.Bounds.Sync }
 
-// removeDue removes the replaced machines whose time has come, and together with one of them those that were kept.
+// removeDue removes the replaced machines whose time has come, and together with one of them those whose removal was deferred.
 func (l *lossRunner) removeDue() {
 	isDue := func(r *replacement) bool {
-		return !r.old.isGone() && !r.isKept && l.now() >= r.removableAt()+r.margin
+		return !r.old.isGone() && !r.isDeferred && l.now() >= r.removableAt()+r.margin
 	}
 	if !lo.SomeBy(l.replaced, isDue) {
 		return
 	}
 	for _, r := range l.replaced {
-		if !r.old.isGone() && l.mayBeRemoved(r) && (r.isKept || isDue(r)) && (l.isCertain(r) || l.toleratesLossOf([]*node{r.old})) {
+		if !r.old.isGone() && l.mayBeRemoved(r) && (r.isDeferred || isDue(r)) && (l.isCertain(r) || l.toleratesLossOf([]*node{r.old})) {
 			l.remove(r)
 		}
 	}
@@ -163,12 +159,12 @@
 	waiting, cancel := context.WithTimeout(ctx, finalStepsTimeout)
 	defer cancel()
 	for _, r := range l.replaced {
-		r.isKept = r.isKept && l.isCertain(r) // those are removed together with the final losses
+		r.isDeferred = r.isDeferred && l.isCertain(r) // those are removed together with the final losses
 	}
 	if !l.waitUntil(waiting, l.isEverythingBack) {
 		return errStillLost
 	}
-	if l.random.IntN(noMarginOneIn) > 0 && !l.wait(waiting, time.Duration(l.random.Int64N(int64(maxRemovalMargin)))) {
+	if l.random.IntN(noFinalMarginOneIn) > 0 && !l.wait(waiting, time.Duration(l.random.Int64N(int64(maxFinalMargin)))) {
 		return errStillLost
 	}
 	acknowledging, cancelChange := context.WithTimeout(ctx, l.fleet.recorder.history.Bounds.Recovery)
--- a/internal/soak/losses.go
+++ b/internal/soak/losses.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -15,17 +14,14 @@
 
 // Times of a run with counted losses.
 const (
-	lossPoll            = 20 * time.Millisecond // interval of the runner's decisions
-	maxRemovalMargin    = 3 * time.Second       // between the time at which a replaced machine may be removed and its removal
-	maxFinalDowntime    = time.Second           // of machines that lose their disks at the end
-	maxChangeInterval   = 900 * time.Millisecond
-	minChangeInterval   = 200 * time.Millisecond
-	finalStepsTimeout   = 60 * time.Second // all losses must have stopped counting within this time
-	noMarginOneIn       = 3                // one in so many margins is 0
-	keepReplacedOneIn   = 3                // one in so many replaced machines runs until a later removal
-	announcedOneIn      = 3                // one in so many removals of a replaced machine is announced by SIGTERM
-	replacedTargetOneIn = 3                // one in so many freezes hits a replaced machine, if one runs
-	lossRunStream       = 0x736f616b       // stream of the random numbers of the runner
+	lossPoll           = 20 * time.Millisecond // interval of the runner's decisions
+	maxFinalMargin     = 3 * time.Second       // between the end of all losses and the final ones
+	maxFinalDowntime   = time.Second           // of machines that lose their disks at the end
+	maxChangeInterval  = 900 * time.Millisecond
+	minChangeInterval  = 200 * time.Millisecond
+	finalStepsTimeout  = 60 * time.Second // all losses must have stopped counting within this time
+	noFinalMarginOneIn = 3                // one in so many margins before the final losses is 0
+	lossRunStream      = 0x736f616b       // stream of the random numbers of the runner
 )
 
 // lossRunner injects a plan of counted losses into a fleet of coordinators: at every moment no more machines are lost
@@ -52,9 +48,8 @@
 // replacement is a planned replacement: both machines run until the old one is removed.
 type replacement struct {
 	old, successor *node
-	slot           int
 	margin         time.Duration // from the moment at which the old machine may be removed to its removal
-	isKept         bool          // removed together with a later one, or at the end
+	isDeferred     bool          // the old machine is removed together with a later one, or at the end
 	isAnnounced    bool
 	uncertainUntil Moment // the old machine counts as lost until then, as nothing told which one was removed
 }
@@ -72,8 +67,8 @@
 	}
 }
 
-// play injects the losses of the plan, one after the other, until the fault phase ends or ctx does.
-func (l *lossRunner) play(ctx context.Context) error {
+// run injects the losses of the plan, one after the other, until the fault phase ends or ctx does.
+func (l *lossRunner) run(ctx context.Context) error {
 	l.startedAt = l.now()
 	phase, cancel := context.WithTimeout(ctx, l.options.FaultPhase)
 	defer cancel()
@@ -126,7 +121,7 @@
 		case simulation.Replacement:
 			l.replaceLost(target, f.Duration)
 		case simulation.OverlappingReplacement:
-			if err := l.replaceWithOverlap(target); err != nil {
+			if err := l.replaceWithOverlap(target, f); err != nil {
 				return err
 			}
 		default:
@@ -136,20 +131,13 @@
 	return nil
 }
 
-// isFreeze reports whether a kind of loss becomes a freeze.
-func isFreeze(kind simulation.FaultKind) bool {
-	return slices.Contains([]simulation.FaultKind{
-		simulation.Freeze, simulation.DiskStall, simulation.Partition, simulation.OneWayPartition,
-	}, kind)
-}
-
 // targets returns the machines that a loss hits: the current ones of its slots. In some freezes a replaced machine that
 // still runs takes the place of the first one.
 func (l *lossRunner) targets(f simulation.Fault) []*node {
 	targets := lo.Map(f.Slots[:f.Count], func(slot int, _ int) *node { return l.slots[slot] })
 	running := lo.Filter(l.replaced, func(r *replacement, _ int) bool { return r.old.isRunning() })
-	if len(running) > 0 && isFreeze(f.Kind) && f.Draw%replacedTargetOneIn == 0 {
-		targets[0] = running[f.Draw/replacedTargetOneIn%uint64(len(running))].old
+	if index, ok := f.ReplacedTarget(len(running)); ok {
+		targets[0] = running[index].old
 	}
 	return targets
 }
@@ -191,7 +179,7 @@
 
 // isEverythingBack reports whether no machine counts as lost and every replaced machine is removed, or may be.
 func (l *lossRunner) isEverythingBack() bool {
-	return len(l.starts) == 0 && l.toleratesLossOf(nil) &&
+	return len(l.starts) == 0 &&
 		lo.NoneBy(l.slots, func(n *node) bool { return l.isLost(n) }) &&
 		lo.NoneBy(l.replaced, func(r *replacement) bool {
 			return l.countsAsLost(r) || !r.old.isGone() && !(l.mayBeRemoved(r) && l.isCertain(r))
--- a/internal/soak/losses_test.go
+++ b/internal/soak/losses_test.go
@@ -26,6 +26,9 @@
 	assert.Empty(t, checkAnswersAmidLosses(h, newTimeline(h)), "the bound is longer where the machine held up a process")
 }
 
+// removedAtOnce is an overlapping replacement whose old machine is removed without notice as soon as it may be.
+var removedAtOnce = simulation.Fault{Kind: simulation.OverlappingReplacement, Draw: 7}
+
 // newTestLossRunner returns a runner of a fleet of three coordinators in zones of their own, with a tolerance of one, and
 // a short Bounds.Sync.
 func newTestLossRunner(t *testing.T, zones int) *lossRunner {
@@ -62,13 +65,12 @@
 func TestLossRunner_PlannedReplacement(t *testing.T) {
 	l := newTestLossRunner(t, 3)
 	old := l.slots[0]
-	require.NoError(t, l.replaceWithOverlap(old))
+	require.NoError(t, l.replaceWithOverlap(old, removedAtOnce))
 	successor := l.slots[0]
 	assert.Equal(t, old.Zone, successor.Zone)
 	assert.NotEqual(t, old.IP, successor.IP)
 	assert.False(t, successor.IsFirstStart())
 	assert.False(t, l.toleratesLossOf([]*node{l.slots[1]}), "the successor is new")
-	l.replaced[0].isKept, l.replaced[0].margin = false, 0
 	require.True(t, l.waitUntil(t.Context(), old.isGone))
 	assert.GreaterOrEqual(t, l.now(), successor.addedAt+successor.Bounds.Sync)
 	assert.True(t, l.toleratesLossOf([]*node{l.slots[1]}))
@@ -79,8 +81,7 @@
 // Where a zone has several coordinators, a machine that is removed without notice counts as lost for Bounds.Sync.
 func TestLossRunner_RemovalInSharedZoneCounts(t *testing.T) {
 	l := newTestLossRunner(t, simulation.NoZones)
-	require.NoError(t, l.replaceWithOverlap(l.slots[0]))
-	l.replaced[0].isKept, l.replaced[0].margin, l.replaced[0].isAnnounced = false, 0, false
+	require.NoError(t, l.replaceWithOverlap(l.slots[0], removedAtOnce))
 	require.True(t, l.waitUntil(t.Context(), l.replaced[0].old.isGone))
 	assert.False(t, l.toleratesLossOf([]*node{l.slots[1]}))
 	require.True(t, l.waitUntil(t.Context(), func() bool { return l.toleratesLossOf([]*node{l.slots[1]}) }))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -120,7 +120,7 @@
 	} else {
 		schedule = DrawSchedule(opts.Seed, opts.shape())
 	}
-	if err := r.play(ctx, schedule); err != nil {
+	if err := r.execute(ctx, schedule); err != nil {
 		return nil, err
 	}
 	r.recorder.history.Executions = fakes.executions.All()
@@ -151,9 +151,9 @@
 
 const historyFileMode = 0o644
 
-// play carries out the phases of the run. When it returns, all goroutines of the run have ended, except those of the
+// execute carries out the phases of the run. When it returns, all goroutines of the run have ended, except those of the
 // fleet if there was an error.
-func (r *run) play(ctx context.Context, schedule Schedule) error {
+func (r *run) execute(ctx context.Context, schedule Schedule) error {
 	loadContext, endLoad := context.WithCancel(ctx)
 	changeContext, endChanges := context.WithCancel(ctx)
 	defer func() {
@@ -178,7 +178,7 @@
 	}
 	r.mark(func(h *History) { h.FaultsFrom = r.recorder.now() })
 	r.progress("fault phase of %v with %d steps", r.opts.FaultPhase, len(schedule))
-	if err := r.playFaults(ctx, changeContext, schedule); err != nil {
+	if err := r.injectFaults(ctx, changeContext, schedule); err != nil {
 		return err
 	}
 	if err := r.fleet.awaitSettled(ctx); err != nil {
@@ -257,25 +257,25 @@
 	r.background.Go(func() { sampler.run(ctx) })
 }
 
-// playFaults injects the counted losses of the run, or carries out the schedule.
-func (r *run) playFaults(ctx, changeContext context.Context, schedule Schedule) error {
+// injectFaults injects the counted losses of the run, or carries out the schedule.
+func (r *run) injectFaults(ctx, changeContext context.Context, schedule Schedule) error {
 	if r.losses == nil {
-		return r.playSteps(ctx, changeContext, schedule)
+		return r.runSchedule(ctx, changeContext, schedule)
 	}
 	r.changes.Go(func() {
 		if err := r.losses.changeContinually(changeContext); err != nil {
 			r.progress("%v", err)
 		}
 	})
-	if err := r.losses.play(ctx); err != nil {
+	if err := r.losses.run(ctx); err != nil {
 		return err
 	}
 	r.progress("final losses")
 	return r.losses.end(ctx)
 }
 
-// playSteps carries out the schedule. Each change runs in its own goroutine until it is settled or changeContext ends.
-func (r *run) playSteps(ctx, changeContext context.Context, schedule Schedule) error {
+// runSchedule carries out the schedule. Each change runs in its own goroutine until it is settled or changeContext ends.
+func (r *run) runSchedule(ctx, changeContext context.Context, schedule Schedule) error {
 	started := time.Now()
 	for _, step := range schedule {
 		if err := ctxtime.Sleep(ctx, time.Until(started.Add(step.At))); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,15 +36,22 @@
 	return programs
 }
 
-// The whole system breaks no rule under the faults of one seed.
-func TestRun_BreaksNoRule(t *testing.T) {
-	result, err := Run(t.Context(), Options{Programs: buildPrograms(t), Seed: ciSeed, FaultPhase: ciFaultPhase, Processes: ciProcesses,
-		Applications: true, Progress: testWriter{t}})
+// runWithoutViolation runs the programs of this module with applications, and reports each violation as an error.
+func runWithoutViolation(t *testing.T, options Options) *Result {
+	t.Helper()
+	options.Programs, options.Applications, options.Progress = buildPrograms(t), true, testWriter{t}
+	result, err := Run(t.Context(), options)
 	require.NoError(t, err)
 	t.Log(result)
 	for _, violation := range result.Violations {
 		t.Errorf("%v\n  plays again with: %s", violation, result.Command)
 	}
+	return result
+}
+
+// The whole system breaks no rule under the faults of one seed.
+func TestRun_BreaksNoRule(t *testing.T) {
+	result := runWithoutViolation(t, Options{Seed: ciSeed, FaultPhase: ciFaultPhase, Processes: ciProcesses})
 	assert.NotZero(t, result.Served)
 	assert.NotZero(t, result.Acknowledged)
 	assert.NotZero(t, result.LockHolds)
@@ -75,13 +82,7 @@
 // Coordinators lose nothing that they acknowledged, and answer each change, under losses that the tolerance covers at
 // every moment, counted as operators count them.
 func TestRun_LosesNothingUnderCountedLosses(t *testing.T) {
-	result, err := Run(t.Context(), Options{Programs: buildPrograms(t), Seed: ciLossSeed, FaultPhase: ciLossPhase, Losses: true,
-		Applications: true, Progress: testWriter{t}})
-	require.NoError(t, err)
-	t.Log(result)
-	for _, violation := range result.Violations {
-		t.Errorf("%v\n  plays again with: %s", violation, result.Command)
-	}
+	result := runWithoutViolation(t, Options{Seed: ciLossSeed, FaultPhase: ciLossPhase, Losses: true})
 	assert.NotZero(t, result.Acknowledged)
 	assert.NotZero(t, result.LockHolds)
 	assert.NotZero(t, result.Puts)
