Both planes: age of the backend list in use, in the status and the log

Change: discovery.AgeMonitor in coordinators and proxies; GET /status of both planes; a warning once a list is older than drainMs; polls carry the version of the sender's list (a new optional field with a sample; earlier builds skip it). No decision changes.

--- a/internal/controlplane/coordinator/backends.go
+++ b/internal/controlplane/coordinator/backends.go
@@ -33,6 +33,7 @@
 
 func (c *controller) onBackendsRead(list *discovery.BackendList, err error) {
 	c.polling = false
+	c.loop.hub.Monitor().CountRead(err)
 	if err != nil {
 		logrus.WithError(err).Debug("discovery poll failed")
 		return
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/controlplane/coordinationapi"
+	"pumiceline/internal/controlplane/discovery"
 	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/controlplane/replica"
 	"pumiceline/internal/logkey"
@@ -72,6 +73,7 @@
 	defer stop()
 	go loop.writer.run()
 	go loop.hub.Run(background)
+	go loop.hub.Monitor().Run(background)
 	go loop.run(background)
 	go coordinationLoop.writer.run()
 	go coordinationLoop.run(background)
@@ -101,7 +103,7 @@
 	}
 	l := &replicaLoop{
 		started: time.Now(), inbox: make(chan *message.Message, inboxLength), leaving: make(chan struct{}),
-		hub: distribution.NewHub(), pending: newPendingResults(newIncarnation()),
+		hub: distribution.NewHub(discovery.NewAgeMonitor(settings.Bounds.Drain)), pending: newPendingResults(newIncarnation()),
 	}
 	l.replica = replica.New(options, configuration.Validate, 0, stored.control, stored.chain)
 	self.Identity = l.replica.Identity()
--- a/internal/controlplane/coordinator/lease_holder_subscriber.go
+++ b/internal/controlplane/coordinator/lease_holder_subscriber.go
@@ -42,14 +42,28 @@
 // and their present loads.
 func (s *leaseHolderSubscriber) PollRequest() message.PollRequest {
 	reported := s.loop.hub.CollectDemand()
+	version := s.backendsVersion(time.Now())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return message.PollRequest{
-		ConfigSequence: noConfigWanted, BackendDigest: s.digest, LoadVersion: s.loads.Version(),
+		BackendsVersion: version,
+		ConfigSequence:  noConfigWanted, BackendDigest: s.digest, LoadVersion: s.loads.Version(),
 		Demand: reported.Models, Loads: reported.Loads, Proxies: reported.Proxies,
 	}
 }
 
+// backendsVersion returns the version of the hub's list of backends; nil: there is none.
+func (s *leaseHolderSubscriber) backendsVersion(now time.Time) *message.BackendsVersion {
+	list := s.loop.hub.Backends()
+	if !list.IsKnown() {
+		return nil
+	}
+	return &message.BackendsVersion{
+		AgeMs: now.Sub(list.ObservedAt).Milliseconds(), OldestMs: s.loop.hub.OldestListAge().Milliseconds(),
+		Revision: list.Revision,
+	}
+}
+
 // Apply takes the lease holder's response to a request that was sent at sent.
 func (s *leaseHolderSubscriber) Apply(response *message.PollResponse, sent time.Time) {
 	s.mutex.Lock()
--- a/internal/controlplane/distribution/backend_history.go
+++ b/internal/controlplane/distribution/backend_history.go
@@ -16,12 +16,13 @@
 	updates map[uint64]*message.BackendUpdate // to the newest, by the digest that they build on
 }
 
-// set sets the newest list and reports whether it differs from the one before. It ignores a list that is not newer.
-func (h *backendHistory) set(list *discovery.BackendList) bool {
+// set sets the newest list and reports whether its backends differ from those before. It ignores a list that is not
+// newer.
+func (h *backendHistory) set(list *discovery.BackendList) (isNewer, isChanged bool) {
 	if !list.IsNewerThan(h.newest) {
-		return false
+		return false, false
 	}
-	isChanged := !h.newest.IsKnown() || h.newest.Digest != list.Digest
+	isChanged = !h.newest.IsKnown() || h.newest.Digest != list.Digest
 	if isChanged && h.newest.IsKnown() {
 		h.earlier = append(h.earlier, h.newest)
 		h.earlier = h.earlier[max(0, len(h.earlier)-maxBackendHistory):]
@@ -30,7 +31,7 @@
 		h.updates = map[uint64]*message.BackendUpdate{}
 	}
 	h.newest = list
-	return isChanged
+	return true, isChanged
 }
 
 // updateFrom returns the update for a subscriber that has the list with the given digest, or the full list if that
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -42,6 +42,7 @@
 	status        atomic.Pointer[Status]
 	config        atomic.Pointer[message.ConfigUpdate]
 	onUnmetDemand atomic.Pointer[func()]
+	monitor       *discovery.AgeMonitor
 }
 
 // state is owned by the goroutine that runs Hub.Run.
@@ -55,9 +56,9 @@
 	backendsByModel modelIndex
 }
 
-// NewHub makes a hub; Run must be called once.
-func NewHub() *Hub {
-	h := &Hub{commands: make(chan func(*state), commandQueueLength), ended: make(chan struct{})}
+// NewHub makes a hub; Run must be called once. monitor records the age of the hub's list of backends.
+func NewHub(monitor *discovery.AgeMonitor) *Hub {
+	h := &Hub{commands: make(chan func(*state), commandQueueLength), ended: make(chan struct{}), monitor: monitor}
 	h.status.Store(&Status{})
 	return h
 }
@@ -104,7 +105,11 @@
 // a list that differs at once.
 func (h *Hub) SetBackends(list *discovery.BackendList) {
 	h.send(func(s *state) {
-		if s.backends.set(list) {
+		isNewer, isChanged := s.backends.set(list)
+		if isNewer {
+			h.monitor.Use(list.ObservedAt, time.Now())
+		}
+		if isChanged {
 			h.answerPending(s, time.Now())
 		}
 	})
@@ -134,6 +139,16 @@
 	return readState(h, func(s *state) int { return s.countProxies(time.Now()) })
 }
 
+// Monitor returns the monitor of the hub's list of backends.
+func (h *Hub) Monitor() *discovery.AgeMonitor { return h.monitor }
+
+// OldestListAge returns the age of the oldest list of backends that the hub or one of its subscribers has used within
+// the last seconds; see discovery.AgeMonitor.
+func (h *Hub) OldestListAge() time.Duration {
+	own := time.Duration(h.monitor.Status(time.Now()).OldestMs) * time.Millisecond
+	return max(own, readState(h, func(s *state) time.Duration { return s.subscriptions.oldestListAge(time.Now()) }))
+}
+
 // CollectDemand returns what the subscribers reported. Arrivals and rejections are counted since the last call.
 func (h *Hub) CollectDemand() ReportedDemand {
 	return readState(h, func(s *state) ReportedDemand {
--- a/internal/controlplane/distribution/hub_test.go
+++ b/internal/controlplane/distribution/hub_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	hub := NewHub()
+	hub := NewHub(discovery.NewAgeMonitor(0))
 	hub.SetStatus(Status{Members: []message.Member{{Address: "m"}}})
 	go hub.Run(ctx)
 	return hub
@@ -151,7 +151,7 @@
 // After Run has ended, calls do not block and return zero values.
 func TestHub_CallsReturnAfterEnd(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	hub := NewHub()
+	hub := NewHub(discovery.NewAgeMonitor(0))
 	ended := make(chan struct{})
 	go func() {
 		hub.Run(ctx)
--- a/internal/controlplane/distribution/subscriptions.go
+++ b/internal/controlplane/distribution/subscriptions.go
@@ -34,6 +34,7 @@
 type subscription struct {
 	proxies  int // number of proxies that it reports for
 	lastPoll time.Time
+	oldest   time.Duration // age of the oldest list of backends that it has used; see message.BackendsVersion
 	loads    []message.BackendLoad
 	demand   []message.ModelDemand // of its requests waiting and in flight; arrivals are in subscriptionTable.demand
 	totals   inflight.DeltaEncoder // of the totals sent to it
@@ -57,6 +58,9 @@
 	}
 	known.proxies, known.lastPoll = request.Proxies, now
 	known.loads, known.demand = request.Loads, request.Demand
+	if version := request.BackendsVersion; version != nil {
+		known.oldest = time.Duration(version.OldestMs) * time.Millisecond
+	}
 	for _, demand := range request.Demand {
 		sum := t.demandOf(demand.Service, demand.Model)
 		sum.Arrivals += demand.Arrivals
@@ -89,6 +93,17 @@
 	return count
 }
 
+// oldestListAge returns the age of the oldest list of backends that a subscriber reported.
+func (t *subscriptionTable) oldestListAge(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, known := range t.bySubscriber {
+		if now.Sub(known.lastPoll) <= subscriptionLifetime {
+			oldest = max(oldest, known.oldest)
+		}
+	}
+	return oldest
+}
+
 // sumLoads returns the loads of all subscribers by backend.
 func (t *subscriptionTable) sumLoads(now time.Time) []message.BackendLoad {
 	sums := map[message.BackendID]message.BackendLoad{}
--- a/internal/dataplane/proxy/discoveryfallback.go
+++ b/internal/dataplane/proxy/discoveryfallback.go
@@ -38,6 +38,7 @@
 		return
 	}
 	list, err := s.reader.Read(ctx)
+	s.monitor.CountRead(err)
 	if err != nil {
 		return
 	}
@@ -47,6 +48,7 @@
 		return
 	}
 	s.newestVersion, s.backends = discovery.BackendList{ObservedAt: list.ObservedAt}, list
+	s.monitor.Use(list.ObservedAt, time.Now())
 	s.dispatcher.Update(balancer.Update{Backends: list.Backends, HasBackends: true, OnRemoved: s.closeConnections})
 }
 
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -101,6 +101,7 @@
 	go p.loads.Run(ctx)
 	go p.notifier.run(ctx, p.poller)
 	go p.subscription.runDiscoveryFallback(ctx)
+	go p.subscription.monitor.Run(ctx)
 	go p.sweepConnections(ctx)
 }
 
@@ -136,8 +137,12 @@
 	return nil
 }
 
-// serveReady responds to a readiness check.
-func (p *Proxy) serveReady(w http.ResponseWriter, _ *http.Request) {
+// serveReady responds to a readiness check, or with the Status.
+func (p *Proxy) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == statusPath {
+		p.serveStatus(w)
+		return
+	}
 	if p.isDraining.Load() || !p.subscription.isReady.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/dataplane/proxy/subscription.go
+++ b/internal/dataplane/proxy/subscription.go
@@ -28,6 +28,7 @@
 type subscription struct {
 	subscriptionOptions
 	reader  *discovery.Reader
+	monitor *discovery.AgeMonitor
 	isReady atomic.Bool // a configuration and a list of backends have been received
 
 	mutex      sync.Mutex
@@ -55,6 +56,7 @@
 	return &subscription{
 		subscriptionOptions: options,
 		reader:              discovery.NewReader(options.settings.Platform.Address), proxyCount: 1,
+		monitor: discovery.NewAgeMonitor(options.settings.Bounds.Drain),
 	}
 }
 
@@ -98,11 +100,23 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return message.PollRequest{
-		ConfigSequence: s.config.KnownSequence(), BackendDigest: s.digest(), LoadVersion: s.loadTotals.Version(),
+		BackendsVersion: s.backendsVersion(time.Now()),
+		ConfigSequence:  s.config.KnownSequence(), BackendDigest: s.digest(), LoadVersion: s.loadTotals.Version(),
 		Demand: demand, Loads: loads, Proxies: 1,
 	}
 }
 
+// backendsVersion returns the version of the current list of backends; nil: there is none.
+func (s *subscription) backendsVersion(now time.Time) *message.BackendsVersion {
+	if !s.newestVersion.IsKnown() {
+		return nil
+	}
+	return &message.BackendsVersion{
+		AgeMs: now.Sub(s.newestVersion.ObservedAt).Milliseconds(), OldestMs: s.monitor.Status(now).OldestMs,
+		Revision: s.newestVersion.Revision,
+	}
+}
+
 // Apply applies the response of a coordinator to a poll. sent is when the poll request was sent.
 func (s *subscription) Apply(response *message.PollResponse, sent time.Time) {
 	s.mutex.Lock()
@@ -144,7 +158,9 @@
 		return nil, false
 	}
 	received := discovery.BackendList{ObservedAt: distribution.ObservedAt(response, sent), Revision: response.BackendsRevision}
-	if !received.IsNewerThan(&s.newestVersion) {
+	isNewerReading := received.IsNewerThan(&s.newestVersion)
+	s.monitor.CountPoll(response.Backends != nil && !isNewerReading)
+	if !isNewerReading {
 		return nil, false
 	}
 	if response.Backends != nil {
@@ -152,6 +168,7 @@
 	}
 	if s.digest() != 0 {
 		s.newestVersion = received
+		s.monitor.Use(received.ObservedAt, time.Now())
 	}
 	return backends, isNewer
 }
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -41,6 +41,10 @@
 	LatencyTargetMs = "latency_target_ms"
 	// Load is the model that a placement task loads.
 	Load = "load"
+	// ListAgeMs is the time since the backend list in use was read from the platform; -1: there is no list.
+	ListAgeMs = "list_age_ms"
+	// Lists is the number of backend lists that replaced an older one.
+	Lists = "lists"
 	// LongestEventGapMs is the longest time between two events of a stream.
 	LongestEventGapMs = "longest_event_gap_ms"
 	// MaxEventGapMs is the longest time between two events that a route allows.
@@ -55,10 +59,18 @@
 	Name = "name"
 	// Operation is the operation that a placement command requests from a backend.
 	Operation = "operation"
+	// OldestListAgeMs is the age of the oldest backend list in use within the last seconds.
+	OldestListAgeMs = "oldest_list_age_ms"
 	// OutputTokens is the maximum number of output tokens that a request asks for.
 	OutputTokens = "output_tokens"
 	// Path is the path and query of a call to the control address.
 	Path = "path"
+	// PlatformReadFailures is the number of reads of the platform's list that failed.
+	PlatformReadFailures = "platform_read_failures"
+	// PlatformReads is the number of reads of the platform's list by the process.
+	PlatformReads = "platform_reads"
+	// Polls is the number of polls of coordinators that got a response.
+	Polls = "polls"
 	// Priority is the priority of a route, 0 the highest.
 	Priority = "priority"
 	// Program is the name of a process's command.
@@ -71,6 +83,8 @@
 	QueuedPrefillMs = "queued_prefill_ms"
 	// Reason is the planner's reason for a placement task.
 	Reason = "reason"
+	// RejectedLists is the number of received backend lists that were not newer than the one in use.
+	RejectedLists = "rejected_lists"
 	// Rejection is the reason why a request was rejected; empty: it was not rejected.
 	Rejection = "rejection"
 	// ReplacedVoters is the voters that lost their vote while they were suspected, "identity address" each.
--- a/internal/message/distribution.go
+++ b/internal/message/distribution.go
@@ -13,6 +13,15 @@
 	Loads          []BackendLoad `msg:"l"` // current values, not differences
 	Proxies        int           `msg:"p"` // number of proxies whose demand and loads the request reports
 	LoadVersion    uint64        `msg:"v"` // of the sender's total loads; 0: it has none
+	// BackendsVersion is the version of the sender's backend list; nil: it has none, or is of an earlier build.
+	BackendsVersion *BackendsVersion `msg:"bv,omitempty"`
+}
+
+// BackendsVersion orders a backend list among others; see discovery.BackendList.IsNewerThan.
+type BackendsVersion struct {
+	AgeMs    int64            `msg:"a"` // time since the list was read from the platform, when the request was sent
+	OldestMs int64            `msg:"o"` // age of the oldest list that the sender has used since its last request
+	Revision BackendsRevision `msg:"v"`
 }
 
 // PollResponse carries the data that is newer than the versions in PollRequest.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -2082,6 +2082,247 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *BackendsVersion) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.AgeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		case "o":
+			z.OldestMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "OldestMs")
+				return
+			}
+		case "v":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "t":
+					{
+						var zb0003 uint64
+						zb0003, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "Revision", "Token")
+							return
+						}
+						z.Revision.Token = FencingToken(zb0003)
+					}
+				case "n":
+					z.Revision.Number, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Revision", "Number")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Revision")
+						return
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *BackendsVersion) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "a"
+	err = en.Append(0x83, 0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.OldestMs)
+	if err != nil {
+		err = msgp.WrapError(err, "OldestMs")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "t"
+	err = en.Append(0x82, 0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Revision.Token))
+	if err != nil {
+		err = msgp.WrapError(err, "Revision", "Token")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Revision.Number)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision", "Number")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *BackendsVersion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendInt64(o, z.AgeMs)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt64(o, z.OldestMs)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	// map header, size 2
+	// string "t"
+	o = append(o, 0x82, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Revision.Token))
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *BackendsVersion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		case "o":
+			z.OldestMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OldestMs")
+				return
+			}
+		case "v":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Revision")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "t":
+					{
+						var zb0003 uint64
+						zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Revision", "Token")
+							return
+						}
+						z.Revision.Token = FencingToken(zb0003)
+					}
+				case "n":
+					z.Revision.Number, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Revision", "Number")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Revision")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *BackendsVersion) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Call) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16237,6 +16478,24 @@
 				err = msgp.WrapError(err, "LoadVersion")
 				return
 			}
+		case "bv":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "BackendsVersion")
+					return
+				}
+				z.BackendsVersion = nil
+			} else {
+				if z.BackendsVersion == nil {
+					z.BackendsVersion = new(BackendsVersion)
+				}
+				err = z.BackendsVersion.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendsVersion")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -16250,100 +16509,135 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PollRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "i"
-	err = en.Append(0x88, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ConfigSequence)
-	if err != nil {
-		err = msgp.WrapError(err, "ConfigSequence")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.BackendDigest)
-	if err != nil {
-		err = msgp.WrapError(err, "BackendDigest")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.MaxWaitMs)
-	if err != nil {
-		err = msgp.WrapError(err, "MaxWaitMs")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.BackendsVersion == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Demand)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Demand")
 		return
 	}
-	for za0001 := range z.Demand {
-		err = z.Demand[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "i"
+		err = en.Append(0xa1, 0x69)
 		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0001)
 			return
 		}
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Loads)))
-	if err != nil {
-		err = msgp.WrapError(err, "Loads")
-		return
-	}
-	for za0002 := range z.Loads {
-		err = z.Loads[za0002].EncodeMsg(en)
+		err = en.WriteUint64(z.ID)
 		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0002)
+			err = msgp.WrapError(err, "ID")
 			return
 		}
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Proxies)
-	if err != nil {
-		err = msgp.WrapError(err, "Proxies")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.LoadVersion)
-	if err != nil {
-		err = msgp.WrapError(err, "LoadVersion")
-		return
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.ConfigSequence)
+		if err != nil {
+			err = msgp.WrapError(err, "ConfigSequence")
+			return
+		}
+		// write "b"
+		err = en.Append(0xa1, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.BackendDigest)
+		if err != nil {
+			err = msgp.WrapError(err, "BackendDigest")
+			return
+		}
+		// write "h"
+		err = en.Append(0xa1, 0x68)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.MaxWaitMs)
+		if err != nil {
+			err = msgp.WrapError(err, "MaxWaitMs")
+			return
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Demand)))
+		if err != nil {
+			err = msgp.WrapError(err, "Demand")
+			return
+		}
+		for za0001 := range z.Demand {
+			err = z.Demand[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand", za0001)
+				return
+			}
+		}
+		// write "l"
+		err = en.Append(0xa1, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Loads)))
+		if err != nil {
+			err = msgp.WrapError(err, "Loads")
+			return
+		}
+		for za0002 := range z.Loads {
+			err = z.Loads[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads", za0002)
+				return
+			}
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Proxies)
+		if err != nil {
+			err = msgp.WrapError(err, "Proxies")
+			return
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.LoadVersion)
+		if err != nil {
+			err = msgp.WrapError(err, "LoadVersion")
+			return
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "bv"
+			err = en.Append(0xa2, 0x62, 0x76)
+			if err != nil {
+				return
+			}
+			if z.BackendsVersion == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.BackendsVersion.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendsVersion")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -16351,45 +16645,71 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PollRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "i"
-	o = append(o, 0x88, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.ConfigSequence)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.BackendDigest)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendInt(o, z.MaxWaitMs)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
-	for za0001 := range z.Demand {
-		o, err = z.Demand[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.BackendsVersion == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0002 := range z.Loads {
-		o, err = z.Loads[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0002)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.ID)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendUint64(o, z.ConfigSequence)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendUint64(o, z.BackendDigest)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendInt(o, z.MaxWaitMs)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
+		for za0001 := range z.Demand {
+			o, err = z.Demand[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand", za0001)
+				return
+			}
+		}
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+		for za0002 := range z.Loads {
+			o, err = z.Loads[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads", za0002)
+				return
+			}
+		}
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Proxies)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.LoadVersion)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "bv"
+			o = append(o, 0xa2, 0x62, 0x76)
+			if z.BackendsVersion == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.BackendsVersion.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendsVersion")
+					return
+				}
+			}
 		}
 	}
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Proxies)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.LoadVersion)
 	return
 }
 
@@ -16485,6 +16805,23 @@
 				err = msgp.WrapError(err, "LoadVersion")
 				return
 			}
+		case "bv":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.BackendsVersion = nil
+			} else {
+				if z.BackendsVersion == nil {
+					z.BackendsVersion = new(BackendsVersion)
+				}
+				bts, err = z.BackendsVersion.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendsVersion")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -16507,7 +16844,12 @@
 	for za0002 := range z.Loads {
 		s += z.Loads[za0002].Msgsize()
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.Uint64Size
+	s += 2 + msgp.IntSize + 2 + msgp.Uint64Size + 3
+	if z.BackendsVersion == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.BackendsVersion.Msgsize()
+	}
 	return
 }
 
--- a/internal/message/stored_test.go
+++ b/internal/message/stored_test.go
@@ -28,6 +28,7 @@
 	backendsRevisionGeneration
 	coordinationGeneration
 	replacementsGeneration
+	backendsVersionGeneration
 )
 
 // addedFields are the fields that were added after the first samples were stored.
@@ -45,6 +46,7 @@
 	"Message.StateWriteResponse":    coordinationGeneration,
 	"Message.IssuerHandOver":        coordinationGeneration,
 	"View.Replacements":             replacementsGeneration,
+	"PollRequest.BackendsVersion":   backendsVersionGeneration,
 }
 
 func (f *filler) fill(v reflect.Value) {
@@ -137,6 +139,7 @@
 		"coordination-state.msgp":         {&CoordinationState{}, coordinationGeneration},
 		"coordination-write.msgp":         {&CoordinationWrite{}, coordinationGeneration},
 		"control-state-replacements.msgp": {&ControlState{}, replacementsGeneration},
+		"message-backends-version.msgp":   {&Message{}, backendsVersionGeneration},
 	}
 }
 
