Planner: a plan no longer takes the time that the list of backends needs

Cause: a plan searches the list of models for each size that it looks up, and computes the evictions of each backend anew for each model: time in proportion to the square of the number of models, ten times a second, in the goroutine that starts the reads. Change: models are found by an index; losses and evictions are kept until the replicas that they depend on change; the plans stay the same.

--- a/internal/controlplane/configuration/configuration.go
+++ b/internal/controlplane/configuration/configuration.go
@@ -5,6 +5,7 @@
 package configuration
 
 import (
+	"slices"
 	"time"
 
 	"pumiceline/internal/message"
@@ -65,6 +66,35 @@
 	WeightCapacityMB float64 // capacity for weights and adapters together
 	AdapterSlots     int
 	LoadsPerSecond   float64 // limit of the weight store over all backends
+
+	modelIndex map[message.ModelName]int // index in Models by name; nil: not built
+}
+
+// IndexModels makes Model find a model without a search of the list. It must be called after Models is filled and
+// before the runtime is shared.
+func (r *Runtime) IndexModels() {
+	r.modelIndex = make(map[message.ModelName]int, len(r.Models))
+	for i := range r.Models {
+		if _, isKnown := r.modelIndex[r.Models[i].Name]; !isKnown {
+			r.modelIndex[r.Models[i].Name] = i
+		}
+	}
+}
+
+// Model returns the first model of a name.
+func (r *Runtime) Model(name message.ModelName) (model Model, ok bool) {
+	if r.modelIndex != nil {
+		i, ok := r.modelIndex[name]
+		if !ok {
+			return Model{}, false
+		}
+		return r.Models[i], true
+	}
+	i := slices.IndexFunc(r.Models, func(m Model) bool { return m.Name == name })
+	if i < 0 {
+		return Model{}, false
+	}
+	return r.Models[i], true
 }
 
 // Service is a group of interchangeable backends.
--- a/internal/controlplane/configuration/parse.go
+++ b/internal/controlplane/configuration/parse.go
@@ -117,6 +117,7 @@
 			AdapterMB: adapterMBField.read(model),
 		})
 	}
+	runtime.IndexModels()
 	return runtime
 }
 
--- a/internal/controlplane/placement/planner/adapter_placement.go
+++ b/internal/controlplane/placement/planner/adapter_placement.go
@@ -82,7 +82,7 @@
 		if model.Adapters == 0 || p.replicas[model.Name] == 0 {
 			continue
 		}
-		replicas := p.adapterReplicas(model.Name)
+		replicas := p.adapterCounts[model.Name]
 		for _, demand := range p.rankAdapters(model) {
 			if replicas[demand.adapter] < p.targetAdapterReplicas(model, demand) {
 				demands = append(demands, demand)
@@ -141,7 +141,7 @@
 			slots -= len(kept.Adapters)
 		}
 	}
-	replicas := p.adapterReplicas(model.Name)
+	replicas := p.adapterCounts[model.Name]
 	ranked := p.rankAdapters(model)
 	sort.SliceStable(ranked, func(i, j int) bool { return replicas[ranked[i].adapter] < replicas[ranked[j].adapter] })
 	var names []message.ModelName
@@ -151,20 +151,19 @@
 	return names
 }
 
-// adapterReplicas counts the replicas of each of a model's adapters.
-func (p *servicePlan) adapterReplicas(model message.ModelName) map[string]int {
-	replicas := map[string]int{}
-	for _, backend := range p.backends {
-		for _, held := range backend.Models {
-			if held.Name != model {
-				continue
-			}
-			for _, adapter := range held.Adapters {
-				replicas[adapter]++
-			}
-		}
+// countAdapters adds the adapters of a loaded model to adapterCounts.
+func (p *servicePlan) countAdapters(loaded message.LoadedModel) {
+	if len(loaded.Adapters) == 0 {
+		return
+	}
+	counts := p.adapterCounts[loaded.Name]
+	if counts == nil {
+		counts = map[string]int{}
+		p.adapterCounts[loaded.Name] = counts
+	}
+	for _, adapter := range loaded.Adapters {
+		counts[adapter]++
 	}
-	return replicas
 }
 
 // adapterBackend returns, of the backends that hold the model and can take the adapter, the one with the fewest
--- a/internal/controlplane/placement/planner/capacity.go
+++ b/internal/controlplane/placement/planner/capacity.go
@@ -21,7 +21,7 @@
 // loadedMB is the size of a loaded model with its adapters. The size of a model that is not in the configuration is
 // unknown, so it counts as the full capacity, and nothing is loaded beside it.
 func (c Capacity) loadedMB(loaded message.LoadedModel) float64 {
-	model, ok := c.model(loaded.Name)
+	model, ok := c.Runtime.Model(loaded.Name)
 	if !ok {
 		return c.Runtime.WeightCapacityMB
 	}
@@ -30,7 +30,7 @@
 
 // sizeMB is the size of a model or an adapter by name.
 func (c Capacity) sizeMB(name message.ModelName) float64 {
-	model, ok := c.model(name.Base())
+	model, ok := c.Runtime.Model(name.Base())
 	switch {
 	case !ok:
 		return c.Runtime.WeightCapacityMB
@@ -40,15 +40,6 @@
 	return model.WeightsMB
 }
 
-func (c Capacity) model(name message.ModelName) (configuration.Model, bool) {
-	for _, model := range c.Runtime.Models {
-		if model.Name == name {
-			return model, true
-		}
-	}
-	return configuration.Model{}, false
-}
-
 // Fits reports whether a model or an adapter may be loaded beside the loaded models.
 func (c Capacity) Fits(models []message.LoadedModel, name message.ModelName) bool {
 	if name.Adapter() != "" && countAdapters(models) >= c.Runtime.AdapterSlots {
--- a/internal/controlplane/placement/planner/model_placement.go
+++ b/internal/controlplane/placement/planner/model_placement.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -91,40 +90,21 @@
 // siteAt chooses the models to evict from a backend so that a model fits, those with the smallest loss first. ok is
 // false if the model would not even fit into the empty backend.
 func (p *servicePlan) siteAt(backend *Backend, model configuration.Model) (_ site, ok bool) {
-	freeMB := p.service.Runtime.WeightCapacityMB - p.capacity.UsedMB(backend.Models)
-	held := slices.Clone(backend.Models)
-	sort.SliceStable(held, func(i, j int) bool { return p.evictionLoss(held[i].Name) < p.evictionLoss(held[j].Name) })
-	s := site{backend: backend}
-	for _, candidate := range held {
-		if freeMB >= model.WeightsMB {
-			break
+	for _, option := range p.evictionOptions(backend) {
+		if option.freeMB >= model.WeightsMB {
+			return site{backend: backend, evictions: option.evictions, loss: option.totalLoss(backend.Cached[model.Name])}, true
 		}
-		s.evictions = append(s.evictions, candidate.Name)
-		s.loss += p.evictionLoss(candidate.Name)
-		freeMB += p.capacity.loadedMB(candidate)
 	}
-	if freeMB < model.WeightsMB {
-		return site{}, false
-	}
-	if !backend.Cached[model.Name] {
-		s.loss += storeLoadLoss
-	}
-	s.loss += inFlightLoss * float64(p.in.InFlight[backend.ID])
-	for _, kept := range backend.Models {
-		if !slices.Contains(s.evictions, kept.Name) {
-			s.loss += neighbourLoss * p.expectedRate(kept.Name)
-		}
-	}
-	return s, true
+	return site{}, false
 }
 
 // placeAt returns the task for a site, and updates the replica counts and the loads allowed for the rest of the plan.
 func (p *servicePlan) placeAt(s *site, model configuration.Model) Task {
 	s.backend.Busy = true
 	for _, evicted := range s.evictions {
-		p.replicas[evicted]--
+		p.addReplicas(evicted, -1)
 	}
-	p.replicas[model.Name]++
+	p.addReplicas(model.Name, 1)
 	fromCache := s.backend.Cached[model.Name]
 	if !fromCache {
 		p.in.ModelLoadsAllowed[p.service.Name]--
--- a/internal/controlplane/placement/planner/planner.go
+++ b/internal/controlplane/placement/planner/planner.go
@@ -72,7 +72,11 @@
 	replicas   map[message.ModelName]int
 	targets    map[message.ModelName]int     // how many replicas there should be
 	shiftRates map[message.ModelName]float64 // highest rate, in requests a second, of the models whose demand may shift
+	losses     map[message.ModelName]float64 // results of evictionLoss, until the model's replicas change
+	options    map[*Backend][]evictionOption // until the replicas of a model of the backend change
 	tasks      []Task
+	// adapterCounts counts the replicas of each adapter, by model and adapter.
+	adapterCounts map[message.ModelName]map[string]int
 }
 
 // ServiceFailure is a service for which no plan could be made because the planner panicked.
@@ -132,6 +136,7 @@
 	p := &servicePlan{
 		in: in, service: service, capacity: Capacity{service.Runtime}, replicas: map[message.ModelName]int{},
 		targets: map[message.ModelName]int{}, shiftRates: map[message.ModelName]float64{},
+		losses: map[message.ModelName]float64{}, options: map[*Backend][]evictionOption{}, adapterCounts: map[message.ModelName]map[string]int{},
 	}
 	for i := range in.Backends {
 		backend := &in.Backends[i]
@@ -141,6 +146,7 @@
 		p.backends = append(p.backends, backend)
 		for _, model := range backend.Models {
 			p.replicas[model.Name]++
+			p.countAdapters(model)
 		}
 	}
 	for model, count := range in.Loading[service.Name] {
--- a/internal/controlplane/placement/planner/value.go
+++ b/internal/controlplane/placement/planner/value.go
@@ -41,7 +41,17 @@
 	return p.expectedRate(model) / float64(p.replicas[model]+1)
 }
 
-// evictionLoss is the loss, in requests a second, if one of a model's replicas is evicted:
+// evictionLoss returns computeEvictionLoss, which it computes once for all backends that hold the model.
+func (p *servicePlan) evictionLoss(model message.ModelName) float64 {
+	loss, isKnown := p.losses[model]
+	if !isKnown {
+		loss = p.computeEvictionLoss(model)
+		p.losses[model] = loss
+	}
+	return loss
+}
+
+// computeEvictionLoss is the loss, in requests a second, if one of a model's replicas is evicted:
 //
 //	above the target:  surplusDiscount * expectedRate / replicas
 //	one of several:    expectedRate / replicas
@@ -50,7 +60,7 @@
 //
 // For the only replica, requests in flight count too: the backend would reject those that were sent to it a moment
 // ago and that it has not begun.
-func (p *servicePlan) evictionLoss(model message.ModelName) float64 {
+func (p *servicePlan) computeEvictionLoss(model message.ModelName) float64 {
 	demand := p.demandFor(model)
 	replicas := p.replicas[model]
 	if replicas > p.targets[model] && replicas > 1 {
