Soak: backends leave during runs, and a failing test of a holder that cannot read

Cause: no run of ours let a backend leave, so nothing could show that requests reach it after its drain time.

--- a/cmd/pumicectl/soak.go
+++ b/cmd/pumicectl/soak.go
@@ -31,6 +31,7 @@
 	phase := flags.Duration("duration", defaultSoakPhase, "how long faults are injected in a run")
 	processes := flags.Int("processes", defaultSoakProcesses, "coordinators and proxies together")
 	losses := flags.Bool("losses", false, "run coordinators alone under losses within the tolerance, counted as operators count them; the seed draws their number")
+	outages := flags.Bool("holder-outages", false, "cut the lease holder off from the platform again and again, in place of signals, restarts and changes")
 	applications := flags.Bool("applications", true, "call for locks, numbers, keys and watches too")
 	asJSON := flags.Bool("json", false, "print one JSON object per seed")
 	histories := flags.String("histories", "", "folder that gets the history of each run, as SEED.json")
@@ -40,7 +41,7 @@
 		ShortHelp: "run the system on loopback under series of signals, restarts and changes, and check the rules",
 		Exec: func(ctx context.Context, _ []string) error {
 			options := soak.Options{Programs: *programs, FaultPhase: *phase, Processes: *processes, Applications: *applications,
-				Losses: *losses, HistoryDir: *histories}
+				Losses: *losses, HolderOutages: *outages, HistoryDir: *histories}
 			if options.Programs == "" {
 				own, err := os.Executable()
 				if err != nil {
--- a/internal/fake/fakesystem/backend.go
+++ b/internal/fake/fakesystem/backend.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -42,6 +44,7 @@
 	models     map[string][]string // adapters, by resident model
 	revision   uint64              // number of commands that were accepted with status 202
 	loading    bool                // a model is being loaded
+	isDraining bool                // the list shows it as draining; it goes on serving
 	running    int                 // requests
 	modelLoads int
 }
@@ -64,6 +67,27 @@
 // Close stops the backend at once and closes its connections.
 func (b *Backend) Close() { _ = b.server.Close() }
 
+// StartDraining makes the list show the backend as draining. The backend goes on serving.
+func (b *Backend) StartDraining() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isDraining = true
+}
+
+// IsDraining reports whether the list shows the backend as draining.
+func (b *Backend) IsDraining() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isDraining
+}
+
+// Models returns the names of the resident models.
+func (b *Backend) Models() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Sorted(maps.Keys(b.models))
+}
+
 // ModelLoads returns how many models were loaded by command.
 func (b *Backend) ModelLoads() int {
 	b.mu.Lock()
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -8,6 +8,7 @@
 type Bounds struct {
 	Quiet       time.Duration // quietMs: after this time without faults a process is in touch, and the core is stable
 	Acknowledge time.Duration // ackMs: a change is acknowledged within this time while the core is stable
+	Drain       time.Duration // drainMs: no request is sent to a backend this long after the list shows it as draining
 	Grace       time.Duration // graceS: time between SIGTERM and SIGKILL
 	LossSlack   time.Duration // lossSlackMs: a request that waited longer than this on its connection counts as read
 	Apply       time.Duration // applyMs: an acknowledged change is in force at processes in touch within this time
@@ -32,7 +33,7 @@
 // StatedBounds returns the figures of the operators' documentation.
 func StatedBounds() Bounds {
 	return Bounds{
-		Quiet: 4 * time.Second, Acknowledge: 5 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
+		Quiet: 4 * time.Second, Acknowledge: 5 * time.Second, Drain: 4 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
 		Apply: 2500 * time.Millisecond, Downgrade: 250 * time.Millisecond, Stretch: 6 * time.Second,
 		Recovery: 15 * time.Second, History: 20 * time.Second, Sync: 4 * time.Second, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, MemoryBytes: memoryLimitMB << 20,
 		DrainExtra: time.Second, OwnEndSlack: time.Second, MaxRunDelay: 100 * time.Millisecond, SlowExtra: 15 * time.Second,
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 	RuleRecover     Rule = "RECOVER"
 	RuleProcess     Rule = "PROCESS"
 	RuleMemory      Rule = "MEMORY"
+	RuleDrain       Rule = "DRAIN"
 )
 
 // Violation is one breach of a rule.
@@ -51,7 +52,7 @@
 var checkers = []func(h *History, t *timeline) violations{
 	checkLost, checkResponses, checkExecutions, checkDenied,
 	checkSettled, checkReads, checkRejectedChanges, checkAcknowledgements, checkAnswersAmidLosses, checkApplied, checkRegress,
-	checkEnds, checkMemory, checkRecovery,
+	checkDrains, checkEnds, checkMemory, checkRecovery,
 	checkHolds, checkTokens, checkNumbers, checkKeys, checkWatches, checkLate,
 }
 
--- a/internal/soak/document_test.go
+++ b/internal/soak/document_test.go
@@ -9,6 +9,7 @@
 
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/configuration"
+	"pumiceline/internal/fake/fakesystem"
 	"pumiceline/internal/message"
 )
 
@@ -46,7 +47,7 @@
 
 // The programs' parser accepts the settings of nodes, with the bounds that the checkers use.
 func TestNode_SettingsAreValid(t *testing.T) {
-	fleet, err := newFleet(NewShape(12, time.Minute), "programs", t.TempDir(), "127.0.0.1:4", newRecorder(StatedBounds()))
+	fleet, err := newFleet(NewShape(12, time.Minute), "programs", t.TempDir(), &fakesystem.Platform{}, newRecorder(StatedBounds()))
 	require.NoError(t, err)
 	t.Cleanup(fleet.close)
 	for _, n := range fleet.nodes {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pumiceline/internal/ctxtime"
+	"pumiceline/internal/fake/fakesystem"
 	"pumiceline/internal/faulttest"
 )
 
@@ -41,7 +42,7 @@
 }
 
 // newFleet returns the nodes of a shape, with no process started. The caller closes it.
-func newFleet(shape Shape, programs, dir, platform string, r *recorder) (*fleet, error) {
+func newFleet(shape Shape, programs, dir string, platform *fakesystem.Platform, r *recorder) (*fleet, error) {
 	loopback, err := claimLoopbackNet()
 	if err != nil {
 		return nil, err
@@ -52,8 +53,12 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", f.net.address(i), controlPort))
 	}
 	for i := range shape.Processes() {
-		n := &node{IP: f.net.address(i), Zone: zoneOf(i), SeedNodes: seeds, PlatformAddress: platform,
-			Tolerance: min(maxTolerance, (shape.Coordinators-1)/2), Bounds: r.history.Bounds}
+		entrance, err := platform.Listen()
+		if err != nil {
+			return nil, err
+		}
+		n := &node{IP: f.net.address(i), Zone: zoneOf(i), SeedNodes: seeds, PlatformAddress: entrance.Address,
+			entrance: entrance, PlatformRate: platformRate, Tolerance: min(maxTolerance, (shape.Coordinators-1)/2), Bounds: r.history.Bounds}
 		if i < shape.Coordinators {
 			n.Name, n.role = fmt.Sprintf("coordinator-%d", i), RoleCoordinator
 			n.StateDir = filepath.Join(dir, n.Name)
@@ -84,6 +89,13 @@
 	return nodes
 }
 
+// setPlatformRate sets the rate of calls to the platform that the settings of all nodes state.
+func (f *fleet) setPlatformRate(perSecond float64) {
+	for _, n := range f.all() {
+		n.PlatformRate = perSecond
+	}
+}
+
 // startAll starts the processes of all nodes.
 func (f *fleet) startAll() error {
 	for _, n := range f.all() {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"pumiceline/internal/fake/fakesystem"
 	"slices"
 	"testing"
 	"time"
@@ -29,7 +30,7 @@
 	bounds := StatedBounds()
 	bounds.Grace, bounds.OwnEndSlack = grace, 0
 	r := newRecorder(bounds)
-	f, err := newFleet(NewShape(6, time.Second), programs, t.TempDir(), "127.0.0.1:1", r)
+	f, err := newFleet(NewShape(6, time.Second), programs, t.TempDir(), &fakesystem.Platform{}, r)
 	require.NoError(t, err)
 	t.Cleanup(f.close)
 	require.NoError(t, f.startAll())
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -119,6 +119,12 @@
 	IsServed bool
 }
 
+// Drain is a backend that leaves.
+type Drain struct {
+	Backend string
+	At      Moment // when the platform's list first showed it as draining
+}
+
 // MemorySample is the memory of a process.
 type MemorySample struct {
 	Node          string
@@ -146,6 +152,7 @@
 	Changes    []Change
 	Reads      []Read
 	Probes     []Probe
+	Drains     []Drain
 	Memory     []MemorySample
 	Delays     []DelaySample
 	LoadFrom   Moment // when clients began
--- a/internal/soak/loss_replacements.go
+++ b/internal/soak/loss_replacements.go
@@ -29,7 +29,7 @@
 	first := f.nodes[0]
 	n := &node{
 		Name: fmt.Sprintf("coordinator-%d", len(f.nodes)), IP: f.net.address(len(f.nodes)), Zone: zone, SeedNodes: seeds,
-		PlatformAddress: first.PlatformAddress, Tolerance: first.Tolerance, Bounds: first.Bounds,
+		PlatformAddress: first.PlatformAddress, PlatformRate: first.PlatformRate, Tolerance: first.Tolerance, Bounds: first.Bounds,
 		role: RoleCoordinator, program: first.program, isAdded: true, addedAt: f.recorder.now(),
 	}
 	n.StateDir = filepath.Join(f.dir, n.Name)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/fake/fakesystem"
 	"pumiceline/internal/faulttest"
 )
 
@@ -31,11 +32,13 @@
 	SeedNodes       []string
 	StateDir        string // set for coordinators only
 	PlatformAddress string
+	PlatformRate    float64 // calls a second of all processes together, as the settings state it
 	Tolerance       int
 	Bounds          Bounds
 
-	role    Role
-	program string // path
+	role     Role
+	entrance *fakesystem.Entrance // of the platform, at PlatformAddress
+	program  string               // path
 
 	mu           sync.Mutex
 	hasStarted   bool
@@ -69,7 +72,7 @@
 bounds:
   ackMs: {{.Bounds.Acknowledge.Milliseconds}}
   applyMs: {{.Bounds.Apply.Milliseconds}}
-  drainMs: 4000
+  drainMs: {{.Bounds.Drain.Milliseconds}}
   graceS: {{.Bounds.Grace.Seconds}}
   leaseMs: {{.Bounds.Lease.Milliseconds}}
   thawMs: {{.Bounds.Thaw.Milliseconds}}
@@ -80,7 +83,7 @@
   retryWindowS: 10
   capWindowS: 5
   capExcess: 1.1
-cloud: {address: "{{.PlatformAddress}}", ratePerS: 40.0, maxLagMs: 100}
+cloud: {address: "{{.PlatformAddress}}", ratePerS: {{.PlatformRate}}, maxLagMs: 100}
 `))
 
 // ClientAddress is where the node's process serves clients.
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -20,6 +20,7 @@
 	Rejected      int             `json:"rejected"`
 	Reads         int             `json:"reads"`
 	Probes        int             `json:"probes"`
+	Drains        int             `json:"drains"` // backends that left
 	PeakMemory    int64           `json:"peak_memory_bytes"` // maximum over all processes
 	LockHolds     int             `json:"lock_holds"`
 	Numbers       int             `json:"numbers"`
@@ -39,7 +40,7 @@
 func newResult(opts Options, schedule Schedule, h *History) *Result {
 	r := &Result{
 		Seed: opts.Seed, Processes: opts.shape().Processes(), Steps: map[Action]int{}, Faults: map[string]int{},
-		Requests: map[Outcome]int{}, Changes: len(h.Changes), Reads: len(h.Reads), Probes: len(h.Probes),
+		Requests: map[Outcome]int{}, Changes: len(h.Changes), Reads: len(h.Reads), Probes: len(h.Probes), Drains: len(h.Drains),
 		Violations: Check(h), Command: opts.command(),
 	}
 	for _, step := range schedule {
@@ -134,7 +135,7 @@
 // String returns the counts of the run in one line.
 func (r *Result) String() string {
 	return fmt.Sprintf("seed %d: %d processes, faults %v, losses %v, requests %v, %d served, changes %d (%d acknowledged, %d rejected), "+
-		"%d reads, %d probes, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, stood still for %v, %d cuts for slowness, "+
+		"%d reads, %d probes, %d drains, holds %d, numbers %d, puts %d, gets %d, watches %d, peak memory %d MiB, slowed in %d of %d samples, stood still for %v, %d cuts for slowness, "+
 		"%d calls cut, %d violations", r.Seed, r.Processes, r.Faults, r.Losses, r.Requests, r.Served, r.Changes,
-		r.Acknowledged, r.Rejected, r.Reads, r.Probes, r.LockHolds, r.Numbers, r.Puts, r.Gets, r.WatchAnswers, r.PeakMemory>>20, r.SlowedSamples, r.DelaySamples, r.StoodStill.Round(time.Millisecond), r.SlowCuts, r.CallCuts, len(r.Violations))
+		r.Acknowledged, r.Rejected, r.Reads, r.Probes, r.Drains, r.LockHolds, r.Numbers, r.Puts, r.Gets, r.WatchAnswers, r.PeakMemory>>20, r.SlowedSamples, r.DelaySamples, r.StoodStill.Round(time.Millisecond), r.SlowCuts, r.CallCuts, len(r.Violations))
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,9 +32,12 @@
 	Applications bool
 	// Losses runs coordinators alone under counted losses, in place of a schedule of signals for coordinators and proxies.
 	// The seed draws the number of coordinators, the tolerance and the zones.
-	Losses     bool
-	Progress   io.Writer // receives a line about each phase; nil: discarded
-	HistoryDir string    // folder in which the history is written as SEED.json; empty: it is not written
+	Losses bool
+	// HolderOutages cuts the lease holder off from the platform again and again, in place of a schedule, and the settings
+	// allow so few calls to the platform that proxies cannot read the list themselves.
+	HolderOutages bool
+	Progress      io.Writer // receives a line about each phase; nil: discarded
+	HistoryDir    string    // folder in which the history is written as SEED.json; empty: it is not written
 }
 
 func (o Options) shape() Shape {
@@ -57,6 +60,9 @@
 	if o.Losses {
 		size = "--losses"
 	}
+	if o.HolderOutages {
+		size += " --holder-outages"
+	}
 	return fmt.Sprintf("pumicectl soak --programs %s --first-seed %d --seeds 1 --duration %v %s --applications=%t",
 		o.Programs, o.Seed, o.FaultPhase, size, o.Applications)
 }
@@ -105,7 +111,7 @@
 		return nil, err
 	}
 	r := &run{opts: opts, recorder: newRecorder(StatedBounds()), fakes: fakes}
-	if r.fleet, err = newFleet(opts.shape(), opts.Programs, dir, fakes.platform.Address, r.recorder); err != nil {
+	if r.fleet, err = newFleet(opts.shape(), opts.Programs, dir, fakes.platform, r.recorder); err != nil {
 		return nil, err
 	}
 	defer r.fleet.close()
@@ -117,6 +123,8 @@
 		r.fleet.setLossOptions(opts.lossOptions())
 		r.losses = newLossRunner(r, coordinators, opts.lossOptions())
 		r.recorder.history.HasLosses = true
+	} else if opts.HolderOutages {
+		r.fleet.setPlatformRate(scarcePlatformRate)
 	} else {
 		schedule = DrawSchedule(opts.Seed, opts.shape())
 	}
@@ -177,6 +185,9 @@
 		return err
 	}
 	r.mark(func(h *History) { h.FaultsFrom = r.recorder.now() })
+	if len(r.fleet.ofRole(RoleProxy)) > 0 {
+		r.changes.Go(func() { r.releaseBackends(changeContext) })
+	}
 	r.progress("fault phase of %v with %d steps", r.opts.FaultPhase, len(schedule))
 	if err := r.injectFaults(ctx, changeContext, schedule); err != nil {
 		return err
@@ -260,6 +271,10 @@
 // injectFaults injects the counted losses of the run, or carries out the schedule.
 func (r *run) injectFaults(ctx, changeContext context.Context, schedule Schedule) error {
 	if r.losses == nil {
+		phase, cancel := context.WithTimeout(ctx, r.opts.FaultPhase)
+		defer cancel()
+		outages := newOutages(r.fleet.ofRole(RoleCoordinator), r.opts.HolderOutages, r.opts.Seed)
+		r.background.Go(func() { outages.run(phase) })
 		return r.runSchedule(ctx, changeContext, schedule)
 	}
 	r.changes.Go(func() {
@@ -296,6 +311,13 @@
 	}
 }
 
+// releaseBackends replaces backends until ctx ends.
+func (r *run) releaseBackends(ctx context.Context) {
+	if err := newReleases(r.fakes, r.recorder, r.opts.Seed).run(ctx); err != nil {
+		r.progress("release: %v", err)
+	}
+}
+
 func (r *run) mark(change func(h *History)) { r.recorder.edit(change) }
 
 func (r *run) progress(format string, args ...any) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,3 +89,25 @@
 	assert.NotZero(t, result.Losses["overlapping replacement"])
 	assert.NotZero(t, result.Losses["final lost disk"])
 }
+
+// Parameters of the run with outages of the lease holder in CI. A zone has three proxies.
+const (
+	ciOutageSeed      = 1
+	ciOutagePhase     = 20 * time.Second
+	ciOutageProcesses = 16
+)
+
+// Requests reach no backend after its drain time while the lease holder cannot read the platform's list.
+func TestRun_DrainsWhileLeaseHolderCannotReadList(t *testing.T) {
+	result, err := Run(t.Context(), Options{
+		Programs: buildPrograms(t), Seed: ciOutageSeed, FaultPhase: ciOutagePhase, Processes: ciOutageProcesses,
+		HolderOutages: true, Progress: testWriter{t},
+	})
+	require.NoError(t, err)
+	t.Log(result)
+	for _, violation := range result.Violations {
+		t.Errorf("%v\n  plays again with: %s", violation, result.Command)
+	}
+	assert.NotZero(t, result.Served)
+	assert.NotZero(t, result.Drains)
+}
--- a/internal/soak/surroundings.go
+++ b/internal/soak/surroundings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"pumiceline/internal/fake/fakesystem"
@@ -22,7 +23,9 @@
 type fakeServices struct {
 	executions *fakesystem.ExecutionCounter
 	platform   *fakesystem.Platform
-	backends   []*fakesystem.Backend
+
+	mutex    sync.Mutex
+	backends []*fakesystem.Backend // all that were started
 }
 
 // startFakeServices starts backends and the platform. The caller closes them, also after an error.
@@ -54,6 +57,8 @@
 	if err := backend.Start(s.executions, models...); err != nil {
 		return err
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.backends = append(s.backends, backend)
 	return nil
 }
@@ -62,6 +67,8 @@
 	if s.platform.Address != "" {
 		s.platform.Close()
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	for _, backend := range s.backends {
 		backend.Close()
 	}
