--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -20,7 +20,7 @@
 	Rejected      int             `json:"rejected"`
 	Reads         int             `json:"reads"`
 	Probes        int             `json:"probes"`
-	Drains        int             `json:"drains"` // backends that left
+	Drains        int             `json:"drains"`            // backends that left
 	PeakMemory    int64           `json:"peak_memory_bytes"` // maximum over all processes
 	LockHolds     int             `json:"lock_holds"`
 	Numbers       int             `json:"numbers"`
