--- a/internal/controlplane/coordinator/backends.go
+++ b/internal/controlplane/coordinator/backends.go
@@ -42,6 +42,22 @@
 	c.publishBackends()
 }
 
+// adoptPeerList takes the hub's list if another member has read it later than this lease holder has read its own, so
+// that a holder that cannot read the platform places models by a list that is not older than its proxies' lists.
+func (c *controller) adoptPeerList(list *discovery.BackendList) {
+	if !list.IsKnown() || list.Revision.Token == c.leaseToken {
+		return
+	}
+	if c.listed != nil && !list.ObservedAt.After(c.listed.ObservedAt) {
+		return
+	}
+	adopted := *list
+	if c.listed != nil {
+		adopted.Pages = c.listed.Pages // a list from another process has none, and the poll interval depends on them
+	}
+	c.listed = &adopted
+}
+
 // publishBackends passes the backends to the hub as discovery listed them, with the models that were observed since.
 func (c *controller) publishBackends() {
 	if c.listed == nil {
--- a/internal/controlplane/coordinator/backends_test.go
+++ b/internal/controlplane/coordinator/backends_test.go
@@ -17,7 +17,7 @@
 // task runs there.
 func TestController_ObservedModelsPrecedeDiscovery(t *testing.T) {
 	const maxLag = 800 * time.Millisecond
-	hub := distribution.NewHub(discovery.NewAgeMonitor(0))
+	hub := distribution.NewHub(0)
 	go hub.Run(t.Context())
 	settings := &bootstrap.Settings{Platform: bootstrap.Platform{MaxLag: maxLag}}
 	c := newController(&replicaLoop{hub: hub}, settings)
@@ -55,7 +55,7 @@
 
 // A model that requests wait for is published at once. Other changes are published with the next poll of discovery.
 func TestController_PublishesAwaitedModelsAtOnce(t *testing.T) {
-	hub := distribution.NewHub(discovery.NewAgeMonitor(0))
+	hub := distribution.NewHub(0)
 	go hub.Run(t.Context())
 	c := newController(&replicaLoop{hub: hub}, &bootstrap.Settings{})
 	c.leaseToken = 1
--- a/internal/controlplane/coordinator/controller.go
+++ b/internal/controlplane/coordinator/controller.go
@@ -25,17 +25,13 @@
 	// pollIntervalPerPage is the poll interval for each page of the list. Each page is one call, which is priced and
 	// counts against the platform's rate limit, so longer lists are polled less often.
 	pollIntervalPerPage = 150 * time.Millisecond
-	// maxPollDrainShare bounds the poll interval by a share of Bounds.Drain. Proxies must get the information that a
-	// backend is draining within Bounds.Drain, so the rest of it must suffice to read the list and to send it to the
-	// proxies.
-	maxPollDrainShare = 0.25
-	// staleMargin is how overdue the lease holder's next list of backends must be before another member polls discovery
-	// itself, every memberPollInterval.
-	staleMargin        = 900 * time.Millisecond
-	memberPollInterval = 1 * time.Second
-
-	// leaseHolderPollWait is how long the lease holder may keep a poll of another member open.
-	leaseHolderPollWait = 400 * time.Millisecond
+	// minDemandPollInterval is the shortest interval at which a member without the lease polls the lease holder because a
+	// proxy reported unmet demand.
+	minDemandPollInterval = 50 * time.Millisecond
+	// planPauseFactor times the duration of a plan is the time from its end to the next plan. The planner and the reads
+	// of the list share the process's only thread for Go code.
+	planPauseFactor = 4
+
 	// failedTaskBackoff is how long a backend whose task failed gets no other task.
 	failedTaskBackoff = 1500 * time.Millisecond
 	// failedPlanBackoff is how long a service whose plan failed is not planned.
@@ -56,11 +52,14 @@
 	reader   *discovery.Reader
 	polling  bool // a poll of discovery is in progress
 	lastPoll time.Time
-	cadence  pollCadence
+	budget   discovery.Budget
 	listed   *discovery.BackendList               // the last list that was read from discovery; nil: none yet
 	observed map[message.BackendID]observedModels // models that tasks have observed at backends since
 	revision uint64                               // revision of the last list published under leaseToken
 
+	demandPolledAt time.Time // when the lease holder was last polled because of unmet demand
+	nextPlanAt     time.Time
+
 	config         *configuration.Config
 	configSequence uint64
 	residency      residencyHistory
@@ -74,9 +73,10 @@
 }
 
 func newController(loop *replicaLoop, settings *bootstrap.Settings) *controller {
+	budget := discovery.NewBudget(settings.Bounds.Drain)
 	return &controller{
-		loop: loop, settings: settings, events: make(chan func(time.Time), eventQueueLength),
-		reader: discovery.NewReader(settings.Platform.Address), observed: map[message.BackendID]observedModels{},
+		loop: loop, settings: settings, events: make(chan func(time.Time), eventQueueLength), budget: budget,
+		reader: discovery.NewReader(settings.Platform.Address, budget.ReadTimeout), observed: map[message.BackendID]observedModels{},
 		demand: planner.NewDemandTable(), loadLimiters: map[string]*planner.LoadRateLimiter{},
 		client: executor.NewBackendClient(), running: map[message.BackendID]*runningTask{},
 		backoffUntil: map[message.BackendID]time.Time{}, planBackoffUntil: map[string]time.Time{},
@@ -85,8 +85,9 @@
 
 // run runs the controller until ctx ends.
 func (c *controller) run(ctx context.Context) {
-	poller := distribution.NewPoller(c.loop.self.Identity, &leaseHolderSubscriber{loop: c.loop}, leaseHolderPollWait)
+	poller := distribution.NewPoller(c.loop.self.Identity, &leaseHolderSubscriber{loop: c.loop}, c.budget)
 	go poller.Run(ctx)
+	go distribution.NewPoller(c.loop.self.Identity+peerIdentitySuffix, &peerSubscriber{loop: c.loop, budget: c.budget}, c.budget).Run(ctx)
 	unmetDemand := make(chan struct{}, 1)
 	c.loop.hub.SetOnUnmetDemand(func() {
 		select {
@@ -103,9 +104,7 @@
 		case event := <-c.events:
 			event(time.Now())
 		case <-unmetDemand: // the lease holder needs no poll: it collects the demand from its own hub with every tick
-			if _, holds := c.lease(time.Now()); !holds {
-				go poller.PollNow(ctx)
-			}
+			c.reportUnmetDemand(ctx, poller)
 		case now := <-ticker.C:
 			c.tick(ctx, now)
 			c.loop.tasks.set(c.running)
@@ -113,6 +112,17 @@
 	}
 }
 
+// reportUnmetDemand polls the lease holder at once, which reports the demand of this member's proxies. A report that
+// comes shortly after another one is left to the next regular poll.
+func (c *controller) reportUnmetDemand(ctx context.Context, poller *distribution.Poller) {
+	now := time.Now()
+	if _, holds := c.lease(now); holds || now.Sub(c.demandPolledAt) < minDemandPollInterval {
+		return
+	}
+	c.demandPolledAt = now
+	go poller.PollNow(ctx)
+}
+
 // lease returns the membership snapshot, and whether this member holds the controller lease at the time now.
 func (c *controller) lease(now time.Time) (snapshot *membershipSnapshot, holds bool) {
 	s := c.loop.snapshot.Load()
@@ -134,59 +144,39 @@
 	if c.leaseToken != s.leaseToken {
 		c.onLeaseAcquired(s)
 	}
+	c.adoptPeerList(list)
 	c.pollBackends(ctx, now, c.pollInterval())
 	c.loop.hub.UseOwnTotals(c.pendingModelLoads(now))
-	if now.Sub(s.leaseStart) >= c.handoverDelay() {
+	if now.Sub(s.leaseStart) >= c.handoverDelay() && !now.Before(c.nextPlanAt) {
 		c.placeModels(ctx, now)
+		finished := time.Now()
+		c.nextPlanAt = finished.Add(planPauseFactor * finished.Sub(now))
 	}
 }
 
-// pollWithoutLease polls discovery if this member gets no fresh backends from the lease holder. A coordinator that is
-// not a member of the view needs no backends, as proxies poll members only.
+// pollWithoutLease polls discovery if this member gets no fresh backends from the lease holder or another member. The
+// members do so in an order, so that usually one of them does; the others get its list. A coordinator that is not a
+// member of the view needs no backends, as proxies poll members only.
 func (c *controller) pollWithoutLease(
 	ctx context.Context, s *membershipSnapshot, list *discovery.BackendList, now time.Time,
 ) {
 	if !s.isMember {
 		return
 	}
-	if c.cadence.observe(list); !list.IsKnown() || now.Sub(list.ObservedAt) >= c.cadence.interval()+staleMargin {
-		c.pollBackends(ctx, now, memberPollInterval)
+	standbyAge := c.budget.StandbyAge(standbyRank(s, c.loop.self.Address), c.settings.Tolerance)
+	if !list.IsKnown() || now.Sub(list.ObservedAt) >= standbyAge {
+		c.pollBackends(ctx, now, c.budget.ReadInterval)
 	}
 }
 
 // pollInterval is the interval at which the lease holder polls discovery:
 //
-//	pollIntervalPerPage * pages, from leaseHolderPollInterval to maxPollDrainShare * Drain
+//	pollIntervalPerPage * pages, from leaseHolderPollInterval to Budget.ReadInterval
 func (c *controller) pollInterval() time.Duration {
 	if c.listed == nil {
 		return leaseHolderPollInterval
 	}
-	longest := time.Duration(maxPollDrainShare * float64(c.settings.Bounds.Drain))
-	return max(leaseHolderPollInterval, min(longest, time.Duration(c.listed.Pages)*pollIntervalPerPage))
-}
-
-// pollCadence is another member's estimate of the interval at which the lease holder polls discovery.
-type pollCadence struct {
-	newest time.Time     // when the newest list was read
-	last   time.Duration // time between the last two lists
-}
-
-// observe takes the newest list that this member has; nil: none. When the same list is received again, its estimated
-// read time differs by some milliseconds (see distribution.ObservedAt). Such a list does not count as a new one.
-func (p *pollCadence) observe(list *discovery.BackendList) {
-	if !list.IsKnown() || list.ObservedAt.Sub(p.newest) < leaseHolderPollInterval/2 {
-		return
-	}
-	if !p.newest.IsZero() {
-		p.last = list.ObservedAt.Sub(p.newest)
-	}
-	p.newest = list.ObservedAt
-}
-
-// interval is the time between the last two lists, at least leaseHolderPollInterval. A time beyond memberPollInterval
-// is a gap in the polling, and counts as memberPollInterval.
-func (p *pollCadence) interval() time.Duration {
-	return max(leaseHolderPollInterval, min(p.last, memberPollInterval))
+	return max(leaseHolderPollInterval, min(c.budget.ReadInterval, time.Duration(c.listed.Pages)*pollIntervalPerPage))
 }
 
 // handoverDelay is how long a new lease holder sends no placement commands. A predecessor sends none after its lease
--- a/internal/controlplane/coordinator/controller_test.go
+++ b/internal/controlplane/coordinator/controller_test.go
@@ -69,20 +69,3 @@
 		assert.Equal(t, c.want, controller.pollInterval(), "%d pages, drain notice of %v", c.pages, c.drain)
 	}
 }
-
-// Another member estimates from the lists that it gets how often the lease holder polls.
-func TestPollCadence(t *testing.T) {
-	read := time.Now()
-	var cadence pollCadence
-	cadence.observe(nil)
-	assert.Equal(t, leaseHolderPollInterval, cadence.interval(), "no list yet")
-	for range 2 {
-		cadence.observe(&discovery.BackendList{ObservedAt: read})
-		cadence.observe(&discovery.BackendList{ObservedAt: read.Add(3 * time.Millisecond)})
-		assert.LessOrEqual(t, cadence.interval(), 800*time.Millisecond)
-		read = read.Add(800 * time.Millisecond)
-	}
-	assert.Equal(t, 800*time.Millisecond, cadence.interval())
-	cadence.observe(&discovery.BackendList{ObservedAt: read.Add(time.Minute)})
-	assert.Equal(t, memberPollInterval, cadence.interval(), "a gap in the polling")
-}
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -24,7 +24,6 @@
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/controlplane/coordinationapi"
-	"pumiceline/internal/controlplane/discovery"
 	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/controlplane/replica"
 	"pumiceline/internal/logkey"
@@ -103,7 +102,7 @@
 	}
 	l := &replicaLoop{
 		started: time.Now(), inbox: make(chan *message.Message, inboxLength), leaving: make(chan struct{}),
-		hub: distribution.NewHub(discovery.NewAgeMonitor(settings.Bounds.Drain)), pending: newPendingResults(newIncarnation()),
+		hub: distribution.NewHub(settings.Bounds.Drain), pending: newPendingResults(newIncarnation()),
 	}
 	l.replica = replica.New(options, configuration.Validate, 0, stored.control, stored.chain)
 	self.Identity = l.replica.Identity()
--- a/internal/controlplane/coordinator/lease_holder_subscriber.go
+++ b/internal/controlplane/coordinator/lease_holder_subscriber.go
@@ -42,7 +42,7 @@
 // and their present loads.
 func (s *leaseHolderSubscriber) PollRequest() message.PollRequest {
 	reported := s.loop.hub.CollectDemand()
-	version := s.backendsVersion(time.Now())
+	version := backendsVersion(s.loop.hub, time.Now())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return message.PollRequest{
@@ -52,41 +52,60 @@
 	}
 }
 
-// backendsVersion returns the version of the hub's list of backends; nil: there is none.
-func (s *leaseHolderSubscriber) backendsVersion(now time.Time) *message.BackendsVersion {
-	list := s.loop.hub.Backends()
-	if !list.IsKnown() {
-		return nil
-	}
-	return &message.BackendsVersion{
-		AgeMs: now.Sub(list.ObservedAt).Milliseconds(), OldestMs: s.loop.hub.OldestListAge().Milliseconds(),
-		Revision: list.Revision,
-	}
-}
-
 // Apply takes the lease holder's response to a request that was sent at sent.
-func (s *leaseHolderSubscriber) Apply(response *message.PollResponse, sent time.Time) {
+func (s *leaseHolderSubscriber) Apply(response *message.PollResponse, sent time.Time) distribution.Outcome {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.loop.hub.SetTotals(distribution.Totals{
 		Loads: s.loads.Apply(inflight.DeltaOf(response)), Proxies: response.Proxies, PendingModelLoads: response.PendingModelLoads,
 	})
 	if !response.BackendsKnown {
-		return
+		return distribution.OutcomeSame
+	}
+	list, ok := receivedList(s.backends, response, sent)
+	if !ok { // the next poll asks for the complete list
+		s.backends, s.digest = nil, 0
+		return distribution.OutcomeSame
+	}
+	s.backends, s.digest = list, list.Digest
+	return publishReceived(s.loop.hub, list)
+}
+
+// backendsVersion returns the version of the hub's list of backends; nil: there is none.
+func backendsVersion(hub *distribution.Hub, now time.Time) *message.BackendsVersion {
+	list := hub.Backends()
+	if !list.IsKnown() {
+		return nil
+	}
+	return &message.BackendsVersion{
+		AgeMs: now.Sub(list.ObservedAt).Milliseconds(), OldestMs: hub.OldestListAge().Milliseconds(), Revision: list.Revision,
 	}
+}
+
+// receivedList returns the list of a response to a request that was sent at sent, by a subscriber that has the list
+// base, which may be nil. ok is false if the response does not apply to base.
+func receivedList(
+	base *discovery.BackendList, response *message.PollResponse, sent time.Time,
+) (list *discovery.BackendList, ok bool) {
 	if response.Backends != nil {
-		list, ok := discovery.ApplyUpdate(s.backends, response.Backends)
-		if !ok { // the next poll asks for the complete list
-			s.backends, s.digest = nil, 0
-			return
+		if base, ok = discovery.ApplyUpdate(base, response.Backends); !ok {
+			return nil, false
 		}
-		s.backends, s.digest = list, list.Digest
 	}
-	if s.backends == nil {
-		return
+	if base == nil {
+		return nil, false
+	}
+	received := *base
+	received.ObservedAt = distribution.ObservedAt(response, sent)
+	received.Revision = response.BackendsRevision
+	return &received, true
+}
+
+// publishReceived passes a received list to the hub, which ignores it unless it is newer than its own.
+func publishReceived(hub *distribution.Hub, list *discovery.BackendList) distribution.Outcome {
+	if !list.IsNewerThan(hub.Backends()) {
+		return distribution.OutcomeSame
 	}
-	current := *s.backends
-	current.ObservedAt = distribution.ObservedAt(response, sent)
-	current.Revision = response.BackendsRevision
-	s.loop.hub.SetBackends(&current)
+	hub.SetBackends(list)
+	return distribution.OutcomeNewer
 }
--- a/internal/controlplane/coordinator/status_test.go
+++ b/internal/controlplane/coordinator/status_test.go
@@ -10,14 +10,13 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"pumiceline/internal/controlplane/discovery"
 	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/message"
 )
 
 // The status of a partitioned coordinator says that it does not serve proxies, and what it waits for.
 func TestStatus_PartitionedCoordinator(t *testing.T) {
-	hub := distribution.NewHub(discovery.NewAgeMonitor(0))
+	hub := distribution.NewHub(0)
 	go hub.Run(t.Context())
 	loop := &replicaLoop{self: message.Member{Identity: "n-1", Address: "a:1"}, hub: hub, pending: newPendingResults(1)}
 	view := message.View{Number: 4, Members: []message.Member{{Identity: "n-1", Address: "a:1"}}}
--- /dev/null
+++ b/internal/controlplane/discovery/budget_test.go
@@ -0,0 +1,39 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// One failure must not make a request late, whatever the drain time is and however many proxies there are: no term
+// depends on their number.
+func TestBudget_TermsStayWithinDrainTime(t *testing.T) {
+	const members, tolerance = 9, 2
+	for _, drain := range []time.Duration{time.Second, 3 * time.Second, 4 * time.Second, 30 * time.Second} {
+		b := NewBudget(drain)
+		hop := time.Duration(hopShare * float64(drain))
+		calm := b.ReadInterval + b.ReadTimeout + hop
+		lastStandby := b.StandbyAge(members, tolerance)
+		standby := lastStandby + b.ReadTimeout + hop
+		deadCoordinator := b.PollWait + b.ResponseMargin
+		assert.LessOrEqual(t, standby+b.SendTime, drain, "the lease holder supplies no list")
+		assert.LessOrEqual(t, calm+deadCoordinator+b.SendTime, drain, "a proxy's coordinator does not answer")
+		assert.LessOrEqual(t, b.FallbackAge+b.ReadTimeout, drain, "no coordinator answers a proxy")
+		assert.Less(t, calm, b.FailoverAge, "proxies stay with their coordinator while nothing fails")
+		assert.LessOrEqual(t, standby, b.FallbackAge+hop, "proxies do not read the platform before the members have")
+		assert.Less(t, b.ReadInterval+b.ReadTimeout/2, b.StandbyAge(0, tolerance), "members do not read while the holder does")
+		assert.Less(t, b.RefreshLag, b.ReadInterval)
+	}
+}
+
+func TestBudget_StandbyAgeFollowsRank(t *testing.T) {
+	b := NewBudget(4 * time.Second)
+	assert.Equal(t, 1800*time.Millisecond, b.StandbyAge(0, 2))
+	assert.Equal(t, 2000*time.Millisecond, b.StandbyAge(1, 2))
+	assert.Equal(t, 2200*time.Millisecond, b.StandbyAge(2, 2))
+	assert.Equal(t, 2200*time.Millisecond, b.StandbyAge(7, 2))
+	assert.Equal(t, 2000*time.Millisecond, b.StandbyAge(7, 1), "after the loss of one machine the next one reads")
+	assert.Equal(t, 1800*time.Millisecond, b.StandbyAge(7, 0))
+}
--- a/internal/controlplane/discovery/reader.go
+++ b/internal/controlplane/discovery/reader.go
@@ -15,7 +15,6 @@
 
 // Limits of one read of the list.
 const (
-	readTimeout  = 900 * time.Millisecond // for all pages together
 	maxPageBytes = 8 << 20
 	maxPages     = 200
 )
@@ -28,13 +27,14 @@
 // Reader reads the list from the platform. It is safe for concurrent use.
 type Reader struct {
 	address string
+	timeout time.Duration
 	client  *http.Client
 }
 
-// NewReader makes a reader of the list at a host and port.
-func NewReader(address string) *Reader {
+// NewReader makes a reader of the list at a host and port. timeout bounds a read of all pages together.
+func NewReader(address string, timeout time.Duration) *Reader {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, DisableCompression: true}
-	return &Reader{address: address, client: &http.Client{Transport: transport}}
+	return &Reader{address: address, timeout: timeout, client: &http.Client{Transport: transport}}
 }
 
 // page is one page of the list. The fields are pointers, to distinguish a missing key from an empty value.
@@ -60,7 +60,7 @@
 
 // Read reads all pages. An incomplete or malformed list is an error, and the caller keeps the list that it has.
 func (r *Reader) Read(ctx context.Context) (*BackendList, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	list := &BackendList{ObservedAt: time.Now()}
 	token := ""
--- a/internal/controlplane/discovery/reader_test.go
+++ b/internal/controlplane/discovery/reader_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -17,7 +18,7 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return NewReader(strings.TrimPrefix(server.URL, "http://")).Read(context.Background())
+	return NewReader(strings.TrimPrefix(server.URL, "http://"), time.Second).Read(context.Background())
 }
 
 func TestReader_ReadsAllPages(t *testing.T) {
--- a/internal/controlplane/distribution/backend_history.go
+++ b/internal/controlplane/distribution/backend_history.go
@@ -16,13 +16,12 @@
 	updates map[uint64]*message.BackendUpdate // to the newest, by the digest that they build on
 }
 
-// set sets the newest list and reports whether its backends differ from those before. It ignores a list that is not
-// newer.
-func (h *backendHistory) set(list *discovery.BackendList) (isNewer, isChanged bool) {
+// set sets the newest list and reports whether it is newer than the one before. It ignores a list that is not.
+func (h *backendHistory) set(list *discovery.BackendList) (isNewer bool) {
 	if !list.IsNewerThan(h.newest) {
-		return false, false
+		return false
 	}
-	isChanged = !h.newest.IsKnown() || h.newest.Digest != list.Digest
+	isChanged := !h.newest.IsKnown() || h.newest.Digest != list.Digest
 	if isChanged && h.newest.IsKnown() {
 		h.earlier = append(h.earlier, h.newest)
 		h.earlier = h.earlier[max(0, len(h.earlier)-maxBackendHistory):]
@@ -31,7 +30,7 @@
 		h.updates = map[uint64]*message.BackendUpdate{}
 	}
 	h.newest = list
-	return true, isChanged
+	return true
 }
 
 // updateFrom returns the update for a subscriber that has the list with the given digest, or the full list if that
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -43,6 +43,7 @@
 	config        atomic.Pointer[message.ConfigUpdate]
 	onUnmetDemand atomic.Pointer[func()]
 	monitor       *discovery.AgeMonitor
+	refreshLag    time.Duration // see discovery.Budget
 }
 
 // state is owned by the goroutine that runs Hub.Run.
@@ -56,9 +57,12 @@
 	backendsByModel modelIndex
 }
 
-// NewHub makes a hub; Run must be called once. monitor records the age of the hub's list of backends.
-func NewHub(monitor *discovery.AgeMonitor) *Hub {
-	h := &Hub{commands: make(chan func(*state), commandQueueLength), ended: make(chan struct{}), monitor: monitor}
+// NewHub makes a hub; Run must be called once. drain is Bounds.Drain.
+func NewHub(drain time.Duration) *Hub {
+	h := &Hub{
+		commands: make(chan func(*state), commandQueueLength), ended: make(chan struct{}),
+		monitor: discovery.NewAgeMonitor(drain), refreshLag: discovery.NewBudget(drain).RefreshLag,
+	}
 	h.status.Store(&Status{})
 	return h
 }
@@ -101,15 +105,12 @@
 	})
 }
 
-// SetBackends sets the list of backends. A list that is not newer than the present one is ignored; pending polls get
-// a list that differs at once.
+// SetBackends sets the list of backends. A list that is not newer than the present one is ignored. A pending poll gets
+// other backends at once, and so it does if the same backends were read much later.
 func (h *Hub) SetBackends(list *discovery.BackendList) {
 	h.send(func(s *state) {
-		isNewer, isChanged := s.backends.set(list)
-		if isNewer {
+		if s.backends.set(list) {
 			h.monitor.Use(list.ObservedAt, time.Now())
-		}
-		if isChanged {
 			h.answerPending(s, time.Now())
 		}
 	})
--- a/internal/controlplane/distribution/hub_test.go
+++ b/internal/controlplane/distribution/hub_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	hub := NewHub(discovery.NewAgeMonitor(0))
+	hub := NewHub(0)
 	hub.SetStatus(Status{Members: []message.Member{{Address: "m"}}})
 	go hub.Run(ctx)
 	return hub
@@ -151,7 +151,7 @@
 // After Run has ended, calls do not block and return zero values.
 func TestHub_CallsReturnAfterEnd(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	hub := NewHub(discovery.NewAgeMonitor(0))
+	hub := NewHub(0)
 	ended := make(chan struct{})
 	go func() {
 		hub.Run(ctx)
@@ -166,3 +166,96 @@
 	assert.Zero(t, hub.Proxies())
 	assert.Empty(t, hub.CollectDemand().Models)
 }
+
+// versionOf returns the version of a list that a subscriber got at the present time.
+func versionOf(list *discovery.BackendList) *message.BackendsVersion {
+	return &message.BackendsVersion{AgeMs: time.Since(list.ObservedAt).Milliseconds(), Revision: list.Revision}
+}
+
+// A subscriber that has read the platform itself, or polled another hub before, has a newer list than the hub. An answer
+// at once with the older list would make it poll without a pause.
+func TestHub_DoesNotAnswerWithOlderBackends(t *testing.T) {
+	hub := newServingHub(t)
+	now := time.Now()
+	hub.SetBackends(backendList("old", now.Add(-2*time.Second)))
+	own := backendList("own", now)
+	const wait = 120 * time.Millisecond
+	response := poll(t, hub, "p", message.PollRequest{
+		BackendDigest: own.Digest, BackendsVersion: versionOf(own), MaxWaitMs: int(wait.Milliseconds()),
+	})
+	assert.GreaterOrEqual(t, response.WaitedMs, wait.Milliseconds(), "the hub has nothing newer")
+	assert.Nil(t, response.Backends)
+
+	response = poll(t, hub, "earlier build", message.PollRequest{BackendDigest: own.Digest, MaxWaitMs: 60_000})
+	assert.NotNil(t, response.Backends, "a subscriber without a version gets any other list")
+	response = poll(t, hub, "no list", message.PollRequest{MaxWaitMs: 60_000})
+	assert.NotNil(t, response.Backends)
+}
+
+// Lists of one lease holder are ordered by their revisions, whatever the estimated times of their readings are.
+func TestHub_AnswersByRevisionOfSameLeaseHolder(t *testing.T) {
+	hub := newServingHub(t)
+	now := time.Now()
+	first, second := backendList("first", now), backendList("second", now.Add(-time.Second))
+	first.Revision = message.BackendsRevision{Token: 7, Number: 1}
+	second.Revision = message.BackendsRevision{Token: 7, Number: 2}
+	hub.SetBackends(second)
+	response := poll(t, hub, "p", message.PollRequest{
+		BackendDigest: first.Digest, BackendsVersion: versionOf(first), MaxWaitMs: 60_000,
+	})
+	assert.NotNil(t, response.Backends)
+}
+
+// A pending poll is answered when the same backends were read again, so that the subscriber's list does not age.
+func TestHub_AnswersPendingPollOnLaterReading(t *testing.T) {
+	hub := NewHub(time.Second)
+	hub.SetStatus(Status{ServingUntil: time.Now().Add(time.Hour)})
+	go hub.Run(t.Context())
+	now := time.Now()
+	list := backendList("b", now.Add(-time.Second))
+	hub.SetBackends(list)
+	response := make(chan *message.Message, 1)
+	hub.HandlePoll("p", message.PollRequest{
+		BackendDigest: list.Digest, BackendsVersion: versionOf(list), MaxWaitMs: 60_000,
+	}, func(m *message.Message) { response <- m })
+	hub.SetBackends(backendList("b", now))
+	answered := (<-response).PollResponse
+	assert.Nil(t, answered.Backends, "the backends are the same")
+	assert.Less(t, answered.BackendsAgeMs, int64(900))
+	assert.Equal(t, int64(1000), hub.Monitor().Status(now).OldestMs, "the first list was 1 s old when it was replaced")
+}
+
+// What only the lease holder supplies has an end when it supplies nothing any more.
+func TestState_TotalsOfLeaseHolderEnd(t *testing.T) {
+	now := time.Now()
+	s := &state{subscriptions: newSubscriptionTable(), totals: clusterTotals{receivedAt: now, Totals: Totals{
+		Loads:             []message.BackendLoad{{Backend: "b", InFlight: 9}},
+		PendingModelLoads: []message.PendingModelLoad{{Model: "m", ReadyInMs: 5000}},
+	}}}
+	own := []message.BackendLoad{{Backend: "b", InFlight: 2}}
+	s.subscriptions.record("p", &message.PollRequest{Loads: own}, now.Add(totalsLifetime))
+	assert.Equal(t, 9, s.totalLoads(now.Add(totalsLifetime))[0].InFlight)
+	assert.Len(t, s.totals.remainingModelLoads(now.Add(totalsLifetime)), 1)
+	later := now.Add(totalsLifetime + time.Millisecond)
+	assert.Equal(t, own, s.totalLoads(later))
+	assert.Empty(t, s.totals.remainingModelLoads(later))
+}
+
+// The sums follow each report, and a subscriber that reports no more is not counted.
+func TestSubscriptionTable_SumsFollowReports(t *testing.T) {
+	table, now := newSubscriptionTable(), time.Now()
+	report := func(subscriber string, at time.Time, loads ...message.BackendLoad) {
+		table.record(subscriber, &message.PollRequest{Loads: loads, Proxies: 1}, at)
+	}
+	report("p", now, message.BackendLoad{Backend: "a", InFlight: 1, QueuedPrefillMs: 20}, message.BackendLoad{Backend: "b", InFlight: 4})
+	report("q", now, message.BackendLoad{Backend: "a", InFlight: 2})
+	want := []message.BackendLoad{{Backend: "a", InFlight: 3, QueuedPrefillMs: 20}, {Backend: "b", InFlight: 4}}
+	assert.ElementsMatch(t, want, table.sumLoads(now))
+	assert.ElementsMatch(t, want, table.sumLoads(now), "nothing was reported in between")
+	report("p", now.Add(time.Second), message.BackendLoad{Backend: "b", InFlight: 1})
+	want = []message.BackendLoad{{Backend: "a", InFlight: 2}, {Backend: "b", InFlight: 1}}
+	assert.ElementsMatch(t, want, table.sumLoads(now.Add(time.Second)))
+	later := now.Add(reportLifetime + time.Millisecond)
+	assert.Equal(t, []message.BackendLoad{{Backend: "b", InFlight: 1}}, table.sumLoads(later), "q has not reported for too long")
+	assert.Equal(t, 1, table.countProxies(now.Add(subscriptionLifetime+time.Millisecond)))
+}
--- a/internal/controlplane/distribution/inflight/delta.go
+++ b/internal/controlplane/distribution/inflight/delta.go
@@ -33,7 +33,14 @@
 // ready.
 type DeltaEncoder struct {
 	version uint64
-	sent    map[message.BackendID]message.BackendLoad
+	sent    map[message.BackendID]sentLoad
+	round   uint64 // number of the present call of Next
+}
+
+// sentLoad is a load as it was last sent.
+type sentLoad struct {
+	message.BackendLoad
+	round uint64 // of the last call of Next whose totals had the backend
 }
 
 // Next returns the delta from the receiver's version to totals. A receiver whose version is not the one sent last (it
@@ -41,19 +48,21 @@
 func (e *DeltaEncoder) Next(receiverVersion uint64, totals []message.BackendLoad) Delta {
 	delta := Delta{}
 	if e.version == 0 || receiverVersion != e.version {
-		e.sent = map[message.BackendID]message.BackendLoad{}
+		e.sent = map[message.BackendID]sentLoad{}
 		delta.Complete = true
 	}
-	present := map[message.BackendID]bool{}
+	e.round++
 	for _, load := range totals {
-		present[load.Backend] = true
-		if last, ok := e.sent[load.Backend]; !ok || isSignificantChange(last, load) {
-			e.sent[load.Backend] = load
+		last, ok := e.sent[load.Backend]
+		if !ok || isSignificantChange(last.BackendLoad, load) {
+			last.BackendLoad = load
 			delta.Loads = append(delta.Loads, load)
 		}
+		last.round = e.round
+		e.sent[load.Backend] = last
 	}
-	for backend := range e.sent {
-		if !present[backend] {
+	for backend, last := range e.sent {
+		if last.round != e.round {
 			delete(e.sent, backend)
 			delta.Loads = append(delta.Loads, message.BackendLoad{Backend: backend})
 		}
--- a/internal/controlplane/distribution/load_query_test.go
+++ b/internal/controlplane/distribution/load_query_test.go
@@ -17,7 +17,7 @@
 
 // The queries are for a model, for an adapter, and for a model of another service, which no backend holds.
 func TestHub_AnswersLoadQueriesByModel(t *testing.T) {
-	hub := NewHub(discovery.NewAgeMonitor(0))
+	hub := NewHub(0)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go hub.Run(ctx)
--- a/internal/controlplane/distribution/poll.go
+++ b/internal/controlplane/distribution/poll.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pumiceline/internal/controlplane/discovery"
 	"pumiceline/internal/message"
 )
 
@@ -74,7 +75,8 @@
 		poll.send(&message.PollResponse{Unavailable: true, Members: status.Members})
 		return true
 	}
-	if !s.hasNewerThan(&poll.request) && waited < poll.maxWait() {
+	isNewer := s.hasNewerConfig(&poll.request) || s.hasOtherBackends(poll) || s.hasLaterReading(poll, h.refreshLag)
+	if !isNewer && waited < poll.maxWait() {
 		return false
 	}
 	response := s.response(poll, now)
@@ -83,16 +85,38 @@
 	return true
 }
 
-func (s *state) hasNewerThan(request *message.PollRequest) bool {
-	return s.hasNewerConfig(request) || s.hasOtherBackends(request)
-}
-
 func (s *state) hasNewerConfig(request *message.PollRequest) bool {
 	return s.config.newestSequence() > request.ConfigSequence
 }
 
-func (s *state) hasOtherBackends(request *message.PollRequest) bool {
-	return s.backends.newest.IsKnown() && s.backends.newest.Digest != request.BackendDigest
+// hasOtherBackends reports whether the hub has a list with other backends that replaces the subscriber's. The hub's list
+// may be the older one: the subscriber may have read the platform itself, or have polled another hub before. A
+// subscriber of an earlier build does not send the version of its list, and gets any other list.
+func (s *state) hasOtherBackends(poll *pendingPoll) bool {
+	newest := s.backends.newest
+	if !newest.IsKnown() || newest.Digest == poll.request.BackendDigest {
+		return false
+	}
+	version := poll.backendsVersion()
+	return version == nil || newest.IsNewerThan(version)
+}
+
+// hasLaterReading reports whether the hub's list was read later than the subscriber's by at least lag.
+func (s *state) hasLaterReading(poll *pendingPoll, lag time.Duration) bool {
+	newest, version := s.backends.newest, poll.backendsVersion()
+	return newest.IsKnown() && version != nil && newest.IsNewerThan(version) &&
+		newest.ObservedAt.Sub(version.ObservedAt) >= lag
+}
+
+// backendsVersion returns the version of the subscriber's list, without its backends; nil: it did not send one. The time
+// of the reading is the latest possible one, as it assumes that the request arrived without delay.
+func (p *pendingPoll) backendsVersion() *discovery.BackendList {
+	version := p.request.BackendsVersion
+	if version == nil || p.request.BackendDigest == 0 {
+		return nil
+	}
+	observedAt := p.receivedAt.Add(-time.Duration(version.AgeMs) * time.Millisecond)
+	return &discovery.BackendList{ObservedAt: observedAt, Revision: version.Revision}
 }
 
 // response returns what is newer than the request's versions, and the totals over all proxies.
@@ -106,7 +130,7 @@
 		response.BackendsRevision = newest.Revision
 		response.BackendsAgeMs = now.Sub(newest.ObservedAt).Milliseconds()
 	}
-	if s.hasOtherBackends(&poll.request) {
+	if s.hasOtherBackends(poll) {
 		response.Backends = s.backends.updateFrom(poll.request.BackendDigest)
 	}
 	response.Proxies = s.countProxies(now)
--- a/internal/controlplane/distribution/poller.go
+++ b/internal/controlplane/distribution/poller.go
@@ -5,21 +5,34 @@
 	"sync/atomic"
 	"time"
 
+	"pumiceline/internal/controlplane/discovery"
 	"pumiceline/internal/ctxtime"
 	"pumiceline/internal/message"
 	"pumiceline/internal/transport"
 )
 
 const (
-	// responseMargin is how much longer than the poll's maximum wait a response may take before the poll counts as
-	// failed.
-	responseMargin = 800 * time.Millisecond
+	// minRepeatInterval is the shortest time between the starts of two polls of Run of which the first brought nothing
+	// newer. A server whose list is older than the subscriber's may answer each poll at once.
+	minRepeatInterval = 100 * time.Millisecond
+	// staleWait is the wait of a poll while the servers polled before supplied an old list only.
+	staleWait = 100 * time.Millisecond
 	// failoverDelay is the pause before the next server is polled after one has failed.
 	failoverDelay = 80 * time.Millisecond
 	// preferredRetryInterval is how long after a failover the preferred server is polled again.
 	preferredRetryInterval = 4 * time.Second
 	// noServerDelay is the pause while no server is known.
-	noServerDelay = 250 * time.Millisecond
+	noServerDelay = 100 * time.Millisecond
+)
+
+// Outcome is what a subscriber made of a response.
+type Outcome int
+
+// The outcomes.
+const (
+	OutcomeNewer Outcome = iota // the response brought something newer
+	OutcomeSame                 // the subscriber has all that the server has
+	OutcomeStale                // what the subscriber has is too old, and the server has nothing newer: poll another one
 )
 
 // Subscriber provides the requests of a Poller and takes the responses. Its methods must be safe for concurrent use.
@@ -27,7 +40,7 @@
 	// PollRequest returns the versions that the subscriber has, and its demand and loads.
 	PollRequest() message.PollRequest
 	// Apply takes a response; sent is when its request was sent.
-	Apply(response *message.PollResponse, sent time.Time)
+	Apply(response *message.PollResponse, sent time.Time) Outcome
 	// Addresses returns the servers to poll, the preferred first. It may return none.
 	Addresses() []string
 	// SetMembers takes the members of the view of the server that responded.
@@ -40,16 +53,17 @@
 	identity     message.MemberID
 	subscriber   Subscriber
 	client       *transport.Client
-	maxWait      time.Duration
+	budget       discovery.Budget
+	isStale      bool                   // the outcome of the last poll was OutcomeStale
 	current      atomic.Pointer[string] // address of the server that answered last; PollNow uses it too
 	serverIndex  int                    // in the subscriber's addresses, modulo their number; 0: the preferred server
 	failedOverAt time.Time
 }
 
-// NewPoller makes a poller that polls under an identity. maxWait is how long a server may delay its answer while
-// there is nothing newer.
-func NewPoller(identity message.MemberID, subscriber Subscriber, maxWait time.Duration) *Poller {
-	return &Poller{identity: identity, subscriber: subscriber, client: transport.NewClient(), maxWait: maxWait}
+// NewPoller makes a poller that polls under an identity. The budget says how long a server may delay its answer while
+// there is nothing newer, and how long a response may take.
+func NewPoller(identity message.MemberID, subscriber Subscriber, budget discovery.Budget) *Poller {
+	return &Poller{identity: identity, subscriber: subscriber, client: transport.NewClient(), budget: budget}
 }
 
 // Run polls until ctx ends.
@@ -72,14 +86,23 @@
 	}
 }
 
-// pollServer makes one long poll. It reports whether the server answered and is serving.
+// maxWait is how long a server may delay its answer to the next poll while it has nothing newer.
+func (p *Poller) maxWait() time.Duration {
+	if p.isStale {
+		return min(staleWait, p.budget.PollWait)
+	}
+	return p.budget.PollWait
+}
+
+// pollServer makes one long poll. It reports whether the server answered, is serving, and supplies what is new enough.
 func (p *Poller) pollServer(ctx context.Context, address string) bool {
 	request := p.subscriber.PollRequest()
-	request.MaxWaitMs = int(p.maxWait.Milliseconds())
-	ctx, cancel := context.WithTimeout(ctx, p.maxWait+responseMargin)
+	wait := p.maxWait()
+	request.MaxWaitMs = int(wait.Milliseconds())
+	pollCtx, cancel := context.WithTimeout(ctx, wait+p.budget.ResponseMargin)
 	defer cancel()
 	sent := time.Now()
-	response, err := p.client.Poll(ctx, address, p.identity, request)
+	response, err := p.client.Poll(pollCtx, address, p.identity, request)
 	if err != nil {
 		return false
 	}
@@ -90,8 +113,12 @@
 		return false
 	}
 	p.current.Store(&address)
-	p.subscriber.Apply(response, sent)
-	return true
+	outcome := p.subscriber.Apply(response, sent)
+	p.isStale = outcome == OutcomeStale
+	if outcome == OutcomeSame {
+		_ = ctxtime.Sleep(ctx, minRepeatInterval-time.Since(sent)) // Run checks ctx
+	}
+	return !p.isStale
 }
 
 // PollNow sends a poll without a wait to the server that answered last, in addition to the pending one. It reports
@@ -103,7 +130,7 @@
 		return
 	}
 	request := p.subscriber.PollRequest()
-	ctx, cancel := context.WithTimeout(ctx, responseMargin)
+	ctx, cancel := context.WithTimeout(ctx, p.budget.ResponseMargin)
 	defer cancel()
 	sent := time.Now()
 	response, err := p.client.Poll(ctx, *address, p.identity, request)
--- a/internal/controlplane/distribution/subscriptions.go
+++ b/internal/controlplane/distribution/subscriptions.go
@@ -1,8 +1,6 @@
 package distribution
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"pumiceline/internal/controlplane/distribution/inflight"
@@ -27,15 +25,17 @@
 // subscriptionTable holds what each subscriber reported with its latest poll, and the demand not yet collected.
 type subscriptionTable struct {
 	bySubscriber map[string]*subscription
-	demand       map[modelKey]*message.ModelDemand // arrivals and rejections since the last collection
+	demand       map[modelKey]*message.ModelDemand         // arrivals and rejections since the last collection
+	loads        map[message.BackendID]message.BackendLoad // sums over the subscribers
+	sums         []message.BackendLoad                     // loads as a list, which is not changed; nil: to be made anew
 }
 
 // subscription is what one subscriber reported with its latest poll, and what was sent to it.
 type subscription struct {
 	proxies  int // number of proxies that it reports for
 	lastPoll time.Time
-	oldest   time.Duration // age of the oldest list of backends that it has used; see message.BackendsVersion
-	loads    []message.BackendLoad
+	oldest   time.Duration         // age of the oldest list of backends that it has used; see message.BackendsVersion
+	loads    []message.BackendLoad // as counted in the sums
 	demand   []message.ModelDemand // of its requests waiting and in flight; arrivals are in subscriptionTable.demand
 	totals   inflight.DeltaEncoder // of the totals sent to it
 }
@@ -46,7 +46,10 @@
 }
 
 func newSubscriptionTable() *subscriptionTable {
-	return &subscriptionTable{bySubscriber: map[string]*subscription{}, demand: map[modelKey]*message.ModelDemand{}}
+	return &subscriptionTable{
+		bySubscriber: map[string]*subscription{}, demand: map[modelKey]*message.ModelDemand{},
+		loads: map[message.BackendID]message.BackendLoad{},
+	}
 }
 
 // record stores what a subscriber reports with a poll.
@@ -57,7 +60,8 @@
 		t.bySubscriber[subscriber] = known
 	}
 	known.proxies, known.lastPoll = request.Proxies, now
-	known.loads, known.demand = request.Loads, request.Demand
+	known.demand = request.Demand
+	t.setLoads(known, request.Loads)
 	if version := request.BackendsVersion; version != nil {
 		known.oldest = time.Duration(version.OldestMs) * time.Millisecond
 	}
@@ -85,6 +89,7 @@
 	count := 0
 	for subscriber, known := range t.bySubscriber {
 		if now.Sub(known.lastPoll) > subscriptionLifetime {
+			t.setLoads(known, nil)
 			delete(t.bySubscriber, subscriber)
 			continue
 		}
@@ -106,20 +111,44 @@
 
 // sumLoads returns the loads of all subscribers by backend.
 func (t *subscriptionTable) sumLoads(now time.Time) []message.BackendLoad {
-	sums := map[message.BackendID]message.BackendLoad{}
 	for _, known := range t.bySubscriber {
 		if now.Sub(known.lastPoll) > reportLifetime {
-			continue
+			t.setLoads(known, nil)
 		}
-		for _, load := range known.loads {
-			sum := sums[load.Backend]
-			sum.Backend = load.Backend
-			sum.InFlight += load.InFlight
-			sum.QueuedPrefillMs += load.QueuedPrefillMs
-			sums[load.Backend] = sum
+	}
+	if t.sums == nil {
+		t.sums = make([]message.BackendLoad, 0, len(t.loads))
+		for _, load := range t.loads {
+			t.sums = append(t.sums, load)
 		}
 	}
-	return slices.Collect(maps.Values(sums))
+	return t.sums
+}
+
+// setLoads replaces the loads of a subscriber in the sums.
+func (t *subscriptionTable) setLoads(known *subscription, loads []message.BackendLoad) {
+	if len(known.loads) == 0 && len(loads) == 0 {
+		return
+	}
+	for _, load := range known.loads {
+		t.addLoad(load.Backend, -load.InFlight, -load.QueuedPrefillMs)
+	}
+	for _, load := range loads {
+		t.addLoad(load.Backend, load.InFlight, load.QueuedPrefillMs)
+	}
+	known.loads, t.sums = loads, nil
+}
+
+func (t *subscriptionTable) addLoad(backend message.BackendID, inFlight, queuedPrefillMs int) {
+	sum := t.loads[backend]
+	sum.Backend = backend
+	sum.InFlight += inFlight
+	sum.QueuedPrefillMs += queuedPrefillMs
+	if sum.InFlight == 0 && sum.QueuedPrefillMs == 0 {
+		delete(t.loads, backend)
+		return
+	}
+	t.loads[backend] = sum
 }
 
 // drainDemand returns the demand by model: arrivals and rejections since the last call, and the requests that are
--- a/internal/controlplane/distribution/totals.go
+++ b/internal/controlplane/distribution/totals.go
@@ -6,6 +6,9 @@
 	"pumiceline/internal/message"
 )
 
+// totalsLifetime is how long the lease holder's totals are used. Afterwards the hub uses what it knows itself.
+const totalsLifetime = reportLifetime
+
 // Totals are the lease holder's totals over all proxies.
 type Totals struct {
 	Loads             []message.BackendLoad      // of requests, by backend; nil: not known
@@ -19,8 +22,15 @@
 	receivedAt time.Time
 }
 
-// remainingModelLoads returns the model loads in progress, with the time that is left from now.
+// isCurrent reports whether the loads and model loads may be used at now.
+func (t *clusterTotals) isCurrent(now time.Time) bool { return now.Sub(t.receivedAt) <= totalsLifetime }
+
+// remainingModelLoads returns the model loads in progress, with the time that is left from now. It returns none if the
+// lease holder has reported none for totalsLifetime.
 func (t *clusterTotals) remainingModelLoads(now time.Time) []message.PendingModelLoad {
+	if !t.isCurrent(now) {
+		return nil
+	}
 	remaining := make([]message.PendingModelLoad, 0, len(t.PendingModelLoads))
 	for _, load := range t.PendingModelLoads {
 		load.ReadyInMs -= now.Sub(t.receivedAt).Milliseconds()
@@ -35,9 +45,10 @@
 	return max(s.totals.Proxies, s.subscriptions.countProxies(now))
 }
 
-// totalLoads returns the lease holder's total loads, or the sums over the hub's own subscribers while there are none.
+// totalLoads returns the lease holder's total loads, or the sums over the hub's own subscribers while there are no
+// current ones.
 func (s *state) totalLoads(now time.Time) []message.BackendLoad {
-	if s.totals.Loads != nil {
+	if s.totals.Loads != nil && s.totals.isCurrent(now) {
 		return s.totals.Loads
 	}
 	return s.subscriptions.sumLoads(now)
--- a/internal/dataplane/backend/connection.go
+++ b/internal/dataplane/backend/connection.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// dialTimeout bounds the time to connect. When it expires, the request has not been sent and may go to another
-	// backend.
-	dialTimeout = 700 * time.Millisecond
+	// MaxDialTimeout is the largest bound on the time to connect that a pool should have. When the bound expires, the
+	// request has not been sent and may go to another backend.
+	MaxDialTimeout = 700 * time.Millisecond
 	// userTimeout is TCP_USER_TIMEOUT: the kernel closes the connection when sent bytes stay unacknowledged for this
 	// time.
 	userTimeout = 2 * time.Second
@@ -22,9 +22,11 @@
 	readBuffer = 4 << 10
 )
 
-// dialer sends no TCP keep-alive probes. They are not needed: idle connections expire within seconds, and userTimeout
-// covers connections with unacknowledged bytes.
-var dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+// newDialer makes a dialer that sends no TCP keep-alive probes. They are not needed: idle connections expire within
+// seconds, and userTimeout covers connections with unacknowledged bytes.
+func newDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+}
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
@@ -41,7 +43,7 @@
 	lastRequest string    // ID of the last request that was sent on it
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+func dial(ctx context.Context, dialer *net.Dialer, address string) (*conn, error) {
 	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
--- a/internal/dataplane/backend/exchange_test.go
+++ b/internal/dataplane/backend/exchange_test.go
@@ -97,7 +97,7 @@
 			respond(conn, http.StatusOK, id, "", "ran")
 		}
 	})
-	pool := NewPool()
+	pool := NewPool(MaxDialTimeout)
 	status, _ := exchange(t, pool, server.request("r1", nil))
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	status, body := exchange(t, pool, server.request("r1", nil))
@@ -128,7 +128,7 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 		respond(conn, http.StatusOK, id, "", "ran")
 	})
-	pool := NewPool()
+	pool := NewPool(MaxDialTimeout)
 	long := []byte(strings.Repeat("x", 32<<20)) // more than the socket buffers hold
 	got, err := pool.Do(context.Background(), server.request("r1", long))
 	require.NoError(t, err)
@@ -162,7 +162,7 @@
 			respond(conn, http.StatusOK, id, "", "ran")
 		}
 	})
-	pool := NewPool()
+	pool := NewPool(MaxDialTimeout)
 	exchange(t, pool, server.request("first", nil)) // its connection becomes idle
 	_, err := pool.Do(context.Background(), server.request("reset", nil))
 	var failure *Error
@@ -201,7 +201,7 @@
 				}
 				_, _ = io.Copy(io.Discard, conn)
 			})
-			pool := NewPool()
+			pool := NewPool(MaxDialTimeout)
 			_, body := exchange(t, pool, server.request("r1", nil))
 			assert.Equal(t, "one", body)
 			// Wait for the surplus bytes: if they arrived after the next request was sent, they could not be
--- a/internal/dataplane/backend/pool.go
+++ b/internal/dataplane/backend/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -21,12 +22,16 @@
 // Pool keeps idle connections by backend. It reuses the newest first, so that surplus connections expire. All methods
 // may be called from any goroutine.
 type Pool struct {
+	dialer *net.Dialer
+
 	mutex sync.Mutex
 	idle  map[message.BackendID][]*conn // by the backend's ID, the newest last
 }
 
-// NewPool makes an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[message.BackendID][]*conn{}} }
+// NewPool makes an empty pool. dialTimeout bounds the time to connect to a backend.
+func NewPool(dialTimeout time.Duration) *Pool {
+	return &Pool{dialer: newDialer(dialTimeout), idle: map[message.BackendID][]*conn{}}
+}
 
 // HasIdle reports whether the newest idle connection to the backend has not expired. It does not check older ones,
 // which normally expire earlier.
@@ -82,7 +87,7 @@
 	for {
 		c := p.takeIdle(request.BackendID)
 		if c == nil {
-			return dial(ctx, request.Address)
+			return dial(ctx, p.dialer, request.Address)
 		}
 		if c.lastRequest != request.ID && c.isReusable() {
 			return c, nil
--- a/internal/dataplane/backend/pool_test.go
+++ b/internal/dataplane/backend/pool_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestPool_HasIdleUntilExpiration(t *testing.T) {
-	pool := NewPool()
+	pool := NewPool(MaxDialTimeout)
 	assert.False(t, pool.HasIdle("b"))
 	client, server := net.Pipe()
 	defer server.Close()
--- a/internal/dataplane/ingress/fakebackend_test.go
+++ b/internal/dataplane/ingress/fakebackend_test.go
@@ -144,7 +144,7 @@
 		})
 	}
 	dispatcher.Update(balancer.Update{Config: config, Backends: list, HasBackends: true})
-	p := &proxy{handler: New(dispatcher, backend.NewPool())}
+	p := &proxy{handler: New(dispatcher, backend.NewPool(backend.MaxDialTimeout))}
 	p.handler.SetConfig(config)
 	p.handler.Confirm()
 	p.server = httptest.NewServer(p.handler)
--- a/internal/dataplane/ingress/handler_test.go
+++ b/internal/dataplane/ingress/handler_test.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	budget := balancer.NewRetryBudget(time.Minute, 1, 1, time.Now())
-	handler := New(balancer.NewDispatcher(ctx, balancer.New(budget), balancer.DispatcherOptions{}), backend.NewPool())
+	handler := New(balancer.NewDispatcher(ctx, balancer.New(budget), balancer.DispatcherOptions{}), backend.NewPool(backend.MaxDialTimeout))
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	p := &proxy{handler: handler, server: server}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/coordinator"
+	"pumiceline/internal/controlplane/discovery"
 	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/dataplane/backend"
 	"pumiceline/internal/dataplane/balancer"
@@ -24,8 +25,6 @@
 )
 
 const (
-	// maxPollWait is how long a coordinator may delay its response to a poll while it has nothing newer to send.
-	maxPollWait = 400 * time.Millisecond
 	// sweepInterval is how often idle connections are checked for expiration.
 	sweepInterval = 1 * time.Second
 
@@ -76,8 +75,9 @@
 // newProxy assembles a proxy. Its dispatcher runs until ctx ends.
 func newProxy(ctx context.Context, settings *bootstrap.Settings) *Proxy {
 	identity := message.MemberID(settings.Node + "/" + settings.IP)
+	sendTime := discovery.NewBudget(settings.Bounds.Drain).SendTime
 	p := &Proxy{
-		settings: settings, pool: backend.NewPool(), loads: loads.New(identity), notifier: newDemandNotifier(),
+		settings: settings, pool: backend.NewPool(min(backend.MaxDialTimeout, sendTime)), loads: loads.New(identity), notifier: newDemandNotifier(),
 	}
 	bounds := settings.Bounds
 	budget := balancer.NewRetryBudget(bounds.RetryWindow, bounds.RetryRatio, bounds.RetryExtra, time.Now())
@@ -91,7 +91,7 @@
 		settings: settings, seeds: coordinator.SeedAddresses(settings),
 		dispatcher: dispatcher, handler: p.handler, pool: p.pool, loads: p.loads,
 	})
-	p.poller = distribution.NewPoller(identity, p.subscription, maxPollWait)
+	p.poller = distribution.NewPoller(identity, p.subscription, p.subscription.budget)
 	return p
 }
 
--- a/internal/dataplane/proxy/subscription.go
+++ b/internal/dataplane/proxy/subscription.go
@@ -27,6 +27,7 @@
 // replaces the configuration or the backends by older ones.
 type subscription struct {
 	subscriptionOptions
+	budget  discovery.Budget
 	reader  *discovery.Reader
 	monitor *discovery.AgeMonitor
 	isReady atomic.Bool // a configuration and a list of backends have been received
@@ -40,6 +41,7 @@
 	// backends.
 	newestVersion discovery.BackendList
 	proxyCount    int // number of proxies, at least 1
+	listPages     int // of the platform's list when this proxy last read it; 0: it has not
 }
 
 // subscriptionOptions holds the settings of a subscription and the components that it updates.
@@ -53,9 +55,10 @@
 }
 
 func newSubscription(options subscriptionOptions) *subscription {
+	budget := discovery.NewBudget(options.settings.Bounds.Drain)
 	return &subscription{
-		subscriptionOptions: options,
-		reader:              discovery.NewReader(options.settings.Platform.Address), proxyCount: 1,
+		subscriptionOptions: options, budget: budget, proxyCount: 1,
+		reader:  discovery.NewReader(options.settings.Platform.Address, budget.ReadTimeout),
 		monitor: discovery.NewAgeMonitor(options.settings.Bounds.Drain),
 	}
 }
@@ -108,7 +111,7 @@
 
 // backendsVersion returns the version of the current list of backends; nil: there is none.
 func (s *subscription) backendsVersion(now time.Time) *message.BackendsVersion {
-	if !s.newestVersion.IsKnown() {
+	if !s.newestVersion.IsKnown() || s.digest() == 0 {
 		return nil
 	}
 	return &message.BackendsVersion{
@@ -117,10 +120,12 @@
 	}
 }
 
-// Apply applies the response of a coordinator to a poll. sent is when the poll request was sent.
-func (s *subscription) Apply(response *message.PollResponse, sent time.Time) {
+// Apply applies the response of a coordinator to a poll. sent is when the poll request was sent. The outcome is stale if
+// the list in use is so old that another coordinator should be polled.
+func (s *subscription) Apply(response *message.PollResponse, sent time.Time) distribution.Outcome {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	observedBefore := s.newestVersion.ObservedAt
 	update := balancer.Update{Config: s.applyConfig(response.Config), Response: response, OnRemoved: s.closeConnections}
 	update.Backends, update.HasBackends = s.applyBackends(response, sent)
 	update.TotalLoads = s.loadTotals.Apply(inflight.DeltaOf(response))
@@ -133,6 +138,13 @@
 	if s.config.Sequence() > 0 && s.digest() != 0 {
 		s.isReady.Store(true)
 	}
+	switch {
+	case s.newestVersion.IsKnown() && time.Since(s.newestVersion.ObservedAt) >= s.budget.FailoverAge:
+		return distribution.OutcomeStale
+	case update.Config != nil || s.newestVersion.ObservedAt.After(observedBefore):
+		return distribution.OutcomeNewer
+	}
+	return distribution.OutcomeSame
 }
 
 // applyConfig returns the configuration of an update, or nil if it is not newer than the current one or is invalid.
@@ -155,6 +167,7 @@
 	response *message.PollResponse, sent time.Time,
 ) (backends []message.Backend, isNewer bool) {
 	if !response.BackendsKnown {
+		s.monitor.CountPoll(false)
 		return nil, false
 	}
 	received := discovery.BackendList{ObservedAt: distribution.ObservedAt(response, sent), Revision: response.BackendsRevision}
--- a/internal/dataplane/proxy/subscription_test.go
+++ b/internal/dataplane/proxy/subscription_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/dataplane/backend"
 	"pumiceline/internal/dataplane/balancer"
 	"pumiceline/internal/dataplane/ingress"
@@ -21,9 +22,9 @@
 	t.Cleanup(cancel)
 	budget := balancer.NewRetryBudget(time.Second, 1, 1, time.Now())
 	dispatcher := balancer.NewDispatcher(ctx, balancer.New(budget), balancer.DispatcherOptions{})
-	pool := backend.NewPool()
+	pool := backend.NewPool(backend.MaxDialTimeout)
 	return newSubscription(subscriptionOptions{
-		settings: &bootstrap.Settings{Zone: "near"}, seeds: seeds,
+		settings: &bootstrap.Settings{Zone: "near", Bounds: bootstrap.Bounds{Drain: 4 * time.Second}}, seeds: seeds,
 		dispatcher: dispatcher, handler: ingress.New(dispatcher, pool), pool: pool, loads: loads.New("p1"),
 	})
 }
@@ -105,3 +106,39 @@
 	s.Apply(list(5, 1, 90), now)
 	assert.Equal(t, uint64(6), s.PollRequest().BackendDigest, "its age is lower, but its revision is older")
 }
+
+// A proxy whose list is too old polls another coordinator.
+func TestSubscription_OutcomeFollowsAgeOfList(t *testing.T) {
+	s := newTestSubscription(t)
+	now := time.Now()
+	list := func(age time.Duration) *message.PollResponse {
+		return &message.PollResponse{BackendsKnown: true, BackendsAgeMs: age.Milliseconds(),
+			Backends: &message.BackendUpdate{Digest: 5, Backends: []message.Backend{{ID: "b1", Service: "s"}}}}
+	}
+	assert.Equal(t, distribution.OutcomeSame, s.Apply(&message.PollResponse{}, now), "there is no list yet")
+	assert.Equal(t, distribution.OutcomeStale, s.Apply(list(2500*time.Millisecond), now))
+	assert.Equal(t, distribution.OutcomeNewer, s.Apply(list(300*time.Millisecond), now))
+	assert.Equal(t, distribution.OutcomeSame, s.Apply(list(400*time.Millisecond), now))
+	config := &message.ConfigUpdate{Sequence: 7, Document: []byte(`{"version":3,"services":[],"routes":[]}`)}
+	assert.Equal(t, distribution.OutcomeNewer, s.Apply(&message.PollResponse{Config: config}, now))
+}
+
+// A proxy reads the platform only when its list is older than coordinators that work let it become, and as a read takes
+// a call for each page, less often for a longer list.
+func TestSubscription_FallbackKeepsToRateOfCalls(t *testing.T) {
+	s := newTestSubscription(t)
+	s.settings.Platform.MaxCallsPerSecond = 1000
+	config := &message.ConfigUpdate{Sequence: 7, Document: []byte(`{"version":3,"services":[],"routes":[]}`)}
+	s.Apply(&message.PollResponse{Config: config, Proxies: 300}, time.Now())
+	s.newestVersion.ObservedAt = time.Now().Add(-s.budget.FallbackAge + time.Second)
+	isStale, onePage := s.fallbackState()
+	assert.False(t, isStale)
+	assert.InDelta(t, time.Second, s.timeUntilStale(), float64(100*time.Millisecond))
+	s.newestVersion.ObservedAt = time.Now().Add(-s.budget.FallbackAge - time.Millisecond)
+	s.listPages = 7
+	isStale, sevenPages := s.fallbackState()
+	assert.True(t, isStale)
+	assert.InDelta(t, onePage/7, sevenPages, 1e-9)
+	callsPerSecond := sevenPages * 7 * 300 / (1.5 * fallbackInterval.Seconds())
+	assert.InDelta(t, 300, callsPerSecond, 1e-6, "the share of the rate for all proxies together")
+}
