Test of a late effect: the token is that of the frozen holder, not 1

Change: the test looks for the token with which the frozen instance's last effect was accepted, which is as strict.

--- a/internal/faulttest/clustertest/cluster.go
+++ b/internal/faulttest/clustertest/cluster.go
@@ -308,6 +308,16 @@
 	return last
 }
 
+// lastAcceptedFrom returns the last accepted effect of an instance.
+func (c *cluster) lastAcceptedFrom(instance string) (last fakestandalone.AcceptedEffect) {
+	for _, e := range c.recorder.Accepted() {
+		if e.From == instance {
+			last = e
+		}
+	}
+	return last
+}
+
 // waitFor polls until a condition holds, and returns false if it does not by the deadline.
 func waitFor(deadline time.Time, condition func() bool) bool {
 	for !condition() {
--- a/internal/faulttest/clustertest/cluster_test.go
+++ b/internal/faulttest/clustertest/cluster_test.go
@@ -122,6 +122,7 @@
 			c := startCluster(t, 2, time.Second, tt.unfenced)
 			old := c.holder()
 			freezeWithEffectInFlight(t, c, old)
+			token := c.lastAcceptedFrom(old).Token // the first one, unless the machine held the first holder up
 			awaitOtherHolder(t, c, old)
 			c.relays[link{old, recorderName}].Heal() // the effect arrives while its sender is still frozen
 			eventually(t, c, "the late effect arrives", func() bool {
@@ -135,7 +136,7 @@
 			violations, first := fakestandalone.FindViolations(c.recorder.Accepted())
 			rejected := strings.Join(c.recorder.Rejected(), "\n")
 			if (violations > 0) != tt.unfenced || (rejected == "") != tt.unfenced ||
-				!tt.unfenced && !strings.Contains(rejected, "token 1, serial") {
+				!tt.unfenced && !strings.Contains(rejected, fmt.Sprintf("token %d, serial", token)) {
 				t.Errorf("%d violations (%s), rejected: %s\n%s", violations, first, rejected, c)
 			}
 		})
