--- a/internal/controlplane/simulation/counted_losses.go
+++ b/internal/controlplane/simulation/counted_losses.go
@@ -14,6 +14,7 @@
 //   - A machine is lost while it is down, frozen, cut off or its disk is stalled, and for resyncTime after that.
 //   - A new machine is lost for resyncTime after its start.
 //   - A machine that was replaced is not lost once its successor has run for resyncTime, whether it still runs or not.
+//   - A machine without a disk does not count. It loses power with all others at the end.
 //
 // The next loss begins a drawn margin after the earlier ones have stopped counting, which may be none.
 const (
@@ -29,9 +30,11 @@
 	announcedRemovalOneIn = 3
 	// replacedTargetOneIn says that one in so many losses hits a replaced machine, if one runs.
 	replacedTargetOneIn = 3
-	countedLossPhase    = 45 * time.Second
-	lossStream          = 0x6c6f7373 // stream of the generator
-	maxFinalDowntime    = time.Second
+	// uncountedOneIn says that one in so many runs has up to maxDiskless machines that do not count.
+	uncountedOneIn   = 3
+	countedLossPhase = 45 * time.Second
+	lossStream       = 0x6c6f7373 // stream of the generator
+	maxFinalDowntime = time.Second
 	// finalAckTimeout is how long a change may take to be acknowledged when no machine is lost.
 	finalAckTimeout = maxResponseTime
 )
@@ -59,6 +62,10 @@
 	case 1:
 		options.Zones = options.Members
 	}
+	if random.IntN(uncountedOneIn) == 0 {
+		options.Diskless = 1 + random.IntN(maxDiskless)
+		options.Members += options.Diskless
+	}
 	return options
 }
 
@@ -71,7 +78,7 @@
 	for at := firstFaultAt; at < o.FaultPhase; at += below(maxFaultInterval) {
 		f := Fault{
 			Index: len(plan), At: at, Kind: countedKinds[random.IntN(len(countedKinds))],
-			Duration: minFaultTime + below(faultTimeSpread), Slots: random.Perm(o.Members),
+			Duration: minFaultTime + below(faultTimeSpread), Slots: o.countedSlots(random),
 			Count: 1 + random.IntN(o.Tolerance), Draw: random.Uint64(),
 		}
 		if random.IntN(noMarginOneIn) > 0 {
@@ -82,6 +89,17 @@
 	return plan
 }
 
+// countedSlots returns the slots of the machines that count, in random order.
+func (o Options) countedSlots(random *rand.Rand) []int {
+	return lo.Map(random.Perm(o.Members-o.Diskless), func(slot int, _ int) int { return slot + o.Diskless })
+}
+
+// FinalSlots returns the slots of all machines in the order of the final losses: those that count, in random order, then
+// those that do not.
+func (o Options) FinalSlots(random *rand.Rand) []int {
+	return append(o.countedSlots(random), lo.Range(o.Diskless)...)
+}
+
 // KeepsReplaced reports whether the machine that an overlapping replacement replaces runs until a later removal.
 func (f Fault) KeepsReplaced() bool { return f.Draw%keepReplacedOneIn == 0 }
 
@@ -237,7 +255,7 @@
 
 // endWithLosses waits until no machine is lost. After a drawn margin, and directly after the next acknowledgement, it
 // removes all replaced machines, and as many machines as the tolerance allows lose their disks. In half of the runs all
-// others lose power at the same time.
+// others lose power at the same time, those that do not count too.
 func (c *Cluster) endWithLosses() {
 	for !c.isEverythingBack() {
 		c.runUntil(c.now + tickInterval)
@@ -260,7 +278,7 @@
 	}
 	isPowerLoss := c.random.IntN(2) == 0
 	f := Fault{
-		Index: -1, At: c.now, Kind: DiskLoss, Duration: maxFinalDowntime, Slots: c.random.Perm(len(c.slots)),
+		Index: -1, At: c.now, Kind: DiskLoss, Duration: maxFinalDowntime, Slots: c.options.FinalSlots(c.random),
 		Count: c.options.Tolerance,
 	}
 	if isPowerLoss {
--- a/internal/soak/loss_replacements.go
+++ b/internal/soak/loss_replacements.go
@@ -20,6 +20,9 @@
 func (f *fleet) setLossOptions(options simulation.Options) {
 	for i, n := range f.all() {
 		n.Tolerance, n.Zone = options.Tolerance, cmp.Or(options.ZoneOf(i), sharedZone)
+		if i < options.Diskless {
+			n.StateDir = "" // the machine does not count
+		}
 	}
 }
 
@@ -183,11 +186,11 @@
 }
 
 // injectFinalLosses makes as many machines lose their disks as the tolerance allows. In half of the runs all others are
-// killed too.
+// killed too, also those that do not count.
 func (l *lossRunner) injectFinalLosses() {
 	isPowerLoss := l.random.IntN(2) == 0
 	downtime := time.Duration(l.random.Int64N(int64(maxFinalDowntime)))
-	for i, slot := range l.random.Perm(len(l.slots)) {
+	for i, slot := range l.options.FinalSlots(l.random) {
 		switch {
 		case i < l.options.Tolerance:
 			l.injected["final lost disk"]++
