A list of backends is passed on without a majority; the simulation checks its age

Cause: a hub without a majority answers Unavailable and nothing else, though a list needs no majority; and the time for one poll did not depend on the age of the list. Change: an Unavailable response has the list, and subscribers take only that from it; Budget.PollTimes ends a poll earlier the older the list is.

--- a/internal/controlplane/coordinator/lease_holder_subscriber.go
+++ b/internal/controlplane/coordinator/lease_holder_subscriber.go
@@ -56,9 +56,11 @@
 func (s *leaseHolderSubscriber) Apply(response *message.PollResponse, sent time.Time) distribution.Outcome {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.loop.hub.SetTotals(distribution.Totals{
-		Loads: s.loads.Apply(inflight.DeltaOf(response)), Proxies: response.Proxies, PendingModelLoads: response.PendingModelLoads,
-	})
+	if !response.Unavailable {
+		s.loop.hub.SetTotals(distribution.Totals{
+			Loads: s.loads.Apply(inflight.DeltaOf(response)), Proxies: response.Proxies, PendingModelLoads: response.PendingModelLoads,
+		})
+	}
 	if !response.BackendsKnown {
 		return distribution.OutcomeSame
 	}
--- a/internal/controlplane/discovery/budget.go
+++ b/internal/controlplane/discovery/budget.go
@@ -17,6 +17,9 @@
 // When a proxy's own coordinator does not answer, it polls the next one, with at most this much age more:
 //
 //	PollWait + ResponseMargin = 0.275 * Drain
+//
+// A poll ends earlier the older the subscriber's list is (PollTimes), so that several coordinators that do not answer one
+// after the other do not use up the rest of the time.
 type Budget struct {
 	// ReadInterval is the longest interval at which the lease holder reads the list.
 	ReadInterval time.Duration
@@ -36,6 +39,7 @@
 	// SendTime is the longest time from the pick of a backend until the request is sent: the time to connect.
 	SendTime time.Duration
 
+	staleWait   time.Duration // wait of a poll while the subscriber's list is too old
 	standbyAge  time.Duration
 	standbyStep time.Duration
 }
@@ -46,6 +50,7 @@
 	readTimeoutShare    = 0.20
 	hopShare            = 0.05
 	pollWaitShare       = 0.125
+	staleWaitShare      = 0.025
 	responseMarginShare = 0.15
 	refreshLagShare     = 0.20
 	standbyAgeShare     = 0.45
@@ -63,10 +68,19 @@
 		ReadInterval: share(readIntervalShare), ReadTimeout: share(readTimeoutShare), PollWait: share(pollWaitShare),
 		ResponseMargin: share(responseMarginShare), RefreshLag: share(refreshLagShare),
 		FailoverAge: share(failoverAgeShare), FallbackAge: share(fallbackAgeShare), SendTime: share(sendTimeShare),
-		standbyAge: share(standbyAgeShare), standbyStep: share(standbyStepShare),
+		staleWait: share(staleWaitShare), standbyAge: share(standbyAgeShare), standbyStep: share(standbyStepShare),
 	}
 }
 
+// PollTimes returns how long a server may keep a poll open while it has nothing newer, and how long the response may take.
+// age is the age of the subscriber's list. From FailoverAge on, both are as short as possible.
+func (b Budget) PollTimes(age time.Duration) (wait, timeout time.Duration) {
+	left := max(b.staleWait, b.FailoverAge-age)
+	wait = min(b.PollWait, left)
+	timeout = min(b.PollWait+b.ResponseMargin, left+b.ResponseMargin/2)
+	return wait, timeout
+}
+
 // StandbyAge is the age of a member's list from which it reads the platform itself, although it is not the lease holder.
 // rank is its position among these members: the first ones try first, so that usually one member reads. tolerance is how
 // many machines may be lost at once; members of a higher rank do not wait longer.
--- a/internal/controlplane/discovery/budget_test.go
+++ b/internal/controlplane/discovery/budget_test.go
@@ -28,6 +28,31 @@
 	}
 }
 
+// Coordinators that do not answer one after the other hold a proxy up for less and less time.
+func TestBudget_PollTimesShrinkWithAge(t *testing.T) {
+	b := NewBudget(4 * time.Second)
+	for _, c := range []struct{ age, wait, timeout time.Duration }{
+		{0, 500 * time.Millisecond, 1100 * time.Millisecond},
+		{1400 * time.Millisecond, 500 * time.Millisecond, 1100 * time.Millisecond},
+		{2000 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond},
+		{2400 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond},
+		{time.Minute, 100 * time.Millisecond, 400 * time.Millisecond},
+	} {
+		wait, timeout := b.PollTimes(c.age)
+		assert.Equal(t, c.wait, wait, "age %v", c.age)
+		assert.Equal(t, c.timeout, timeout, "age %v", c.age)
+	}
+	for _, drain := range []time.Duration{3 * time.Second, 4 * time.Second} {
+		b := NewBudget(drain)
+		age := b.ReadInterval + b.ReadTimeout/2
+		for range 2 { // two coordinators that do not answer
+			_, timeout := b.PollTimes(age)
+			age += timeout
+		}
+		assert.LessOrEqual(t, age+b.SendTime, drain, "drain time %v", drain)
+	}
+}
+
 func TestBudget_StandbyAgeFollowsRank(t *testing.T) {
 	b := NewBudget(4 * time.Second)
 	assert.Equal(t, 1800*time.Millisecond, b.StandbyAge(0, 2))
--- a/internal/controlplane/distribution/hub_test.go
+++ b/internal/controlplane/distribution/hub_test.go
@@ -259,3 +259,16 @@
 	assert.Equal(t, []message.BackendLoad{{Backend: "b", InFlight: 1}}, table.sumLoads(later), "q has not reported for too long")
 	assert.Equal(t, 1, table.countProxies(now.Add(subscriptionLifetime+time.Millisecond)))
 }
+
+// A list is as good as it is fresh: a coordinator that must not serve its configuration still passes its list on.
+func TestHub_PassesListOnWhileNotServing(t *testing.T) {
+	hub := newUnavailableHub(t)
+	hub.SetConfig(message.ConfigUpdate{Sequence: 3, Document: []byte("c")})
+	hub.SetBackends(backendList("b", time.Now().Add(-time.Second)))
+	response := poll(t, hub, "p", message.PollRequest{MaxWaitMs: 10})
+	assert.True(t, response.Unavailable)
+	assert.Nil(t, response.Config)
+	assert.Zero(t, response.Proxies)
+	require.NotNil(t, response.Backends)
+	assert.InDelta(t, 1000, response.BackendsAgeMs, 500)
+}
--- a/internal/controlplane/distribution/poll.go
+++ b/internal/controlplane/distribution/poll.go
@@ -33,7 +33,7 @@
 
 // HandlePoll takes a poll. reply is called once, on a goroutine of its own: as soon as there is something newer than
 // the request's versions, and at the latest after the request's MaxWaitMs. While the member does not serve, the reply
-// is Unavailable, delayed by up to unavailableWait.
+// is Unavailable, delayed by up to unavailableWait; it has the list of backends all the same.
 func (h *Hub) HandlePoll(subscriber string, request message.PollRequest, reply func(*message.Message)) {
 	receivedAt := time.Now()
 	h.send(func(s *state) {
@@ -72,7 +72,9 @@
 		if waited < unavailableWait && waited < poll.maxWait() {
 			return false
 		}
-		poll.send(&message.PollResponse{Unavailable: true, Members: status.Members})
+		response := &message.PollResponse{Unavailable: true, Members: status.Members, WaitedMs: waited.Milliseconds()}
+		s.addBackends(response, poll, now)
+		poll.send(response)
 		return true
 	}
 	isNewer := s.hasNewerConfig(&poll.request) || s.hasOtherBackends(poll) || s.hasLaterReading(poll, h.refreshLag)
@@ -125,20 +127,28 @@
 	if s.hasNewerConfig(&poll.request) {
 		response.Config = s.config.updateFrom(poll.request.ConfigSequence)
 	}
-	if newest := s.backends.newest; newest.IsKnown() {
-		response.BackendsKnown = true
-		response.BackendsRevision = newest.Revision
-		response.BackendsAgeMs = now.Sub(newest.ObservedAt).Milliseconds()
-	}
-	if s.hasOtherBackends(poll) {
-		response.Backends = s.backends.updateFrom(poll.request.BackendDigest)
-	}
+	s.addBackends(response, poll, now)
 	response.Proxies = s.countProxies(now)
 	s.addTotalLoads(response, poll, now)
 	response.PendingModelLoads = s.totals.remainingModelLoads(now)
 	return response
 }
 
+// addBackends adds the version of the hub's list, and its backends if they replace the subscriber's. This needs no
+// majority of the voters: a list is as good as it is fresh, whoever read it.
+func (s *state) addBackends(response *message.PollResponse, poll *pendingPoll, now time.Time) {
+	newest := s.backends.newest
+	if !newest.IsKnown() {
+		return
+	}
+	response.BackendsKnown = true
+	response.BackendsRevision = newest.Revision
+	response.BackendsAgeMs = now.Sub(newest.ObservedAt).Milliseconds()
+	if s.hasOtherBackends(poll) {
+		response.Backends = s.backends.updateFrom(poll.request.BackendDigest)
+	}
+}
+
 // addTotalLoads adds the total loads: a delta if the subscriber has the version that was sent to it last, else all of
 // them.
 func (s *state) addTotalLoads(response *message.PollResponse, poll *pendingPoll, now time.Time) {
--- a/internal/controlplane/distribution/poller.go
+++ b/internal/controlplane/distribution/poller.go
@@ -15,8 +15,6 @@
 	// minRepeatInterval is the shortest time between the starts of two polls of Run of which the first brought nothing
 	// newer. A server whose list is older than the subscriber's may answer each poll at once.
 	minRepeatInterval = 100 * time.Millisecond
-	// staleWait is the wait of a poll while the servers polled before supplied an old list only.
-	staleWait = 100 * time.Millisecond
 	// failoverDelay is the pause before the next server is polled after one has failed.
 	failoverDelay = 80 * time.Millisecond
 	// preferredRetryInterval is how long after a failover the preferred server is polled again.
@@ -39,7 +37,8 @@
 type Subscriber interface {
 	// PollRequest returns the versions that the subscriber has, and its demand and loads.
 	PollRequest() message.PollRequest
-	// Apply takes a response; sent is when its request was sent.
+	// Apply takes a response; sent is when its request was sent. A response that is Unavailable has nothing but a list of
+	// backends.
 	Apply(response *message.PollResponse, sent time.Time) Outcome
 	// Addresses returns the servers to poll, the preferred first. It may return none.
 	Addresses() []string
@@ -54,7 +53,6 @@
 	subscriber   Subscriber
 	client       *transport.Client
 	budget       discovery.Budget
-	isStale      bool                   // the outcome of the last poll was OutcomeStale
 	current      atomic.Pointer[string] // address of the server that answered last; PollNow uses it too
 	serverIndex  int                    // in the subscriber's addresses, modulo their number; 0: the preferred server
 	failedOverAt time.Time
@@ -86,20 +84,12 @@
 	}
 }
 
-// maxWait is how long a server may delay its answer to the next poll while it has nothing newer.
-func (p *Poller) maxWait() time.Duration {
-	if p.isStale {
-		return min(staleWait, p.budget.PollWait)
-	}
-	return p.budget.PollWait
-}
-
 // pollServer makes one long poll. It reports whether the server answered, is serving, and supplies what is new enough.
 func (p *Poller) pollServer(ctx context.Context, address string) bool {
 	request := p.subscriber.PollRequest()
-	wait := p.maxWait()
+	wait, timeout := p.budget.PollTimes(listAge(request.BackendsVersion))
 	request.MaxWaitMs = int(wait.Milliseconds())
-	pollCtx, cancel := context.WithTimeout(ctx, wait+p.budget.ResponseMargin)
+	pollCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := time.Now()
 	response, err := p.client.Poll(pollCtx, address, p.identity, request)
@@ -109,16 +99,23 @@
 	if len(response.Members) > 0 {
 		p.subscriber.SetMembers(response.Members)
 	}
+	outcome := p.subscriber.Apply(response, sent)
 	if response.Unavailable {
 		return false
 	}
 	p.current.Store(&address)
-	outcome := p.subscriber.Apply(response, sent)
-	p.isStale = outcome == OutcomeStale
 	if outcome == OutcomeSame {
 		_ = ctxtime.Sleep(ctx, minRepeatInterval-time.Since(sent)) // Run checks ctx
 	}
-	return !p.isStale
+	return outcome != OutcomeStale
+}
+
+// listAge is the age of a subscriber's list of backends; 0: it has none.
+func listAge(version *message.BackendsVersion) time.Duration {
+	if version == nil {
+		return 0
+	}
+	return time.Duration(version.AgeMs) * time.Millisecond
 }
 
 // PollNow sends a poll without a wait to the server that answered last, in addition to the pending one. It reports
--- a/internal/controlplane/distribution/poller_test.go
+++ b/internal/controlplane/distribution/poller_test.go
@@ -34,6 +34,9 @@
 	s.members = members
 }
 func (s *recordingSubscriber) Apply(response *message.PollResponse, _ time.Time) Outcome {
+	if response.Unavailable {
+		return OutcomeSame
+	}
 	select {
 	case s.applied <- response:
 	default:
@@ -101,13 +104,12 @@
 	assert.GreaterOrEqual(t, time.Since(first), 4*minRepeatInterval*9/10)
 }
 
-// A subscriber whose list is too old polls the other servers, and asks them for a quick answer.
+// A subscriber whose list is too old polls the other servers.
 func TestPoller_FailsOverWhileStale(t *testing.T) {
 	first, polls := answerAtOnce(t, message.PollResponse{})
 	second, otherPolls := answerAtOnce(t, message.PollResponse{})
 	s := &recordingSubscriber{addresses: []string{first, second}, applied: make(chan *message.PollResponse, 1), outcome: OutcomeStale}
 	poller := NewPoller("p", s, discovery.NewBudget(4*time.Second))
-	assert.Equal(t, 500*time.Millisecond, poller.maxWait())
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
@@ -119,5 +121,4 @@
 	<-polls
 	cancel()
 	<-ended
-	assert.Equal(t, staleWait, poller.maxWait())
 }
--- a/internal/controlplane/simulation/cluster.go
+++ b/internal/controlplane/simulation/cluster.go
@@ -34,6 +34,7 @@
 	network  network
 	clients  []*client
 	proxies  []*proxy
+	lists    *lists
 
 	history        *history
 	leases         leaseChecker
@@ -104,6 +105,7 @@
 	for i := range proxyCount {
 		c.proxies = append(c.proxies, newProxy(c, i))
 	}
+	c.lists = newLists(c)
 }
 
 func (c *Cluster) scheduleFaults() {
--- a/internal/controlplane/simulation/defect.go
+++ b/internal/controlplane/simulation/defect.go
@@ -24,6 +24,7 @@
 	LoseGrants                     // a grantor drops its grant as soon as it has given it
 	IgnoreBase                     // a change is committed whichever version it builds on
 	LoseChanges                    // the head has no record of the changes committed before
+	KeepOldList                    // who has an old list of backends asks nobody else for a newer one
 	RejectPipelinedChange          // a change on top of one in progress is rejected instead of being left undecided
 	defectCount
 )
@@ -36,7 +37,7 @@
 	ServeWithoutMajority: "serve proxies without a majority", RepeatIncarnation: "repeat the incarnation",
 	AnswerAnyRequest: "answer any request", LoseFencingTokens: "forget fencing tokens",
 	ClaimComplete: "claim to be complete", LoseGrants: "forget grants", IgnoreBase: "ignore the base of a change",
-	LoseChanges: "forget changes", RejectPipelinedChange: "reject a pipelined change",
+	LoseChanges: "forget changes", KeepOldList: "keep an old list", RejectPipelinedChange: "reject a pipelined change",
 }
 
 // String returns the name of the defect.
--- a/internal/controlplane/simulation/node.go
+++ b/internal/controlplane/simulation/node.go
@@ -35,6 +35,8 @@
 	incarnation   uint64 // of the process; its request IDs follow this number
 	requestCount  uint64 // number of clients' requests that the process received
 
+	list listState // of the process
+
 	frozen              bool
 	receivedWhileFrozen []message.Message
 
@@ -87,6 +89,7 @@
 func (n *node) start(kind startKind) {
 	n.generation++
 	n.startedAt = n.cluster.now
+	n.list = listState{observedAt: unreadList}
 	n.frozen, n.receivedWhileFrozen, n.pendingOutputs, n.isWriting = false, nil, nil, false
 	n.identityCount++
 	n.incarnation, n.requestCount = n.cluster.random.Uint64(), 0
--- a/internal/controlplane/simulation/result.go
+++ b/internal/controlplane/simulation/result.go
@@ -43,6 +43,8 @@
 	RuleFinalRead Rule = "ANSWER"
 	// RuleVoters: no machine that is lost keeps a vote that a running member could have.
 	RuleVoters Rule = "VOTERS"
+	// RuleDrain: a proxy uses no list of backends older than drainBound.
+	RuleDrain Rule = "DRAIN"
 )
 
 // Violation is a rule that was violated.
--- a/internal/dataplane/proxy/subscription.go
+++ b/internal/dataplane/proxy/subscription.go
@@ -126,15 +126,18 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	observedBefore := s.newestVersion.ObservedAt
-	update := balancer.Update{Config: s.applyConfig(response.Config), Response: response, OnRemoved: s.closeConnections}
+	update := balancer.Update{OnRemoved: s.closeConnections}
 	update.Backends, update.HasBackends = s.applyBackends(response, sent)
-	update.TotalLoads = s.loadTotals.Apply(inflight.DeltaOf(response))
-	s.proxyCount = max(1, response.Proxies)
+	if !response.Unavailable {
+		s.applyState(response, &update)
+	}
 	s.dispatcher.Update(update)
 	if update.Config != nil {
 		s.handler.SetConfig(update.Config)
 	}
-	s.handler.Confirm()
+	if !response.Unavailable {
+		s.handler.Confirm()
+	}
 	if s.config.Sequence() > 0 && s.digest() != 0 {
 		s.isReady.Store(true)
 	}
@@ -147,6 +150,13 @@
 	return distribution.OutcomeSame
 }
 
+// applyState applies what only a coordinator that serves may send: the configuration and the loads.
+func (s *subscription) applyState(response *message.PollResponse, update *balancer.Update) {
+	update.Config, update.Response = s.applyConfig(response.Config), response
+	update.TotalLoads = s.loadTotals.Apply(inflight.DeltaOf(response))
+	s.proxyCount = max(1, response.Proxies)
+}
+
 // applyConfig returns the configuration of an update, or nil if it is not newer than the current one or is invalid.
 func (s *subscription) applyConfig(update *message.ConfigUpdate) *configuration.Config {
 	document, isNewer := s.config.Apply(update)
--- a/internal/dataplane/proxy/subscription_test.go
+++ b/internal/dataplane/proxy/subscription_test.go
@@ -142,3 +142,18 @@
 	callsPerSecond := sevenPages * 7 * 300 / (1.5 * fallbackInterval.Seconds())
 	assert.InDelta(t, 300, callsPerSecond, 1e-6, "the share of the rate for all proxies together")
 }
+
+// A coordinator that does not serve passes its list on, and nothing else of its response is used.
+func TestSubscription_TakesOnlyListOfUnavailableCoordinator(t *testing.T) {
+	s := newTestSubscription(t)
+	now := time.Now()
+	config := &message.ConfigUpdate{Sequence: 7, Document: []byte(`{"version":3,"services":[],"routes":[]}`)}
+	update := &message.BackendUpdate{Digest: 5, Backends: []message.Backend{{ID: "b1", Service: "s"}}}
+	s.Apply(&message.PollResponse{Unavailable: true, Config: config, BackendsKnown: true, Backends: update, Proxies: 9}, now)
+	assert.Equal(t, uint64(5), s.PollRequest().BackendDigest)
+	assert.Zero(t, s.PollRequest().ConfigSequence)
+	assert.Equal(t, 1, s.proxyCount)
+	assert.False(t, s.isReady.Load())
+	s.Apply(&message.PollResponse{Config: config}, now)
+	assert.True(t, s.isReady.Load())
+}
--- a/internal/message/distribution.go
+++ b/internal/message/distribution.go
@@ -27,7 +27,7 @@
 // PollResponse carries the data that is newer than the versions in PollRequest.
 type PollResponse struct {
 	ID                uint64             `msg:"i"`
-	Unavailable       bool               `msg:"u"` // no majority of the voters confirms the coordinator's view: poll another one
+	Unavailable       bool               `msg:"u"` // no majority of the voters confirms the coordinator's view: only the members and backends are set; poll another one
 	Members           []Member           `msg:"m"` // the coordinators
 	Config            *ConfigUpdate      `msg:"c,omitempty"`
 	Backends          *BackendUpdate     `msg:"b,omitempty"`
