--- a/internal/controlplane/coordinator/status.go
+++ b/internal/controlplane/coordinator/status.go
@@ -31,11 +31,12 @@
 	Proxies     int                   `json:"proxies"`
 	Backends    int                   `json:"backends"`
 	Tasks       []Task                `json:"tasks"` // of placement, at the lease holder
-	// List is the state of the list of backends that the coordinator passes on.
-	List discovery.ListStatus `json:"list"`
+	// List is the state of the list of backends that the coordinator passes on; nil if the coordinator is of a version
+	// without it.
+	List *discovery.ListStatus `json:"list,omitempty"`
 	// OldestListAgeMs is the age of the oldest list that this coordinator and the proxies that poll it have used within
 	// the last 5 to 10 s. At the lease holder it includes all others.
-	OldestListAgeMs int64 `json:"oldestListAgeMs"`
+	OldestListAgeMs int64 `json:"oldestListAgeMs,omitempty"`
 	// Coordination is the coordination of applications; nil if the coordinator is of a version without it.
 	Coordination *CoordinationStatus `json:"coordination,omitempty"`
 }
@@ -80,7 +81,8 @@
 		status.Coordination = a.loop.coordination.describe()
 	}
 	status.Proxies = a.loop.hub.Proxies()
-	status.List = a.loop.hub.Monitor().Status(time.Now())
+	list := a.loop.hub.Monitor().Status(time.Now())
+	status.List = &list
 	status.OldestListAgeMs = a.loop.hub.OldestListAge().Milliseconds()
 	if list := a.loop.hub.Backends(); list.IsKnown() {
 		status.Backends = len(list.Backends)
