--- a/internal/controlplane/simulation/list_reader.go
+++ b/internal/controlplane/simulation/list_reader.go
@@ -46,7 +46,9 @@
 	for i := range proxyCount {
 		l.proxies = append(l.proxies, newListProxy(l, i))
 	}
-	c.after(l.below(cutGapSpread), l.cut)
+	if c.options.Members > 1 { // a cut of the only machine is one of the platform itself, which no rule covers
+		c.after(l.below(cutGapSpread), l.cut)
+	}
 	c.after(listTick, l.tick)
 	return l
 }
