Proxy: no request is sent to a backend that began to drain after its pick

Change: when there is a connection and before anything is sent, the proxy asks whether the backend drains or is no longer listed; if so nothing was sent, it counts as no retry, and another backend is picked.

Measured: TestExchange_NotSentToBackendThatDrainsAfterPick sent the request without the check (red), and passes with it 20 times.

--- a/internal/dataplane/backend/error.go
+++ b/internal/dataplane/backend/error.go
@@ -1,5 +1,10 @@
 package backend
 
+import "github.com/pkg/errors"
+
+// ErrWithdrawn is the cause of the error of a request that was not sent because of Request.IsWithdrawn.
+var ErrWithdrawn = errors.New("the backend takes no more requests")
+
 // Phase is how far an exchange proceeded before it failed.
 type Phase int
 
--- a/internal/dataplane/backend/exchange.go
+++ b/internal/dataplane/backend/exchange.go
@@ -31,6 +31,10 @@
 	if err != nil {
 		return nil, &Error{Phase: NotSent, cause: err}
 	}
+	if request.IsWithdrawn != nil && request.IsWithdrawn() {
+		c.Close()
+		return nil, &Error{Phase: NotSent, cause: ErrWithdrawn}
+	}
 	c.lastRequest = request.ID
 	detachContext := context.AfterFunc(ctx, func() { c.Close() })
 	_ = c.SetDeadline(request.Deadline.Add(deadlineSlack)) // if it fails, reading fails too
--- a/internal/dataplane/backend/request.go
+++ b/internal/dataplane/backend/request.go
@@ -22,6 +22,9 @@
 	Deadline    time.Time
 	Priority    int    // 0 is the highest; negative: the header is not sent
 	LastEventID string // ID of the last event that the client has received; empty: none
+	// IsWithdrawn reports whether the backend must no longer get the request. It is called when there is a connection,
+	// before anything is sent. It may be nil.
+	IsWithdrawn func() bool
 }
 
 // writtenByEncode are the headers that encode sets, so it does not copy them from Request.Header.
--- a/internal/dataplane/balancer/completion.go
+++ b/internal/dataplane/balancer/completion.go
@@ -37,6 +37,8 @@
 	case ConnectFailed:
 		request.sentAttempts-- // nothing was sent, so another attempt does not count as a retry
 		backend.markUnreachable(now)
+	case Withdrawn:
+		request.sentAttempts--
 	case Canceled: // the outcome gives no information about the backend
 	}
 	b.updateWeights(backend.Service, now)
--- a/internal/dataplane/balancer/endpoints.go
+++ b/internal/dataplane/balancer/endpoints.go
@@ -1,16 +1,19 @@
 package balancer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"pumiceline/internal/message"
 )
 
-// Backend is a backend with this proxy's state of it. Only the balancer's owner may read and change it.
+// Backend is a backend with this proxy's state of it. Only the balancer's owner may read and change it, except by
+// IsWithdrawn.
 type Backend struct {
 	message.Backend
-	maxConnections int  // this proxy's share of the connections that the backend accepts
-	isListed       bool // used within SetBackends: the backend is in the new list
+	maxConnections int         // this proxy's share of the connections that the backend accepts
+	isListed       bool        // used within SetBackends: the backend is in the new list
+	isWithdrawn    atomic.Bool // see IsWithdrawn
 
 	// modelReadySince maps the loaded models and adapters to the start of their slow start. The zero time means that
 	// the model was loaded before this proxy started: it has no slow start.
@@ -49,6 +52,10 @@
 	virtualTime float64 // the earliest deadline among the candidates of the last pick; it never decreases
 }
 
+// IsWithdrawn reports whether the newest list shows the backend as draining, or no longer has it. A request for which it
+// was picked before must not be sent to it. IsWithdrawn may be called from any goroutine.
+func (b *Backend) IsWithdrawn() bool { return b.isWithdrawn.Load() }
+
 // SetBackends replaces the list of backends and returns those that were removed.
 func (b *Balancer) SetBackends(list []message.Backend, now time.Time) (removed []*Backend) {
 	readySince := now
@@ -67,6 +74,7 @@
 	for id, backend := range b.backends {
 		if !backend.isListed {
 			delete(b.backends, id)
+			backend.isWithdrawn.Store(true)
 			removed = append(removed, backend)
 		}
 	}
@@ -101,6 +109,7 @@
 		b.backends[entry.ID] = backend
 	}
 	backend.Backend, backend.isListed = entry, true
+	backend.isWithdrawn.Store(entry.Draining)
 	backend.setModels(entry.Models, readySince)
 }
 
--- a/internal/dataplane/balancer/request.go
+++ b/internal/dataplane/balancer/request.go
@@ -96,6 +96,7 @@
 	Rejected                     // the backend rejected the request before processing it (Not-Run)
 	Misdirected                  // 421: the backend has another ID, or has not loaded the model
 	ConnectFailed                // no connection: nothing was sent
+	Withdrawn                    // the backend began to drain before the request was sent: nothing was sent
 	Canceled                     // the client disconnected or the deadline passed
 	ErrorResponse                // the backend responded with an error, or its response was truncated
 )
--- a/internal/dataplane/ingress/attempt.go
+++ b/internal/dataplane/ingress/attempt.go
@@ -31,6 +31,7 @@
 	target := picked.Backend
 	began := time.Now()
 	x.outgoing.BackendID, x.outgoing.Address = picked.BackendID, picked.Address
+	x.outgoing.IsWithdrawn = target.IsWithdrawn
 	response, err := x.handler.pool.Do(ctx, &x.outgoing)
 	if err != nil {
 		return x.handleError(ctx, target, began, err)
@@ -90,6 +91,8 @@
 	switch {
 	case ctx.Err() != nil:
 		outcome = balancer.Canceled
+	case errors.Is(err, backend.ErrWithdrawn):
+		outcome = balancer.Withdrawn
 	case !wasSent:
 		outcome = balancer.ConnectFailed
 	}
--- a/internal/dataplane/ingress/exchange_test.go
+++ b/internal/dataplane/ingress/exchange_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,8 @@
 
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/dataplane/backend"
+	"pumiceline/internal/dataplane/balancer"
+	"pumiceline/internal/message"
 )
 
 const testTimeout = 10 * time.Second // a test fails if it waits longer for an event
@@ -95,3 +98,24 @@
 	assert.LessOrEqual(t, left, 30*time.Second)
 	assert.Greater(t, left, 30*time.Second-testTimeout)
 }
+
+// A backend that is shown as draining after it was picked, while the proxy connects or waits for its processor, must not
+// get the request.
+func TestExchange_NotSentToBackendThatDrainsAfterPick(t *testing.T) {
+	draining := newFakeBackend(t, okResponse("a"))
+	p := newProxy(t, draining)
+	route := p.handler.config.Load().Routes[0]
+	x := &exchange{
+		handler: p.handler, writer: httptest.NewRecorder(), route: route,
+		request:  &balancer.Request{Service: "s", Deadline: time.Now().Add(testTimeout)},
+		outgoing: backend.Request{Method: http.MethodPost, Target: "/once/a", ID: "r1", Deadline: time.Now().Add(testTimeout)},
+	}
+	picked, err := p.handler.dispatcher.Pick(context.Background(), x.request)
+	require.NoError(t, err)
+	require.NotNil(t, picked.Backend)
+	entry := message.Backend{ID: picked.BackendID, Service: "s", Zone: "z", Capacity: 10, Address: picked.Address, Draining: true}
+	p.handler.dispatcher.Update(balancer.Update{Backends: []message.Backend{entry}, HasBackends: true})
+	p.handler.dispatcher.Report() // returns once the update is applied
+	assert.Equal(t, attemptRetryable, x.attempt(context.Background(), picked))
+	assert.Empty(t, draining.requests())
+}
