Balancer: a lagging list does not end the draining of a backend

Cause: the platform's list lags by a varying time, so a reading that is later may show an earlier state.

Change: a backend that was listed as draining gets no requests for 3 s after a list that shows it as ready. One that left the list and is listed again is a new one.

--- a/internal/dataplane/balancer/endpoints.go
+++ b/internal/dataplane/balancer/endpoints.go
@@ -14,6 +14,7 @@
 	maxConnections int         // this proxy's share of the connections that the backend accepts
 	isListed       bool        // used within SetBackends: the backend is in the new list
 	isWithdrawn    atomic.Bool // see IsWithdrawn
+	drainingUntil  time.Time   // of a backend that the newest list shows as ready, but an earlier one as draining
 
 	// modelReadySince maps the loaded models and adapters to the start of their slow start. The zero time means that
 	// the model was loaded before this proxy started: it has no slow start.
@@ -66,7 +67,7 @@
 		backend.isListed = false
 	}
 	for i := range list {
-		b.upsertBackend(list[i], readySince)
+		b.upsertBackend(list[i], readySince, now)
 	}
 	for _, s := range b.services {
 		s.backends = s.backends[:0]
@@ -98,7 +99,7 @@
 
 // upsertBackend adds or updates one backend. readySince is the start of slow start for the backend if it is new, and
 // for those of its models that are new.
-func (b *Balancer) upsertBackend(entry message.Backend, readySince time.Time) {
+func (b *Balancer) upsertBackend(entry message.Backend, readySince, now time.Time) {
 	backend := b.backends[entry.ID]
 	if backend == nil {
 		backend = &Backend{
@@ -108,6 +109,9 @@
 		backend.stats.readySince = readySince
 		b.backends[entry.ID] = backend
 	}
+	if backend.Draining && !entry.Draining {
+		backend.drainingUntil = now.Add(drainingLifetime)
+	}
 	backend.Backend, backend.isListed = entry, true
 	backend.isWithdrawn.Store(entry.Draining)
 	backend.setModels(entry.Models, readySince)
@@ -148,6 +152,10 @@
 	return ok
 }
 
+// isDraining reports whether the backend takes no new requests. The platform's list lags by a varying time, so a later
+// reading may show a draining backend as ready once more.
+func (b *Backend) isDraining(now time.Time) bool { return b.Draining || now.Before(b.drainingUntil) }
+
 // isEjected reports whether the backend must not be picked. An unreachable backend gets one probe at a time.
 func (b *Backend) isEjected(now time.Time) bool {
 	if now.Before(b.ejectedUntil) {
--- a/internal/dataplane/balancer/parameters.go
+++ b/internal/dataplane/balancer/parameters.go
@@ -61,6 +61,9 @@
 	overloadEjection = 150 * time.Millisecond
 	// missingModelEjection follows a 421: the backend lacks the model. Other models are still sent there.
 	missingModelEjection = 1500 * time.Millisecond
+	// drainingLifetime is how long a backend that was listed as draining gets no requests after a list that shows it as
+	// ready. It must be longer than the platform's list lags.
+	drainingLifetime = 3 * time.Second
 	// initialConnectBackoff follows the first failure to connect. Each further failure doubles the backoff.
 	initialConnectBackoff = 500 * time.Millisecond
 	// maxConnectBackoff bounds the backoff of an unreachable backend.
--- a/internal/dataplane/balancer/picker.go
+++ b/internal/dataplane/balancer/picker.go
@@ -14,7 +14,7 @@
 		return nil, false
 	}
 	for _, backend := range s.backends {
-		if backend.Draining || !backend.hasModel(request.Model, now) {
+		if backend.isDraining(now) || !backend.hasModel(request.Model, now) {
 			continue
 		}
 		isModelLoaded = true
