Balancer: a request counts once in the retry budget

Cause: a request was recorded when it was assigned while nothing of it had been sent, so again after each failed connection; each failed connection raised the number of retries that the proxy may make.

Change: a request remembers that it is counted.

--- a/internal/dataplane/balancer/picker.go
+++ b/internal/dataplane/balancer/picker.go
@@ -109,7 +109,8 @@
 
 // assign answers the request with the backend, and counts its load at the backend until Finish.
 func (b *Balancer) assign(request *Request, backend *Backend, decision Decision, now time.Time) {
-	if request.sentAttempts == 0 {
+	if !request.isBudgeted {
+		request.isBudgeted = true
 		b.budget.AddRequest(now)
 	}
 	request.sentAttempts++
--- a/internal/dataplane/balancer/request.go
+++ b/internal/dataplane/balancer/request.go
@@ -23,6 +23,7 @@
 	triedBackends []message.BackendID // not picked again
 	sentAttempts  int                 // attempts that may have reached a backend
 	isCounted     bool                // its arrival is counted in the demand
+	isBudgeted    bool                // it is counted as a request of the retry budget
 	isQueued      bool
 	waitReason    WaitReason
 	isPrefilling  bool    // its prefill counts as queued at the backend
