Each service has a retry budget; half of it is shared by what is left of all

Callers of a small service that fails got retries paid by the requests of a busy one: the rule is per service, the budget was one for a proxy. Equal parts for each proxy had been tried and withdrawn, as a proxy that needs retries could not use those of others.

Change: half of a service's budget is reserved in equal parts. Of the other half each proxy may take an equal part of what is left, by totals that proxies report with their polls and the lease holder sums; no totals for 1 s, no shared retries. The fields are optional on the wire; a sample is stored.

--- a/internal/controlplane/coordinator/lease_holder_subscriber.go
+++ b/internal/controlplane/coordinator/lease_holder_subscriber.go
@@ -48,7 +48,7 @@
 	return message.PollRequest{
 		BackendsVersion: version,
 		ConfigSequence:  noConfigWanted, BackendDigest: s.digest, LoadVersion: s.loads.Version(),
-		Demand: reported.Models, Loads: reported.Loads, Proxies: reported.Proxies,
+		Demand: reported.Models, Loads: reported.Loads, Retries: reported.Retries, Proxies: reported.Proxies,
 	}
 }
 
@@ -58,7 +58,8 @@
 	defer s.mutex.Unlock()
 	if !response.Unavailable {
 		s.loop.hub.SetTotals(distribution.Totals{
-			Loads: s.loads.Apply(inflight.DeltaOf(response)), Proxies: response.Proxies, PendingModelLoads: response.PendingModelLoads,
+			Loads: s.loads.Apply(inflight.DeltaOf(response)), Proxies: response.Proxies,
+			PendingModelLoads: response.PendingModelLoads, Retries: response.Retries,
 		})
 	}
 	if !response.BackendsKnown {
--- a/internal/controlplane/distribution/hub.go
+++ b/internal/controlplane/distribution/hub.go
@@ -126,7 +126,9 @@
 // started.
 func (h *Hub) UseOwnTotals(pendingModelLoads []message.PendingModelLoad) {
 	h.send(func(s *state) {
-		s.totals = clusterTotals{Totals: Totals{PendingModelLoads: pendingModelLoads}, receivedAt: time.Now()}
+		now := time.Now()
+		totals := Totals{PendingModelLoads: pendingModelLoads, Retries: s.subscriptions.sumRetries(now)}
+		s.totals = clusterTotals{Totals: totals, receivedAt: now}
 	})
 }
 
@@ -156,7 +158,7 @@
 		now := time.Now()
 		return ReportedDemand{
 			Models: s.subscriptions.drainDemand(now), Loads: s.subscriptions.sumLoads(now),
-			Proxies: s.subscriptions.countProxies(now),
+			Retries: s.subscriptions.sumRetries(now), Proxies: s.subscriptions.countProxies(now),
 		}
 	})
 }
--- a/internal/controlplane/distribution/poll.go
+++ b/internal/controlplane/distribution/poll.go
@@ -130,6 +130,7 @@
 	s.addBackends(response, poll, now)
 	response.Proxies = s.countProxies(now)
 	s.addTotalLoads(response, poll, now)
+	response.Retries = s.totals.currentRetries(now)
 	response.PendingModelLoads = s.totals.remainingModelLoads(now)
 	return response
 }
--- a/internal/controlplane/distribution/subscriptions.go
+++ b/internal/controlplane/distribution/subscriptions.go
@@ -1,6 +1,8 @@
 package distribution
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pumiceline/internal/controlplane/distribution/inflight"
@@ -19,6 +21,7 @@
 type ReportedDemand struct {
 	Models  []message.ModelDemand
 	Loads   []message.BackendLoad
+	Retries []message.ServiceRetries
 	Proxies int
 }
 
@@ -37,6 +40,7 @@
 	oldest   time.Duration         // age of the oldest list of backends that it has used; see message.BackendsVersion
 	loads    []message.BackendLoad // as counted in the sums
 	demand   []message.ModelDemand // of its requests waiting and in flight; arrivals are in subscriptionTable.demand
+	retries  []message.ServiceRetries
 	totals   inflight.DeltaEncoder // of the totals sent to it
 }
 
@@ -60,7 +64,7 @@
 		t.bySubscriber[subscriber] = known
 	}
 	known.proxies, known.lastPoll = request.Proxies, now
-	known.demand = request.Demand
+	known.demand, known.retries = request.Demand, request.Retries
 	t.setLoads(known, request.Loads)
 	if version := request.BackendsVersion; version != nil {
 		known.oldest = time.Duration(version.OldestMs) * time.Millisecond
@@ -125,6 +129,24 @@
 	return t.sums
 }
 
+// sumRetries returns the requests and retries of all subscribers by service.
+func (t *subscriptionTable) sumRetries(now time.Time) []message.ServiceRetries {
+	byService := map[string]message.ServiceRetries{}
+	for _, known := range t.bySubscriber {
+		if now.Sub(known.lastPoll) > reportLifetime {
+			continue
+		}
+		for _, retries := range known.retries {
+			sum := byService[retries.Service]
+			sum.Service = retries.Service
+			sum.Requests += retries.Requests
+			sum.Shared += retries.Shared
+			byService[retries.Service] = sum
+		}
+	}
+	return slices.Collect(maps.Values(byService))
+}
+
 // setLoads replaces the loads of a subscriber in the sums.
 func (t *subscriptionTable) setLoads(known *subscription, loads []message.BackendLoad) {
 	if len(known.loads) == 0 && len(loads) == 0 {
--- a/internal/controlplane/distribution/totals.go
+++ b/internal/controlplane/distribution/totals.go
@@ -12,6 +12,7 @@
 // Totals are the lease holder's totals over all proxies.
 type Totals struct {
 	Loads             []message.BackendLoad      // of requests, by backend; nil: not known
+	Retries           []message.ServiceRetries   // by service; empty: not known
 	Proxies           int                        // number of proxies; 0: not known
 	PendingModelLoads []message.PendingModelLoad // model loads that the lease holder's controller has in progress
 }
@@ -25,6 +26,15 @@
 // isCurrent reports whether the loads and model loads may be used at now.
 func (t *clusterTotals) isCurrent(now time.Time) bool { return now.Sub(t.receivedAt) <= totalsLifetime }
 
+// currentRetries returns the requests and retries of all proxies; empty: not known. A hub's own sums do not stand in for
+// them, as they lack the proxies that poll other coordinators.
+func (t *clusterTotals) currentRetries(now time.Time) []message.ServiceRetries {
+	if !t.isCurrent(now) {
+		return nil
+	}
+	return t.Retries
+}
+
 // remainingModelLoads returns the model loads in progress, with the time that is left from now. It returns none if the
 // lease holder has reported none for totalsLifetime.
 func (t *clusterTotals) remainingModelLoads(now time.Time) []message.PendingModelLoad {
--- a/internal/dataplane/balancer/balancer_test.go
+++ b/internal/dataplane/balancer/balancer_test.go
@@ -19,7 +19,7 @@
 
 func newBalancer(t *testing.T, backends ...message.Backend) *Balancer {
 	t.Helper()
-	b := New(NewRetryBudget(10*time.Second, 0.2, 60, start.Add(-time.Minute)))
+	b := New(newRetryBudget(start.Add(-time.Minute)))
 	config, err := configuration.Parse([]byte(document))
 	require.NoError(t, err)
 	b.SetConfig(config, start)
--- a/internal/dataplane/balancer/demand.go
+++ b/internal/dataplane/balancer/demand.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "pumiceline/internal/message"
+import (
+	"time"
+
+	"pumiceline/internal/message"
+)
 
 // demand is the demand for a model at this proxy.
 type demand struct {
@@ -19,10 +23,18 @@
 	return d
 }
 
-// Report returns the demand since the last report and the current loads, for the coordinators.
-func (b *Balancer) Report() ([]message.ModelDemand, []message.BackendLoad) {
+// Report is what a proxy reports to the coordinators.
+type Report struct {
+	Demand  []message.ModelDemand // since the last report
+	Loads   []message.BackendLoad
+	Retries []message.ServiceRetries
+}
+
+// Report returns the demand since the last report, the current loads, and the requests and retries in the window of the
+// retry budget.
+func (b *Balancer) Report(now time.Time) Report {
 	b.hasUnmetDemand = false
-	return b.reportDemand(), b.reportLoads()
+	return Report{Demand: b.reportDemand(), Loads: b.reportLoads(), Retries: b.budget.Report(now)}
 }
 
 // reportDemand returns the demand by model and resets the counts. Models without any demand are dropped.
--- a/internal/dataplane/balancer/dispatcher.go
+++ b/internal/dataplane/balancer/dispatcher.go
@@ -150,7 +150,7 @@
 	Config      *configuration.Config
 	Backends    []message.Backend // the complete list; used only if HasBackends is set
 	HasBackends bool
-	Response    *message.PollResponse // for the number of proxies and the pending loads of models
+	Response    *message.PollResponse // for the number of proxies, their retries and the pending loads of models
 	TotalLoads  []message.BackendLoad // of all proxies; used only if Response is set
 	// OnRemoved receives the backends that are not in the new list. The balancer's owner calls it, so it must not
 	// block. It may be nil.
@@ -168,6 +168,7 @@
 	}
 	if u.Response != nil {
 		b.SetProxies(u.Response.Proxies, now)
+		b.budget.SetTotals(u.Response.Retries, u.Response.Proxies, now)
 	}
 	if u.HasBackends {
 		if removed := b.SetBackends(u.Backends, now); len(removed) > 0 && u.OnRemoved != nil {
@@ -179,13 +180,9 @@
 	}
 }
 
-// Report returns the demand since the last report and the current loads, for the coordinators.
-func (d *Dispatcher) Report() (demand []message.ModelDemand, loads []message.BackendLoad) {
-	done := make(chan struct{})
-	d.commands <- func(b *Balancer) {
-		demand, loads = b.Report()
-		close(done)
-	}
-	<-done
-	return demand, loads
+// Report returns what the proxy reports to the coordinators; see Balancer.Report.
+func (d *Dispatcher) Report() Report {
+	report := make(chan Report, 1)
+	d.commands <- func(b *Balancer) { report <- b.Report(time.Now()) }
+	return <-report
 }
--- a/internal/dataplane/balancer/parameters.go
+++ b/internal/dataplane/balancer/parameters.go
@@ -121,8 +121,17 @@
 	minObservedPrompt = 200
 )
 
-// Safety margins of the retry budget. They are needed because its window slides and the number of proxies changes.
+// Retry budget.
 const (
-	ratioMargin     = 0.7 // share of the ratio that is used
-	allowanceMargin = 0.7 // share of the allowance that is used
+	// ratioMargin and allowanceMargin are the shares of the ratio and the allowance that are used. These safety margins
+	// are needed because the window slides and the number of proxies changes.
+	ratioMargin     = 0.7
+	allowanceMargin = 0.7
+	// reservedRetryShare is the share of the retries that each proxy may make without a report of the others'.
+	reservedRetryShare = 0.5
+	// retryReportDelay is the longest time until a proxy's report is part of the totals that other proxies have: a poll
+	// of the proxy, one of its coordinator at the lease holder, and the same ways back.
+	retryReportDelay = 2 * time.Second
+	// retryTotalsLifetime is how long the totals of all proxies are used.
+	retryTotalsLifetime = time.Second
 )
--- a/internal/dataplane/balancer/picker.go
+++ b/internal/dataplane/balancer/picker.go
@@ -111,7 +111,7 @@
 func (b *Balancer) assign(request *Request, backend *Backend, decision Decision, now time.Time) {
 	if !request.isBudgeted {
 		request.isBudgeted = true
-		b.budget.AddRequest(now)
+		b.budget.AddRequest(request.Service, now)
 	}
 	request.sentAttempts++
 	request.triedBackends = append(request.triedBackends, backend.ID)
--- a/internal/dataplane/balancer/queue.go
+++ b/internal/dataplane/balancer/queue.go
@@ -77,7 +77,7 @@
 	if len(candidates) == 0 {
 		return b.rejectIfTooLate(request, isModelLoaded, now)
 	}
-	if request.sentAttempts > 0 && !b.budget.TryRetry(now) {
+	if request.sentAttempts > 0 && !b.budget.TryRetry(request.Service, now) {
 		b.reject(request, rejectedRetryAfter, RejectRetryBudget)
 		return true
 	}
--- a/internal/dataplane/balancer/retrybudget_test.go
+++ b/internal/dataplane/balancer/retrybudget_test.go
@@ -7,18 +7,23 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// newRetryBudget returns a budget of 0.2 retries a request and 60 besides, in a window of 10 s.
+func newRetryBudget(started time.Time) *RetryBudget {
+	return NewRetryBudget(RetryBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Allowance: 60, Started: started})
+}
+
 func TestRetryBudget_LimitHoldsInEveryWindow(t *testing.T) {
-	budget := NewRetryBudget(10*time.Second, 0.2, 60, start)
+	budget := newRetryBudget(start)
 	budget.SetProxies(10, start)
 	now := start
 	var requests, retries []time.Time
 	for step := range 4000 {
 		now = now.Add(10 * time.Millisecond)
 		if step%7 == 0 && step < 3000 {
-			budget.AddRequest(now)
+			budget.AddRequest("s", now)
 			requests = append(requests, now)
 		}
-		if budget.TryRetry(now) {
+		if budget.TryRetry("s", now) {
 			retries = append(retries, now)
 		}
 	}
@@ -37,15 +42,15 @@
 }
 
 func TestRetryBudget_NoAllowanceInFirstWindow(t *testing.T) {
-	budget := NewRetryBudget(10*time.Second, 0.2, 60, start)
-	assert.False(t, budget.TryRetry(start.Add(9*time.Second)), "the process that it replaces may have spent the allowance")
-	assert.True(t, budget.TryRetry(start.Add(10*time.Second)))
+	budget := newRetryBudget(start)
+	assert.False(t, budget.TryRetry("s", start.Add(9*time.Second)), "the process that it replaces may have spent the allowance")
+	assert.True(t, budget.TryRetry("s", start.Add(10*time.Second)))
 }
 
 // A coordinator that has just started reports one proxy. If the count took effect at once, each proxy would use the
 // full allowance.
 func TestRetryBudget_LowerProxyCountAppliesAfterTwoWindows(t *testing.T) {
-	budget := NewRetryBudget(10*time.Second, 0.2, 60, start)
+	budget := newRetryBudget(start)
 	budget.SetProxies(10, start)
 	budget.SetProxies(1, start.Add(15*time.Second))
 	assert.Equal(t, 10, budget.Proxies())
--- a/internal/dataplane/balancer/service_retries_test.go
+++ b/internal/dataplane/balancer/service_retries_test.go
@@ -76,5 +76,5 @@
 		require.NotNil(t, result.Backend)
 		b.Finish(request, result.Backend, ConnectFailed, time.Millisecond, start)
 	}
-	assert.Len(t, b.budget.requests, 1)
+	assert.Len(t, b.budget.services["plain"].requests, 1)
 }
--- a/internal/dataplane/ingress/fakebackend_test.go
+++ b/internal/dataplane/ingress/fakebackend_test.go
@@ -132,7 +132,9 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	budget := balancer.NewRetryBudget(time.Minute, 1, 1000, time.Now().Add(-time.Hour))
+	budget := balancer.NewRetryBudget(balancer.RetryBudgetOptions{
+		Window: time.Minute, Ratio: 1, Allowance: 1000, Started: time.Now().Add(-time.Hour),
+	})
 	dispatcher := balancer.NewDispatcher(ctx, balancer.New(budget), balancer.DispatcherOptions{})
 	config, err := configuration.Parse([]byte(routes))
 	require.NoError(t, err)
--- a/internal/dataplane/ingress/handler_test.go
+++ b/internal/dataplane/ingress/handler_test.go
@@ -106,7 +106,7 @@
 func TestHandler_RejectsWithoutConfig(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	budget := balancer.NewRetryBudget(time.Minute, 1, 1, time.Now())
+	budget := balancer.NewRetryBudget(balancer.RetryBudgetOptions{Window: time.Minute, Ratio: 1, Allowance: 1, Started: time.Now()})
 	handler := New(balancer.NewDispatcher(ctx, balancer.New(budget), balancer.DispatcherOptions{}), backend.NewPool(backend.MaxDialTimeout))
 	server := httptest.NewServer(handler)
 	defer server.Close()
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -80,7 +80,9 @@
 		settings: settings, pool: backend.NewPool(min(backend.MaxDialTimeout, sendTime)), loads: loads.New(identity), notifier: newDemandNotifier(),
 	}
 	bounds := settings.Bounds
-	budget := balancer.NewRetryBudget(bounds.RetryWindow, bounds.RetryRatio, bounds.RetryExtra, time.Now())
+	budget := balancer.NewRetryBudget(balancer.RetryBudgetOptions{
+		Window: bounds.RetryWindow, Ratio: bounds.RetryRatio, Allowance: bounds.RetryExtra, Started: time.Now(),
+	})
 	picker := balancer.New(budget)
 	picker.SetIdleConnectionCheck(p.pool.HasIdle)
 	dispatcher := balancer.NewDispatcher(ctx, picker, balancer.DispatcherOptions{
--- a/internal/dataplane/proxy/subscription.go
+++ b/internal/dataplane/proxy/subscription.go
@@ -99,13 +99,13 @@
 
 // PollRequest returns the next poll request: the versions of what the proxy has, its demand and its loads.
 func (s *subscription) PollRequest() message.PollRequest {
-	demand, loads := s.dispatcher.Report()
+	report := s.dispatcher.Report()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return message.PollRequest{
 		BackendsVersion: s.backendsVersion(time.Now()),
 		ConfigSequence:  s.config.KnownSequence(), BackendDigest: s.digest(), LoadVersion: s.loadTotals.Version(),
-		Demand: demand, Loads: loads, Proxies: 1,
+		Demand: report.Demand, Loads: report.Loads, Retries: report.Retries, Proxies: 1,
 	}
 }
 
--- a/internal/dataplane/proxy/subscription_test.go
+++ b/internal/dataplane/proxy/subscription_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	budget := balancer.NewRetryBudget(time.Second, 1, 1, time.Now())
+	budget := balancer.NewRetryBudget(balancer.RetryBudgetOptions{Window: time.Second, Ratio: 1, Allowance: 1, Started: time.Now()})
 	dispatcher := balancer.NewDispatcher(ctx, balancer.New(budget), balancer.DispatcherOptions{})
 	pool := backend.NewPool(backend.MaxDialTimeout)
 	return newSubscription(subscriptionOptions{
--- a/internal/message/distribution.go
+++ b/internal/message/distribution.go
@@ -15,6 +15,7 @@
 	LoadVersion    uint64        `msg:"v"` // of the sender's total loads; 0: it has none
 	// BackendsVersion is the version of the sender's backend list; nil: it has none, or is of an earlier build.
 	BackendsVersion *BackendsVersion `msg:"bv,omitempty"`
+	Retries         []ServiceRetries `msg:"rt,omitempty"` // current values, not differences
 }
 
 // BackendsVersion orders a backend list among others; see discovery.BackendList.IsNewerThan.
@@ -40,6 +41,7 @@
 	LoadsComplete     bool               `msg:"w"`           // TotalLoads has all backends with a load
 	LoadVersion       uint64             `msg:"lv"`          // of the total loads once TotalLoads is applied
 	PendingModelLoads []PendingModelLoad `msg:"o"`
+	Retries           []ServiceRetries   `msg:"rt,omitempty"` // of all proxies together; empty: not known
 }
 
 // BackendsRevision orders the backend lists that one lease holder publishes. It may publish several lists for one
@@ -119,6 +121,13 @@
 	QueuedPrefillMs int       `msg:"q"` // prefill time of the requests whose response has no event yet
 }
 
+// ServiceRetries are requests and retries for one service within the window of the retry budget.
+type ServiceRetries struct {
+	Service  string `msg:"s"`
+	Requests int    `msg:"q"` // first attempts
+	Shared   int    `msg:"x"` // retries that were taken from the part of the budget that the proxies share
+}
+
 // LoadReport reports loads that have just changed. If its ID is set, it is also a load query: it asks for the loads
 // that the other proxies have put on the backends that hold a model.
 type LoadReport struct {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -16496,6 +16496,60 @@
 					return
 				}
 			}
+		case "rt":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if cap(z.Retries) >= int(zb0004) {
+				z.Retries = (z.Retries)[:zb0004]
+			} else {
+				z.Retries = make([]ServiceRetries, zb0004)
+			}
+			for za0003 := range z.Retries {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Retries", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Retries[za0003].Service, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003, "Service")
+							return
+						}
+					case "q":
+						z.Retries[za0003].Requests, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003, "Requests")
+							return
+						}
+					case "x":
+						z.Retries[za0003].Shared, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003, "Shared")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -16510,13 +16564,17 @@
 // EncodeMsg implements msgp.Encodable
 func (z *PollRequest) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.BackendsVersion == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -16638,6 +16696,51 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "rt"
+			err = en.Append(0xa2, 0x72, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Retries)))
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			for za0003 := range z.Retries {
+				// map header, size 3
+				// write "s"
+				err = en.Append(0x83, 0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Retries[za0003].Service)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Service")
+					return
+				}
+				// write "q"
+				err = en.Append(0xa1, 0x71)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.Retries[za0003].Requests)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Requests")
+					return
+				}
+				// write "x"
+				err = en.Append(0xa1, 0x78)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.Retries[za0003].Shared)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Shared")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -16646,13 +16749,17 @@
 func (z *PollRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.BackendsVersion == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -16709,6 +16816,23 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "rt"
+			o = append(o, 0xa2, 0x72, 0x74)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Retries)))
+			for za0003 := range z.Retries {
+				// map header, size 3
+				// string "s"
+				o = append(o, 0x83, 0xa1, 0x73)
+				o = msgp.AppendString(o, z.Retries[za0003].Service)
+				// string "q"
+				o = append(o, 0xa1, 0x71)
+				o = msgp.AppendInt(o, z.Retries[za0003].Requests)
+				// string "x"
+				o = append(o, 0xa1, 0x78)
+				o = msgp.AppendInt(o, z.Retries[za0003].Shared)
+			}
+		}
 	}
 	return
 }
@@ -16822,6 +16946,60 @@
 					return
 				}
 			}
+		case "rt":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if cap(z.Retries) >= int(zb0004) {
+				z.Retries = (z.Retries)[:zb0004]
+			} else {
+				z.Retries = make([]ServiceRetries, zb0004)
+			}
+			for za0003 := range z.Retries {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Retries", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Retries[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003, "Service")
+							return
+						}
+					case "q":
+						z.Retries[za0003].Requests, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003, "Requests")
+							return
+						}
+					case "x":
+						z.Retries[za0003].Shared, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003, "Shared")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -16850,6 +17028,10 @@
 	} else {
 		s += z.BackendsVersion.Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0003 := range z.Retries {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Retries[za0003].Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	}
 	return
 }
 
@@ -17051,6 +17233,60 @@
 					return
 				}
 			}
+		case "rt":
+			var zb0007 uint32
+			zb0007, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if cap(z.Retries) >= int(zb0007) {
+				z.Retries = (z.Retries)[:zb0007]
+			} else {
+				z.Retries = make([]ServiceRetries, zb0007)
+			}
+			for za0004 := range z.Retries {
+				var zb0008 uint32
+				zb0008, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0004)
+					return
+				}
+				for zb0008 > 0 {
+					zb0008--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Retries", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Retries[za0004].Service, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004, "Service")
+							return
+						}
+					case "q":
+						z.Retries[za0004].Requests, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004, "Requests")
+							return
+						}
+					case "x":
+						z.Retries[za0004].Shared, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004, "Shared")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004)
+							return
+						}
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -17065,8 +17301,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *PollResponse) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Config == nil {
 		zb0001Len--
@@ -17080,6 +17316,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -17285,6 +17525,51 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// write "rt"
+			err = en.Append(0xa2, 0x72, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Retries)))
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			for za0004 := range z.Retries {
+				// map header, size 3
+				// write "s"
+				err = en.Append(0x83, 0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Retries[za0004].Service)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0004, "Service")
+					return
+				}
+				// write "q"
+				err = en.Append(0xa1, 0x71)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.Retries[za0004].Requests)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0004, "Requests")
+					return
+				}
+				// write "x"
+				err = en.Append(0xa1, 0x78)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.Retries[za0004].Shared)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0004, "Shared")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -17293,8 +17578,8 @@
 func (z *PollResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Config == nil {
 		zb0001Len--
@@ -17308,6 +17593,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -17404,6 +17693,23 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "rt"
+			o = append(o, 0xa2, 0x72, 0x74)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Retries)))
+			for za0004 := range z.Retries {
+				// map header, size 3
+				// string "s"
+				o = append(o, 0x83, 0xa1, 0x73)
+				o = msgp.AppendString(o, z.Retries[za0004].Service)
+				// string "q"
+				o = append(o, 0xa1, 0x71)
+				o = msgp.AppendInt(o, z.Retries[za0004].Requests)
+				// string "x"
+				o = append(o, 0xa1, 0x78)
+				o = msgp.AppendInt(o, z.Retries[za0004].Shared)
+			}
+		}
 	}
 	return
 }
@@ -17604,6 +17910,60 @@
 					return
 				}
 			}
+		case "rt":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if cap(z.Retries) >= int(zb0007) {
+				z.Retries = (z.Retries)[:zb0007]
+			} else {
+				z.Retries = make([]ServiceRetries, zb0007)
+			}
+			for za0004 := range z.Retries {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0004)
+					return
+				}
+				for zb0008 > 0 {
+					zb0008--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Retries", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Retries[za0004].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004, "Service")
+							return
+						}
+					case "q":
+						z.Retries[za0004].Requests, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004, "Requests")
+							return
+						}
+					case "x":
+						z.Retries[za0004].Shared, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004, "Shared")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Retries", za0004)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -17642,6 +18002,10 @@
 	for za0003 := range z.PendingModelLoads {
 		s += z.PendingModelLoads[za0003].Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0004 := range z.Retries {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Retries[za0004].Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	}
 	return
 }
 
@@ -19073,6 +19437,159 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ServiceRetries) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "q":
+			z.Requests, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+		case "x":
+			z.Shared, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Shared")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ServiceRetries) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "s"
+	err = en.Append(0x83, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "q"
+	err = en.Append(0xa1, 0x71)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Requests)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Shared)
+	if err != nil {
+		err = msgp.WrapError(err, "Shared")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ServiceRetries) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "s"
+	o = append(o, 0x83, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt(o, z.Requests)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendInt(o, z.Shared)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServiceRetries) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "q":
+			z.Requests, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+		case "x":
+			z.Shared, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Shared")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ServiceRetries) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *SnapshotRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/internal/message/stored_test.go
+++ b/internal/message/stored_test.go
@@ -29,6 +29,7 @@
 	coordinationGeneration
 	replacementsGeneration
 	backendsVersionGeneration
+	retriesGeneration
 )
 
 // addedFields are the fields that were added after the first samples were stored.
@@ -47,6 +48,8 @@
 	"Message.IssuerHandOver":        coordinationGeneration,
 	"View.Replacements":             replacementsGeneration,
 	"PollRequest.BackendsVersion":   backendsVersionGeneration,
+	"PollRequest.Retries":           retriesGeneration,
+	"PollResponse.Retries":          retriesGeneration,
 }
 
 func (f *filler) fill(v reflect.Value) {
@@ -140,6 +143,7 @@
 		"coordination-write.msgp":         {&CoordinationWrite{}, coordinationGeneration},
 		"control-state-replacements.msgp": {&ControlState{}, replacementsGeneration},
 		"message-backends-version.msgp":   {&Message{}, backendsVersionGeneration},
+		"message-retries.msgp":            {&Message{}, retriesGeneration},
 	}
 }
 
