--- a/internal/dataplane/loads/exchange.go
+++ b/internal/dataplane/loads/exchange.go
@@ -36,8 +36,8 @@
 	hasChanges   chan struct{} // holds a value while changes are not reported yet; its capacity is 1
 	queryTimeout time.Duration
 
-	// mutex guards the fields below. It is held while a report is written: otherwise an older report could be sent
-	// after a newer one.
+	// mutex guards the fields of this block. It is held while a report is written: otherwise an older report could be
+	// sent after a newer one.
 	mutex        sync.Mutex
 	coordinators coordinators
 	failures     int // consecutive queries without a response
@@ -45,6 +45,12 @@
 	syncedWith   string // address of the coordinator that was sent all loads on the current connection; empty: none
 	loads        map[message.BackendID]message.BackendLoad
 	changed      map[message.BackendID]bool // backends whose changed load is not reported yet
+
+	// queueMutex guards the fields below, which the next report takes over. It is never held during I/O: a coordinator
+	// that does not read must not stop the owner of the balancer, which also applies the lists of backends.
+	queueMutex    sync.Mutex
+	queuedLoads   []message.BackendLoad
+	queuedMembers []message.Member // nil: they have not changed
 }
 
 // New returns an exchange for the proxy with this identity. The caller must call Run once.
@@ -56,17 +62,34 @@
 	}
 }
 
-// SetMembers sets the coordinators of the current membership view.
+// SetMembers sets the coordinators of the current membership view. It does not wait while a report is written.
 func (e *Exchange) SetMembers(members []message.Member) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.coordinators.set(members)
+	e.queueMutex.Lock()
+	defer e.queueMutex.Unlock()
+	e.queuedMembers = members
 }
 
 // Publish queues a report of this proxy's current loads at backends where they have changed. It does not wait until the
-// report is sent, but it waits for the mutex while another report is being written.
+// report is sent, or while another one is written.
 func (e *Exchange) Publish(loads []message.BackendLoad) {
-	e.mutex.Lock()
+	e.queueMutex.Lock()
+	e.queuedLoads = append(e.queuedLoads, loads...)
+	e.queueMutex.Unlock()
+	select {
+	case e.hasChanges <- struct{}{}:
+	default:
+	}
+}
+
+// takeQueued takes over what SetMembers and Publish have queued. The mutex must be held.
+func (e *Exchange) takeQueued() {
+	e.queueMutex.Lock()
+	loads, members := e.queuedLoads, e.queuedMembers
+	e.queuedLoads, e.queuedMembers = nil, nil
+	e.queueMutex.Unlock()
+	if members != nil {
+		e.coordinators.set(members)
+	}
 	for _, load := range loads {
 		e.loads[load.Backend] = load
 		if load.InFlight <= 0 && load.QueuedPrefillMs <= 0 {
@@ -74,11 +97,6 @@
 		}
 		e.changed[load.Backend] = true
 	}
-	e.mutex.Unlock()
-	select {
-	case e.hasChanges <- struct{}{}:
-	default:
-	}
 }
 
 // Query returns what the other proxies have in flight at the backends that have loaded a model. It omits backends where
@@ -121,6 +139,7 @@
 func (e *Exchange) sendQuery(service string, model message.ModelName) *transport.LoadQuery {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.takeQueued()
 	target := e.coordinators.preferred(time.Now())
 	if !e.ensureConnected(target) {
 		return nil
@@ -154,6 +173,7 @@
 func (e *Exchange) reportChanges() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.takeQueued()
 	target := e.coordinators.preferred(time.Now())
 	if !e.ensureConnected(target) || len(e.changed) == 0 && e.syncedWith == target {
 		return
@@ -165,6 +185,7 @@
 func (e *Exchange) reportAll() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.takeQueued()
 	target := e.coordinators.preferred(time.Now())
 	if !e.ensureConnected(target) {
 		return
--- a/internal/dataplane/loads/exchange_test.go
+++ b/internal/dataplane/loads/exchange_test.go
@@ -41,6 +41,7 @@
 	e := New("p1")
 	e.queryTimeout = time.Minute // on a loaded machine responses can take longer than the default time-out
 	e.SetMembers(members)
+	e.takeQueued()
 	require.NoError(t, e.client.Connect(e.coordinators.members[0].Address))
 	return e
 }
@@ -107,3 +108,22 @@
 	second.SetMembers([]message.Member{c, a, b})
 	assert.Equal(t, first.coordinators.members, second.coordinators.members)
 }
+
+// While a coordinator does not read, a report to it is written for up to a second and more. Publish and SetMembers are
+// called by goroutines that also apply lists of backends: they must not wait for it.
+func TestExchange_BlockedWriteDoesNotBlockCallers(t *testing.T) {
+	e := New("p1")
+	e.mutex.Lock() // as a report does while it is written
+	defer e.mutex.Unlock()
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		e.SetMembers([]message.Member{{Address: "c1"}})
+		e.Publish([]message.BackendLoad{load("b1", 1, 50)})
+	}()
+	select {
+	case <-returned:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a caller waits for the write")
+	}
+}
