Transport: the time-out of a poll bounds connecting and writing

A proxy whose coordinators are cut off or stopped kept its old list longer than discovery.Budget says: a poll waits for 0.6 s to connect, or 1.5 s to write, whatever its time-out (0.3 to 1.1 s) is; two such coordinators one after the other use up the drain time.

Change: a poll connects under its context, and the end of the context closes the connection, which ends a write.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -32,18 +32,21 @@
 func NewClient() *Client { return &Client{pending: map[uint64]chan *message.Message{}} }
 
 // Poll sends a request to the peer at an address and waits for the response. It opens a connection if there is none. If
-// ctx ends before the response arrives, Poll treats the peer as unreachable and closes the connection.
+// ctx ends before the response arrives, Poll treats the peer as unreachable and closes the connection, also while it
+// connects or writes.
 func (c *Client) Poll(
 	ctx context.Context, address string, from message.MemberID, request message.PollRequest,
 ) (*message.PollResponse, error) {
-	conn, err := c.connectTo(address)
+	conn, err := c.connectTo(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	keepConn := context.AfterFunc(ctx, func() { c.drop(conn) })
+	defer keepConn()
 	id, responses := c.register()
 	defer c.unregister(id)
 	request.ID = id
-	response, err := c.roundTrip(ctx, conn, &message.Message{From: from, PollRequest: &request}, responses)
+	response, err := c.roundTrip(conn, &message.Message{From: from, PollRequest: &request}, responses)
 	switch {
 	case ctx.Err() != nil:
 		c.drop(conn)
@@ -64,7 +67,7 @@
 
 // Connect opens a connection to the peer at an address, and closes one to any other address.
 func (c *Client) Connect(address string) error {
-	_, err := c.connectTo(address)
+	_, err := c.connectTo(context.Background(), address)
 	return err
 }
 
@@ -134,9 +137,9 @@
 	}
 }
 
-// roundTrip sends a request and waits for its response.
+// roundTrip sends a request and waits for its response, until the connection breaks.
 func (c *Client) roundTrip(
-	ctx context.Context, conn net.Conn, request *message.Message, responses <-chan *message.Message,
+	conn net.Conn, request *message.Message, responses <-chan *message.Message,
 ) (*message.Message, error) {
 	frame, err := Encode(request)
 	if err != nil {
@@ -145,15 +148,11 @@
 	if err := c.write(conn, frame); err != nil {
 		return nil, err
 	}
-	select {
-	case response, ok := <-responses:
-		if !ok {
-			return nil, ErrDisconnected
-		}
-		return response, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	response, ok := <-responses
+	if !ok {
+		return nil, ErrDisconnected
 	}
+	return response, nil
 }
 
 func (c *Client) write(conn net.Conn, frame []byte) error {
@@ -179,7 +178,7 @@
 
 // connectTo returns the connection to the peer at an address, and opens it if needed. It closes a connection to any
 // other address.
-func (c *Client) connectTo(address string) (net.Conn, error) {
+func (c *Client) connectTo(ctx context.Context, address string) (net.Conn, error) {
 	if conn, err := c.openConn(address); err == nil {
 		return conn, nil
 	}
@@ -194,7 +193,7 @@
 	if conn != nil {
 		c.drop(conn)
 	}
-	conn, err := dialer.Dial("tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
