--- a/internal/controlplane/distribution/poller.go
+++ b/internal/controlplane/distribution/poller.go
@@ -89,10 +89,8 @@
 	request := p.subscriber.PollRequest()
 	wait, timeout := p.budget.PollTimes(listAge(request.BackendsVersion))
 	request.MaxWaitMs = int(wait.Milliseconds())
-	pollCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	sent := time.Now()
-	response, err := p.client.Poll(pollCtx, address, p.identity, request)
+	response, err := p.client.Poll(ctx, address, p.identity, request, timeout)
 	if err != nil {
 		return false
 	}
@@ -127,10 +125,8 @@
 		return
 	}
 	request := p.subscriber.PollRequest()
-	ctx, cancel := context.WithTimeout(ctx, p.budget.ResponseMargin)
-	defer cancel()
 	sent := time.Now()
-	response, err := p.client.Poll(ctx, *address, p.identity, request)
+	response, err := p.client.Poll(ctx, *address, p.identity, request, p.budget.ResponseMargin)
 	if err == nil && !response.Unavailable {
 		p.subscriber.Apply(response, sent)
 	}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -5,6 +5,8 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,6 +23,9 @@
 	dialMutex  sync.Mutex // held while a connection is opened, so that concurrent requests open only one
 	writeMutex sync.Mutex // held while a frame is written, for up to writeTimeout
 
+	created  time.Time
+	received atomic.Int64 // when bytes last arrived, in nanoseconds since created
+
 	mutex   sync.Mutex // guards the fields below; never held during I/O
 	address string
 	conn    net.Conn // connection to address; nil: none is open
@@ -29,27 +34,30 @@
 }
 
 // NewClient makes a client without a connection.
-func NewClient() *Client { return &Client{pending: map[uint64]chan *message.Message{}} }
+func NewClient() *Client {
+	return &Client{created: time.Now(), pending: map[uint64]chan *message.Message{}}
+}
 
 // Poll sends a request to the peer at an address and waits for the response. It opens a connection if there is none. If
-// ctx ends before the response arrives, Poll treats the peer as unreachable and closes the connection, also while it
-// connects or writes.
+// nothing of the response arrives within timeout, or ctx ends, Poll treats the peer as unreachable and closes the
+// connection, also while it connects or writes. Once bytes arrive, the response may take longer, as long as no pause is
+// too long: a large response over a link that many share must not be begun again and again.
 func (c *Client) Poll(
-	ctx context.Context, address string, from message.MemberID, request message.PollRequest,
+	ctx context.Context, address string, from message.MemberID, request message.PollRequest, timeout time.Duration,
 ) (*message.PollResponse, error) {
-	conn, err := c.connectTo(ctx, address)
+	watch := newStallWatch(c, timeout)
+	defer watch.stop()
+	conn, err := c.connectWithin(ctx, address, timeout)
 	if err != nil {
 		return nil, err
 	}
-	keepConn := context.AfterFunc(ctx, func() { c.drop(conn) })
-	defer keepConn()
+	go watch.run(ctx, conn)
 	id, responses := c.register()
 	defer c.unregister(id)
 	request.ID = id
 	response, err := c.roundTrip(conn, &message.Message{From: from, PollRequest: &request}, responses)
 	switch {
 	case ctx.Err() != nil:
-		c.drop(conn)
 		return nil, ctx.Err()
 	case err != nil:
 		return nil, err
@@ -59,6 +67,13 @@
 	return response.PollResponse, nil
 }
 
+// connectWithin returns the connection to the peer at an address, and opens it within timeout if needed.
+func (c *Client) connectWithin(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.connectTo(ctx, address)
+}
+
 // IsConnected reports whether a connection to the peer at an address is open.
 func (c *Client) IsConnected(address string) bool {
 	_, err := c.openConn(address)
@@ -238,7 +253,7 @@
 // receive delivers responses to their requests until the connection breaks. It drops a response whose request no longer
 // waits.
 func (c *Client) receive(conn net.Conn) {
-	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	reader := bufio.NewReaderSize(&progressReader{reader: conn, client: c}, readBufferBytes)
 	for {
 		m, err := Decode(reader)
 		if err != nil {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -8,6 +8,7 @@
 
 import (
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -22,6 +23,9 @@
 	retryDelay   = 100 * time.Millisecond  // after a connection could not be opened or accepted
 )
 
+// writeChunkBytes is how much of a frame is written under one deadline.
+const writeChunkBytes = 16 << 10
+
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4 << 10
 
@@ -36,9 +40,13 @@
 	})
 }
 
-// writeFrame writes a frame with a deadline.
+// writeFrame writes a frame. It fails when the peer takes less than writeChunkBytes within writeTimeout.
 func writeFrame(conn net.Conn, frame []byte) error {
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // on a closed connection, the write reports the error
-	_, err := conn.Write(frame)
-	return err
+	for chunk := range slices.Chunk(frame, writeChunkBytes) {
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // on a closed connection, the write reports the error
+		if _, err := conn.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
 }
