A held port, a settings file being written or a disk that refuses ends no process

Both programs ended with 1 within 10 ms of their start when a port of the machine was held, the settings file was missing, empty or half written, or the state folder refused; later errors of the same disk were retried for ever. A file cut before "tolerance" or "cloud" was accepted, with the defaults of another deployment. Package lifecycle: one wait for all conditions that pass, with one log line and an entry in the status; listeners are opened again after a failure; the control address answers /status before the state is open. A listener that does not close in order no longer fails a stop.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -79,6 +79,10 @@
 	IsPresent         bool          // the file names an address
 }
 
+// ErrIncomplete is returned by Load for a file that lacks a section which the platform always writes. The platform may
+// still be writing the file. Defaults in place of the section would be those of another deployment.
+var ErrIncomplete = errors.New("the file is not complete")
+
 // Load reads the file that the environment variable names. The error is ErrNoFile, or names the file and its faults.
 func Load() (*Settings, error) {
 	path := os.Getenv(EnvironmentVariable)
@@ -90,7 +94,35 @@
 		return nil, errors.Wrap(err, "read the settings file")
 	}
 	settings, err := Parse(text)
-	return settings, errors.Wrap(err, path)
+	if err == nil {
+		err = checkComplete(text)
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	return settings, nil
+}
+
+// platformDiscovery is the value of discovery for a list of backends that the platform serves.
+const platformDiscovery = "platform"
+
+// checkComplete checks that a file has the sections that stand behind the required keys: a beginning of the file may be
+// valid YAML without them.
+func checkComplete(text []byte) error {
+	var document map[string]any
+	if err := yaml.Unmarshal(text, &document); err != nil {
+		return errors.Wrap(err, "not YAML")
+	}
+	sections := []string{"listen", "stateDir", "bounds"}
+	if document["discovery"] == platformDiscovery {
+		sections = append(sections, "cloud")
+	}
+	for _, section := range sections {
+		if _, ok := document[section]; !ok {
+			return errors.Wrap(ErrIncomplete, section+" is missing")
+		}
+	}
+	return nil
 }
 
 // Parse reads settings from YAML. If the text is valid YAML with faulty settings, the error is a *docreader.Error that
--- a/internal/controlplane/coordinator/api.go
+++ b/internal/controlplane/coordinator/api.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pumiceline/internal/controlplane/coordinationapi"
+	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/message"
 )
 
@@ -30,6 +31,7 @@
 type operatorAPI struct {
 	loop         *replicaLoop
 	node         string
+	process      *lifecycle.Process
 	applications *coordinationapi.Handler
 }
 
--- a/internal/controlplane/coordinator/coordination_loop.go
+++ b/internal/controlplane/coordinator/coordination_loop.go
@@ -54,11 +54,8 @@
 // newCoordinationLoop makes the member from its state on disk, and the parts that carry out its outputs.
 func newCoordinationLoop(
 	self message.Member, settings *bootstrap.Settings, sender *transport.Sender, membership func() *membershipSnapshot,
-) (*coordinationLoop, error) {
-	ring, stored, err := openCoordinationState(settings.StateDir)
-	if err != nil {
-		return nil, err
-	}
+	stored *storedCoordination,
+) *coordinationLoop {
 	l := &coordinationLoop{
 		started: time.Now(), inbox: make(chan *message.Message, inboxLength), leaving: make(chan struct{}),
 		sender: sender, self: self, membership: membership,
@@ -66,8 +63,8 @@
 	l.member = epoch.New(epoch.Options{
 		Self: self, Incarnation: newIncarnation(), Tolerance: settings.Tolerance,
 		InitialGroup: initialAcceptors(self, settings), History: historyFactor * settings.Bounds.History,
-	}, 0, stored)
-	l.writer = newCoordinationWriter(ring, l.onSynced)
+	}, 0, stored.Stored)
+	l.writer = newCoordinationWriter(stored.ring, l.onSynced)
 	l.relay = relay.New(relay.Options{
 		Self: self, Incarnation: newIncarnation(), Send: l.sendCall, Candidates: l.candidates,
 	})
@@ -75,7 +72,7 @@
 	out := l.member.Tick(0)
 	l.writer.write([]epoch.Output{out})
 	l.publish()
-	return l, nil
+	return l
 }
 
 // initialAcceptors returns the first group of acceptors: the voters of the first view. It is nil unless this is the
--- a/internal/controlplane/coordinator/coordination_writer.go
+++ b/internal/controlplane/coordinator/coordination_writer.go
@@ -7,6 +7,7 @@
 
 	"pumiceline/internal/controlplane/epoch"
 	"pumiceline/internal/controlplane/storage"
+	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/message"
 )
 
@@ -28,19 +29,28 @@
 	coordinationStateRecord storage.Kind = 2 // a message.CoordinationState, with message.CoordinationWrites appended
 )
 
+// storedCoordination is the coordination state that a process finds on disk when it starts.
+type storedCoordination struct {
+	epoch.Stored
+	ring *storage.Ring // nil on a machine without a disk
+}
+
 // openCoordinationState opens the ring of the coordination state in the state folder, and reads the state. An empty
-// dir stands for a machine without a disk.
-func openCoordinationState(dir string) (*storage.Ring, epoch.Stored, error) {
+// dir stands for a machine without a disk. The error is permanent if the records are not readable.
+func openCoordinationState(dir string) (*storedCoordination, error) {
 	if dir == "" {
-		return nil, epoch.Stored{}, nil
+		return &storedCoordination{}, nil
 	}
 	ring, err := storage.OpenSized(filepath.Join(dir, coordinationDir), coordinationSegmentBytes)
 	if err != nil {
-		return nil, epoch.Stored{}, errors.Wrap(err, "open the folder of the coordination state")
+		return nil, errors.Wrap(err, "open the folder of the coordination state")
+	}
+	if err := ring.SyncFound(); err != nil {
+		ring.Close()
+		return nil, errors.Wrap(err, "sync the coordination state on disk")
 	}
-	syncUntilDurable(ring)
 	stored, err := readCoordinationState(ring)
-	return ring, stored, err
+	return &storedCoordination{Stored: stored, ring: ring}, lifecycle.Permanent(err)
 }
 
 // readCoordinationState decodes the state in a ring.
--- a/internal/controlplane/coordinator/coordination_writer_test.go
+++ b/internal/controlplane/coordinator/coordination_writer_test.go
@@ -36,9 +36,9 @@
 // After a restart at any point, the state that is read is the newest that was written.
 func TestCoordinationWriter_RestartReadsNewestState(t *testing.T) {
 	dir := t.TempDir()
-	ring, _, err := openCoordinationState(dir)
+	opened, err := openCoordinationState(dir)
 	require.NoError(t, err)
-	w := newCoordinationWriter(ring, func([]message.Message) {})
+	w := newCoordinationWriter(opened.ring, func([]message.Message) {})
 	log, first := newCoordinationLog()
 	w.write([]epoch.Output{first})
 	for i := range 3*maxAppendedWrites + 10 {
@@ -50,30 +50,30 @@
 		if i%1500 != 0 {
 			continue
 		}
-		reopened, stored, err := openCoordinationState(dir)
+		stored, err := openCoordinationState(dir)
 		require.NoError(t, err)
-		assert.Equal(t, log.position.Sequence, epoch.Replay(stored).LastNumber)
-		assert.Equal(t, log.position, epoch.Replay(stored).Position)
+		assert.Equal(t, log.position.Sequence, epoch.Replay(stored.Stored).LastNumber)
+		assert.Equal(t, log.position, epoch.Replay(stored.Stored).Position)
 		assert.Equal(t, uint64(i), stored.Record.Promised.Counter)
-		w = newCoordinationWriter(reopened, func([]message.Message) {})
+		w = newCoordinationWriter(stored.ring, func([]message.Message) {})
 	}
 }
 
 // A complete state replaces everything before it, including earlier writes of the same batch.
 func TestCoordinationWriter_CompleteStateReplacesWrites(t *testing.T) {
 	dir := t.TempDir()
-	ring, _, err := openCoordinationState(dir)
+	opened, err := openCoordinationState(dir)
 	require.NoError(t, err)
-	w := newCoordinationWriter(ring, func([]message.Message) {})
+	w := newCoordinationWriter(opened.ring, func([]message.Message) {})
 	log, first := newCoordinationLog()
 	w.write([]epoch.Output{first, log.next(), log.next()})
 	replaced := *first.State
 	replaced.LastNumber, replaced.Position.Sequence = 100, 50
 	w.write([]epoch.Output{log.next(), {State: &replaced}})
-	_, stored, err := openCoordinationState(dir)
+	stored, err := openCoordinationState(dir)
 	require.NoError(t, err)
 	assert.Empty(t, stored.Writes)
-	assert.Equal(t, uint64(100), epoch.Replay(stored).LastNumber)
+	assert.Equal(t, uint64(100), epoch.Replay(stored.Stored).LastNumber)
 }
 
 // The messages of a batch of outputs are sent only after its records are synced, in the order of the outputs.
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -26,6 +26,7 @@
 	"pumiceline/internal/controlplane/coordinationapi"
 	"pumiceline/internal/controlplane/distribution"
 	"pumiceline/internal/controlplane/replica"
+	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/logkey"
 	"pumiceline/internal/message"
 	"pumiceline/internal/transport"
@@ -45,53 +46,109 @@
 
 const readHeaderTimeout = 3 * time.Second
 
-// Run runs the coordinator until ctx ends, then leaves the view and stops serving. The caller must exit the process
+// Run runs the coordinator until ctx ends, then leaves the view and stops serving. The control address is served from the
+// beginning: until the state is open, it answers GET /status and rejects other calls. The caller must exit the process
 // when Run returns: the state writers and the transport still run then. Records that are not synced at the exit count
 // as never written.
-func Run(ctx context.Context, settings *bootstrap.Settings) error {
+func Run(ctx context.Context, settings *bootstrap.Settings, process *lifecycle.Process) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	api := newStartupAPI(settings.Node, process)
+	calls := &callLog{next: api}
+	server := &http.Server{Handler: calls, ReadHeaderTimeout: readHeaderTimeout}
+	serving := make(chan error, 1)
+	go func() { serving <- process.Serve(background, server, settings.ControlAddress, nil) }()
+	opening := make(chan openResult, 1)
+	go func() { opening <- open(ctx, settings, process) }()
+	var parts *components
+	for {
+		select {
+		case err := <-serving:
+			return errors.Wrap(err, "serve the operator")
+		case result := <-opening:
+			if result.err != nil {
+				return result.err
+			}
+			parts = result.components
+			api.set(parts.start(background, settings, process))
+		case <-ctx.Done():
+			shutDown(parts, server, calls, settings.Bounds.GracePeriod)
+			return nil
+		}
+	}
+}
+
+// components are the parts of a coordinator whose listener and state are open.
+type components struct {
+	listener     net.Listener // for other processes of the system
+	loop         *replicaLoop
+	coordination *coordinationLoop
+}
+
+// openResult is the result of open.
+type openResult struct {
+	*components
+	err error
+}
+
+// open opens the internal listener and then the state, and makes the parts that use them. It waits for a port or a disk
+// that is not available. Only the process that has the port uses the state.
+func open(ctx context.Context, settings *bootstrap.Settings, process *lifecycle.Process) openResult {
 	self := message.Member{
 		Address:  InternalAddress(settings.IP, settings.FirstPort),
 		Identity: newIdentity(settings.Node),
 		Zone:     settings.Zone,
 	}
-	listener, err := net.Listen("tcp", self.Address)
+	listener, err := process.Listen(ctx, self.Address)
 	if err != nil {
-		return errors.Wrap(err, "listen for other processes of the system")
+		return openResult{err: errors.Wrap(err, "listen for other processes of the system")}
 	}
-	stored, err := openState(settings.StateDir)
+	var stored *storedState
+	err = process.Until(ctx, "the state folder", func() error {
+		stored, err = openState(settings.StateDir)
+		return err
+	})
 	if err != nil {
+		return openResult{err: err}
+	}
+	var coordinationStored *storedCoordination
+	err = process.Until(ctx, "the folder of the coordination state", func() error {
+		coordinationStored, err = openCoordinationState(settings.StateDir)
 		return err
+	})
+	if err != nil {
+		return openResult{err: err}
 	}
 	loop := newReplicaLoop(self, settings, stored)
-	coordinationLoop, err := newCoordinationLoop(loop.self, settings, loop.sender, loop.snapshot.Load)
-	if err != nil {
-		return err
+	loop.coordination = newCoordinationLoop(loop.self, settings, loop.sender, loop.snapshot.Load, coordinationStored)
+	return openResult{components: &components{listener: listener, loop: loop, coordination: loop.coordination}}
+}
+
+// start starts the goroutines of the parts, which run until ctx ends or the process does, and returns the API.
+func (c *components) start(ctx context.Context, settings *bootstrap.Settings, process *lifecycle.Process) *operatorAPI {
+	go c.loop.writer.run()
+	go c.loop.hub.Run(ctx)
+	go c.loop.hub.Monitor().Run(ctx)
+	go c.loop.run(ctx)
+	go c.coordination.writer.run()
+	go c.coordination.run(ctx)
+	go transport.Serve(c.listener, c.loop.handleMessage)
+	go newController(c.loop, settings).run(ctx)
+	return &operatorAPI{
+		loop: c.loop, node: settings.Node, process: process, applications: coordinationapi.NewHandler(c.coordination.relay),
 	}
-	loop.coordination = coordinationLoop
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
-	go loop.writer.run()
-	go loop.hub.Run(background)
-	go loop.hub.Monitor().Run(background)
-	go loop.run(background)
-	go coordinationLoop.writer.run()
-	go coordinationLoop.run(background)
-	go transport.Serve(listener, loop.handleMessage)
-	go newController(loop, settings).run(background)
-	applications := coordinationapi.NewHandler(coordinationLoop.relay)
-	calls := &callLog{next: &operatorAPI{loop: loop, node: settings.Node, applications: applications}}
-	server, err := serveCalls(calls, settings.ControlAddress)
-	if err != nil {
-		return err
+}
+
+// shutDown leaves the view and stops serving the operator. parts are nil if the state was not open yet.
+func shutDown(parts *components, server *http.Server, calls *callLog, grace time.Duration) {
+	if parts != nil {
+		awaitRemoval(parts.loop, grace)
 	}
-	<-ctx.Done()
-	awaitRemoval(loop, settings.Bounds.GracePeriod)
-	shutdown, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
 	defer cancel()
-	if err := server.Shutdown(shutdown); err != nil {
+	if err := server.Shutdown(ctx); err != nil {
 		logrus.WithError(err).WithField(logkey.Requests, calls.inFlight.Load()).Warn("shutdown cuts calls in flight")
 	}
-	return nil
 }
 
 // newReplicaLoop makes the replica from its state on disk, and the parts that carry out its outputs.
@@ -112,21 +169,6 @@
 	return l
 }
 
-// serveCalls starts the HTTP server at the control address. The caller must shut it down.
-func serveCalls(calls *callLog, address string) (*http.Server, error) {
-	server := &http.Server{Handler: calls, ReadHeaderTimeout: readHeaderTimeout}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for the operator")
-	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logrus.WithError(err).Error("operator API stopped")
-		}
-	}()
-	return server, nil
-}
-
 // awaitRemoval asks for the member's removal from the view and waits for it. The other members remove it only once
 // enough of them have the complete state; until then it stays a member. A coordinator outside the view waits until
 // none of its own join requests can be admitted any more. The only member of a view stops at once, as no other member
--- a/internal/controlplane/coordinator/state.go
+++ b/internal/controlplane/coordinator/state.go
@@ -1,13 +1,11 @@
 package coordinator
 
 import (
-	"time"
-
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"pumiceline/internal/controlplane/replica"
 	"pumiceline/internal/controlplane/storage"
+	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/message"
 )
 
@@ -27,7 +25,8 @@
 }
 
 // openState opens the state folder and reads the state. An empty dir stands for a machine without a disk, which has
-// no state.
+// no state. It returns once the contents are durable: a member must not send messages about state that it could still
+// lose in a power failure. The error is permanent if the records are not readable.
 func openState(dir string) (*storedState, error) {
 	if dir == "" {
 		return &storedState{}, nil
@@ -36,32 +35,20 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open the state folder")
 	}
-	syncUntilDurable(ring)
+	if err := ring.SyncFound(); err != nil {
+		ring.Close()
+		return nil, errors.Wrap(err, "sync the state on disk")
+	}
 	stored := &storedState{ring: ring}
 	if err := stored.readControl(); err != nil {
-		return nil, err
+		return nil, lifecycle.Permanent(err)
 	}
 	if err := stored.readChain(); err != nil {
-		return nil, err
+		return nil, lifecycle.Permanent(err)
 	}
 	return stored, nil
 }
 
-// syncUntilDurable returns once the contents of the ring are durable. A disk that fails or stalls here delays the
-// start: a member must not send messages about state that it could still lose in a power failure.
-func syncUntilDurable(ring *storage.Ring) {
-	for attempt := 1; ; attempt++ {
-		err := ring.SyncFound()
-		if err == nil {
-			return
-		}
-		if attempt == 1 {
-			logrus.WithError(err).Warn("state sync failed, retrying")
-		}
-		time.Sleep(writeRetryDelay)
-	}
-}
-
 func (s *storedState) readControl() error {
 	record := s.ring.Newest(controlRecord)
 	if record == nil {
--- a/internal/controlplane/coordinator/status.go
+++ b/internal/controlplane/coordinator/status.go
@@ -10,6 +10,7 @@
 
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/message"
 )
 
@@ -39,6 +40,8 @@
 	OldestListAgeMs int64 `json:"oldestListAgeMs,omitempty"`
 	// Coordination is the coordination of applications; nil if the coordinator is of a version without it.
 	Coordination *CoordinationStatus `json:"coordination,omitempty"`
+	// Process is what all programs of the system have in their status; nil if the coordinator is of a version without it.
+	Process *lifecycle.Status `json:"process,omitempty"`
 }
 
 // Task is a placement task that runs at a backend, and its reason.
@@ -87,6 +90,23 @@
 	if list := a.loop.hub.Backends(); list.IsKnown() {
 		status.Backends = len(list.Backends)
 	}
+	status.Process = describeProcess(a.process, a.loop.writer)
+	writeStatus(w, &status)
+}
+
+// describeProcess returns the status that all programs share. A write of the state that stalls counts as a wait.
+func describeProcess(process *lifecycle.Process, writer *stateWriter) *lifecycle.Status {
+	if process == nil {
+		return nil
+	}
+	status := process.Status()
+	if writer != nil && writer.isStalled() {
+		status.Waits = append(status.Waits, lifecycle.Wait{Condition: "a write to the state folder"})
+	}
+	return &status
+}
+
+func writeStatus(w http.ResponseWriter, status *Status) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(status) // a client that has disconnected asks again
 }
--- a/internal/controlplane/storage/segment.go
+++ b/internal/controlplane/storage/segment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -25,14 +26,24 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, errors.Wrap(err, "make the folder of the ring")
 	}
-	files := make([]File, SegmentCount)
+	var files []File
+	ring, err := openFolder(dir, segmentBytes, &files)
+	if err != nil {
+		closeFiles(files) // the caller may try again, many times
+		return nil, err
+	}
+	return ring, nil
+}
+
+// openFolder opens the segments in a directory, which it adds to files, and reads their records.
+func openFolder(dir string, segmentBytes int64, files *[]File) (*Ring, error) {
 	anyCreated := false
-	for i := range files {
+	for i := range SegmentCount {
 		file, created, err := openSegment(filepath.Join(dir, fmt.Sprintf("ring-%d", i)), segmentBytes)
 		if err != nil {
 			return nil, err
 		}
-		files[i] = file
+		*files = append(*files, file)
 		anyCreated = anyCreated || created
 	}
 	if anyCreated {
@@ -44,26 +55,48 @@
 			return nil, err
 		}
 	}
-	return openFiles(files, segmentBytes)
+	return openFiles(*files, segmentBytes)
+}
+
+// closeFiles closes those of the files that can be closed.
+func closeFiles(files []File) {
+	for _, file := range files {
+		if closer, ok := file.(io.Closer); ok {
+			_ = closer.Close() // nothing was written that must last
+		}
+	}
 }
 
+// Close closes the segments. The ring must not be used afterwards.
+func (r *Ring) Close() { closeFiles(r.files) }
+
 // openSegment opens a segment. It sets the size of a segment that is missing or has another size.
 func openSegment(path string, segmentBytes int64) (segment File, created bool, err error) {
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o644)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "open a segment")
 	}
+	created, err = setSize(file, segmentBytes)
+	if err != nil {
+		file.Close()
+		return nil, false, err
+	}
+	return segmentFile{file}, created, nil
+}
+
+// setSize sets the size of a segment, unless it has that size.
+func setSize(file *os.File, segmentBytes int64) (isChanged bool, err error) {
 	info, err := file.Stat()
 	if err != nil {
-		return nil, false, errors.Wrap(err, "open a segment")
+		return false, errors.Wrap(err, "open a segment")
 	}
 	if info.Size() == segmentBytes {
-		return segmentFile{file}, false, nil
+		return false, nil
 	}
 	if err := file.Truncate(segmentBytes); err != nil {
-		return nil, false, errors.Wrap(err, "preallocate a segment")
+		return false, errors.Wrap(err, "preallocate a segment")
 	}
-	return segmentFile{file}, true, errors.Wrap(file.Sync(), "sync a new segment")
+	return true, errors.Wrap(file.Sync(), "sync a new segment")
 }
 
 // syncDir makes the entries of new files in a directory durable.
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 	"pumiceline/internal/dataplane/balancer"
 	"pumiceline/internal/dataplane/ingress"
 	"pumiceline/internal/dataplane/loads"
+	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/logkey"
 	"pumiceline/internal/message"
 )
@@ -53,31 +53,35 @@
 	subscription *subscription
 	poller       *distribution.Poller
 	idle         idleConnections
+	process      *lifecycle.Process
+	isListening  atomic.Bool // the listener for clients is open
 	isDraining   atomic.Bool
 }
 
-// Run serves until ctx ends, then drains within the grace time. It returns an error only if a listener cannot be
-// opened or shut down. The process must exit afterwards: Run cancels the background goroutines but does not wait for
-// them, because that could take longer than the grace time.
-func Run(ctx context.Context, settings *bootstrap.Settings) error {
+// Run serves until ctx ends, then drains within the grace time. It returns an error only if the address of a listener is
+// wrong. The process must exit afterwards: Run cancels the background goroutines but does not wait for them, because
+// that could take longer than the grace time.
+func Run(ctx context.Context, settings *bootstrap.Settings, process *lifecycle.Process) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	p := newProxy(background, settings)
+	p := newProxy(background, settings, process)
 	p.start(background)
-	server, err := p.listen()
-	if err != nil {
+	server, failed := p.listen(background)
+	select {
+	case err := <-failed:
 		return err
+	case <-ctx.Done():
+		p.drain(server)
+		return nil
 	}
-	<-ctx.Done()
-	return p.drain(server)
 }
 
 // newProxy assembles a proxy. Its dispatcher runs until ctx ends.
-func newProxy(ctx context.Context, settings *bootstrap.Settings) *Proxy {
+func newProxy(ctx context.Context, settings *bootstrap.Settings, process *lifecycle.Process) *Proxy {
 	identity := message.MemberID(settings.Node + "/" + settings.IP)
 	sendTime := discovery.NewBudget(settings.Bounds.Drain).SendTime
 	p := &Proxy{
-		settings: settings, pool: backend.NewPool(min(backend.MaxDialTimeout, sendTime)), loads: loads.New(identity), notifier: newDemandNotifier(),
+		settings: settings, process: process, pool: backend.NewPool(min(backend.MaxDialTimeout, sendTime)), loads: loads.New(identity), notifier: newDemandNotifier(),
 	}
 	bounds := settings.Bounds
 	budget := balancer.NewRetryBudget(balancer.RetryBudgetOptions{
@@ -107,8 +111,9 @@
 	go p.sweepConnections(ctx)
 }
 
-// listen starts the listeners for readiness checks and for clients, and returns the server for clients.
-func (p *Proxy) listen() (*http.Server, error) {
+// listen starts the listeners for readiness checks and for clients, which run until ctx ends. It returns the server for
+// clients, and a channel that receives an error if an address is wrong.
+func (p *Proxy) listen(ctx context.Context) (*http.Server, <-chan error) {
 	readiness := &http.Server{
 		Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
@@ -116,27 +121,15 @@
 		Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: p.idle.track,
 	}
-	if err := serve(readiness, p.settings.ReadinessAddress); err != nil {
-		return nil, err
-	}
-	if err := serve(clients, p.settings.ClientAddress); err != nil {
-		return nil, err
-	}
-	return clients, nil
-}
-
-// serve opens a listener and serves it in the background, until the server is shut down.
-func serve(server *http.Server, address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
-	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logrus.WithError(err).WithField(logkey.Address, address).Error("listener failed")
+	failed := make(chan error, 2) // one for each listener
+	serve := func(server *http.Server, address string, onListening func()) {
+		if err := p.process.Serve(ctx, server, address, onListening); err != nil {
+			failed <- err
 		}
-	}()
-	return nil
+	}
+	go serve(readiness, p.settings.ReadinessAddress, nil)
+	go serve(clients, p.settings.ClientAddress, func() { p.isListening.Store(true) })
+	return clients, failed
 }
 
 // serveReady responds to a readiness check, or with the Status.
@@ -145,16 +138,21 @@
 		p.serveStatus(w)
 		return
 	}
-	if p.isDraining.Load() || !p.subscription.isReady.Load() {
+	if !p.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// isReady reports whether clients can be served.
+func (p *Proxy) isReady() bool {
+	return p.isListening.Load() && p.subscription.isReady.Load() && !p.isDraining.Load()
+}
+
 // drain continues to serve for drainDelay, so that the platform stops sending new connections. It then shuts down the
 // server for clients and waits until all requests are finished, within the grace time.
-func (p *Proxy) drain(server *http.Server) error {
+func (p *Proxy) drain(server *http.Server) {
 	grace := p.settings.Bounds.GracePeriod
 	deadline := time.Now().Add(grace - stopMargin)
 	p.isDraining.Store(true)
@@ -166,9 +164,9 @@
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		logrus.WithField(logkey.Requests, p.handler.Active()).Warn("grace time expired with requests in flight")
-		return nil
+	} else if err != nil {
+		logrus.WithError(err).Warn("the listener for clients is not closed in order")
 	}
-	return errors.Wrap(err, "shut down the listener")
 }
 
 // sweepConnections closes expired idle connections, both to backends and from clients, until ctx ends.
--- a/internal/dataplane/proxy/status.go
+++ b/internal/dataplane/proxy/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pumiceline/internal/controlplane/discovery"
+	"pumiceline/internal/lifecycle"
 )
 
 // statusPath is the path of the status at the address for readiness checks. Every other path is a readiness check.
@@ -17,12 +18,13 @@
 	IsReady    bool                 `json:"ready"`
 	IsDraining bool                 `json:"draining"`
 	List       discovery.ListStatus `json:"list"` // the list of backends in use
+	Process    lifecycle.Status     `json:"process"`
 }
 
 func (p *Proxy) serveStatus(w http.ResponseWriter) {
 	status := Status{
 		Node: p.settings.Node, IsReady: p.subscription.isReady.Load(), IsDraining: p.isDraining.Load(),
-		List: p.subscription.monitor.Status(time.Now()),
+		List: p.subscription.monitor.Status(time.Now()), Process: p.process.Status(),
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(status) // a client that has disconnected asks again
--- a/internal/dataplane/proxy/status_test.go
+++ b/internal/dataplane/proxy/status_test.go
@@ -11,12 +11,13 @@
 	"github.com/stretchr/testify/require"
 
 	"pumiceline/internal/bootstrap"
+	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/message"
 )
 
 func TestProxy_StatusHasAgeOfListInUse(t *testing.T) {
 	s := newTestSubscription(t)
-	p := &Proxy{settings: &bootstrap.Settings{Node: "p1"}, subscription: s}
+	p := &Proxy{process: lifecycle.NewProcess(nil), settings: &bootstrap.Settings{Node: "p1"}, subscription: s}
 	list := &message.BackendUpdate{Digest: 5, Backends: []message.Backend{{ID: "b1", Service: "s"}}}
 	s.Apply(&message.PollResponse{BackendsKnown: true, Backends: list, BackendsAgeMs: 700}, time.Now())
 	s.Apply(&message.PollResponse{BackendsKnown: true, Backends: list, BackendsAgeMs: 60000}, time.Now())
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -21,12 +21,18 @@
 	Candidates = "candidates"
 	// Complete reports whether the client was sent a complete response.
 	Complete = "complete"
+	// Condition is what a process waits for, such as a port that is held.
+	Condition = "condition"
 	// Coordinator is the internal address of a coordinator.
 	Coordinator = "coordinator"
+	// DroppedRecords is a number of log records that were dropped because nobody read the log in time.
+	DroppedRecords = "dropped_records"
 	// DropAdapters is a list of adapters that a placement task unloads.
 	DropAdapters = "drop"
 	// Epoch is the counter of an issuer's epoch in the coordination of applications.
 	Epoch = "epoch"
+	// ExitCode is the exit code of a process.
+	ExitCode = "exit_code"
 	// FirstEventMs is the time from the arrival of a request to the first event of its response.
 	FirstEventMs = "first_event_ms"
 	// Group is the number of an acceptor group in the coordination of applications.
@@ -81,7 +87,7 @@
 	QueuedMs = "queued_ms"
 	// QueuedPrefillMs is the estimated prefill time of the requests queued at a backend.
 	QueuedPrefillMs = "queued_prefill_ms"
-	// Reason is the planner's reason for a placement task.
+	// Reason is the planner's reason for a placement task, or why a process ended.
 	Reason = "reason"
 	// RejectedLists is the number of received backend lists that were not newer than the one in use.
 	RejectedLists = "rejected_lists"
@@ -121,6 +127,8 @@
 	VotesGained = "votes_gained"
 	// VotesLost is the voters of the view logged before that have no vote in this one.
 	VotesLost = "votes_lost"
+	// WaitedMs is how long a process waited for a condition to pass.
+	WaitedMs = "waited_ms"
 	// WaitReason is the reason why a request waited: none, model or capacity.
 	WaitReason = "wait_reason"
 )
--- a/internal/process/start_test.go
+++ b/internal/process/start_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -143,3 +144,40 @@
 	t.Cleanup(func() { writer.Close() })
 	return writer
 }
+
+// Settings that stay wrong end a process, with an error that names the file and the fault as its last line.
+func TestStart_EndsWithWrongSettings(t *testing.T) {
+	for _, program := range programs {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			m := newMachine(t)
+			m.writeSettings(strings.Replace(m.settings(), "portRange: [7660", "portRange: [9660", 1))
+			started := time.Now()
+			p := m.start(program, "--settings-wait", "300ms")
+			assert.Equal(t, 1, p.awaitEnd())
+			assert.GreaterOrEqual(t, time.Since(started), 300*time.Millisecond)
+			lines := strings.Split(strings.TrimSpace(p.output()), "\n")
+			last := lines[len(lines)-1]
+			assert.Contains(t, last, m.settingsPath())
+			assert.Contains(t, last, "portRange: two ports in rising order are wanted")
+		})
+	}
+}
+
+// A process that waits ends in order on SIGTERM.
+func TestStart_StopsWhileWaiting(t *testing.T) {
+	for _, condition := range startConditions() {
+		for _, program := range condition.programs {
+			t.Run(condition.name+"/"+program, func(t *testing.T) {
+				t.Parallel()
+				m := newMachine(t)
+				m.writeSettings(m.settings())
+				condition.begin(m)
+				p := m.start(program)
+				p.awaitLog(waitMessage)
+				require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+				assert.Equal(t, 0, p.awaitEnd(), p.output())
+			})
+		}
+	}
+}
