A log that nobody reads neither ends nor stops a process

Where the reader of stdout and stderr had gone, SIGPIPE ended the process with its next line; where it had stopped, each goroutine that logged waited for ever and the coordinator never listened. SIGPIPE is ignored. The end waits 200 ms at most for the reader.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -32,6 +32,8 @@
 const (
 	// defaultSettingsWait is how long the settings file may be missing or wrong before the process ends.
 	defaultSettingsWait = 10 * time.Second
+	// logFlushTimeout is how long the end of the process waits for the reader of the log.
+	logFlushTimeout = 200 * time.Millisecond
 )
 
 // Run is the body of a command. It serves until ctx ends, then shuts down gracefully and returns.
@@ -55,16 +57,20 @@
 	}
 	ctx, stop := handleSignals()
 	defer stop()
-	code := start(ctx, name, o, run, lifecycle.NewProcess(nil))
+	log := newLogWriter(os.Stderr)
+	logrus.SetOutput(log)
+	code := start(ctx, name, o, run, lifecycle.NewProcess(log.Dropped))
+	log.flush(logFlushTimeout)
 	os.Exit(code)
 }
 
 // handleSignals returns a context that ends on SIGTERM or an interrupt.
 //
 // SIGHUP is ignored: the platform sends it when it has changed the settings file. The processes use none of the settings
-// that may change, so a new file takes effect at the next start.
+// that may change, so a new file takes effect at the next start. SIGPIPE is ignored, as it would end the process when
+// the reader of the log has gone.
 func handleSignals() (context.Context, context.CancelFunc) {
-	signal.Ignore(syscall.SIGHUP)
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
