SIGHUP ends no process, from before the Go runtime starts

SIGHUP was ignored only after the flags and the settings were read, some milliseconds after the start on a whole core, tens at a small share; until then it ended the process.

--- a/internal/process/start_test.go
+++ b/internal/process/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -145,6 +146,40 @@
 	return writer
 }
 
+// hangupStarts is how many starts get a SIGHUP.
+const hangupStarts = 20
+
+// SIGHUP does not end a process, however early after its start it arrives: the platform sends it when it has changed the
+// settings file. Before the runtime has its signal handlers no code of the process runs.
+func TestStart_OutlastsEarlyHangup(t *testing.T) {
+	for _, program := range programs {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			m := newMachine(t)
+			m.writeSettings(m.settings())
+			for range hangupStarts {
+				p := m.start(program)
+				p.await("signal handlers", p.hasSignalHandlers)
+				require.NoError(t, p.command.Process.Signal(syscall.SIGHUP))
+				p.awaitListening()
+				require.NoError(t, p.command.Process.Kill())
+				<-p.ended
+			}
+		})
+	}
+}
+
+// hasSignalHandlers reports whether the process catches signals, as the Go runtime does from its start on.
+func (p *process) hasSignalHandlers() bool {
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/status")
+	if err != nil {
+		return false
+	}
+	_, caught, _ := strings.Cut(string(status), "SigCgt:\t")
+	caught, _, _ = strings.Cut(caught, "\n")
+	return strings.Trim(caught, "0") != ""
+}
+
 // Settings that stay wrong end a process, with an error that names the file and the fault as its last line.
 func TestStart_EndsWithWrongSettings(t *testing.T) {
 	for _, program := range programs {
