Every end of a process keeps its reason for the next start

The last log line now has the reason and the exit code; a file beside the state has the start, then the end, and a second one the crash report of the Go runtime; /status of the next start shows them as previousEnd, and tells a kill from an end in order.

--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -1,11 +1,15 @@
 package lifecycle
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Process is the state that a process of the system has whatever its program is. It is safe for concurrent use.
 type Process struct {
 	Waits
 	startedAt   time.Time
+	previousEnd atomic.Pointer[End]
 	droppedLogs func() int64 // nil: the log drops nothing
 }
 
@@ -20,11 +24,13 @@
 	Waits     []Wait    `json:"waits,omitempty"` // conditions that the process waits for
 	// DroppedLogRecords is the number of log records that were dropped because nobody read the log in time.
 	DroppedLogRecords int64 `json:"droppedLogRecords"`
+	// PreviousEnd is the end of the process before on this machine's disk; nil: none is recorded.
+	PreviousEnd *End `json:"previousEnd,omitempty"`
 }
 
 // Status returns the state of this moment.
 func (p *Process) Status() Status {
-	status := Status{StartedAt: p.startedAt, Waits: p.Current()}
+	status := Status{StartedAt: p.startedAt, Waits: p.Current(), PreviousEnd: p.previousEnd.Load()}
 	if p.droppedLogs != nil {
 		status.DroppedLogRecords = p.droppedLogs()
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -80,7 +80,10 @@
 	if err != nil {
 		return end(ctx, name, err)
 	}
-	return end(ctx, name, run(ctx, settings, process))
+	recorder := lifecycle.NewEndRecorder(process, settings.StateDir, name)
+	err = run(ctx, settings, process)
+	recorder.Record(exitCode(ctx, err), reason(ctx, err))
+	return end(ctx, name, err)
 }
 
 // prepare sets the log level, and reads the settings once they are complete.
