No header in a frame or a record names memory that has not arrived

The codecs make a list as long as its header says: one changed byte in a frame at the internal port asked for terabytes, and the coordinator ended with 'fatal error: runtime: out of memory', which no recover catches. 25 unfinished frames of 16 MiB held 385 MB on a machine with 284. Every message and record is now read over before it is decoded: counts must have arrived, the estimate of the decoded size is bounded, the depth too. The body of a frame is allocated as it arrives; all connections of a receiver share room for two of the largest frames, and a frame has 10 s to arrive.

--- a/internal/controlplane/coordinator/api_test.go
+++ b/internal/controlplane/coordinator/api_test.go
@@ -10,8 +10,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
-
-	"pumiceline/internal/message"
 )
 
 // brokenBody is a request body whose client disconnects.
@@ -40,7 +38,7 @@
 		http.MethodGet: http.StatusServiceUnavailable,
 		http.MethodPut: http.StatusGatewayTimeout, http.MethodPatch: http.StatusGatewayTimeout,
 	} {
-		loop := &replicaLoop{pending: newPendingResults(1), inbox: make(chan *message.Message, inboxLength)}
+		loop := &replicaLoop{pending: newPendingResults(1), inbox: newInbox()}
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		response := httptest.NewRecorder()
--- a/internal/controlplane/coordinator/coordination_loop.go
+++ b/internal/controlplane/coordinator/coordination_loop.go
@@ -32,7 +32,7 @@
 type coordinationLoop struct {
 	member     *epoch.Member
 	started    time.Time
-	inbox      chan *message.Message
+	inbox      *inbox
 	leaving    chan struct{} // closed when the process is asked to stop
 	sender     *transport.Sender
 	writer     *coordinationWriter
@@ -57,7 +57,7 @@
 	stored *storedCoordination,
 ) *coordinationLoop {
 	l := &coordinationLoop{
-		started: time.Now(), inbox: make(chan *message.Message, inboxLength), leaving: make(chan struct{}),
+		started: time.Now(), inbox: newInbox(), leaving: make(chan struct{}),
 		sender: sender, self: self, membership: membership,
 	}
 	l.member = epoch.New(epoch.Options{
@@ -111,10 +111,7 @@
 		l.relay.HandleResponse(m)
 		return
 	}
-	select {
-	case l.inbox <- m:
-	default:
-	}
+	l.inbox.offer(m)
 }
 
 // sendCall sends a call of the relay to a coordinator, which may be this one.
@@ -150,7 +147,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-l.inbox:
+		case m := <-l.inbox.messages:
+			l.inbox.taken(m)
 			l.applyOutput(l.member.Step(l.now(), m))
 		case <-leaving:
 			l.member.SetLeaving()
@@ -209,7 +207,7 @@
 // the writer, so there is no deadlock.
 func (l *coordinationLoop) onSynced(messages []message.Message) {
 	for _, m := range l.route(messages) {
-		l.inbox <- m
+		l.inbox.put(m)
 	}
 }
 
--- a/internal/controlplane/coordinator/coordination_writer.go
+++ b/internal/controlplane/coordinator/coordination_writer.go
@@ -56,18 +56,18 @@
 // readCoordinationState decodes the state in a ring.
 func readCoordinationState(ring *storage.Ring) (stored epoch.Stored, err error) {
 	if record := ring.Newest(epochRecord); record != nil {
-		if _, err := stored.Record.UnmarshalMsg(record); err != nil {
+		if err := message.Decode(&stored.Record, record); err != nil {
 			return stored, errors.Wrap(err, "decode the epoch record on disk")
 		}
 	}
 	if record := ring.Newest(coordinationStateRecord); record != nil {
-		if _, err := stored.State.UnmarshalMsg(record); err != nil {
+		if err := message.Decode(&stored.State, record); err != nil {
 			return stored, errors.Wrap(err, "decode the coordination state on disk")
 		}
 	}
 	for i, record := range ring.Appended(coordinationStateRecord) {
 		var write message.CoordinationWrite
-		if _, err := write.UnmarshalMsg(record); err != nil {
+		if err := message.Decode(&write, record); err != nil {
 			return stored, errors.Wrapf(err, "decode write %d after the coordination state on disk", i+1)
 		}
 		stored.Writes = append(stored.Writes, write)
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -158,7 +158,7 @@
 		FirstStart: settings.FirstStart, Diskless: stored.ring == nil, Incarnation: newIncarnation(),
 	}
 	l := &replicaLoop{
-		started: time.Now(), inbox: make(chan *message.Message, inboxLength), leaving: make(chan struct{}),
+		started: time.Now(), inbox: newInbox(), leaving: make(chan struct{}),
 		hub: distribution.NewHub(settings.Bounds.Drain), pending: newPendingResults(newIncarnation()),
 	}
 	l.replica = replica.New(options, configuration.Validate, 0, stored.control, stored.chain)
--- a/internal/controlplane/coordinator/replica_loop.go
+++ b/internal/controlplane/coordinator/replica_loop.go
@@ -16,17 +16,14 @@
 	"pumiceline/internal/transport"
 )
 
-const (
-	tickInterval = 50 * time.Millisecond
-	inboxLength  = 1024
-)
+const tickInterval = 50 * time.Millisecond
 
 // replicaLoop owns the replica. One goroutine (run) passes messages and ticks to it, and carries out its outputs in the
 // order in which they were returned. The replica counts time from started.
 type replicaLoop struct {
 	replica *replica.Replica
 	started time.Time
-	inbox   chan *message.Message
+	inbox   *inbox
 	leaving chan struct{} // closed when the process is asked to stop
 	sender  *transport.Sender
 	writer  *stateWriter
@@ -85,10 +82,7 @@
 		}
 		return
 	}
-	select {
-	case l.inbox <- m:
-	default:
-	}
+	l.inbox.offer(m)
 }
 
 // run steps the replica until ctx ends.
@@ -101,7 +95,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-l.inbox:
+		case m := <-l.inbox.messages:
+			l.inbox.taken(m)
 			l.applyOutput(l.replica.Step(l.now(), m))
 		case <-leaving:
 			l.replica.SetLeaving()
@@ -154,7 +149,7 @@
 // would delay a change until the replica repeats it. The loop never waits for the writer, so there is no deadlock.
 func (l *replicaLoop) onSynced(messages []message.Message) {
 	for _, m := range l.route(messages) {
-		l.inbox <- m
+		l.inbox.put(m)
 	}
 }
 
--- a/internal/controlplane/coordinator/state.go
+++ b/internal/controlplane/coordinator/state.go
@@ -54,20 +54,19 @@
 	if record == nil {
 		return nil
 	}
-	_, err := s.control.UnmarshalMsg(record)
-	return errors.Wrap(err, "decode the control state on disk")
+	return errors.Wrap(message.Decode(&s.control, record), "decode the control state on disk")
 }
 
 // readChain reads the chain state and applies the changes that were appended to it.
 func (s *storedState) readChain() error {
 	if record := s.ring.Newest(chainRecord); record != nil {
-		if _, err := s.chain.UnmarshalMsg(record); err != nil {
+		if err := message.Decode(&s.chain, record); err != nil {
 			return errors.Wrap(err, "decode the configuration on disk")
 		}
 	}
 	for i, record := range s.ring.Appended(chainRecord) {
 		var change message.ChangeRecord
-		if _, err := change.UnmarshalMsg(record); err != nil {
+		if err := message.Decode(&change, record); err != nil {
 			return errors.Wrapf(err, "decode change %d after the configuration on disk", i+1)
 		}
 		next, err := replica.ApplyChange(&s.chain, &change)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -15,6 +15,9 @@
 	To          MemberID   `msg:"t"` // empty: for whichever process listens at the address
 	ToAddress   string     `msg:"-"` // where the sender's transport delivers it; this field is not sent
 	View        ViewNumber `msg:"v"` // the newest view that the sender knows
+	// EncodedBytes is the length of a received message on the wire, from which queues bound their memory; this field is
+	// not sent.
+	EncodedBytes int `msg:"-"`
 
 	Heartbeat        *Heartbeat        `msg:"hb,omitempty"`
 	SuspicionReport  *SuspicionReport  `msg:"su,omitempty"`
--- a/internal/transport/sender.go
+++ b/internal/transport/sender.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -15,15 +14,16 @@
 // Sender sends messages to peers, over one connection per peer that is kept open. It starts a goroutine per peer, which
 // runs until the process ends. Several goroutines may use a Sender.
 type Sender struct {
-	handle Handler
-	mutex  sync.Mutex
-	queues map[string]chan []byte // frames, by the peer's address
+	handle   Handler
+	receiver *receiver
+	mutex    sync.Mutex
+	queues   map[string]chan []byte // frames, by the peer's address
 }
 
 // NewSender makes a sender. The handler handles the messages that peers send back on their connections, and may be nil.
 // Its replies are discarded.
 func NewSender(handle Handler) *Sender {
-	return &Sender{handle: handle, queues: map[string]chan []byte{}}
+	return &Sender{handle: handle, receiver: newReceiver(), queues: map[string]chan []byte{}}
 }
 
 // Send queues a message for the peer at an address. It never blocks: if the queue is full, the message is dropped. So
@@ -88,16 +88,11 @@
 
 func (s *Sender) receive(conn net.Conn) {
 	defer conn.Close()
-	reader := bufio.NewReaderSize(conn, readBufferBytes)
-	for {
-		m, err := Decode(reader)
-		if err != nil {
-			return
-		}
+	s.receiver.receive(conn, func(m *message.Message) {
 		if s.handle != nil {
 			s.handle(m, func(*message.Message) {})
 		}
-	}
+	})
 }
 
 func discardQueued(queue chan []byte) {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -17,6 +16,7 @@
 
 // Serve accepts connections until the listener is closed. Open connections stay until the peer closes them.
 func Serve(listener net.Listener, handle Handler) {
+	r := newReceiver()
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -26,11 +26,11 @@
 			time.Sleep(retryDelay)
 			continue
 		}
-		go serveConn(conn, handle)
+		go serveConn(conn, r, handle)
 	}
 }
 
-func serveConn(conn net.Conn, handle Handler) {
+func serveConn(conn net.Conn, r *receiver, handle Handler) {
 	defer conn.Close()
 	var writing sync.Mutex
 	reply := func(m *message.Message) {
@@ -44,12 +44,5 @@
 			conn.Close()
 		}
 	}
-	reader := bufio.NewReaderSize(conn, readBufferBytes)
-	for {
-		m, err := Decode(reader)
-		if err != nil {
-			return
-		}
-		handle(m, reply)
-	}
+	r.receive(conn, func(m *message.Message) { handle(m, reply) })
 }
