Bodies and heads of requests that do not end take bounded memory

Each server bounded the body of one request, not of all: 120 unfinished POSTs of 4 MiB held 678 MB in a proxy, 120 PUTs of 8 MiB held 1,018 MB in a coordinator, and 1,500 unfinished request heads 694 MB at the readiness port and 693 MB at the control port, on machines with 284 MB. Package bodybudget counts what the requests in flight have read of their bodies; beyond a sixth of the machine's memory a request gets 503 with Retry-After, unrun. Heads are bounded at 8 KiB (readiness) and 16 KiB (control).

--- a/internal/bootstrap/runtime.go
+++ b/internal/bootstrap/runtime.go
@@ -10,6 +10,13 @@
 // buffers.
 const memoryShare = 0.6
 
+// bodyMemoryShare is the fraction of the machine's memory limit that bodies of requests may take together. Copies made
+// while they grow, and garbage of those that are done, take as much again.
+const bodyMemoryShare = 1.0 / 6
+
+// BodyBytes is the limit on the bodies that all requests in flight of the process may have read together.
+func (l *Limits) BodyBytes() int64 { return int64(float64(l.MemoryMB) * bodyMemoryShare * (1 << 20)) }
+
 // ApplyRuntimeLimits sets the Go runtime's limits for the process: one thread runs Go code, and memory has a soft
 // limit.
 func (s *Settings) ApplyRuntimeLimits() {
--- a/internal/controlplane/coordinationapi/handler.go
+++ b/internal/controlplane/coordinationapi/handler.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"pumiceline/internal/bodybudget"
 	"pumiceline/internal/message"
 )
 
@@ -123,6 +124,9 @@
 }
 
 func bodyError(err error) error {
+	if errors.Is(err, bodybudget.ErrExhausted) {
+		return &requestError{status: http.StatusServiceUnavailable, text: err.Error()}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &requestError{status: http.StatusRequestEntityTooLarge, text: "the body is over 64 KB"}
--- a/internal/controlplane/coordinator/api.go
+++ b/internal/controlplane/coordinator/api.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"pumiceline/internal/bodybudget"
 	"pumiceline/internal/controlplane/coordinationapi"
 	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/message"
@@ -83,8 +84,11 @@
 // It is also over the size that a replica accepts, which answers 413 too.
 func statusOfBodyError(err error) int {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, bodybudget.ErrExhausted):
+		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
 }
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"pumiceline/internal/bodybudget"
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/controlplane/coordinationapi"
@@ -44,7 +45,11 @@
 	httpShutdownTimeout = 500 * time.Millisecond
 )
 
-const readHeaderTimeout = 3 * time.Second
+// Limits of the head of a call to the control address.
+const (
+	readHeaderTimeout = 3 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
 
 // Run runs the coordinator until ctx ends, then leaves the view and stops serving. The control address is served from the
 // beginning: until the state is open, it answers GET /status and rejects other calls. The caller must exit the process
@@ -55,7 +60,10 @@
 	defer stop()
 	api := newStartupAPI(settings.Node, process)
 	calls := &callLog{next: api}
-	server := &http.Server{Handler: calls, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler:           bodybudget.New(calls, settings.Limits.BodyBytes()),
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	serving := make(chan error, 1)
 	go func() { serving <- process.Serve(background, server, settings.ControlAddress, nil) }()
 	opening := make(chan openResult, 1)
--- a/internal/dataplane/ingress/handler.go
+++ b/internal/dataplane/ingress/handler.go
@@ -19,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"pumiceline/internal/bodybudget"
 	"pumiceline/internal/controlplane/configuration"
 	"pumiceline/internal/dataplane/backend"
 	"pumiceline/internal/dataplane/balancer"
@@ -33,6 +34,8 @@
 	configStaleAfter = 1500 * time.Millisecond
 	// noConfigRetryAfter is the Retry-After while there is no configuration or it is stale.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// bodiesRetryAfter is the Retry-After while the bodies of all requests together take too much memory.
+	bodiesRetryAfter = 300 * time.Millisecond
 )
 
 // Handler serves client requests. All methods may be called from any goroutine.
@@ -122,9 +125,12 @@
 		return body, true
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, bodybudget.ErrExhausted):
+		reject(w, bodiesRetryAfter, err.Error())
+	case errors.As(err, &tooLarge):
 		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
-	} else {
+	default:
 		http.Error(w, "the body cannot be read: "+err.Error(), http.StatusBadRequest)
 	}
 	return nil, false
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"pumiceline/internal/bodybudget"
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/controlplane/coordinator"
 	"pumiceline/internal/controlplane/discovery"
@@ -33,6 +34,8 @@
 	idleTimeout    = 3 * time.Minute
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
+	// maxCheckHeaderBytes bounds the head of a readiness check.
+	maxCheckHeaderBytes = 8 << 10
 
 	// drainDelay is how long a draining proxy continues to accept connections. The platform sends new connections
 	// until two readiness checks have failed; without the delay these would be refused. The delay is at most
@@ -116,10 +119,11 @@
 func (p *Proxy) listen(ctx context.Context) (*http.Server, <-chan error) {
 	readiness := &http.Server{
 		Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxCheckHeaderBytes,
 	}
 	clients := &http.Server{
-		Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: p.idle.track,
+		Handler: bodybudget.New(p.handler, p.settings.Limits.BodyBytes()), ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.idle.track,
 	}
 	failed := make(chan error, 2) // one for each listener
 	serve := func(server *http.Server, address string, onListening func()) {
