An event or a response head that does not end is given up

The proxy held an event of a stream until its end, and the head of a response as the parser reads it, without a bound.

--- a/internal/dataplane/ingress/copy.go
+++ b/internal/dataplane/ingress/copy.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,6 +16,8 @@
 	// maxBufferedBody bounds the body of a response that is not a stream. The proxy reads it in full before it sends
 	// the first byte to the client.
 	maxBufferedBody = 4 << 20
+	// maxEventBytes bounds an event of a stream. Events are only sent when they are complete, so they are held until then.
+	maxEventBytes = 1 << 20
 	// streamBuffer is the maximum size in bytes of one read from a stream.
 	streamBuffer = 4 << 10
 )
@@ -85,12 +88,18 @@
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
+		if len(pending) > maxEventBytes {
+			return x.endStream(ctx, response, nil, errEventTooLarge)
+		}
 		if err != nil {
 			return x.endStream(ctx, response, pending, err)
 		}
 	}
 }
 
+// errEventTooLarge ends a stream whose event is over maxEventBytes, as a break of the connection would.
+var errEventTooLarge = errors.New("an event is too large")
+
 // endStream ends a stream after reading from it returned err. pending holds the bytes after the last complete event.
 func (x *exchange) endStream(
 	ctx context.Context, response *backend.Response, pending []byte, err error,
--- a/internal/dataplane/ingress/handler_test.go
+++ b/internal/dataplane/ingress/handler_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,3 +125,32 @@
 	assert.Equal(t, "a", body)
 	assert.True(t, response.Close)
 }
+
+// endless responds with a stream whose event does not end, until the proxy closes the connection.
+func endless(conn net.Conn, request *http.Request) {
+	respond("HTTP/1.1 200 OK\nRequest-Id: ID\nServer-Seal: x\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n")(conn, request)
+	part := "10000\r\n" + strings.Repeat("x", 1<<16) + "\r\n"
+	for {
+		if _, err := conn.Write([]byte(part)); err != nil {
+			return
+		}
+	}
+}
+
+// endlessHead responds with a header that does not end.
+func endlessHead(conn net.Conn, _ *http.Request) {
+	_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nX: "))
+	for err == nil {
+		_, err = conn.Write(make([]byte, 1<<16))
+	}
+}
+
+// A backend whose event or head does not end is given up: neither is held without a bound.
+func TestHandler_GivesUpEndlessResponse(t *testing.T) {
+	_, body, err := newProxy(t, newFakeBackend(t, endless)).call(t, "/stream/a", "")
+	require.Error(t, err)
+	assert.Empty(t, body)
+	response, _, err := newProxy(t, newFakeBackend(t, endlessHead)).call(t, "/once/a", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+}
