--- a/internal/controlplane/distribution/poll.go
+++ b/internal/controlplane/distribution/poll.go
@@ -43,11 +43,25 @@
 		}
 		poll := pendingPoll{request: request, subscriber: subscriber, receivedAt: receivedAt, reply: reply}
 		if !h.tryAnswer(s, &poll, time.Now()) {
-			s.pending = append(s.pending, poll)
+			s.wait(&poll)
 		}
 	})
 }
 
+// maxPendingPolls bounds the polls that wait for an answer. A subscriber has one at a time.
+const maxPendingPolls = 4096
+
+// wait keeps a poll until it can be answered, without the reports in it, which are recorded. Beyond maxPendingPolls the
+// poll is answered at once, with what there is.
+func (s *state) wait(poll *pendingPoll) {
+	if len(s.pending) >= maxPendingPolls {
+		poll.send(s.response(poll, time.Now()))
+		return
+	}
+	poll.request.Demand, poll.request.Loads, poll.request.Retries = nil, nil, nil
+	s.pending = append(s.pending, *poll)
+}
+
 func hasUnmetDemand(request *message.PollRequest) bool {
 	return slices.ContainsFunc(request.Demand, func(d message.ModelDemand) bool { return d.Waiting > 0 || d.Unserved > 0 })
 }
