An outgoing connection no longer keeps a process of its machine from listening

Where a port of the machine lies in the range of local ports, the kernel may give it to an outgoing connection of the machine's other process. Polls and pooled connections stay open, so each new start found 'address already in use' and ended; waiting alone would wait for ever. Outgoing sockets now have SO_REUSEADDR, with which Linux lets a listener have the port. Also here: the bound on response heads of backend connections.

--- a/internal/controlplane/discovery/reader.go
+++ b/internal/controlplane/discovery/reader.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"pumiceline/internal/message"
+	"pumiceline/internal/socket"
 )
 
 // Limits of one read of the list.
@@ -33,7 +34,9 @@
 
 // NewReader makes a reader of the list at a host and port. timeout bounds a read of all pages together.
 func NewReader(address string, timeout time.Duration) *Reader {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, DisableCompression: true}
+	transport := &http.Transport{
+		DialContext: socket.NewDialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+	}
 	return &Reader{address: address, timeout: timeout, client: &http.Client{Transport: transport}}
 }
 
--- a/internal/controlplane/placement/executor/backend_client.go
+++ b/internal/controlplane/placement/executor/backend_client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"pumiceline/internal/message"
+	"pumiceline/internal/socket"
 )
 
 const (
@@ -96,11 +97,12 @@
 
 // NewBackendClient makes a client without connections.
 func NewBackendClient() *BackendClient {
+	dial := socket.NewDialer().DialContext
 	return &BackendClient{
 		reports: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTime, DisableCompression: true,
+			DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTime, DisableCompression: true,
 		}},
-		commands: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		commands: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}},
 	}
 }
 
--- a/internal/dataplane/backend/connection.go
+++ b/internal/dataplane/backend/connection.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"pumiceline/internal/socket"
 )
 
 const (
@@ -20,15 +23,21 @@
 	userTimeout = 2 * time.Second
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4 << 10
+	// maxHeadBytes bounds the head of a response, up to readBuffer more.
+	maxHeadBytes = 256 << 10
 )
 
 // newDialer makes a dialer that sends no TCP keep-alive probes. They are not needed: idle connections expire within
 // seconds, and userTimeout covers connections with unacknowledged bytes.
 func newDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	return &net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setOptions}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions sets the options of an outgoing connection.
+func setOptions(network, address string, raw syscall.RawConn) error {
+	if err := socket.ReuseLocalPort(network, address, raw); err != nil {
+		return err
+	}
 	return raw.Control(func(fd uintptr) {
 		// If the kernel rejects the option, the deadline of the exchange still bounds the wait.
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
@@ -39,6 +48,7 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	headBytes   *headLimit
 	expires     time.Time // while idle: not used again from this time on
 	lastRequest string    // ID of the last request that was sent on it
 }
@@ -48,7 +58,32 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
+	limit := &headLimit{reader: opened}
+	return &conn{Conn: opened, headBytes: limit, reader: bufio.NewReaderSize(limit, readBuffer)}, nil
+}
+
+// errHeadTooLarge is the error for a response whose head is over maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the response is too large")
+
+// headLimit bounds the bytes that are read from a connection while the head of a response is read: the parser has no
+// bound of its own.
+type headLimit struct {
+	reader io.Reader
+	isHead bool
+	left   int
+}
+
+func (l *headLimit) begin() { l.isHead, l.left = true, maxHeadBytes }
+func (l *headLimit) end()   { l.isHead = false }
+
+// Read reads from the connection.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if l.isHead && l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.reader.Read(p)
+	l.left -= n
+	return n, err
 }
 
 // isReusable reports whether an idle connection has not expired, is open, and has no unread bytes. Bytes that arrived
--- a/internal/dataplane/backend/exchange.go
+++ b/internal/dataplane/backend/exchange.go
@@ -113,7 +113,9 @@
 // responses, and responses to other requests, such as late ones to earlier requests on the connection.
 func readHead(c *conn, id string) (*http.Response, error) {
 	for range maxResponsesRead {
+		c.headBytes.begin()
 		response, err := http.ReadResponse(c.reader, nil)
+		c.headBytes.end()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -39,6 +39,19 @@
 	return isSocket && err == nil && isPending
 }
 
+// ReuseLocalPort lets other sockets of the machine listen at the local port of a connection that is about to be opened.
+// Without it a connection whose local port the kernel chose keeps a process of the machine from listening there for as
+// long as it is open. It has the form of net.Dialer.Control.
+func ReuseLocalPort(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// A kernel that rejects the option opens the connection all the same.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	})
+}
+
+// NewDialer returns a dialer without a time-out of its own, whose connections let others listen at their local ports.
+func NewDialer() *net.Dialer { return &net.Dialer{Control: ReuseLocalPort} }
+
 // withDescriptor calls f with the file descriptor of a connection or listener, if it has one. An error means that the
 // connection or listener is closed.
 func withDescriptor(c any, f func(fd int)) (isSocket bool, err error) {
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // IsOpenAndEmpty must not wait for the goroutine that reads from the connection. A proxy checks all its sockets in
@@ -30,3 +32,16 @@
 	c.Close()
 	<-read
 }
+
+// A connection that the kernel gave a port of the machine does not keep another process from listening there.
+func TestReuseLocalPort_LetsOthersListen(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer server.Close()
+	conn, err := NewDialer().Dial("tcp", server.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	listener, err := net.Listen("tcp", conn.LocalAddr().String())
+	require.NoError(t, err)
+	listener.Close()
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pumiceline/internal/socket"
 )
 
 // Time-outs and delays of connections.
@@ -31,9 +33,13 @@
 
 // dialer opens connections that break when the peer does not acknowledge sent bytes within userTimeout. This replaces
 // keep-alive probes.
-var dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+var dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setOptions}
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions sets the options of an outgoing connection.
+func setOptions(network, address string, raw syscall.RawConn) error {
+	if err := socket.ReuseLocalPort(network, address, raw); err != nil {
+		return err
+	}
 	return raw.Control(func(fd uintptr) {
 		// If the option cannot be set, writes still have their deadline.
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
