Soak: a process replaced twice in a row is no longer left behind; tests of waits and of the log

TestFleet_OverlappingStartsLeaveOneProcess. Tests of lifecycle (waits, listeners, wrong addresses) and of the log's queue; wrong addresses among the settings that end a process.

--- a/internal/process/start_test.go
+++ b/internal/process/start_test.go
@@ -180,25 +180,45 @@
 	return strings.Trim(caught, "0") != ""
 }
 
-// Settings that stay wrong end a process, with an error that names the file and the fault as its last line.
+// wrongSettings are settings that no waiting makes right, and what the error names.
+var wrongSettings = []struct{ name, right, wrong, fault string }{
+	{"ports in falling order", "portRange: [7660", "portRange: [9660", "portRange: two ports in rising order are wanted"},
+	{"port out of range", ":8140", ":98140", "98140"}, // of the proxy
+	{"port out of range", ":8146\"}", ":98146\"}", "98146"},
+}
+
+// Settings that stay wrong end a process, with an error that names the fault as its last line.
 func TestStart_EndsWithWrongSettings(t *testing.T) {
-	for _, program := range programs {
-		t.Run(program, func(t *testing.T) {
-			t.Parallel()
+	for _, c := range wrongSettings {
+		for _, program := range programs {
 			m := newMachine(t)
-			m.writeSettings(strings.Replace(m.settings(), "portRange: [7660", "portRange: [9660", 1))
-			started := time.Now()
-			p := m.start(program, "--settings-wait", "300ms")
-			assert.Equal(t, 1, p.awaitEnd())
-			assert.GreaterOrEqual(t, time.Since(started), 300*time.Millisecond)
-			lines := strings.Split(strings.TrimSpace(p.output()), "\n")
-			last := lines[len(lines)-1]
-			assert.Contains(t, last, m.settingsPath())
-			assert.Contains(t, last, "portRange: two ports in rising order are wanted")
-		})
+			text := strings.Replace(m.settings(), c.right, c.wrong, 1)
+			if usesOnlyOtherProgram(program, c.fault) {
+				continue
+			}
+			t.Run(c.name+"/"+program, func(t *testing.T) {
+				t.Parallel()
+				m.writeSettings(text)
+				started := time.Now()
+				p := m.start(program, "--settings-wait", "300ms")
+				assert.Equal(t, 1, p.awaitEnd())
+				lines := strings.Split(strings.TrimSpace(p.output()), "\n")
+				last := lines[len(lines)-1]
+				assert.Contains(t, last, c.fault)
+				if strings.Contains(c.fault, "portRange") {
+					assert.GreaterOrEqual(t, time.Since(started), 300*time.Millisecond)
+					assert.Contains(t, last, m.settingsPath())
+				}
+			})
+		}
 	}
 }
 
+// usesOnlyOtherProgram reports whether a fault is in an address that the program does not serve.
+func usesOnlyOtherProgram(program, fault string) bool {
+	return program == coordinatorProgram && fault == "98140" || program == proxyProgram && fault == "98146"
+}
+
 // A process that waits ends in order on SIGTERM.
 func TestStart_StopsWhileWaiting(t *testing.T) {
 	for _, condition := range startConditions() {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -149,12 +149,10 @@
 	<-process.Ended()
 	f.recordEnd(n, process, instance, startedAt)
 	n.mu.Lock()
-	if n.replacedBy == instance+1 {
-		if n.instance > n.replacedBy { // the next process has ended already
-			n.mu.Unlock()
-			return
+	if n.replacedBy > instance {
+		if n.replacedBy == instance+1 && n.instance <= n.replacedBy {
+			f.recorder.fault(n.Name, n.replacedBy, FaultStart) // from now on the next process can listen
 		}
-		f.recorder.fault(n.Name, n.replacedBy, FaultStart) // from now on it can listen
 		n.mu.Unlock()
 		return
 	}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -110,3 +110,25 @@
 	require.NoError(t, f.start(f.nodes[0]))
 	assert.False(t, f.nodes[0].isSettled())
 }
+
+// A process that is replaced again and again while the ones before it stop leaves one process, which is stopped with all.
+func TestFleet_OverlappingStartsLeaveOneProcess(t *testing.T) {
+	f, r := newTestFleet(t, gracefulProgram, time.Minute)
+	const replacements = 5
+	for range replacements {
+		f.apply(Step{Action: ActionOverlap, Node: 3})
+		require.NoError(t, f.awaitSettled(context.Background()))
+	}
+	f.stopAll() // waits for the end of every process
+	starts, ends := 0, 0
+	r.edit(func(h *History) {
+		for _, fault := range h.Faults {
+			if fault.Node == "proxy-0" && fault.Kind == FaultEnd {
+				ends++
+				starts = max(starts, fault.Instance)
+			}
+		}
+	})
+	assert.Equal(t, 1+replacements, starts)
+	assert.Equal(t, starts, ends)
+}
