Soak: a SIGTERM to a process that waits for the one before it is no end by itself

The trace (history of proxy-2, instance 4: SIGTERM 8.628 s, start recorded 9.259 s, end in order 11.410 s) shows that the end is right. Signals now belong to a process by its number, and a start is the end minus the time lived. Two cases in the table of checks.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -331,6 +331,16 @@
 		h.fault("p0", FaultHangup, 23*second+idOffset)
 		h.end("p0", 23*second+2*idOffset, true)
 	}},
+	{"ends after a SIGTERM that came while the process before it was stopping", "", func(h *History) {
+		h.Faults = append(h.Faults,
+			Fault{Node: "p0", Instance: 2, Kind: FaultTerminate, At: 50 * second},
+			Fault{Node: "p0", Instance: 2, Kind: FaultStart, At: 51 * second},
+			Fault{Node: "p0", Instance: 2, Kind: FaultEnd, At: 52 * second, Lived: 4 * second})
+	}},
+	{"ends by itself while the process before it is stopping", RuleProcess, func(h *History) {
+		h.fault("p0", FaultTerminate, 50*second)
+		h.Faults = append(h.Faults, Fault{Node: "p0", Instance: 2, Kind: FaultEnd, At: 51 * second, Lived: second / 2})
+	}},
 	{"fails at SIGTERM", RuleProcess, func(h *History) {
 		h.fault("p0", FaultTerminate, 50*second)
 		h.end("p0", 51*second, true)
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -174,9 +174,11 @@
 	return slices.ContainsFunc(t.coordinators, func(node string) bool { return t.isSlowed(node, from, to) })
 }
 
-// startOf returns the time of the start of the process that a fault is about. A process that was started beside the one
-// before counts as started at the end of that one; until then -1.
+// startOf returns the time of the start of the process that a fault is about; -1: not known.
 func (t *timeline) startOf(fault Fault) Moment {
+	if fault.Lived > 0 {
+		return fault.At - fault.Lived
+	}
 	started := Moment(-1)
 	for _, other := range t.byNode[fault.Node] {
 		if other.Kind == FaultStart && other.Instance == fault.Instance && other.At <= fault.At {
@@ -186,11 +188,11 @@
 	return started
 }
 
-// firstOfProcess returns the first fault of one of the kinds that the process of a fault had between a moment and that
-// fault.
+// firstOfProcess returns the first fault of one of the kinds that the process of a fault had up to that fault. from is
+// the start of the process, by which processes of one node are told apart where histories do not number them.
 func (t *timeline) firstOfProcess(of Fault, from Moment, kinds ...FaultKind) (Fault, bool) {
 	for _, fault := range t.byNode[of.Node] {
-		isOfProcess := fault.Instance == of.Instance && fault.At >= from && fault.At <= of.At
+		isOfProcess := fault.Instance == of.Instance && fault.At <= of.At && (of.Instance > 0 || fault.At >= from)
 		if isOfProcess && slices.Contains(kinds, fault.Kind) {
 			return fault, true
 		}
