Responses that are read in full before they are sent share a bound on memory

Each response of up to 4 MiB was held until its end, however many there were; with a hundred at once a machine of 284 MB has none left. Responses now share a budget of a sixth of the machine's memory; beyond it a response is sent while it is read, and aborted if it breaks. The log of a failed process keeps its field error.

--- a/internal/bodybudget/bodybudget.go
+++ b/internal/bodybudget/bodybudget.go
@@ -1,5 +1,5 @@
-// Package bodybudget bounds the memory that the bodies of HTTP requests take in a process, whatever their number. Each
-// server bounds the body of one request; many unfinished ones could still take more memory than the machine has.
+// Package bodybudget bounds the memory that the bodies of HTTP requests and responses take in a process, whatever their
+// number. The body of each is bounded elsewhere; many unfinished ones could still take more memory than the machine has.
 package bodybudget
 
 import (
@@ -13,20 +13,55 @@
 // maxBodyTime bounds the time that a body takes to arrive, so that unfinished ones do not take the budget for good.
 const maxBodyTime = 30 * time.Second
 
-// ErrExhausted is returned when a body is read while the bodies of all requests together are at the limit. The request
-// may be sent again later.
-var ErrExhausted = errors.New("too many request bodies at the same time")
+// ErrExhausted is returned when a body is read while all bodies together are at the limit. The request may be sent again
+// later.
+var ErrExhausted = errors.New("too many bodies at the same time")
 
-// Handler passes requests on to another handler, and bounds the bytes of their bodies that were read by requests in
-// flight. It is safe for concurrent use.
-type Handler struct {
-	next  http.Handler
+// Budget bounds the bytes of bodies that are held at the same time. It is safe for concurrent use.
+type Budget struct {
 	limit int64 // bytes
 	used  atomic.Int64
 }
 
-// New returns a handler with a limit in bytes.
-func New(next http.Handler, limit int64) *Handler { return &Handler{next: next, limit: limit} }
+// New returns a budget with a limit in bytes.
+func New(limit int64) *Budget { return &Budget{limit: limit} }
+
+// Reader counts what is read of a body in a budget. One goroutine may use it.
+type Reader struct {
+	reader io.Reader
+	budget *Budget
+	bytes  int64
+}
+
+// Reader returns a reader of a body. The caller must call Release when it holds the body no more.
+func (b *Budget) Reader(body io.Reader) *Reader { return &Reader{reader: body, budget: b} }
+
+// Read reads a part of the body. Beyond the limit it returns ErrExhausted, with the bytes that it has read.
+func (r *Reader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.bytes += int64(n)
+	if r.budget.used.Add(int64(n)) > r.budget.limit {
+		return n, ErrExhausted
+	}
+	return n, err
+}
+
+// Release gives the bytes that were read back to the budget.
+func (r *Reader) Release() {
+	r.budget.used.Add(-r.bytes)
+	r.bytes = 0
+}
+
+// Handler passes requests on to another handler, and counts what requests in flight have read of their bodies.
+type Handler struct {
+	next   http.Handler
+	budget *Budget
+}
+
+// NewHandler returns a handler with a limit in bytes for the bodies of all requests in flight.
+func NewHandler(next http.Handler, limit int64) *Handler {
+	return &Handler{next: next, budget: New(limit)}
+}
 
 // ServeHTTP passes a request on. What was read of its body counts until next returns.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -36,29 +71,24 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(maxBodyTime)) // without a connection, as in tests, no body is unfinished
-	counted := &countedBody{ReadCloser: r.Body, handler: h, control: control}
-	defer func() { h.used.Add(-counted.bytes) }()
-	r.Body = counted
+	counted := h.budget.Reader(r.Body)
+	defer counted.Release()
+	r.Body = &requestBody{Reader: counted, Closer: r.Body, control: control}
 	h.next.ServeHTTP(w, r)
 }
 
-// countedBody counts the bytes that are read of a body.
-type countedBody struct {
-	io.ReadCloser
-	handler *Handler
+// requestBody is the body of a request, with a deadline until its end.
+type requestBody struct {
+	*Reader
+	io.Closer
 	control *http.ResponseController
-	bytes   int64
 }
 
-// Read reads a part of the body. It returns ErrExhausted if the handler's limit is exceeded.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+// Read reads a part of the body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
 	if err == io.EOF { //nolint:errorlint // a body returns io.EOF itself
 		_ = b.control.SetReadDeadline(time.Time{}) // the server watches the connection while the request is served
 	}
-	b.bytes += int64(n)
-	if b.handler.used.Add(int64(n)) > b.handler.limit {
-		return 0, ErrExhausted
-	}
 	return n, err
 }
--- a/internal/bodybudget/bodybudget_test.go
+++ b/internal/bodybudget/bodybudget_test.go
@@ -30,12 +30,12 @@
 			assert.Equal(t, http.StatusOK, put(server, 40))
 		}
 	})
-	server = New(read, 100)
+	server = NewHandler(read, 100)
 	assert.Equal(t, http.StatusOK, put(server, 60))
 	assert.ErrorIs(t, inner, ErrExhausted)
 	assert.Equal(t, http.StatusOK, put(server, 100), "the others are done")
 	assert.Equal(t, http.StatusServiceUnavailable, put(server, 101))
-	assert.Zero(t, server.used.Load())
+	assert.Zero(t, server.budget.used.Load())
 }
 
 func put(handler http.Handler, bytes int) int {
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -61,7 +61,7 @@
 	api := newStartupAPI(settings.Node, process)
 	calls := &callLog{next: api}
 	server := &http.Server{
-		Handler:           bodybudget.New(calls, settings.Limits.BodyBytes()),
+		Handler:           bodybudget.NewHandler(calls, settings.Limits.BodyBytes()),
 		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	serving := make(chan error, 1)
--- a/internal/dataplane/ingress/copy.go
+++ b/internal/dataplane/ingress/copy.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"pumiceline/internal/bodybudget"
 	"pumiceline/internal/dataplane/backend"
 	"pumiceline/internal/dataplane/balancer"
 )
@@ -25,7 +26,12 @@
 // copyResponse copies a response that is not a stream. It reads the response in full before it sends any of it, so that
 // the request can be retried after a truncated response.
 func (x *exchange) copyResponse(ctx context.Context, response *backend.Response) (attemptResult, balancer.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
+	counted := x.handler.responses.Reader(response.Body)
+	defer counted.Release()
+	body, err := io.ReadAll(io.LimitReader(counted, maxBufferedBody+1))
+	if errors.Is(err, bodybudget.ErrExhausted) && response.IsDelimited() && !x.headersSent {
+		return x.passThrough(response, body)
+	}
 	if err != nil || !response.IsDelimited() || len(body) > maxBufferedBody {
 		return x.handleBreak(ctx, "the backend's answer broke off")
 	}
@@ -47,6 +53,42 @@
 	return attemptDone, outcome
 }
 
+// passThrough sends a response while it is read, as there is no room to hold it. begun holds its first bytes. A request
+// can no longer be retried then: if the response breaks, the client sees that.
+func (x *exchange) passThrough(response *backend.Response, begun []byte) (attemptResult, balancer.Outcome) {
+	x.copyHeaders(response)
+	if response.Length >= 0 {
+		x.writer.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	}
+	x.headersSent = true
+	x.writer.WriteHeader(response.Status)
+	rest := &readErrorRecorder{reader: response.Body}
+	_, _ = io.Copy(x.writer, io.MultiReader(bytes.NewReader(begun), rest)) // a client that has disconnected needs no answer
+	if rest.err != nil {
+		abort()
+	}
+	if response.Status >= http.StatusInternalServerError {
+		return attemptDone, balancer.ErrorResponse
+	}
+	x.timing.isComplete = true
+	return attemptDone, balancer.Succeeded
+}
+
+// readErrorRecorder keeps the error of a reader, so that it is told from one of the writer that it is copied to.
+type readErrorRecorder struct {
+	reader io.Reader
+	err    error // nil at the end of the stream
+}
+
+// Read reads from the reader.
+func (r *readErrorRecorder) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if err != nil && err != io.EOF { //nolint:errorlint // a body returns io.EOF itself
+		r.err = err
+	}
+	return n, err
+}
+
 // copyHeaders copies the backend's end-to-end headers to the client's response, except its length and load.
 func (x *exchange) copyHeaders(response *backend.Response) {
 	header := x.writer.Header()
--- a/internal/dataplane/ingress/handler.go
+++ b/internal/dataplane/ingress/handler.go
@@ -48,13 +48,20 @@
 	drain      drain
 	active     atomic.Int64 // requests in flight
 	split      trafficSplit
+	responses  *bodybudget.Budget // of responses that are read in full before they are sent
 }
 
 // New returns a handler without a configuration. It rejects all requests until SetConfig is called.
 func New(dispatcher *balancer.Dispatcher, pool *backend.Pool) *Handler {
-	return &Handler{dispatcher: dispatcher, pool: pool, started: time.Now()}
+	return &Handler{
+		dispatcher: dispatcher, pool: pool, started: time.Now(), responses: bodybudget.New(math.MaxInt64),
+	}
 }
 
+// LimitResponses sets a limit in bytes for the responses that are read in full before they are sent, all together. Beyond
+// it a response is sent while it is read. It must be called before the first request.
+func (h *Handler) LimitResponses(limit int64) { h.responses = bodybudget.New(limit) }
+
 // SetConfig replaces the configuration.
 func (h *Handler) SetConfig(config *configuration.Config) {
 	h.config.Store(config)
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -96,6 +96,7 @@
 		OnUnmetDemand: p.notifier.notify, PeerLoads: p.loads,
 	})
 	p.handler = ingress.New(dispatcher, p.pool)
+	p.handler.LimitResponses(settings.Limits.BodyBytes())
 	p.subscription = newSubscription(subscriptionOptions{
 		settings: settings, seeds: coordinator.SeedAddresses(settings),
 		dispatcher: dispatcher, handler: p.handler, pool: p.pool, loads: p.loads,
@@ -122,7 +123,7 @@
 		MaxHeaderBytes: maxCheckHeaderBytes,
 	}
 	clients := &http.Server{
-		Handler: bodybudget.New(p.handler, p.settings.Limits.BodyBytes()), ReadHeaderTimeout: headerTimeout,
+		Handler: bodybudget.NewHandler(p.handler, p.settings.Limits.BodyBytes()), ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.idle.track,
 	}
 	failed := make(chan error, 2) // one for each listener
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -123,13 +123,11 @@
 // end logs the end of the process, and returns its exit code.
 func end(ctx context.Context, name string, err error) int {
 	code := exitCode(ctx, err)
-	entry := logrus.WithFields(logrus.Fields{
-		logkey.Program: name, logkey.ExitCode: code, logkey.Reason: reason(ctx, err),
-	})
+	entry := logrus.WithFields(logrus.Fields{logkey.Program: name, logkey.ExitCode: code})
 	if code == exitSuccess {
-		entry.Info("process ends")
+		entry.WithField(logkey.Reason, reason(ctx, err)).Info("process ends")
 	} else {
-		entry.Error("process failed")
+		entry.WithError(err).Error("process failed")
 	}
 	return code
 }
