--- a/cmd/pumiceline/cluster_test.go
+++ b/cmd/pumiceline/cluster_test.go
@@ -43,6 +43,7 @@
 	memoryMB      int
 	fakes         *fakestandalone.Environment
 	adaptSettings func(settings map[string]any) // nil: the fakes' settings stay as they are
+	stderr        *os.File                      // of processes that are started; nil: the process's log
 }
 
 // process is a process of the proxy.
@@ -126,6 +127,9 @@
 	p.Env = append(os.Environ(), "PUMICELINE_TEST_MAIN=1", "ROUTER_FD=3", "ROUTER_CONFIG="+c.configFile,
 		"ROUTER_LISTEN="+c.address, "ROUTER_DISCOVERY="+discovery, "ROUTER_OPERATOR="+admin, "TMPDIR="+c.sharedFolder)
 	p.ExtraFiles, p.Stderr = []*os.File{c.socket}, p.log
+	if c.stderr != nil {
+		p.Stderr = c.stderr
+	}
 	free.Close()
 	if err := p.Start(); err != nil {
 		c.t.Fatal(err)
--- a/cmd/pumiceline/serve.go
+++ b/cmd/pumiceline/serve.go
@@ -9,7 +9,9 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"pumiceline/internal/logwriter"
 	"pumiceline/internal/standalone/config"
 	"pumiceline/internal/standalone/hotrestart"
 	"pumiceline/internal/standalone/server"
@@ -27,6 +29,9 @@
 	Level         slog.Level `help:"Lowest level of the log lines that are written." default:"INFO"`
 }
 
+// logFlushTimeout is how long the end of the program waits for the reader of the log.
+const logFlushTimeout = 200 * time.Millisecond
+
 // Run serves until SIGTERM or SIGINT, and reloads the configuration on SIGHUP.
 func (s *serveCmd) Run() error {
 	// Register for SIGHUP before anything else: until Notify, a SIGHUP ends the program.
@@ -35,7 +40,10 @@
 	defer signal.Stop(reloads)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.Level}))
+	signal.Ignore(syscall.SIGPIPE) // it would end the program when the reader of the log has gone
+	output := logwriter.New(os.Stderr)
+	defer output.Flush(logFlushTimeout)
+	log := slog.New(slog.NewTextHandler(output, &slog.HandlerOptions{Level: s.Level}))
 	cfg, err := config.Load(s.Config, os.Getenv)
 	if err != nil {
 		return err
--- a/cmd/pumiceline/singleton.go
+++ b/cmd/pumiceline/singleton.go
@@ -36,6 +36,7 @@
 
 // open reads the fleet's file and returns a logger that adds the name of the process to each line.
 func (f *fleetFlags) open(process string) (*deployfile.Fleet, *slog.Logger, error) {
+	signal.Ignore(syscall.SIGPIPE) // it would end the process when the reader of the log has gone
 	fleet, err := deployfile.ReadFleet(f.Fleet)
 	return fleet, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: f.Level})).With("who", process), err
 }
--- a/internal/process/log_writer.go
+++ b/internal/logwriter/logwriter.go
@@ -1,4 +1,5 @@
-package process
+// Package logwriter writes a process's log so that nobody who reads it, or does not, can delay or end the process.
+package logwriter
 
 import (
 	"fmt"
@@ -9,13 +10,13 @@
 	"pumiceline/internal/logkey"
 )
 
-// maxQueuedLogBytes bounds the log records that wait for the reader of the log.
-const maxQueuedLogBytes = 256 << 10
+// maxQueuedBytes bounds the log records that wait for the reader of the log.
+const maxQueuedBytes = 256 << 10
 
-// logWriter passes log records on to an output in the background, so that an output that blocks or fails neither delays
+// Writer passes log records on to an output in the background, so that an output that blocks or fails neither delays
 // nor ends the process. Records that do not fit into the queue, and records that the output does not take, are dropped
 // and counted.
-type logWriter struct {
+type Writer struct {
 	output io.Writer
 
 	mutex       sync.Mutex
@@ -26,19 +27,19 @@
 	reported    int64 // of dropped: a record told of them
 }
 
-// newLogWriter makes a writer, whose goroutine runs until the process ends.
-func newLogWriter(output io.Writer) *logWriter {
-	w := &logWriter{output: output}
+// New makes a writer, whose goroutine runs until the process ends.
+func New(output io.Writer) *Writer {
+	w := &Writer{output: output}
 	w.changed = sync.NewCond(&w.mutex)
 	go w.run()
 	return w
 }
 
 // Write queues a record. It never waits for the output, and never fails.
-func (w *logWriter) Write(record []byte) (int, error) {
+func (w *Writer) Write(record []byte) (int, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.queuedBytes+len(record) > maxQueuedLogBytes {
+	if w.queuedBytes+len(record) > maxQueuedBytes {
 		w.dropped++
 		return len(record), nil
 	}
@@ -49,13 +50,13 @@
 }
 
 // Dropped returns the number of records that were dropped.
-func (w *logWriter) Dropped() int64 {
+func (w *Writer) Dropped() int64 {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	return w.dropped
 }
 
-func (w *logWriter) run() {
+func (w *Writer) run() {
 	for {
 		record := w.next()
 		_, err := w.output.Write(record)
@@ -64,7 +65,7 @@
 }
 
 // next waits for a record. Before it, the output gets the number of records that were dropped since it last did.
-func (w *logWriter) next() []byte {
+func (w *Writer) next() []byte {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for len(w.queue) == 0 {
@@ -82,7 +83,7 @@
 	return record
 }
 
-func (w *logWriter) finish(record []byte, err error) {
+func (w *Writer) finish(record []byte, err error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.queuedBytes -= len(record)
@@ -92,8 +93,8 @@
 	w.changed.Broadcast()
 }
 
-// flush waits until all records are written, for at most a time.
-func (w *logWriter) flush(timeout time.Duration) {
+// Flush waits until all records are written, for at most a time.
+func (w *Writer) Flush(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
 	wake := time.AfterFunc(timeout, w.changed.Broadcast)
 	defer wake.Stop()
--- a/internal/process/log_writer_test.go
+++ b/internal/logwriter/logwriter_test.go
@@ -1,4 +1,4 @@
-package process
+package logwriter
 
 import (
 	"errors"
@@ -32,20 +32,20 @@
 
 // A reader that stops loses what does not fit into the queue. When it goes on, it gets the rest and the number of lost
 // records.
-func TestLogWriter_DropsAndCounts(t *testing.T) {
+func TestWriter_DropsAndCounts(t *testing.T) {
 	output := &slowOutput{open: make(chan struct{})}
-	w := newLogWriter(output)
+	w := New(output)
 	record := strings.Repeat("x", 1023) + "\n"
-	const records = 2 * maxQueuedLogBytes / 1024
+	const records = 2 * maxQueuedBytes / 1024
 	for range records {
 		_, err := w.Write([]byte(record))
 		require.NoError(t, err)
 	}
 	dropped := w.Dropped()
 	assert.Equal(t, int64(records/2), dropped)
-	w.flush(10 * time.Millisecond) // returns although the reader has stopped
+	w.Flush(10 * time.Millisecond) // returns although the reader has stopped
 	close(output.open)
-	w.flush(time.Minute)
+	w.Flush(time.Minute)
 	text := output.text.String()
 	assert.Equal(t, records/2, strings.Count(text, record))
 	assert.Contains(t, text, fmt.Sprintf("dropped_records=%d", dropped))
@@ -53,14 +53,14 @@
 }
 
 // An output that fails loses its records, which are counted.
-func TestLogWriter_CountsFailedWrites(t *testing.T) {
+func TestWriter_CountsFailedWrites(t *testing.T) {
 	output := &slowOutput{open: make(chan struct{}), err: errors.New("no reader")}
 	close(output.open)
-	w := newLogWriter(output)
+	w := New(output)
 	for range 3 {
 		_, err := w.Write([]byte("record\n"))
 		require.NoError(t, err)
 	}
-	w.flush(time.Minute)
+	w.Flush(time.Minute)
 	assert.Equal(t, int64(3), w.Dropped())
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,7 @@
 	"pumiceline/internal/bootstrap"
 	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/logkey"
+	"pumiceline/internal/logwriter"
 )
 
 // Exit codes.
@@ -57,10 +58,10 @@
 	}
 	ctx, stop := handleSignals()
 	defer stop()
-	log := newLogWriter(os.Stderr)
+	log := logwriter.New(os.Stderr)
 	logrus.SetOutput(log)
 	code := start(ctx, name, o, run, lifecycle.NewProcess(log.Dropped))
-	log.flush(logFlushTimeout)
+	log.Flush(logFlushTimeout)
 	os.Exit(code)
 }
 
