End records: replaced in one step and synced; a lost reason is told; a successor's stays

Seen, by tests with real processes: an end record that is empty, cut, too large or a folder left no previous end in the next status at all (8 of 8 cases); an end with a full disk emptied the record of the start (2 of 2); a process that ended after its successor had started overwrote the successor's record, so a kill of the successor was told as a SIGTERM (2 of 2). Cause: the file was truncated and written in place, unread errors were logged only, and nothing compared the starts. Change: write to a second file, sync, rename; an unreadable record is a previous end whose reason says so; the end of a process is not written over a later start; a failed record no longer keeps the crash report from being kept.

--- a/internal/lifecycle/end.go
+++ b/internal/lifecycle/end.go
@@ -31,8 +31,8 @@
 
 // End is the end of a process.
 type End struct {
-	StartedAt time.Time `json:"startedAt"`
-	EndedAt   time.Time `json:"endedAt,omitzero"` // zero: not known
+	StartedAt time.Time `json:"startedAt,omitzero"` // zero: not known
+	EndedAt   time.Time `json:"endedAt,omitzero"`   // zero: not known
 	ExitCode  int       `json:"exitCode"`
 	Reason    string    `json:"reason"`
 }
@@ -67,22 +67,17 @@
 	if err := os.MkdirAll(filepath.Dir(r.path), folderMode); err != nil {
 		return fmt.Errorf("make the state folder: %w", err)
 	}
-	previous, err := readEnd(r.path)
-	if err != nil {
-		logrus.WithError(err).Warn("the end of the previous process is not readable")
-	}
 	crashPath := r.path + ".crash"
-	if previous != nil && previous.EndedAt.IsZero() {
-		previous.Reason = crashReason(crashPath)
-	}
-	if previous != nil {
+	if previous := readPreviousEnd(r.path, crashPath); previous != nil {
 		r.process.previousEnd.Store(previous)
 		logrus.WithField(logkey.Reason, previous.Reason).Info("end of the previous process")
 	}
-	if err := r.write(End{StartedAt: r.process.startedAt}); err != nil {
-		return err
-	}
-	crash, err := os.Create(crashPath)
+	return errors.Join(r.write(End{StartedAt: r.process.startedAt}), keepCrashReport(crashPath))
+}
+
+// keepCrashReport has the Go runtime write a crash report to a file too.
+func keepCrashReport(path string) error {
+	crash, err := os.Create(path)
 	if err != nil {
 		return fmt.Errorf("open the file for crash reports: %w", err)
 	}
@@ -97,9 +92,10 @@
 		return
 	}
 	done := make(chan error, 1)
+	end := End{StartedAt: r.process.startedAt, EndedAt: time.Now(), ExitCode: exitCode, Reason: reason}
 	go func() {
 		<-r.begun
-		done <- r.write(End{StartedAt: r.process.startedAt, EndedAt: time.Now(), ExitCode: exitCode, Reason: reason})
+		done <- r.writeUnlessReplaced(end)
 	}()
 	select {
 	case err := <-done:
@@ -111,17 +107,66 @@
 	}
 }
 
+// errReplaced is the error for the end of a process whose successor has started.
+var errReplaced = errors.New("the record is that of a process which started later")
+
+// writeUnlessReplaced writes the end of this process, unless the record is that of its successor: a process may start
+// while the one before it still drains.
+func (r *EndRecorder) writeUnlessReplaced(end End) error {
+	newest, err := readEnd(r.path)
+	if err == nil && newest != nil && newest.StartedAt.After(end.StartedAt) {
+		return errReplaced
+	}
+	return r.write(end)
+}
+
+// write replaces the record. A failure or a loss of power leaves the record that was there before.
 func (r *EndRecorder) write(end End) error {
 	text, err := json.Marshal(end)
 	if err != nil {
 		return fmt.Errorf("encode the end record: %w", err)
 	}
-	if err := os.WriteFile(r.path, text, recordMode); err != nil {
+	next := r.path + ".new"
+	if err := writeSynced(next, text); err != nil {
 		return fmt.Errorf("write the end record: %w", err)
 	}
+	if err := os.Rename(next, r.path); err != nil {
+		return fmt.Errorf("replace the end record: %w", err)
+	}
 	return nil
 }
 
+// writeSynced writes a file and makes its contents durable.
+func writeSynced(path string, text []byte) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, recordMode)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if _, err := file.Write(text); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+// readPreviousEnd returns the end of the process before: as it recorded it, or as its crash report has it. It returns
+// nil if no process ran before.
+func readPreviousEnd(path, crashPath string) *End {
+	previous, err := readEnd(path)
+	if err != nil {
+		previous = &End{Reason: "the end record is not readable: " + err.Error()}
+	}
+	if previous == nil || !previous.EndedAt.IsZero() {
+		return previous
+	}
+	if report := readCrashReport(crashPath); report != "" {
+		previous.Reason = report
+	} else if err == nil {
+		previous.Reason = reasonUnrecorded
+	}
+	return previous
+}
+
 // readEnd reads a record. It returns nil if there is none.
 func readEnd(path string) (*End, error) {
 	text, err := readBounded(path, maxRecordBytes)
@@ -138,11 +183,11 @@
 	return &end, nil
 }
 
-// crashReason returns the beginning of the crash report that the Go runtime left, or reasonUnrecorded.
-func crashReason(path string) string {
+// readCrashReport returns the beginning of the crash report that the Go runtime left; empty: there is none.
+func readCrashReport(path string) string {
 	report, err := readBounded(path, maxCrashBytes)
-	if err != nil || len(report) == 0 {
-		return reasonUnrecorded
+	if err != nil {
+		return ""
 	}
 	return strings.TrimSpace(string(report))
 }
--- a/internal/process/end_test.go
+++ b/internal/process/end_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -55,8 +57,7 @@
 
 				next := m.start(program)
 				next.awaitListening()
-				next.await("previous end", func() bool { return next.processStatus().PreviousEnd != nil })
-				previous := next.processStatus().PreviousEnd
+				previous := next.previousEnd()
 				assert.Contains(t, previous.Reason, c.previous)
 				assert.Equal(t, c.signal != syscall.SIGTERM, previous.EndedAt.IsZero())
 			})
@@ -64,6 +65,87 @@
 	}
 }
 
+// previousEnd returns the end of the process before, once the status has it.
+func (p *process) previousEnd() lifecycle.End {
+	p.t.Helper()
+	p.await("previous end", func() bool { return p.processStatus().PreviousEnd != nil })
+	return *p.processStatus().PreviousEnd
+}
+
+// damagedRecords are what may be left at the place of an end record.
+var damagedRecords = map[string]func(t *testing.T, path string){
+	"empty":     func(t *testing.T, path string) { require.NoError(t, os.WriteFile(path, nil, 0o600)) },
+	"cut":       func(t *testing.T, path string) { require.NoError(t, os.Truncate(path, 20)) },
+	"too large": func(t *testing.T, path string) { require.NoError(t, os.Truncate(path, 1<<30)) },
+	"folder": func(t *testing.T, path string) {
+		require.NoError(t, os.Remove(path))
+		require.NoError(t, os.Mkdir(path, 0o700))
+	},
+}
+
+// A record that cannot be read ends no process, and the status says that the reason is lost.
+func TestEnd_RecordIsDamaged(t *testing.T) {
+	for name, damage := range damagedRecords {
+		for _, program := range programs {
+			t.Run(name+"/"+program, func(t *testing.T) {
+				t.Parallel()
+				m := newMachine(t)
+				m.writeSettings(m.settings())
+				p := m.start(program)
+				p.awaitListening()
+				p.kill()
+				damage(t, filepath.Join(m.stateDir(), program+".process.json"))
+				next := m.start(program)
+				next.awaitListening()
+				assert.Contains(t, next.previousEnd().Reason, "not readable")
+			})
+		}
+	}
+}
+
+// A process whose disk is full leaves the record of its start, so its end is told as one that is not recorded.
+func TestEnd_DiskIsFull(t *testing.T) {
+	for _, program := range programs {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			m := newMachine(t)
+			m.writeSettings(m.settings())
+			p := m.start(program)
+			p.awaitListening()
+			p.limitFiles(0)
+			require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+			assert.Equal(t, 0, p.awaitEnd())
+			next := m.start(program)
+			next.awaitListening()
+			assert.Contains(t, next.previousEnd().Reason, "no end is recorded")
+		})
+	}
+}
+
+// A process that ends after its successor has started leaves the successor's record as it is.
+func TestEnd_SuccessorHasStarted(t *testing.T) {
+	for _, program := range programs {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			m := newMachine(t)
+			m.writeSettings(m.settings())
+			p := m.start(program)
+			p.awaitListening()
+			successor := m.start(program)
+			successor.awaitLog(waitMessage)
+			require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+			assert.Equal(t, 0, p.awaitEnd())
+			successor.awaitListening()
+			startedAt := successor.processStatus().StartedAt
+			successor.kill()
+			next := m.start(program)
+			next.awaitListening()
+			assert.WithinDuration(t, startedAt, next.previousEnd().StartedAt, 0)
+			assert.Contains(t, next.previousEnd().Reason, "no end is recorded")
+		})
+	}
+}
+
 // The status shows what a process waits for.
 func TestStatus_ShowsWait(t *testing.T) {
 	m := newMachine(t)
--- a/internal/process/programs_test.go
+++ b/internal/process/programs_test.go
@@ -153,9 +153,16 @@
 
 func (m *machine) startWithOutput(program string, output *os.File, arguments ...string) *process {
 	m.t.Helper()
-	command := exec.Command(programPath(m.t, program), arguments...)
+	return m.startCommand(program, exec.Command(programPath(m.t, program), arguments...), output)
+}
+
+// startCommand starts a command that becomes a program of the machine. It has no output if output is nil.
+func (m *machine) startCommand(program string, command *exec.Cmd, output *os.File) *process {
+	m.t.Helper()
 	command.Env = append(os.Environ(), bootstrap.EnvironmentVariable+"="+m.settingsPath())
-	command.Stdout, command.Stderr = output, output
+	if output != nil {
+		command.Stdout, command.Stderr = output, output
+	}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(m.t, command.Start())
 	p := &process{t: m.t, machine: m, program: program, command: command, ended: make(chan struct{})}
