Proxy: the heads of client requests share a budget of a twelfth of the memory

Cause: each head is bounded, all together were not. Change: what heads have beyond 4 KiB each counts in one budget from the first byte until the response; a head beyond it gets 503 with Retry-After, heads of an ordinary size are served meanwhile.

--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"pumiceline/internal/dataplane/balancer"
 	"pumiceline/internal/dataplane/ingress"
 	"pumiceline/internal/dataplane/loads"
+	"pumiceline/internal/headbudget"
 	"pumiceline/internal/lifecycle"
 	"pumiceline/internal/logkey"
 	"pumiceline/internal/message"
@@ -122,21 +124,35 @@
 		Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxCheckHeaderBytes,
 	}
-	clients := &http.Server{
-		Handler: bodybudget.NewHandler(p.handler, p.settings.Limits.BodyBytes()), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.idle.track,
-	}
+	heads := headbudget.New(p.settings.Limits.HeadBytes())
+	clients := p.newClientServer(heads)
 	failed := make(chan error, 2) // one for each listener
-	serve := func(server *http.Server, address string, onListening func()) {
-		if err := p.process.Serve(ctx, server, address, onListening); err != nil {
+	serve := func(server *http.Server, address string, wrap func(net.Listener) net.Listener) {
+		if err := p.process.Serve(ctx, server, address, wrap); err != nil {
 			failed <- err
 		}
 	}
 	go serve(readiness, p.settings.ReadinessAddress, nil)
-	go serve(clients, p.settings.ClientAddress, func() { p.isListening.Store(true) })
+	go serve(clients, p.settings.ClientAddress, func(listener net.Listener) net.Listener {
+		p.isListening.Store(true)
+		return heads.Listener(listener)
+	})
 	return clients, failed
 }
 
+// newClientServer makes the server for clients, whose listener is one of heads.
+func (p *Proxy) newClientServer(heads *headbudget.Budget) *http.Server {
+	handler := bodybudget.NewHandler(p.handler, p.settings.Limits.BodyBytes())
+	return &http.Server{
+		Handler: heads.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: heads.ConnContext,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			heads.ConnState(conn, state)
+			p.idle.track(conn, state)
+		},
+	}
+}
+
 // serveReady responds to a readiness check, or with the Status.
 func (p *Proxy) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == statusPath {
--- a/internal/lifecycle/listen.go
+++ b/internal/lifecycle/listen.go
@@ -44,9 +44,9 @@
 }
 
 // Serve serves at an address until the server is shut down, and then returns nil. It waits for the address as Listen
-// does, and opens the listener again if it fails. It calls onListening, if that is not nil, each time that the listener
-// is open. An empty address is not served: Serve waits until ctx ends.
-func (p *Process) Serve(ctx context.Context, server *http.Server, address string, onListening func()) error {
+// does, and opens the listener again if it fails. If wrap is not nil, it calls wrap each time that the listener is open,
+// and serves on what that returns. An empty address is not served: Serve waits until ctx ends.
+func (p *Process) Serve(ctx context.Context, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	if address == "" {
 		<-ctx.Done()
 		return nil
@@ -56,8 +56,8 @@
 		if err != nil {
 			return err
 		}
-		if onListening != nil {
-			onListening()
+		if wrap != nil {
+			listener = wrap(listener)
 		}
 		err = server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
