Soak: coordinators whose disk refuses writes for a time

Until now no disk of a soak failed. Change: a ninth kind of series makes writes to files fail at coordinators (RLIMIT_FSIZE) for up to 4 s; such a coordinator counts as one that does not take part, and the system has to recover afterwards as after other faults.

--- a/internal/faulttest/process.go
+++ b/internal/faulttest/process.go
@@ -105,9 +105,27 @@
 // FillDisk makes writes of the process fail as on a full disk: no file may grow beyond fullDiskFileBytes. The limit
 // (RLIMIT_FSIZE) applies to this process only.
 func (p *Process) FillDisk() error {
-	p.harness.Record(p.name, "finds its disk full")
-	limit := &unix.Rlimit{Cur: fullDiskFileBytes, Max: unix.RLIM_INFINITY}
-	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, limit, nil); err != nil {
+	return p.limitFiles("finds its disk full", fullDiskFileBytes)
+}
+
+// RefuseWrites makes each write of the process to a file fail, until AcceptWrites.
+func (p *Process) RefuseWrites() error { return p.limitFiles("may not write files", 0) }
+
+// AcceptWrites ends what RefuseWrites or FillDisk began.
+func (p *Process) AcceptWrites() error {
+	return p.limitFiles("may write files again", unix.RLIM_INFINITY)
+}
+
+// limitFiles sets the size beyond which the process may not write a file, in bytes. The error is os.ErrProcessDone if
+// the process has ended.
+func (p *Process) limitFiles(event string, bytes uint64) error {
+	p.harness.Record(p.name, "%s", event)
+	limit := &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, limit, nil)
+	if errors.Is(err, unix.ESRCH) {
+		err = os.ErrProcessDone
+	}
+	if err != nil {
 		return fmt.Errorf("limit file size of %s: %w", p.name, err)
 	}
 	return nil
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -136,7 +136,8 @@
 	if err != nil {
 		return err
 	}
-	n.process, n.isTerminated, n.isFrozen, n.restartDelay = process, false, false, selfExitRestartDelay
+	n.process, n.restartDelay = process, selfExitRestartDelay
+	n.isTerminated, n.isFrozen, n.isDiskFull = false, false, false
 	n.backAt = f.recorder.now()
 	instance, startedAt := n.instance, n.backAt
 	f.running.Go(func() { f.awaitEnd(n, process, instance, startedAt) })
@@ -241,6 +242,8 @@
 		f.hangUp(n)
 	case ActionFreeze:
 		f.freeze(n, step.For)
+	case ActionFillDisk:
+		f.fillDisk(n, step.For)
 	}
 }
 
@@ -343,7 +346,7 @@
 	})
 }
 
-// awaitSettled waits until every process runs, is not frozen and has no SIGTERM pending.
+// awaitSettled waits until every process runs, is not frozen, has room on its disk and has no SIGTERM pending.
 func (f *fleet) awaitSettled(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.recorder.history.Bounds.Grace+settleExtra)
 	defer cancel()
@@ -364,7 +367,7 @@
 	if n.isRemoved {
 		return n.process == nil
 	}
-	return n.process != nil && !n.isTerminated && !n.isFrozen
+	return n.process != nil && !n.isTerminated && !n.isFrozen && !n.isDiskFull
 }
 
 // stopAll terminates all processes and waits for their ends.
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -31,6 +31,8 @@
 	FaultGraceKill FaultKind = "SIGKILL after the grace time"
 	FaultFreeze    FaultKind = "SIGSTOP"
 	FaultThaw      FaultKind = "SIGCONT"
+	FaultDiskFull  FaultKind = "disk is full"
+	FaultDiskFree  FaultKind = "disk has room"
 	FaultEnd       FaultKind = "end" // of the process, for any cause
 )
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -45,6 +45,7 @@
 	replacedBy   int                // instance that was started while the one before was stopping; it has to be awaited
 	process      *faulttest.Process // nil: none runs
 	isTerminated bool               // the process was sent SIGTERM
+	isDiskFull   bool               // its writes to files fail
 	isFrozen     bool
 	isAdded      bool          // the machine was not there at the first start of the system
 	addedAt      Moment        // when an added machine was first started
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -18,6 +18,7 @@
 	ActionFreeze    Action = "freeze"     // SIGSTOP, and SIGCONT after a time
 	ActionPowerLoss Action = "power loss" // SIGKILL of all processes of a machine, and their restart
 	ActionOverlap   Action = "overlap"    // SIGTERM, and a start of the next process at once
+	ActionFillDisk  Action = "fill disk"  // each write of a coordinator to a file fails for a time
 	ActionAdd       Action = "add"        // a machine with both roles comes
 	ActionPut       Action = "put"        // a PUT of a complete configuration
 	ActionPatch     Action = "patch"      // a PATCH of the configuration in force
@@ -35,7 +36,10 @@
 func (a Action) IsChange() bool { return a == ActionPut || a == ActionPatch || a == ActionInvalid }
 
 // seriesActions are the actions of successive series, in turn.
-var seriesActions = []Action{ActionTerminate, ActionPut, ActionHangup, ActionKill, ActionPatch, ActionFreeze, ActionPowerLoss, ActionOverlap}
+var seriesActions = []Action{
+	ActionTerminate, ActionPut, ActionHangup, ActionKill, ActionPatch, ActionFreeze, ActionPowerLoss, ActionOverlap,
+	ActionFillDisk,
+}
 
 // Shape is the size of a run.
 type Shape struct {
@@ -75,7 +79,7 @@
 	Series      int           // number of the step's series
 	Action      Action
 	Node        int           // index of the process, coordinators first; 0 for a change
-	For         time.Duration // freeze: time until the thaw; kill or terminate: time from the end to the restart
+	For         time.Duration // freeze: time until the thaw; fill disk: until there is room; kill or terminate: time from the end to the restart
 	Racing      bool          // change: does not wait for other changes, so that two may build on the same version
 	VersionStep uint64        // change: increment of the version
 	Resend      bool          // change: sent once more after its acknowledgement
@@ -91,7 +95,7 @@
 	maxSeriesLength       = 6
 	minInterval           = 20 * time.Millisecond // between the steps of a series
 	maxInterval           = 1500 * time.Millisecond
-	minFreeze             = 100 * time.Millisecond
+	minFreeze             = 100 * time.Millisecond // of a freeze or a full disk
 	maxFreeze             = 4 * time.Second
 	maxRestartDelay       = 1500 * time.Millisecond
 	maxVersionStep        = 4
@@ -122,7 +126,7 @@
 	at := d.duration(0, d.shape.FaultPhase*startShare/100)
 	interval := d.duration(minInterval, maxInterval)
 	length := minSeriesLength + d.random.IntN(maxSeriesLength-minSeriesLength+1) + d.shape.Processes()/processesPerExtraStep
-	first, count := d.target()
+	first, count := d.target(action)
 	node := d.random.IntN(count)
 	isRolling := d.random.IntN(3) > 0 // otherwise all steps of the series are for the same node
 	isRacing := d.random.IntN(2) == 0
@@ -144,8 +148,9 @@
 }
 
 // target draws the role that a series is for. It returns the index of the first process of the role, and their number.
-func (d *drawer) target() (first, count int) {
-	if d.random.IntN(3) == 0 {
+// Only coordinators need their disks.
+func (d *drawer) target(action Action) (first, count int) {
+	if d.random.IntN(3) == 0 || action == ActionFillDisk {
 		return 0, d.shape.Coordinators
 	}
 	return d.shape.Coordinators, d.shape.Proxies
@@ -163,7 +168,7 @@
 // pause draws the duration of a freeze, or the time between an end and the restart.
 func (d *drawer) pause(action Action) time.Duration {
 	switch action {
-	case ActionFreeze:
+	case ActionFreeze, ActionFillDisk:
 		return d.duration(minFreeze, maxFreeze)
 	case ActionTerminate, ActionKill, ActionPowerLoss:
 		return d.duration(0, maxRestartDelay)
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -46,25 +46,30 @@
 // the runner.
 func (t *timeline) slowExtra() time.Duration { return t.bounds.SlowExtra + t.stoodStill }
 
-// isRunning reports whether a process ran at a moment: started, not terminated or ended since, and not frozen.
+// isRunning reports whether a process ran at a moment: started, not terminated or ended since, not frozen, and with room
+// on its disk, without which a coordinator cannot take part.
 func (t *timeline) isRunning(node string, at Moment) bool {
-	isStarted, isFrozen := false, false
+	isStarted, isFrozen, isDiskFull := false, false, false
 	for _, fault := range t.byNode[node] {
 		if fault.At > at {
 			break
 		}
 		switch fault.Kind {
 		case FaultStart:
-			isStarted, isFrozen = true, false
+			isStarted, isFrozen, isDiskFull = true, false, false
 		case FaultTerminate, FaultKill, FaultGraceKill, FaultEnd:
 			isStarted = false
 		case FaultFreeze:
 			isFrozen = true
 		case FaultThaw:
 			isFrozen = false
+		case FaultDiskFull:
+			isDiskFull = true
+		case FaultDiskFree:
+			isDiskFull = false
 		}
 	}
-	return isStarted && !isFrozen
+	return isStarted && !isFrozen && !isDiskFull
 }
 
 // has reports whether a process had a fault of one of the kinds in a span.
@@ -87,7 +92,7 @@
 
 // disturbingKinds are the kinds of faults after which a process is not in touch. SIGHUP is not one of them.
 var disturbingKinds = []FaultKind{
-	FaultStart, FaultTerminate, FaultKill, FaultGraceKill, FaultFreeze, FaultThaw, FaultEnd,
+	FaultStart, FaultTerminate, FaultKill, FaultGraceKill, FaultFreeze, FaultThaw, FaultDiskFull, FaultDiskFree, FaultEnd,
 }
 
 // isUndisturbed reports whether a process ran without a disturbing fault and was not slowed, from the time Quiet before
