Configuration: a large faulty document no longer stops a coordinator

Seen, by a test with real processes: a PUT of 3 MB with a million empty routes, services or models is never answered (504); the coordinator's replica loop reads the document for more than ten minutes (a trial of the reader alone was cut off there), loses its lease, answers no change and no read, and has 204 MB of its machine's 284. Cause: each fault was compared with all faults before, each copy of the request was read anew, and nothing bounded the number of values. Change: of the faults the first 100 are kept, and reading stops then; a document has at most 262,144 values (3 MiB of real ones have fewer); a PATCH finds the names to remove by an index.

--- a/cmd/pumicectl/check.go
+++ b/cmd/pumicectl/check.go
@@ -71,4 +71,7 @@
 	for _, finding := range faults.Findings {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", file, finding)
 	}
+	if faults.HasMore {
+		fmt.Fprintf(os.Stderr, "%s: and more faults\n", file)
+	}
 }
--- a/internal/controlplane/configuration/parse.go
+++ b/internal/controlplane/configuration/parse.go
@@ -30,8 +30,8 @@
 	return parse(document, checkNumbers)
 }
 
-// Parse reads a document that is in force. If the document is one JSON object, the error is a *docreader.Error with every
-// fault and its path. Earlier versions put documents in force that ParseNew refuses, so Parse passes over text after the
+// Parse reads a document that is in force. If the document is one JSON object, the error is a *docreader.Error with the
+// first faults and their paths. Earlier versions put documents in force that ParseNew refuses, so Parse passes over text after the
 // object that begins with a closing bracket, and takes a number out of its bounds for the nearest bound.
 func Parse(document []byte) (*Config, error) {
 	return parse(document, func(docreader.Node) {})
@@ -74,6 +74,9 @@
 		root.Field("version").AddFault("a whole number above 0 is wanted")
 	}
 	for _, node := range root.Field("services").Items() {
+		if findings.IsFull() {
+			return config
+		}
 		service := readService(node)
 		if config.Services[service.Name] != nil {
 			node.Field("name").AddFault("the name %q stands twice", service.Name)
@@ -81,6 +84,9 @@
 		config.Services[service.Name] = service
 	}
 	for _, node := range root.Field("routes").Items() {
+		if findings.IsFull() {
+			return config
+		}
 		config.Routes = append(config.Routes, readRoute(node))
 	}
 	config.Limits = readLimits(root.Field("limits"))
@@ -109,6 +115,9 @@
 		LoadsPerSecond:   loadsPerSecondField.read(node),
 	}
 	for _, model := range node.Field("models").Items() {
+		if model.Findings().IsFull() {
+			break
+		}
 		runtime.Models = append(runtime.Models, Model{
 			Name:      message.ModelName(model.Field("name").RequiredText()),
 			WeightsMB: modelWeightsField.read(model),
--- a/internal/controlplane/configuration/patch.go
+++ b/internal/controlplane/configuration/patch.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -72,13 +71,17 @@
 }
 
 func removeItems(items []json.RawMessage, names []string) ([]json.RawMessage, error) {
+	isRemoved := make(map[string]bool, len(names))
+	for _, name := range names {
+		isRemoved[name] = true
+	}
 	var remaining []json.RawMessage
 	for _, item := range items {
 		name, err := itemName(item)
 		if err != nil {
 			return nil, err
 		}
-		if !slices.Contains(names, name) {
+		if !isRemoved[name] {
 			remaining = append(remaining, item)
 		}
 	}
--- a/internal/controlplane/configuration/strict_json.go
+++ b/internal/controlplane/configuration/strict_json.go
@@ -12,13 +12,16 @@
 // maxDepth bounds how deeply the objects and lists of a document are nested.
 const maxDepth = 32
 
+// maxValues bounds the values of a document. A value takes some ten times the bytes in memory that its text has.
+const maxValues = 1 << 18
+
 // checkStrictJSON returns an error unless a text is one JSON value to its last byte that every reader reads alike: it is
-// UTF-8, no object has a key twice, and its nesting is bounded.
+// UTF-8, no object has a key twice, and its nesting and the number of its values are bounded.
 func checkStrictJSON(text []byte) error {
 	if !utf8.Valid(text) {
 		return errors.New("not UTF-8")
 	}
-	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder := &strictDecoder{Decoder: json.NewDecoder(bytes.NewReader(text))}
 	decoder.UseNumber()
 	if err := checkValue(decoder, "", 0); err != nil {
 		return err
@@ -29,14 +32,23 @@
 	return nil
 }
 
+// strictDecoder reads a document and counts its values.
+type strictDecoder struct {
+	*json.Decoder
+	values int
+}
+
 // checkValue checks the next value of a decoder, which stands at a path.
-func checkValue(decoder *json.Decoder, path string, depth int) error {
+func checkValue(decoder *strictDecoder, path string, depth int) error {
 	token, err := decoder.Token()
+	decoder.values++
 	switch {
 	case err != nil:
 		return errors.Wrap(noEOF(err), "not a whole JSON object")
 	case depth > maxDepth:
 		return errors.Errorf("%s: more than %d levels of lists and objects", path, maxDepth)
+	case decoder.values > maxValues:
+		return errors.Errorf("%s: the document has more than %d values", orRoot(path), maxValues)
 	}
 	switch token {
 	case json.Delim('{'):
@@ -47,7 +59,7 @@
 	return nil
 }
 
-func checkObject(decoder *json.Decoder, path string, depth int) error {
+func checkObject(decoder *strictDecoder, path string, depth int) error {
 	seen := map[string]bool{}
 	for decoder.More() {
 		token, err := decoder.Token()
@@ -66,7 +78,7 @@
 	return checkEnd(decoder)
 }
 
-func checkList(decoder *json.Decoder, path string, depth int) error {
+func checkList(decoder *strictDecoder, path string, depth int) error {
 	for decoder.More() {
 		if err := checkValue(decoder, path+"[]", depth+1); err != nil {
 			return err
@@ -76,7 +88,7 @@
 }
 
 // checkEnd reads the bracket that ends a list or an object.
-func checkEnd(decoder *json.Decoder) error {
+func checkEnd(decoder *strictDecoder) error {
 	_, err := decoder.Token()
 	return errors.Wrap(noEOF(err), "not a whole JSON object")
 }
--- a/internal/docreader/docreader.go
+++ b/internal/docreader/docreader.go
@@ -23,27 +23,47 @@
 // String returns the finding as one line.
 func (f Finding) String() string { return f.Path + ": " + f.Message }
 
-// Findings collects the faults of one document.
-type Findings struct{ all []Finding }
+// maxFindings bounds the faults that are kept of one document.
+const maxFindings = 100
+
+// Findings collects the faults of one document, up to maxFindings.
+type Findings struct {
+	all     []Finding
+	hasMore bool // than all
+}
 
 // Add records a fault at a path. A fault that is recorded already is not repeated.
 func (f *Findings) Add(path, format string, args ...any) {
+	if f.hasMore {
+		return
+	}
 	finding := Finding{Path: path, Message: fmt.Sprintf(format, args...)}
-	if !slices.Contains(f.all, finding) {
-		f.all = append(f.all, finding)
+	if slices.Contains(f.all, finding) {
+		return
+	}
+	if len(f.all) == maxFindings {
+		f.hasMore = true
+		return
 	}
+	f.all = append(f.all, finding)
 }
 
-// Err returns an *Error with all faults, or nil if there are none.
+// IsFull reports whether no further fault is kept, so that the rest of the document need not be read.
+func (f *Findings) IsFull() bool { return f.hasMore }
+
+// Err returns an *Error with the faults, or nil if there are none.
 func (f *Findings) Err() error {
 	if len(f.all) == 0 {
 		return nil
 	}
-	return &Error{Findings: f.all}
+	return &Error{Findings: f.all, HasMore: f.hasMore}
 }
 
-// Error reports all faults of a document, in the order in which they were found.
-type Error struct{ Findings []Finding }
+// Error reports the first faults of a document, in the order in which they were found.
+type Error struct {
+	Findings []Finding
+	HasMore  bool // there are more faults than Findings
+}
 
 // Error returns the findings in one line.
 func (e *Error) Error() string {
@@ -51,6 +71,9 @@
 	for _, finding := range e.Findings {
 		lines = append(lines, finding.String())
 	}
+	if e.HasMore {
+		lines = append(lines, "and more faults")
+	}
 	return strings.Join(lines, "; ")
 }
 
@@ -72,6 +95,9 @@
 // Path returns the location of the node in the document, such as "routes[3].timeoutMs".
 func (n Node) Path() string { return n.path }
 
+// Findings returns what collects the faults of the node's document.
+func (n Node) Findings() *Findings { return n.findings }
+
 // IsPresent reports whether the document has the node, even if its value is null.
 func (n Node) IsPresent() bool { return n.isPresent }
 
--- a/internal/docreader/docreader_test.go
+++ b/internal/docreader/docreader_test.go
@@ -48,3 +48,20 @@
 	}, faults.Findings)
 	assert.EqualError(t, (&Error{Findings: faults.Findings[:2]}), "text: a text is wanted; number: a number is wanted")
 }
+
+// Of many faults the first are kept, and the error says that there are more.
+func TestFindings_KeepsFirstFaults(t *testing.T) {
+	findings := &Findings{}
+	for i := range maxFindings {
+		findings.Add("field", "fault %d", i)
+		findings.Add("field", "fault %d", i)
+	}
+	assert.False(t, findings.IsFull())
+	assert.NotContains(t, findings.Err().Error(), "more faults")
+	findings.Add("field", "one more")
+	assert.True(t, findings.IsFull())
+	var err *Error
+	assert.ErrorAs(t, findings.Err(), &err)
+	assert.Len(t, err.Findings, maxFindings)
+	assert.ErrorContains(t, err, "field: fault 99; and more faults")
+}
