Lists of the platform and reports of backends are bounded in memory

Seen, by a test with real processes: one page of the platform's list with entries without fields (8 MB of text) took 301 MB in a coordinator whose machine has 284; endless pages of valid entries 155 MB. By reading: reports of 4 MiB each, from all backends at once. Cause: the bytes of each page were bounded, not those of all pages nor the values that they decode to. Change: a list has 8 MiB and 262,144 values in all pages together, a report 32,768 values, and all reports that are read at once 16 MiB; beyond that the read fails and what was known stays.

--- a/internal/controlplane/discovery/reader.go
+++ b/internal/controlplane/discovery/reader.go
@@ -10,16 +10,21 @@
 
 	"github.com/pkg/errors"
 
+	"pumiceline/internal/jsonbound"
 	"pumiceline/internal/message"
 	"pumiceline/internal/socket"
 )
 
-// Limits of one read of the list.
+// Limits of one read of the list, for all its pages together.
 const (
-	maxPageBytes = 8 << 20
-	maxPages     = 200
+	maxListBytes  = 8 << 20
+	maxListValues = 1 << 18 // JSON values
+	maxPages      = 200
 )
 
+// errListTooLarge is returned for a list beyond maxListBytes.
+var errListTooLarge = errors.Errorf("the list has more than %d bytes", maxListBytes)
+
 const idleConnTimeout = 30 * time.Second
 
 // stateDraining is the state of a backend that takes no new requests.
@@ -67,8 +72,9 @@
 	defer cancel()
 	list := &BackendList{ObservedAt: time.Now()}
 	token := ""
+	limits := &listLimits{bytes: maxListBytes, values: jsonbound.NewAllowance(maxListValues)}
 	for range maxPages {
-		next, err := r.readPage(ctx, token)
+		next, err := r.readPage(ctx, token, limits)
 		if err != nil {
 			return nil, err
 		}
@@ -85,8 +91,14 @@
 	return nil, errors.Errorf("the list has more than %d pages", maxPages)
 }
 
+// listLimits is what the pages of a list that are still to be read may have.
+type listLimits struct {
+	bytes  int
+	values *jsonbound.Allowance
+}
+
 // readPage requests one page. token is the NextPage of the page before it; the first page has an empty token.
-func (r *Reader) readPage(ctx context.Context, token string) (*page, error) {
+func (r *Reader) readPage(ctx context.Context, token string, limits *listLimits) (*page, error) {
 	address := "http://" + r.address + "/backends"
 	if token != "" {
 		address += "?page=" + url.QueryEscape(token)
@@ -100,16 +112,29 @@
 		return nil, errors.Wrap(err, "request a page of the list")
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, "read a page of the list")
-	}
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("request a page of the list: status %d", response.StatusCode)
 	}
+	body, err := limits.read(response.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "read a page of the list")
+	}
 	return parsePage(body)
 }
 
+// read reads a page within the limits.
+func (l *listLimits) read(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, int64(l.bytes)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > l.bytes {
+		return nil, errListTooLarge
+	}
+	l.bytes -= len(text)
+	return text, l.values.Take(text)
+}
+
 // parsePage decodes a page. The error names the first entry without an ID, a service or an address.
 func parsePage(body []byte) (*page, error) {
 	var decoded page
--- a/internal/controlplane/discovery/reader_test.go
+++ b/internal/controlplane/discovery/reader_test.go
@@ -46,6 +46,8 @@
 		{"no backends", `{"nextPage":null}`, "has no backends", http.StatusOK},
 		{"no address", `{"backends":[{"id":"a","service":"s"}],"nextPage":null}`,
 			"backends[0]: id, service and address must be given", http.StatusOK},
+		{"too many bytes", strings.Repeat(" ", maxListBytes+1), "more than 8388608 bytes", http.StatusOK},
+		{"too many values", `{"backends":[` + strings.Repeat("{},", maxListValues/2) + `{}]}`, "too many JSON values", http.StatusOK},
 		{"rate limited", "", "status 429", http.StatusTooManyRequests},
 	}
 	for _, c := range cases {
--- a/internal/controlplane/placement/executor/backend_client.go
+++ b/internal/controlplane/placement/executor/backend_client.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 
+	"pumiceline/internal/bodybudget"
+	"pumiceline/internal/jsonbound"
 	"pumiceline/internal/message"
 	"pumiceline/internal/socket"
 )
@@ -22,6 +24,8 @@
 	reportTimeout    = 700 * time.Millisecond
 	reportIdleTime   = 3 * time.Second // how long an idle connection for reports is kept
 	maxResponseBytes = 4 << 20
+	maxReportValues  = 1 << 15  // JSON values
+	maxReportsBytes  = 16 << 20 // of all reports that are read at the same time
 )
 
 // The paths and the header of a backend's control interface.
@@ -93,12 +97,16 @@
 // The reports of a backend share one connection, which is kept for reportIdleTime. Each command has a connection of
 // its own. Responses carry no ID: on a shared connection, a late response to an earlier request would be taken for
 // the response to the command.
-type BackendClient struct{ reports, commands *http.Client }
+type BackendClient struct {
+	reports, commands *http.Client
+	reportsInFlight   *bodybudget.Budget
+}
 
 // NewBackendClient makes a client without connections.
 func NewBackendClient() *BackendClient {
 	dial := socket.NewDialer().DialContext
 	return &BackendClient{
+		reportsInFlight: bodybudget.New(maxReportsBytes),
 		reports: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTime, DisableCompression: true,
 		}},
@@ -119,12 +127,17 @@
 		return nil, errors.Wrap(err, "request report")
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("report with status %d", response.StatusCode)
+	}
+	body := c.reportsInFlight.Reader(io.LimitReader(response.Body, maxResponseBytes))
+	defer body.Release()
+	text, err := io.ReadAll(body)
 	if err != nil {
 		return nil, errors.Wrap(err, "read report")
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("report with status %d", response.StatusCode)
+	if err := jsonbound.NewAllowance(maxReportValues).Take(text); err != nil {
+		return nil, errors.Wrap(err, "read report")
 	}
 	return parseReport(text)
 }
--- a/internal/controlplane/placement/executor/backend_client_test.go
+++ b/internal/controlplane/placement/executor/backend_client_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pumiceline/internal/bodybudget"
+	"pumiceline/internal/jsonbound"
 	"pumiceline/internal/message"
 )
 
@@ -91,6 +97,21 @@
 	assert.Equal(t, Accepted, client.SendCommand(context.Background(), target, Command{Operation: LoadModel, Model: "n"}))
 }
 
+// Reports that would take much memory are errors: one with many values, and one beside others that are read.
+func TestBackendClient_BoundsReports(t *testing.T) {
+	reports := []string{`{"models":[` + strings.Repeat("{},", maxReportValues) + `{}]}`, strings.Repeat(" ", maxResponseBytes)}
+	for i, report := range reports {
+		_, target := newRawBackend(t, func(connection net.Conn, _ *http.Request, _ int) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+		})
+		client := NewBackendClient()
+		others := client.reportsInFlight.Reader(bytes.NewReader(make([]byte, maxReportsBytes-maxResponseBytes/2)))
+		_, _ = io.Copy(io.Discard, others) // as other reports in flight
+		_, err := client.FetchReport(t.Context(), target)
+		assert.ErrorIs(t, err, []error{jsonbound.ErrTooManyValues, bodybudget.ErrExhausted}[i])
+	}
+}
+
 // A command without a response may have been accepted: neither the client nor the HTTP library sends it again.
 func TestBackendClient_SendsUnansweredCommandOnce(t *testing.T) {
 	for name, end := range map[string]func(net.Conn){
--- a/internal/process/bodies_test.go
+++ b/internal/process/bodies_test.go
@@ -21,10 +21,7 @@
 func startMachine(t *testing.T) (m *machine, coordinator, proxy *process) {
 	t.Helper()
 	m = newMachine(t)
-	m.writeSettings(strings.ReplaceAll(m.settings(), "machines: 1", "machines: 0"))
-	coordinator, proxy = m.start(coordinatorProgram), m.start(proxyProgram)
-	coordinator.awaitListening()
-	proxy.awaitListening()
+	coordinator, proxy = m.startBoth()
 	coordinator.await("acknowledged configuration", func() bool {
 		request, err := http.NewRequest(http.MethodPut, "http://"+m.address(controlPort)+"/config", strings.NewReader(configuration))
 		require.NoError(t, err)
@@ -47,6 +44,16 @@
 	return m, coordinator, proxy
 }
 
+// startBoth starts both programs of a machine that does not tolerate the loss of one.
+func (m *machine) startBoth() (coordinator, proxy *process) {
+	m.t.Helper()
+	m.writeSettings(strings.ReplaceAll(m.settings(), "machines: 1", "machines: 0"))
+	coordinator, proxy = m.start(coordinatorProgram), m.start(proxyProgram)
+	coordinator.awaitListening()
+	proxy.awaitListening()
+	return coordinator, proxy
+}
+
 // unfinishedBodies is how many requests have an unfinished body at the same time.
 const unfinishedBodies = 120
 
