--- a/internal/controlplane/configuration/change.go
+++ b/internal/controlplane/configuration/change.go
@@ -29,6 +29,11 @@
 // A rejection must be final. Another copy of the request may still be in transit, and must not be applied after the
 // operator has received the rejection. So a request that could become valid on a later state stays undecided.
 func Validate(state *message.ChainState, request *message.ConfigRequest) replica.ValidationResult {
+	return NewValidator().Validate(state, request)
+}
+
+// Validate decides as the function Validate does, and keeps what it has read of documents.
+func (v *Validator) Validate(state *message.ChainState, request *message.ConfigRequest) replica.ValidationResult {
 	digest := RequestDigest(request)
 	isSame := func(applied message.Change) bool { return bytes.Equal(applied.Digest, digest) }
 	if slices.ContainsFunc(state.History, isSame) {
@@ -42,19 +47,19 @@
 	case base < Version(state.Horizon):
 		return undecided() // it may have been applied, and its digest dropped from the history
 	case base > Version(state.Version):
-		return validateAhead(request)
+		return v.validateAhead(request)
 	case base < Version(state.Version):
 		return reject(http.StatusPreconditionFailed, errors.Errorf("version %d is current", state.Version))
 	}
-	return validateOnCurrent(state, request, digest)
+	return v.validateOnCurrent(state, request, digest)
 }
 
 // validateAhead validates a change based on a newer version than the current one. The change to that version may be in
 // progress, and another copy of this request may be validated after it is applied. So a request is rejected only if it
 // is invalid on every state.
-func validateAhead(request *message.ConfigRequest) replica.ValidationResult {
+func (v *Validator) validateAhead(request *message.ConfigRequest) replica.ValidationResult {
 	if request.Method == http.MethodPut {
-		if _, err := ParseNew(request.Body); err != nil {
+		if _, err := v.readVersion(request.Body); err != nil {
 			return reject(http.StatusBadRequest, err)
 		}
 	}
@@ -62,7 +67,7 @@
 }
 
 // validateOnCurrent validates a change based on the current version.
-func validateOnCurrent(state *message.ChainState, request *message.ConfigRequest, digest []byte) replica.ValidationResult {
+func (v *Validator) validateOnCurrent(state *message.ChainState, request *message.ConfigRequest, digest []byte) replica.ValidationResult {
 	document := request.Body
 	if request.Method == http.MethodPatch {
 		var err error
@@ -74,14 +79,14 @@
 		err := errors.Errorf("%d bytes; at most %d are kept", size, replica.MaxDocumentBytes)
 		return reject(http.StatusRequestEntityTooLarge, err)
 	}
-	config, err := ParseNew(document)
+	version, err := v.readVersion(document)
 	if err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
-	if config.Version <= Version(state.Version) {
-		return reject(http.StatusBadRequest, errors.Errorf("version: %d is not above %d", config.Version, state.Version))
+	if version <= Version(state.Version) {
+		return reject(http.StatusBadRequest, errors.Errorf("version: %d is not above %d", version, state.Version))
 	}
-	change := message.Change{Version: uint64(config.Version), Base: state.Version, Digest: digest}
+	change := message.Change{Version: uint64(version), Base: state.Version, Digest: digest}
 	return replica.ValidationResult{Status: http.StatusOK, Apply: true, Change: change, Document: document}
 }
 
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -169,7 +169,7 @@
 		started: time.Now(), inbox: newInbox(), leaving: make(chan struct{}),
 		hub: distribution.NewHub(settings.Bounds.Drain), pending: newPendingResults(newIncarnation()),
 	}
-	l.replica = replica.New(options, configuration.Validate, 0, stored.control, stored.chain)
+	l.replica = replica.New(options, configuration.NewValidator().Validate, 0, stored.control, stored.chain)
 	self.Identity = l.replica.Identity()
 	l.self = self
 	l.writer = newStateWriter(stored.ring, &stored.chain, l.onSynced)
--- a/internal/controlplane/simulation/node.go
+++ b/internal/controlplane/simulation/node.go
@@ -104,7 +104,7 @@
 	}
 	control, chain := n.load()
 	n.corruptControlState(&control)
-	n.replica = replica.New(options, n.validator(configuration.Validate), 0, control, chain)
+	n.replica = replica.New(options, n.validator(configuration.NewValidator().Validate), 0, control, chain)
 	n.tick(n.generation)
 }
 
