Tests of ends wait until the start is recorded

The record that the test damages was not there yet. Change: the tests of ends wait until the record has the start of the process; what they check stays.

--- a/internal/process/end_test.go
+++ b/internal/process/end_test.go
@@ -48,7 +48,7 @@
 				m := newMachine(t)
 				m.writeSettings(m.settings())
 				p := m.start(program)
-				p.awaitListening()
+				p.awaitRecorded()
 				assert.Nil(t, p.processStatus().PreviousEnd)
 				require.NoError(t, p.command.Process.Signal(c.signal))
 				assert.Equal(t, c.exitCode, p.awaitEnd())
@@ -65,6 +65,25 @@
 	}
 }
 
+// recordPath returns the path of the end record of a program.
+func (m *machine) recordPath(program string) string {
+	return filepath.Join(m.stateDir(), program+".process.json")
+}
+
+// awaitRecorded waits until the process listens and has recorded its start, which it does in the background.
+func (p *process) awaitRecorded() {
+	p.t.Helper()
+	p.awaitListening()
+	startedAt := p.processStatus().StartedAt
+	path := p.machine.recordPath(p.program)
+	p.await("record of the start", func() bool {
+		var record lifecycle.End
+		text, _ := os.ReadFile(path) // no file, no record
+		_, err := os.Stat(path + ".crash")
+		return err == nil && json.Unmarshal(text, &record) == nil && record.StartedAt.Equal(startedAt)
+	})
+}
+
 // previousEnd returns the end of the process before, once the status has it.
 func (p *process) previousEnd() lifecycle.End {
 	p.t.Helper()
@@ -92,9 +111,9 @@
 				m := newMachine(t)
 				m.writeSettings(m.settings())
 				p := m.start(program)
-				p.awaitListening()
+				p.awaitRecorded()
 				p.kill()
-				damage(t, filepath.Join(m.stateDir(), program+".process.json"))
+				damage(t, m.recordPath(program))
 				next := m.start(program)
 				next.awaitListening()
 				assert.Contains(t, next.previousEnd().Reason, "not readable")
@@ -111,7 +130,7 @@
 			m := newMachine(t)
 			m.writeSettings(m.settings())
 			p := m.start(program)
-			p.awaitListening()
+			p.awaitRecorded()
 			p.limitFiles(0)
 			require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
 			assert.Equal(t, 0, p.awaitEnd())
@@ -130,12 +149,12 @@
 			m := newMachine(t)
 			m.writeSettings(m.settings())
 			p := m.start(program)
-			p.awaitListening()
+			p.awaitRecorded()
 			successor := m.start(program)
 			successor.awaitLog(waitMessage)
 			require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
 			assert.Equal(t, 0, p.awaitEnd())
-			successor.awaitListening()
+			successor.awaitRecorded()
 			startedAt := successor.processStatus().StartedAt
 			successor.kill()
 			next := m.start(program)
