Configuration: a change is read once; keys by case no longer choose another version

What callers saw: PATCH {"version":11,"Version":16} was answered 200, and version 16 came into force. PATCH {"VERSION":26} was acknowledged, and so were lists that no document has ("add":{"Routes":[]}), without an effect.

Cause: a body had several readers. The strict check told keys apart by case; the structs of encoding/json, which applied the change, match keys without regard to case and take the last one; the stored text was the operator's and was read again.

Change: configuration.Document is read once, by strictjson, from a tree of values. What is checked, applied and stored (its canonical text) comes from it; a PATCH is a typed change of that tree. Refused now, with the path: keys that differ in case only, misspelled keys, unknown lists and keys of a PATCH, a name that is added twice, halves of surrogate pairs, numbers beyond 64-bit floats, control characters in names and paths, shares out of bounds. A PATCH ahead of the state that is invalid on every state is refused like a PUT.

--- a/internal/controlplane/configuration/change.go
+++ b/internal/controlplane/configuration/change.go
@@ -32,7 +32,7 @@
 	return NewValidator().Validate(state, request)
 }
 
-// Validate decides as the function Validate does, and keeps what it has read of documents.
+// Validate decides as the function Validate does, and keeps what it has read of requests.
 func (v *Validator) Validate(state *message.ChainState, request *message.ConfigRequest) replica.ValidationResult {
 	digest := RequestDigest(request)
 	isSame := func(applied message.Change) bool { return bytes.Equal(applied.Digest, digest) }
@@ -58,36 +58,45 @@
 // progress, and another copy of this request may be validated after it is applied. So a request is rejected only if it
 // is invalid on every state.
 func (v *Validator) validateAhead(request *message.ConfigRequest) replica.ValidationResult {
-	if request.Method == http.MethodPut {
-		if _, err := v.readVersion(request.Body); err != nil {
-			return reject(http.StatusBadRequest, err)
-		}
+	var err error
+	if request.Method == http.MethodPatch {
+		_, err = readPatch(request.Body)
+	} else {
+		err = v.readPut(request.Body).err
+	}
+	if err != nil {
+		return reject(http.StatusBadRequest, err)
 	}
 	return undecided()
 }
 
 // validateOnCurrent validates a change based on the current version.
 func (v *Validator) validateOnCurrent(state *message.ChainState, request *message.ConfigRequest, digest []byte) replica.ValidationResult {
-	document := request.Body
+	if size := len(request.Body); size > replica.MaxDocumentBytes {
+		return rejectSize(size)
+	}
+	var read *readResult
 	if request.Method == http.MethodPatch {
-		var err error
-		if document, err = patch(state.Document, request.Body); err != nil {
-			return reject(http.StatusBadRequest, err)
-		}
+		read = v.readPatch(state.Document, request.Body)
+	} else {
+		read = v.readPut(request.Body)
 	}
-	if size := len(document); size > replica.MaxDocumentBytes {
-		err := errors.Errorf("%d bytes; at most %d are kept", size, replica.MaxDocumentBytes)
-		return reject(http.StatusRequestEntityTooLarge, err)
+	if read.err != nil {
+		return reject(http.StatusBadRequest, read.err)
 	}
-	version, err := v.readVersion(document)
-	if err != nil {
-		return reject(http.StatusBadRequest, err)
+	if size := len(read.text); size > replica.MaxDocumentBytes {
+		return rejectSize(size)
 	}
-	if version <= Version(state.Version) {
-		return reject(http.StatusBadRequest, errors.Errorf("version: %d is not above %d", version, state.Version))
+	if read.version <= Version(state.Version) {
+		return reject(http.StatusBadRequest, errors.Errorf("version: %d is not above %d", read.version, state.Version))
 	}
-	change := message.Change{Version: uint64(version), Base: state.Version, Digest: digest}
-	return replica.ValidationResult{Status: http.StatusOK, Apply: true, Change: change, Document: document}
+	change := message.Change{Version: uint64(read.version), Base: state.Version, Digest: digest}
+	return replica.ValidationResult{Status: http.StatusOK, Apply: true, Change: change, Document: read.text}
+}
+
+func rejectSize(size int) replica.ValidationResult {
+	err := errors.Errorf("%d bytes; at most %d are kept", size, replica.MaxDocumentBytes)
+	return reject(http.StatusRequestEntityTooLarge, err)
 }
 
 // parseIfMatch reads the version that a change is based on from its If-Match header. The version may be quoted.
--- a/internal/controlplane/configuration/number_fields.go
+++ b/internal/controlplane/configuration/number_fields.go
@@ -54,6 +54,7 @@
 	maxEventGapField   = numberField{key: "gap_aim_ms", max: maxMs}
 	priorityField      = numberField{key: "priority", fallback: defaultPriority, max: maxCount, isWhole: true}
 	maxAttemptsField   = numberField{key: "tries", fallback: 1, max: maxCount, isWhole: true}
+	shareField         = numberField{key: "share", max: maxShare}
 	headerBytesField   = numberField{key: "headerBytes", fallback: defaultHeaderBytes, max: maxCount, isWhole: true}
 	bodyBytesField     = numberField{key: "bodyBytes", fallback: defaultBodyBytes, max: maxCount, isWhole: true}
 	headerTimeoutField = numberField{key: "headerWaitMs", fallback: float64(defaultHeaderTimeout / time.Millisecond), max: maxMs}
@@ -61,9 +62,19 @@
 )
 
 // read returns the number of an object. A number out of its bounds, which an earlier version may have put in force, reads
-// as the nearest bound.
+// as the nearest bound, and a whole number is cut to one.
 func (f numberField) read(object docreader.Node) float64 {
-	return min(f.max, max(0, object.Field(f.key).Number(f.fallback)))
+	number := min(f.max, max(0, object.Field(f.key).Number(f.fallback)))
+	if f.isWhole {
+		return math.Trunc(number)
+	}
+	return number
+}
+
+// isOutOfBounds reports whether an object has a number that is not read as it is written.
+func (f numberField) isOutOfBounds(object docreader.Node) bool {
+	number, ok := object.Field(f.key).FiniteNumber()
+	return ok && number != f.read(object)
 }
 
 func (f numberField) count(object docreader.Node) int { return int(f.read(object)) }
@@ -91,32 +102,6 @@
 	}
 }
 
-// checkNumbers records a fault for each number of a document that is out of its bounds.
-func checkNumbers(root docreader.Node) {
-	check := func(object docreader.Node, fields ...numberField) {
-		for _, field := range fields {
-			field.check(object)
-		}
-	}
-	adapters := 0
-	for _, service := range root.Field("services").Items() {
-		check(service, maxConnectionsField)
-		runtime := service.Field("runtime")
-		check(runtime, batchSizeField, cacheTokensField, weightCapacityField, adapterSlotsField, loadsPerSecondField)
-		for _, model := range runtime.Field("models").Items() {
-			check(model, modelWeightsField, loadSecondsField, adaptersField, adapterMBField)
-			adapters += adaptersField.count(model)
-		}
-	}
-	if adapters > maxAllAdapters {
-		root.Field("services").AddFault("%d adapters in all; at most %d are placed", adapters, maxAllAdapters)
-	}
-	for _, route := range root.Field("routes").Items() {
-		check(route, timeoutField, latencyTargetField, maxEventGapField, priorityField, maxAttemptsField)
-	}
-	check(root.Field("limits"), headerBytesField, bodyBytesField, headerTimeoutField, idleTimeoutField)
-}
-
 // readVersion returns the version of a document without rounding it. 0 means that there is none.
 func readVersion(node docreader.Node) Version {
 	if version, ok := node.WholeNumber(); ok {
@@ -128,3 +113,12 @@
 	}
 	return Version(number)
 }
+
+// readRequiredVersion returns the version of a document or a change, or records that there is none.
+func readRequiredVersion(root docreader.Node) Version {
+	version := readVersion(root.Field("version"))
+	if version == 0 {
+		root.Field("version").AddFault("a whole number above 0 is wanted")
+	}
+	return version
+}
--- a/internal/controlplane/configuration/parse.go
+++ b/internal/controlplane/configuration/parse.go
@@ -1,8 +1,6 @@
 package configuration
 
 import (
-	"bytes"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -21,58 +19,31 @@
 	defaultIdleTimeout   = 15 * time.Second
 )
 
-// ParseNew reads a document that is to come into force. It is Parse and refuses in addition what some readers of JSON
-// could not read, or would read differently, and numbers out of their bounds.
-func ParseNew(document []byte) (*Config, error) {
-	if err := checkStrictJSON(document); err != nil {
+// ParseNew returns the typed form of a document that is to come into force, as NewDocument reads it.
+func ParseNew(text []byte) (*Config, error) {
+	document, err := NewDocument(text)
+	if err != nil {
 		return nil, err
 	}
-	return parse(document, checkNumbers)
-}
-
-// Parse reads a document that is in force. If the document is one JSON object, the error is a *docreader.Error with the
-// first faults and their paths. Earlier versions put documents in force that ParseNew refuses, so Parse passes over text after the
-// object that begins with a closing bracket, and takes a number out of its bounds for the nearest bound.
-func Parse(document []byte) (*Config, error) {
-	return parse(document, func(docreader.Node) {})
+	return document.config, nil
 }
 
-// parse reads a document after a further check of it.
-func parse(document []byte, check func(root docreader.Node)) (*Config, error) {
-	findings := &docreader.Findings{}
-	root, err := decode(document, findings)
+// Parse returns the typed form of a document that is in force, as StoredDocument reads it. If the document is one JSON
+// object, the error is a *docreader.Error with the first faults and their paths.
+func Parse(text []byte) (*Config, error) {
+	document, err := StoredDocument(text)
 	if err != nil {
 		return nil, err
 	}
-	check(root)
-	config := readConfig(root, findings)
-	if err := findings.Err(); err != nil {
-		return nil, err
+	if document.config.Version == 0 {
+		return nil, errors.New("no configuration")
 	}
-	config.index()
-	return config, nil
-}
-
-// decode reads a JSON object, with its numbers as json.Number.
-func decode(document []byte, findings *docreader.Findings) (docreader.Node, error) {
-	decoder := json.NewDecoder(bytes.NewReader(document))
-	decoder.UseNumber()
-	var value map[string]any
-	if err := decoder.Decode(&value); err != nil {
-		return docreader.Node{}, errors.Wrap(err, "not a whole JSON object")
-	}
-	if decoder.More() {
-		return docreader.Node{}, errors.New("more than one JSON value")
-	}
-	return docreader.Root(value, findings), nil
+	return document.config, nil
 }
 
 func readConfig(root docreader.Node, findings *docreader.Findings) *Config {
 	config := &Config{Services: map[string]*Service{}}
-	config.Version = readVersion(root.Field("version"))
-	if config.Version == 0 {
-		root.Field("version").AddFault("a whole number above 0 is wanted")
-	}
+	config.Version = readRequiredVersion(root)
 	for _, node := range root.Field("services").Items() {
 		if findings.IsFull() {
 			return config
@@ -156,11 +127,10 @@
 }
 
 func readWeightedService(node docreader.Node) WeightedService {
-	weight := node.Field("share").Number(0)
-	if weight < 0 {
+	if share, _ := node.Field("share").FiniteNumber(); share < 0 {
 		node.Field("share").AddFault("must not be negative")
 	}
-	return WeightedService{Service: node.Field("service").RequiredText(), Weight: min(weight, maxShare)}
+	return WeightedService{Service: node.Field("service").RequiredText(), Weight: shareField.read(node)}
 }
 
 func readLimits(node docreader.Node) Limits {
--- a/internal/controlplane/configuration/patch.go
+++ b/internal/controlplane/configuration/patch.go
@@ -1,124 +1,120 @@
 package configuration
 
 import (
-	"bytes"
-	"encoding/json"
+	"slices"
 
-	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"pumiceline/internal/docreader"
+	"pumiceline/internal/strictjson"
 )
 
-// patchBody is the body of a PATCH. Add holds the items to add to each list of the document, such as "routes"; Remove
-// holds the names of the items to remove from it. Items are removed first. An added item replaces the item with the
-// same name.
+// namedLists are the lists of a document whose items have names, so that a PATCH can change them.
+var namedLists = []string{"routes", "services"}
+
+// listPatch is what a PATCH changes in one list of a document. Items are removed first. An added item replaces the item
+// with the same name.
+type listPatch struct {
+	removed map[string]bool // by name
+	added   []any
+}
+
+// patchBody is the body of a PATCH, read once.
 type patchBody struct {
-	Version json.RawMessage              `json:"version"`
-	Add     map[string][]json.RawMessage `json:"add"`
-	Remove  map[string][]string          `json:"remove"`
+	version any
+	lists   map[string]listPatch // by the keys in namedLists
 }
 
-// patch applies the body of a PATCH to a document.
-func patch(document, body []byte) ([]byte, error) {
-	if err := checkStrictJSON(body); err != nil {
+// readPatch reads the body of a PATCH. The error names every fault that does not depend on the document to be changed.
+func readPatch(text []byte) (*patchBody, error) {
+	members, err := strictjson.ReadObject(text)
+	if err != nil {
 		return nil, err
 	}
-	var request patchBody
-	if err := json.Unmarshal(body, &request); err != nil {
-		return nil, errors.Wrap(err, "not a whole JSON object")
+	findings := &docreader.Findings{}
+	root := docreader.Root(members, findings)
+	checkOnlyKeys(root, "version", "add", "remove")
+	checkOnlyKeys(root.Field("add"), namedLists...)
+	checkOnlyKeys(root.Field("remove"), namedLists...)
+	readRequiredVersion(root)
+	checkObjects(root.Field("add"))
+	body := &patchBody{version: members["version"], lists: map[string]listPatch{}}
+	for _, list := range namedLists {
+		body.lists[list] = readListPatch(root, list)
 	}
-	fields := map[string]json.RawMessage{}
-	if len(document) > 0 {
-		// Only the first value is read: an earlier version accepted closing brackets after it.
-		if err := json.NewDecoder(bytes.NewReader(document)).Decode(&fields); err != nil {
-			return nil, errors.Wrap(err, "the configuration in force")
-		}
-	}
-	fields["version"] = request.Version
-	for list, names := range request.Remove {
-		remove := func(items []json.RawMessage) ([]json.RawMessage, error) { return removeItems(items, names) }
-		if err := editList(fields, list, remove); err != nil {
-			return nil, err
-		}
-	}
-	for list, added := range request.Add {
-		add := func(items []json.RawMessage) ([]json.RawMessage, error) { return addItems(items, added) }
-		if err := editList(fields, list, add); err != nil {
-			return nil, err
-		}
+	if err := findings.Err(); err != nil {
+		return nil, err
 	}
-	return json.Marshal(fields)
+	return body, nil
 }
 
-// editList replaces a list of the document with the result of edit. A missing list counts as empty.
-func editList(
-	fields map[string]json.RawMessage, list string, edit func([]json.RawMessage) ([]json.RawMessage, error),
-) error {
-	var items []json.RawMessage
-	if len(fields[list]) > 0 {
-		if err := json.Unmarshal(fields[list], &items); err != nil {
-			return errors.Wrapf(err, "%s: no list", list)
-		}
-	}
-	items, err := edit(items)
-	if err != nil {
-		return errors.Wrap(err, list)
+// checkOnlyKeys records a fault for each member that is none of some keys: it would be acknowledged without an effect.
+func checkOnlyKeys(object docreader.Node, keys ...string) {
+	if _, isObject := object.Members(); !isObject && !object.IsMissing() {
+		object.AddFault("an object is wanted")
 	}
-	if items == nil {
-		items = []json.RawMessage{} // encoded as [] rather than null
+	unknown := lo.Without(object.Keys(), keys...)
+	slices.Sort(unknown)
+	for _, key := range unknown {
+		object.Field(key).AddFault("cannot be changed by a PATCH; the keys are %q", keys)
 	}
-	encoded, err := json.Marshal(items)
-	fields[list] = encoded
-	return err
 }
 
-func removeItems(items []json.RawMessage, names []string) ([]json.RawMessage, error) {
-	isRemoved := make(map[string]bool, len(names))
-	for _, name := range names {
-		isRemoved[name] = true
+func readListPatch(root docreader.Node, list string) listPatch {
+	patch := listPatch{removed: map[string]bool{}}
+	for _, name := range root.Field("remove").Field(list).Items() {
+		patch.removed[name.Text("")] = true
 	}
-	var remaining []json.RawMessage
-	for _, item := range items {
-		name, err := itemName(item)
-		if err != nil {
-			return nil, err
-		}
-		if !isRemoved[name] {
-			remaining = append(remaining, item)
+	isAdded := map[string]bool{}
+	for _, item := range root.Field("add").Field(list).Items() {
+		name := item.Field("name").RequiredText()
+		if name != "" && isAdded[name] {
+			item.Field("name").AddFault("the name %q stands twice", name)
 		}
+		isAdded[name] = true
+		members, _ := item.Members() // without any it has no name, which is a fault
+		patch.added = append(patch.added, members)
 	}
-	return remaining, nil
+	return patch
 }
 
-// addItems appends items. An added item replaces an existing item with the same name.
-func addItems(items, added []json.RawMessage) ([]json.RawMessage, error) {
-	indexByName := map[string]int{}
-	for i, item := range items {
-		name, err := itemName(item)
-		if err != nil {
-			return nil, err
-		}
-		indexByName[name] = i
+// patched returns the document after a PATCH, or the faults of the result.
+func (d *Document) patched(body *patchBody) (*Document, error) {
+	members := make(map[string]any, len(d.members))
+	for key, value := range d.members {
+		members[key] = value
 	}
-	for _, item := range added {
-		name, err := itemName(item)
-		if err != nil {
-			return nil, err
-		}
-		if i, ok := indexByName[name]; ok {
-			items[i] = item
+	members["version"] = body.version
+	for list, patch := range body.lists {
+		if _, isPresent := members[list]; !isPresent && len(patch.added) == 0 {
 			continue
 		}
-		indexByName[name] = len(items)
-		items = append(items, item)
+		items, _ := members[list].([]any) // the document was read, so it is a list or null
+		members[list] = patch.apply(items)
 	}
-	return items, nil
+	return acceptDocument(members, &docreader.Findings{})
 }
 
-func itemName(item json.RawMessage) (string, error) {
-	var named struct {
-		Name string `json:"name"`
+// apply returns the items of a list after the patch. The given list is not modified.
+func (p *listPatch) apply(items []any) []any {
+	result := lo.Reject(items, func(item any, _ int) bool { return p.removed[itemName(item)] })
+	indexByName := make(map[string]int, len(result))
+	for i, item := range result {
+		indexByName[itemName(item)] = i
 	}
-	if err := json.Unmarshal(item, &named); err != nil {
-		return "", errors.Wrap(err, "an item that is no object")
+	for _, item := range p.added {
+		if i, isReplaced := indexByName[itemName(item)]; isReplaced {
+			result[i] = item
+			continue
+		}
+		result = append(result, item)
 	}
-	return named.Name, nil
+	return result
+}
+
+// itemName returns the name of an item of a document that was read, so that each item has one.
+func itemName(item any) string {
+	members, _ := item.(map[string]any)
+	name, _ := members["name"].(string)
+	return name
 }
--- a/internal/docreader/docreader.go
+++ b/internal/docreader/docreader.go
@@ -117,6 +117,12 @@
 	return field
 }
 
+// Members returns the members of an object. They may be changed until the object is read.
+func (n Node) Members() (members map[string]any, ok bool) {
+	members, ok = n.value.(map[string]any)
+	return members, ok && members != nil
+}
+
 // Keys returns the names of an object's members in unspecified order. Any other value has none.
 func (n Node) Keys() []string {
 	object, _ := n.value.(map[string]any)
@@ -129,7 +135,7 @@
 
 // Items returns the elements of a list. A missing or null node has none; any other value is a fault.
 func (n Node) Items() []Node {
-	if n.isMissing() {
+	if n.IsMissing() {
 		return nil
 	}
 	list, ok := n.value.([]any)
@@ -147,6 +153,12 @@
 // Text returns a string, or fallback if the node is missing.
 func (n Node) Text(fallback string) string { return read[string](n, fallback, "a text is wanted") }
 
+// IsText returns the string at the node. ok is false if there is none; this is not recorded as a fault.
+func (n Node) IsText() (text string, ok bool) {
+	text, ok = n.value.(string)
+	return text, ok
+}
+
 // RequiredText returns a string. A missing or empty one is a fault.
 func (n Node) RequiredText() string {
 	text := n.Text("")
@@ -161,7 +173,7 @@
 
 // Number returns a finite number, or fallback if the node is missing.
 func (n Node) Number(fallback float64) float64 {
-	if n.isMissing() {
+	if n.IsMissing() {
 		return fallback
 	}
 	number, ok := n.FiniteNumber()
@@ -189,13 +201,13 @@
 	return number, err == nil
 }
 
-// isMissing reports whether the node is absent or null.
-func (n Node) isMissing() bool { return !n.isPresent || n.value == nil }
+// IsMissing reports whether the node is absent or null, so that reading it gives the fallback.
+func (n Node) IsMissing() bool { return !n.isPresent || n.value == nil }
 
 // read returns the node's value, or fallback if it is missing. For a value of another type it records the fault and
 // returns fallback.
 func read[T any](n Node, fallback T, fault string) T {
-	if n.isMissing() {
+	if n.IsMissing() {
 		return fallback
 	}
 	value, ok := n.value.(T)
