A document that an earlier version put in force is shown in canonical form; who differs is told

Cause: what is stored stays the operator's text of that time, and GET passed it on without reading it.

Rule: a start never refuses or loses such a document. It is in force under its version as that version applied it, GET shows its canonical text, a PATCH builds on that value, and the log and /status tell its fault (configFault). The stored bytes stay until the next change, as members of both versions in one chain must have the same.

Two If-Match headers are refused. pumicectl config diff reads both documents as strictly as the coordinators do.

--- a/cmd/pumicectl/coordinators.go
+++ b/cmd/pumicectl/coordinators.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,7 +32,7 @@
 }
 
 func (c *coordinators) addresses() []string {
-	return strings.FieldsFunc(c.list, func(r rune) bool { return r == ',' })
+	return splitAddresses(c.list)
 }
 
 // request is an HTTP request to a coordinator.
--- a/cmd/pumicectl/diff.go
+++ b/cmd/pumicectl/diff.go
@@ -6,6 +6,9 @@
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"pumiceline/internal/docreader"
+	"pumiceline/internal/strictjson"
 )
 
 // comparedLists are the lists of a configuration whose items have names.
@@ -50,24 +53,23 @@
 
 // itemsByName returns the items of a list by name, each encoded so that equal items give equal strings.
 func itemsByName(document []byte, list string) (map[string]string, error) {
-	var members map[string]json.RawMessage
-	if err := json.Unmarshal(document, &members); err != nil {
+	members, err := strictjson.ReadObject(document)
+	if err != nil {
 		return nil, err
 	}
-	var items []map[string]any
-	if len(members[list]) > 0 {
-		if err := json.Unmarshal(members[list], &items); err != nil {
-			return nil, errors.Wrap(err, list)
-		}
-	}
+	findings := &docreader.Findings{}
+	items := docreader.Root(members, findings).Field(list).Items()
 	byName := map[string]string{}
 	for _, item := range items {
-		name, _ := item["name"].(string)
-		encoded, err := json.Marshal(item) // it sorts the keys of a map
+		members, _ := item.Members()
+		encoded, err := json.Marshal(members) // it sorts the keys of a map
 		if err != nil {
 			return nil, err
 		}
-		byName[name] = string(encoded)
+		byName[item.Field("name").RequiredText()] = string(encoded)
+	}
+	if err := findings.Err(); err != nil {
+		return nil, err
 	}
 	return byName, nil
 }
--- a/cmd/pumicectl/status.go
+++ b/cmd/pumicectl/status.go
@@ -23,6 +23,7 @@
 	flags := flag.NewFlagSet("pumicectl status", flag.ContinueOnError)
 	c := &coordinators{}
 	c.register(flags)
+	proxies := flags.String("proxies", "", "readiness addresses of proxies whose configuration is compared, separated by commas")
 	asJSON := flags.Bool("json", false, "print one JSON object per coordinator")
 	return &ffcli.Command{
 		Name: "status", ShortUsage: "pumicectl status --control ADDRESS,...", FlagSet: flags,
@@ -31,7 +32,7 @@
 			if *asJSON {
 				return c.printStatusJSON(ctx)
 			}
-			return c.printStatusTable(ctx)
+			return c.printStatusTable(ctx, splitAddresses(*proxies))
 		},
 	}
 }
@@ -39,11 +40,12 @@
 const statusHeader = "COORDINATOR\tVIEW\tCHAIN\tVOTERS\tMEMBER\tMAJORITY\tSERVES\tVERSION\tLEASE HOLDER\tISSUER\tPROXIES\tBACKENDS\tLOADS\tWAITS FOR"
 
 // printStatusTable prints a row per coordinator, and below a line per placement task, per condition that a coordinator
-// waits for, and per end of an earlier process that was not in order.
-func (c *coordinators) printStatusTable(ctx context.Context) error {
+// waits for, per end of an earlier process that was not in order, and per process whose configuration differs.
+func (c *coordinators) printStatusTable(ctx context.Context, proxies []string) error {
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(table, statusHeader)
 	var lines []string
+	var configs []configInForce
 	unreachable := 0
 	for _, address := range c.addresses() {
 		r, err := requestStatus(ctx, address)
@@ -55,10 +57,21 @@
 		printStatusRow(table, address, &r.status)
 		lines = append(lines, describeTasks(r.status.Tasks)...)
 		lines = append(lines, describeProcess(address, r.status.Process)...)
+		configs = append(configs, configOfCoordinator(address, &r.status))
+	}
+	for _, address := range proxies {
+		config, err := configOfProxy(ctx, address)
+		if err != nil {
+			lines = append(lines, fmt.Sprintf("%s: no answer: %v", address, err))
+			unreachable++
+			continue
+		}
+		configs = append(configs, config)
 	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	lines = append(lines, describeConfigs(configs)...)
 	for _, line := range lines {
 		fmt.Println(line)
 	}
--- a/internal/controlplane/coordinator/api.go
+++ b/internal/controlplane/coordinator/api.go
@@ -27,13 +27,15 @@
 // sends it again unchanged.
 var errNotDecided = errors.New("not decided yet: ask again")
 
-// operatorAPI is the operator's HTTP API: GET, PUT and PATCH on /config, and GET on /status. It shares its address
+// operatorAPI is the operator's HTTP API: GET, PUT and PATCH on /config, and GET on /status and /metrics. It shares its address
 // with the API of applications, and passes their calls on to it.
 type operatorAPI struct {
 	loop         *replicaLoop
 	node         string
 	process      *lifecycle.Process
 	applications *coordinationapi.Handler
+	refusals     *configRefusals
+	shown        shownConfigs
 }
 
 // ServeHTTP answers a request of the operator or of an application.
@@ -41,6 +43,8 @@
 	switch {
 	case r.URL.Path == "/status" && r.Method == http.MethodGet:
 		a.serveStatus(w)
+	case r.URL.Path == "/metrics" && r.Method == http.MethodGet:
+		a.refusals.serveMetrics(w, r)
 	case r.URL.Path == "/config":
 		a.serveConfig(w, r)
 	case coordinationapi.Serves(r.URL.Path):
@@ -56,19 +60,30 @@
 		http.Error(w, "GET, PUT or PATCH is wanted", http.StatusMethodNotAllowed)
 		return
 	}
+	request := &message.ConfigRequest{Method: r.Method, IfMatch: r.Header.Get("If-Match")}
+	if len(r.Header.Values("If-Match")) > 1 {
+		a.refuse(w, request, http.StatusBadRequest, "If-Match: one version is wanted")
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBody))
 	if err != nil {
-		http.Error(w, "the body cannot be read whole: "+err.Error(), statusOfBodyError(err))
+		a.refuse(w, request, statusOfBodyError(err), "the body cannot be read whole: "+err.Error())
 		return
 	}
-	request := &message.ConfigRequest{Method: r.Method, IfMatch: r.Header.Get("If-Match"), Body: body}
+	request.Body = body
 	result, err := a.submit(r, request)
 	if err != nil {
 		w.Header().Set("Retry-After", "0.2")
-		http.Error(w, err.Error(), statusOfUndecided(r.Method))
+		a.refuse(w, request, statusOfUndecided(r.Method), err.Error())
 		return
 	}
-	writeConfigResponse(w, r, result)
+	a.writeConfigResponse(w, request, result)
+}
+
+// refuse answers a request that no member has decided.
+func (a *operatorAPI) refuse(w http.ResponseWriter, request *message.ConfigRequest, status int, explanation string) {
+	a.refusals.count(request, status, explanation)
+	http.Error(w, explanation, status)
 }
 
 // statusOfUndecided is the status for a request that was not decided in time: 503 for a read and 504 for a change. A
@@ -93,17 +108,22 @@
 	return http.StatusBadRequest
 }
 
-func writeConfigResponse(w http.ResponseWriter, r *http.Request, result *message.ConfigResponse) {
-	if r.Method == http.MethodGet && len(result.Body) == 0 {
+func (a *operatorAPI) writeConfigResponse(w http.ResponseWriter, request *message.ConfigRequest, result *message.ConfigResponse) {
+	body := result.Body
+	if request.Method == http.MethodGet {
+		body = a.shown.of(result.Body).text
+	}
+	if request.Method == http.MethodGet && len(body) == 0 {
 		http.Error(w, "no configuration has been taken yet", http.StatusNotFound)
 		return
 	}
+	a.refusals.count(request, result.Status, string(body))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(result.Status)
-	if len(result.Body) == 0 {
-		result.Body = []byte("{}")
+	if len(body) == 0 {
+		body = []byte("{}")
 	}
-	_, _ = w.Write(result.Body) // a client that has disconnected sends its request again
+	_, _ = w.Write(body) // a client that has disconnected sends its request again
 }
 
 // submit passes the request to the replica, which forwards it to the member that decides it. As messages may be lost,
--- a/internal/controlplane/coordinator/api_test.go
+++ b/internal/controlplane/coordinator/api_test.go
@@ -27,7 +27,7 @@
 		{"client disconnects", brokenBody{}, http.StatusBadRequest},
 	} {
 		response := httptest.NewRecorder()
-		(&operatorAPI{}).ServeHTTP(response, httptest.NewRequest(http.MethodPut, "/config", c.body))
+		(&operatorAPI{refusals: newConfigRefusals()}).ServeHTTP(response, httptest.NewRequest(http.MethodPut, "/config", c.body))
 		assert.Equal(t, c.want, response.Code, c.name)
 	}
 }
@@ -43,7 +43,7 @@
 		cancel()
 		response := httptest.NewRecorder()
 		request := httptest.NewRequest(method, "/config", nil).WithContext(ctx)
-		(&operatorAPI{loop: loop}).ServeHTTP(response, request)
+		(&operatorAPI{loop: loop, refusals: newConfigRefusals()}).ServeHTTP(response, request)
 		assert.Equal(t, want, response.Code, method)
 	}
 }
--- a/internal/controlplane/coordinator/coordinator.go
+++ b/internal/controlplane/coordinator/coordinator.go
@@ -119,6 +119,10 @@
 	if err != nil {
 		return openResult{err: err}
 	}
+	if fault := storedFault(stored.chain.Document); fault != "" {
+		logrus.WithFields(logrus.Fields{logkey.Version: stored.chain.Version, logkey.Reason: fault}).
+			Warn("the configuration on disk is not valid; its canonical form is in force until the next change")
+	}
 	var coordinationStored *storedCoordination
 	err = process.Until(ctx, "the folder of the coordination state", func() error {
 		coordinationStored, err = openCoordinationState(settings.StateDir)
@@ -144,6 +148,7 @@
 	go newController(c.loop, settings).run(ctx)
 	return &operatorAPI{
 		loop: c.loop, node: settings.Node, process: process, applications: coordinationapi.NewHandler(c.coordination.relay),
+		refusals: newConfigRefusals(),
 	}
 }
 
--- a/internal/controlplane/coordinator/replica_loop.go
+++ b/internal/controlplane/coordinator/replica_loop.go
@@ -51,6 +51,7 @@
 	leaseUntil   time.Time             // when the lease expires; only with leaseToken
 	sequence     uint64                // of the newest acknowledged change
 	version      configuration.Version // the operator's, after that change
+	document     []byte                // the stored configuration, after that change; not modified
 	hasMajority  bool
 	isDurable    bool      // accepted state survives a loss of all power and of the tolerated number of disks
 	servingUntil time.Time // until when it may serve its configuration to proxies
@@ -173,6 +174,7 @@
 		canStop:      l.replica.CanStop(),
 		sequence:     committed.Sequence,
 		version:      configuration.Version(committed.Version),
+		document:     committed.Document,
 		hasMajority:  l.replica.HasMajority(),
 		isDurable:    l.replica.IsDurable(),
 		servingUntil: l.started.Add(l.replica.ServingUntil()),
--- a/internal/controlplane/coordinator/state_writer_test.go
+++ b/internal/controlplane/coordinator/state_writer_test.go
@@ -66,7 +66,7 @@
 	require.True(t, result.Apply, string(result.Body))
 	record := message.ChangeRecord{
 		Previous: state.Digest, Change: result.Change, Delta: delta.Make(state.Document, result.Document),
-		DocumentDigest: replica.DocumentDigest(result.Document),
+		DocumentDigest: message.DocumentDigest(result.Document),
 	}
 	next, err := replica.ApplyChange(state, &record)
 	require.NoError(t, err)
--- a/internal/controlplane/coordinator/status.go
+++ b/internal/controlplane/coordinator/status.go
@@ -27,11 +27,15 @@
 	WaitingFor  string                `json:"waitsFor"`    // what it waits for before it can take part; empty: nothing
 	Sequence    uint64                `json:"sequence"`    // number of changes acknowledged
 	Version     configuration.Version `json:"version"`     // the operator's version of the configuration in force
-	LeaseHolder string                `json:"leaseHolder"` // internal address; empty: not known
-	LeaseToken  message.FencingToken  `json:"leaseToken"`  // 0 unless this member holds the lease
-	Proxies     int                   `json:"proxies"`
-	Backends    int                   `json:"backends"`
-	Tasks       []Task                `json:"tasks"` // of placement, at the lease holder
+	// ConfigDigest identifies the stored configuration: coordinators and proxies with the same digest apply the same.
+	ConfigDigest string `json:"configDigest,omitempty"`
+	// ConfigFault is why the configuration in force, which an earlier version accepted, would not be accepted now.
+	ConfigFault string               `json:"configFault,omitempty"`
+	LeaseHolder string               `json:"leaseHolder"` // internal address; empty: not known
+	LeaseToken  message.FencingToken `json:"leaseToken"`  // 0 unless this member holds the lease
+	Proxies     int                  `json:"proxies"`
+	Backends    int                  `json:"backends"`
+	Tasks       []Task               `json:"tasks"` // of placement, at the lease holder
 	// List is the state of the list of backends that the coordinator passes on; nil if the coordinator is of a version
 	// without it.
 	List *discovery.ListStatus `json:"list,omitempty"`
@@ -79,6 +83,8 @@
 		status.IsServing, status.WaitingFor = time.Now().Before(s.servingUntil), s.waitingFor
 		status.LeaseHolder, status.LeaseToken = s.leaseHolder, s.leaseToken
 		status.Sequence, status.Version = s.sequence, s.version
+		shown := a.shown.of(s.document)
+		status.ConfigDigest, status.ConfigFault = shown.digest, shown.fault
 	}
 	if a.loop.coordination != nil {
 		status.Coordination = a.loop.coordination.describe()
--- a/internal/controlplane/distribution/config_copy.go
+++ b/internal/controlplane/distribution/config_copy.go
@@ -39,7 +39,7 @@
 	document = update.Document
 	if len(update.Delta) > 0 {
 		expanded, err := delta.Apply(c.document, update.Delta, maxExpandedBytes)
-		if update.Base != c.sequence || err != nil || !bytes.Equal(documentDigest(expanded), update.Digest) {
+		if update.Base != c.sequence || err != nil || !bytes.Equal(message.DocumentDigest(expanded), update.Digest) {
 			c.needsFull = true
 			return nil, false
 		}
--- a/internal/controlplane/distribution/config_history.go
+++ b/internal/controlplane/distribution/config_history.go
@@ -1,8 +1,6 @@
 package distribution
 
 import (
-	"crypto/sha256"
-
 	"pumiceline/internal/delta"
 	"pumiceline/internal/message"
 )
@@ -52,17 +50,10 @@
 		difference := delta.Make(h.recent[i].Document, newest.Document)
 		if len(difference) < len(newest.Document) {
 			update = &message.ConfigUpdate{
-				Sequence: newest.Sequence, Base: sequence, Delta: difference, Digest: documentDigest(newest.Document),
+				Sequence: newest.Sequence, Base: sequence, Delta: difference, Digest: message.DocumentDigest(newest.Document),
 			}
 		}
 	}
 	h.updates[sequence] = update
 	return update
 }
-
-// documentDigest is the first half of the document's SHA-256. Subscribers compare it, because a delta that is applied
-// to another document than it was made for may expand to a wrong document without an error.
-func documentDigest(document []byte) []byte {
-	sum := sha256.Sum256(document)
-	return sum[:sha256.Size/2]
-}
--- a/internal/controlplane/replica/change_history.go
+++ b/internal/controlplane/replica/change_history.go
@@ -35,19 +35,13 @@
 	return hash.Sum(nil)[:digestBytes]
 }
 
-// DocumentDigest returns the digest of a configuration document.
-func DocumentDigest(document []byte) []byte {
-	sum := sha256.Sum256(document)
-	return sum[:digestBytes]
-}
-
 // newChangeRecord returns the record of a change that turns the document of a state into another.
 func newChangeRecord(
 	state *message.ChainState, change message.Change, document []byte, view message.ViewNumber,
 ) *message.ChangeRecord {
 	return &message.ChangeRecord{
 		View: view, Previous: state.Digest, Change: change,
-		Delta: delta.Make(state.Document, document), DocumentDigest: DocumentDigest(document),
+		Delta: delta.Make(state.Document, document), DocumentDigest: message.DocumentDigest(document),
 	}
 }
 
@@ -62,7 +56,7 @@
 	if err != nil {
 		return message.ChainState{}, errors.Wrap(err, "apply the delta of a change")
 	}
-	if !bytes.Equal(DocumentDigest(document), record.DocumentDigest) {
+	if !bytes.Equal(message.DocumentDigest(document), record.DocumentDigest) {
 		return message.ChainState{}, errDocumentMismatch
 	}
 	history, horizon := appendToHistory(state, record.Change)
--- a/internal/dataplane/proxy/subscription.go
+++ b/internal/dataplane/proxy/subscription.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"encoding/hex"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,7 @@
 	mutex      sync.Mutex
 	addresses  []string // of the coordinators, the preferred first
 	config     distribution.ConfigCopy
+	inForce    atomic.Pointer[ConfigStatus] // nil: no configuration has been applied
 	loadTotals inflight.DeltaDecoder
 	backends   *discovery.BackendList // nil: the next update must be complete
 	// newestVersion holds when the newest backends were read from the platform, and their revision, but not the
@@ -168,6 +170,7 @@
 		logrus.WithError(err).Error("invalid configuration from a coordinator; the current one stays in use")
 		return nil
 	}
+	s.inForce.Store(&ConfigStatus{Version: config.Version, Digest: hex.EncodeToString(message.DocumentDigest(document))})
 	logrus.WithField(logkey.Version, config.Version).Debug("new configuration applied")
 	return config
 }
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -17,6 +17,8 @@
 	Attempts = "attempts"
 	// Backend is the id of a backend on the platform's list.
 	Backend = "backend"
+	// Base is the version that a change of the configuration is based on.
+	Base = "base"
 	// Candidates is the number of backends that could have taken a request.
 	Candidates = "candidates"
 	// Complete reports whether the client was sent a complete response.
--- a/internal/message/chain.go
+++ b/internal/message/chain.go
@@ -1,5 +1,17 @@
 package message
 
+import "crypto/sha256"
+
+// documentDigestBytes is the length of the digest of a configuration document, a truncated SHA-256.
+const documentDigestBytes = 16
+
+// DocumentDigest identifies a configuration document by its stored text. The receiver of a delta compares it, because a
+// delta that is applied to another document than it was made for may expand to a wrong document without an error.
+func DocumentDigest(document []byte) []byte {
+	sum := sha256.Sum256(document)
+	return sum[:documentDigestBytes]
+}
+
 // Replicate carries the replicated state to the successor in the chain: a change on top of a known state, a snapshot,
 // or only the digest, which the receiver compares with its own.
 type Replicate struct {
