Bodies of applications, leases and the standalone proxy's file are read strictly too

These readers took the last of two equal keys, matched keys without regard to case (structs of encoding/json), or stopped after the first value (json.Decoder.Decode in the leases' members and client), so another reader of the same text could take another value. A settings file with a second YAML document was read to its first.

Change: locks, numbers and keys, the leases' hello, heartbeat and status, and the standalone proxy's configuration (also at a reload) go through strictjson; a settings file of two documents is refused (a key twice was before). Not changed: the platform's list and backends' reports, which are kept as typed values that every process makes with the same reader.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -3,6 +3,8 @@
 package bootstrap
 
 import (
+	"bytes"
+	"io"
 	"os"
 	"time"
 
@@ -93,9 +95,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the settings file")
 	}
-	settings, err := Parse(text)
+	document, err := decode(text)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	settings, err := readDocument(document)
 	if err == nil {
-		err = checkComplete(text)
+		err = checkComplete(document)
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, path)
@@ -108,11 +114,7 @@
 
 // checkComplete checks that a file has the sections that stand behind the required keys: a beginning of the file may be
 // valid YAML without them.
-func checkComplete(text []byte) error {
-	var document map[string]any
-	if err := yaml.Unmarshal(text, &document); err != nil {
-		return errors.Wrap(err, "not YAML")
-	}
+func checkComplete(document map[string]any) error {
 	sections := []string{"listen", "stateDir", "bounds"}
 	if document["discovery"] == platformDiscovery {
 		sections = append(sections, "cloud")
@@ -128,10 +130,34 @@
 // Parse reads settings from YAML. If the text is valid YAML with faulty settings, the error is a *docreader.Error that
 // lists every faulty key.
 func Parse(text []byte) (*Settings, error) {
+	document, err := decode(text)
+	if err != nil {
+		return nil, err
+	}
+	return readDocument(document)
+}
+
+// decode returns the one document of a YAML text. A key that stands twice is an error, and so is a second document: it
+// would be passed over.
+func decode(text []byte) (map[string]any, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
 	var document map[string]any
-	if err := yaml.Unmarshal(text, &document); err != nil {
+	if err := decoder.Decode(&document); err != nil && !errors.Is(err, io.EOF) {
 		return nil, errors.Wrap(err, "not YAML")
 	}
+	var second any
+	err := decoder.Decode(&second)
+	switch {
+	case errors.Is(err, io.EOF), err == nil && second == nil:
+		return document, nil
+	case err != nil:
+		return nil, errors.Wrap(err, "not YAML")
+	}
+	return nil, errors.New("a second YAML document; one is wanted")
+}
+
+// readDocument reads the settings of a document, or returns its faults.
+func readDocument(document map[string]any) (*Settings, error) {
 	findings := &docreader.Findings{}
 	settings := read(docreader.Root(document, findings))
 	if err := findings.Err(); err != nil {
--- a/internal/bootstrap/bootstrap_test.go
+++ b/internal/bootstrap/bootstrap_test.go
@@ -43,3 +43,13 @@
 	_, err = Parse([]byte("node: [unclosed"))
 	assert.ErrorContains(t, err, "not YAML")
 }
+
+// A settings file of two documents, or with a key twice, could be read in two ways.
+func TestParse_RefusesWhatCanBeReadInTwoWays(t *testing.T) {
+	_, err := Parse([]byte(sampleFile + "---\n"))
+	require.NoError(t, err, "an empty document after it")
+	_, err = Parse([]byte(sampleFile + "---\nnode: other\n"))
+	assert.ErrorContains(t, err, "a second YAML document")
+	_, err = Parse([]byte(sampleFile + "node: other\n"))
+	assert.ErrorContains(t, err, "already defined")
+}
--- a/internal/controlplane/coordinationapi/request.go
+++ b/internal/controlplane/coordinationapi/request.go
@@ -13,6 +13,7 @@
 
 	"pumiceline/internal/controlplane/coordination"
 	"pumiceline/internal/message"
+	"pumiceline/internal/strictjson"
 )
 
 // maxWatchWait is the maximum time that a watch waits for an event. Longer times are reduced to it.
@@ -165,30 +166,27 @@
 	return number, nil
 }
 
-// fields are the fields of a JSON object. Fields that a call does not use are ignored.
-type fields map[string]json.RawMessage
+// fields are the fields of a JSON object, as package strictjson reads it. Fields that a call does not use are ignored.
+type fields map[string]any
 
 func parseFields(body []byte) (fields, error) {
-	if !utf8.Valid(body) {
-		return nil, invalid("the body is not UTF-8")
-	}
-	var parsed fields
-	if err := json.Unmarshal(body, &parsed); err != nil || parsed == nil {
-		return nil, invalid("the body must be a JSON object")
+	parsed, err := strictjson.ReadObject(body)
+	if err != nil {
+		return nil, invalid("the body must be a JSON object: %s", err)
 	}
 	return parsed, nil
 }
 
 // text returns a field that must be present and a string.
 func (f fields) text(name string) (string, error) {
-	var value *string
-	if err := json.Unmarshal(f.get(name), &value); err != nil {
-		return "", invalid("%s must be a string", name)
-	}
-	if value == nil {
+	if f[name] == nil {
 		return "", invalid("%s is missing", name)
 	}
-	return *value, nil
+	value, isText := f[name].(string)
+	if !isText {
+		return "", invalid("%s must be a string", name)
+	}
+	return value, nil
 }
 
 // has reports whether a field is present, null included.
@@ -199,22 +197,15 @@
 
 // count returns a field that must be present and a non-negative integer.
 func (f fields) count(name string) (uint64, error) {
-	var value *uint64
-	if err := json.Unmarshal(f.get(name), &value); err != nil {
-		return 0, invalid("%s must be a whole number that is not negative", name)
-	}
-	if value == nil {
+	if f[name] == nil {
 		return 0, invalid("%s is missing", name)
 	}
-	return *value, nil
-}
-
-// get returns a field as JSON, or null if it is missing.
-func (f fields) get(name string) json.RawMessage {
-	if raw, ok := f[name]; ok {
-		return raw
+	number, _ := f[name].(json.Number)
+	value, err := strconv.ParseUint(number.String(), 10, 64)
+	if err != nil {
+		return 0, invalid("%s must be a whole number that is not negative", name)
 	}
-	return json.RawMessage("null")
+	return value, nil
 }
 
 func (f fields) owner() (message.OwnerName, error) {
--- a/internal/singleton/leaseclient/heartbeat.go
+++ b/internal/singleton/leaseclient/heartbeat.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -13,6 +12,7 @@
 	"time"
 
 	"pumiceline/internal/singleton"
+	"pumiceline/internal/strictjson"
 )
 
 const maxResponseBytes = 1 << 20
@@ -119,7 +119,7 @@
 		reply.leader, _ = strconv.ParseUint(resp.Header.Get(singleton.LeaderHeader), 10, 64) // 0 if not a number
 		return reply, fmt.Errorf("heartbeat to %s: status %s", member, resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&reply.response); err != nil {
+	if err := strictjson.Decode(resp.Body, maxResponseBytes, &reply.response); err != nil {
 		return reply, fmt.Errorf("response of %s: %w", member, err)
 	}
 	return reply, nil
--- a/internal/singleton/raftmember/adminclient.go
+++ b/internal/singleton/raftmember/adminclient.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,9 +10,14 @@
 	"net/url"
 
 	"pumiceline/internal/singleton"
+	"pumiceline/internal/strictjson"
 )
 
-const maxReasonBytes = 1 << 10 // of the leader's error message
+// Bounds of responses.
+const (
+	maxReasonBytes = 1 << 10 // of the leader's error message
+	maxStatusBytes = 1 << 20
+)
 
 // AdminClient sends an operator's requests to the members of a fleet.
 type AdminClient struct {
@@ -68,7 +72,7 @@
 		return s, err
 	}
 	defer resp.Body.Close()
-	err = json.NewDecoder(resp.Body).Decode(&s)
+	err = strictjson.Decode(resp.Body, maxStatusBytes, &s)
 	return s, err
 }
 
--- a/internal/singleton/raftmember/http.go
+++ b/internal/singleton/raftmember/http.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pumiceline/internal/singleton"
+	"pumiceline/internal/strictjson"
 )
 
 // Paths of the member API, besides singleton.HeartbeatPath.
@@ -86,7 +87,7 @@
 // handleHello accepts or rejects a peer that starts. It responds to an accepted peer once the acceptance is on disk.
 func (m *Member) handleHello(w http.ResponseWriter, r *http.Request) {
 	var h Hello
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&h); err != nil || m.peers[h.ID] == nil {
+	if err := strictjson.Decode(r.Body, maxBodyBytes, &h); err != nil || m.peers[h.ID] == nil {
 		http.Error(w, "no hello of a member", http.StatusBadRequest)
 		return
 	}
@@ -106,7 +107,7 @@
 // handleHeartbeat responds once a quorum has confirmed, after the heartbeat was received, that this member still leads.
 func (m *Member) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
 	var heartbeat singleton.Heartbeat
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&heartbeat)
+	err := strictjson.Decode(r.Body, maxBodyBytes, &heartbeat)
 	if err != nil || heartbeat.Name == "" || len(heartbeat.Name) > maxInstanceNameBytes ||
 		len(heartbeat.Leases) > singleton.MaxRoles {
 		http.Error(w, "no beat of an instance", http.StatusBadRequest)
--- a/internal/standalone/config/config.go
+++ b/internal/standalone/config/config.go
@@ -13,6 +13,7 @@
 
 	"pumiceline/internal/standalone/policy"
 	"pumiceline/internal/standalone/settings"
+	"pumiceline/internal/strictjson"
 )
 
 // Config is a valid configuration.
@@ -130,7 +131,7 @@
 
 func parseFile(text []byte) (*file, error) {
 	var f file
-	if err := json.Unmarshal(text, &f); err != nil {
+	if err := strictjson.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("config: %w", nameKey(err))
 	}
 	return &f, nil
--- a/internal/standalone/config/config_test.go
+++ b/internal/standalone/config/config_test.go
@@ -77,6 +77,8 @@
 	for _, c := range []struct{ from, to, want string }{
 		{full, "", "end of JSON input"},
 		{full, full[:len(full)/2], "end of JSON input"},
+		{`"HardLimit":1500000`, `"HardLimit":1500000,"HardLimit":2000000`, `the key "HardLimit" stands twice`},
+		{`"listen":`, `"Listen":"127.0.0.5:7070","listen":`, "differ in case only"},
 		{`"HardLimit":1500000`, `"HardLimit":-1`, "settings.Classes[0].HardLimit"},
 		{`"HardLimit":1500000`, `"HardLimit":"soon"`, "HardLimit: a string"},
 		{`,"HardLimit":1500000`, ``, "settings.Classes[0].HardLimit"},
--- a/internal/strictjson/read.go
+++ b/internal/strictjson/read.go
@@ -24,14 +24,17 @@
 //   - no object has a key twice, or two keys that differ in case only: some readers match keys without regard to case
 //   - its numbers are finite as 64-bit floating-point numbers
 //   - its nesting and the number of its values are within MaxDepth and MaxValues.
-func Read(text []byte) (any, error) {
+func Read(text []byte) (any, error) { return read(text, MaxValues) }
+
+// read reads as Read does, with another bound of the values.
+func read(text []byte, maxValues int) (any, error) {
 	if !utf8.Valid(text) {
 		return nil, errors.New("not UTF-8")
 	}
 	if hasUnpairedSurrogate(text) {
 		return nil, errors.New("an escape that stands for half of a character")
 	}
-	r := &reader{decoder: json.NewDecoder(bytes.NewReader(text))}
+	r := &reader{decoder: json.NewDecoder(bytes.NewReader(text)), maxValues: maxValues}
 	r.decoder.UseNumber()
 	value, err := r.value("", 0)
 	if err != nil {
@@ -58,8 +61,9 @@
 
 // reader reads a text and counts its values.
 type reader struct {
-	decoder *json.Decoder
-	values  int
+	decoder   *json.Decoder
+	values    int // read so far
+	maxValues int
 }
 
 // value reads the next value, which stands at a path.
@@ -71,8 +75,8 @@
 		return nil, errors.Wrap(noEOF(err), "not a whole JSON object")
 	case depth > MaxDepth:
 		return nil, errors.Errorf("%s: more than %d levels of lists and objects", path, MaxDepth)
-	case r.values > MaxValues:
-		return nil, errors.Errorf("%s: the document has more than %d values", orRoot(path), MaxValues)
+	case r.values > r.maxValues:
+		return nil, errors.Errorf("%s: the document has more than %d values", orRoot(path), r.maxValues)
 	}
 	switch token := token.(type) {
 	case json.Delim:
