Soak: operators send invalid and ambiguous changes all the time

The operators sent one kind of invalid configuration, at times. Each has a marker, so a read, a probe of a proxy or an acknowledgement that shows one is a violation. An invalid change no longer excuses the refusal of an acknowledged change that is sent again; proxies are probed for valid and invalid changes in turn.

--- a/internal/soak/check_configuration.go
+++ b/internal/soak/check_configuration.go
@@ -76,7 +76,7 @@
 		}
 		acknowledged[change.Base] = change.Marker
 		if change.IsInvalid {
-			found.add(RuleConfig, at, "%s is invalid and was acknowledged", change.Marker)
+			found.add(RuleConfig, at, "%s is invalid (%s) and was acknowledged", change.Marker, change.Fault)
 		}
 		for _, attempt := range change.Attempts {
 			if attempt.SentAt > at && isClearRejection(attempt.Status) && !hasOtherChange(h, change, at, attempt.EndedAt) {
@@ -88,10 +88,10 @@
 	return found
 }
 
-// hasOtherChange reports whether another change may have taken effect in a span.
+// hasOtherChange reports whether another change may have taken effect in a span. An invalid one never may.
 func hasOtherChange(h *History, change *Change, from, to Moment) bool {
 	return slices.ContainsFunc(h.Changes, func(other Change) bool {
-		if other.Marker == change.Marker || other.sentAt() > to {
+		if other.IsInvalid || other.Marker == change.Marker || other.sentAt() > to {
 			return false
 		}
 		return other.endedAt() >= from || !isSettled(&other)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -199,6 +199,12 @@
 		again := Attempt{Node: "c1", SentAt: 41 * second, EndedAt: 41 * second, Status: http.StatusPreconditionFailed}
 		h.Changes[2].Attempts = append(h.Changes[2].Attempts, again)
 	}},
+	{"an acknowledged change rejected when sent again, after an invalid one", RuleConfig, func(h *History) {
+		h.change("m9", 3, 4, 40*second+idOffset, http.StatusBadRequest)
+		h.Changes[len(h.Changes)-1].IsInvalid = true
+		again := Attempt{Node: "c1", SentAt: 41 * second, EndedAt: 41 * second, Status: http.StatusPreconditionFailed}
+		h.Changes[2].Attempts = append(h.Changes[2].Attempts, again)
+	}},
 	{"a change rejected when sent again after another", "", func(h *History) {
 		again := Attempt{Node: "c1", SentAt: 41 * second, EndedAt: 41 * second, Status: http.StatusPreconditionFailed}
 		h.Changes[1].Attempts = append(h.Changes[1].Attempts, again)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -102,6 +102,7 @@
 	Base      uint64
 	Version   uint64
 	IsInvalid bool
+	Fault     string // why it is invalid; empty: it is valid, or the history is of a version without it
 	Attempts  []Attempt
 }
 
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -32,6 +32,7 @@
 	mu          sync.Mutex
 	changeCount int    // changes begun so far
 	callCount   int    // calls made so far; selects the next coordinator
+	invalid     int    // invalid changes begun so far; selects the next of invalidChanges
 	version     uint64 // newest version known to be in force
 	marker      string // marker of that version
 }
@@ -81,20 +82,26 @@
 	o.changeCount++
 	c := &changeCall{method: http.MethodPut, base: o.version, version: o.version + step.VersionStep,
 		marker: fmt.Sprintf("marker%d", o.changeCount)}
-	isInvalid := step.Action == ActionInvalid
+	invalid := ""
 	var err error
-	if step.Action == ActionPatch {
+	switch step.Action {
+	case ActionPatch:
 		c.method = http.MethodPatch
 		c.body, err = patchBody(c.version, c.marker, o.marker)
-	} else {
-		c.body, err = putBody(c.version, c.marker, isInvalid)
+	case ActionInvalid:
+		kind := invalidChanges[o.invalid%len(invalidChanges)]
+		o.invalid++
+		c.method, invalid = kind.method, kind.name
+		c.body, err = kind.body(c)
+	default:
+		c.body, err = putBody(c.version, c.marker, false)
 	}
 	if err != nil {
 		return nil, err
 	}
 	o.recorder.edit(func(h *History) {
 		c.index = len(h.Changes)
-		h.Changes = append(h.Changes, Change{Marker: c.marker, Base: c.base, Version: c.version, IsInvalid: isInvalid})
+		h.Changes = append(h.Changes, Change{Marker: c.marker, Base: c.base, Version: c.version, IsInvalid: invalid != "", Fault: invalid})
 	})
 	return c, nil
 }
--- a/internal/soak/prober.go
+++ b/internal/soak/prober.go
@@ -15,7 +15,7 @@
 const (
 	probeInterval = 25 * time.Millisecond // between two probes, over all proxies
 	probeTimeout  = 2 * time.Second
-	markersProbed = 4 // number of latest changes that are probed, in turn
+	markersProbed = 4 // number of latest valid changes that are probed, in turn with the latest invalid one
 )
 
 const probePrefix = "probe-"
@@ -56,9 +56,22 @@
 
 // marker returns the marker of one of the latest changes; empty: there is none.
 func (p *prober) marker(number int) (marker string) {
+	turn := number % (markersProbed + 1)
 	p.recorder.edit(func(h *History) {
-		if index := len(h.Changes) - 1 - number%markersProbed; index >= 0 {
-			marker = h.Changes[index].Marker
+		wantsInvalid := turn == markersProbed
+		skip := turn // changes of that kind to pass over
+		if wantsInvalid {
+			skip = 0
+		}
+		for i := len(h.Changes) - 1; i >= 0; i-- {
+			if h.Changes[i].IsInvalid != wantsInvalid {
+				continue
+			}
+			if skip == 0 {
+				marker = h.Changes[i].Marker
+				return
+			}
+			skip--
 		}
 	})
 	return marker
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -188,6 +188,7 @@
 	if len(r.fleet.ofRole(RoleProxy)) > 0 {
 		r.changes.Go(func() { r.releaseBackends(changeContext) })
 	}
+	r.changes.Go(func() { r.sendInvalid(changeContext) })
 	r.progress("fault phase of %v with %d steps", r.opts.FaultPhase, len(schedule))
 	if err := r.injectFaults(ctx, changeContext, schedule); err != nil {
 		return err
@@ -317,6 +318,13 @@
 	}
 }
 
+// sendInvalid sends invalid changes until ctx ends.
+func (r *run) sendInvalid(ctx context.Context) {
+	if err := r.operators.sendInvalid(ctx); err != nil {
+		r.progress("invalid change: %v", err)
+	}
+}
+
 // releaseBackends replaces backends until ctx ends.
 func (r *run) releaseBackends(ctx context.Context) {
 	if err := newReleases(r.fakes, r.recorder, r.opts.Seed).run(ctx); err != nil {
