--- a/internal/controlplane/configuration/document.go
+++ b/internal/controlplane/configuration/document.go
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	findings := &docreader.Findings{}
-	checkObjects(docreader.Root(members, findings))
+	checkObjects(members, "", findings)
 	return acceptDocument(members, findings)
 }
 
@@ -55,10 +55,9 @@
 	if decoder.More() {
 		return nil, errors.New("more than one JSON value")
 	}
+	repairObjects(members)
 	findings := &docreader.Findings{}
-	root := docreader.Root(members, findings)
-	repairObjects(root)
-	return newDocument(members, readConfig(root, findings), findings)
+	return newDocument(members, readConfig(docreader.Root(members, findings), findings), findings)
 }
 
 // newDocument returns the document of a JSON object and the configuration read from it, or the faults that were found.
--- a/internal/controlplane/configuration/number_fields.go
+++ b/internal/controlplane/configuration/number_fields.go
@@ -61,22 +61,20 @@
 	idleTimeoutField   = numberField{key: "idleTimeoutMs", fallback: float64(defaultIdleTimeout / time.Millisecond), max: maxMs}
 )
 
-// read returns the number of an object. A number out of its bounds, which an earlier version may have put in force, reads
-// as the nearest bound, and a whole number is cut to one.
+// read returns the number of an object, within its bounds.
 func (f numberField) read(object docreader.Node) float64 {
-	number := min(f.max, max(0, object.Field(f.key).Number(f.fallback)))
+	return f.bounded(object.Field(f.key).Number(f.fallback))
+}
+
+// bounded returns the nearest number within the bounds, which an earlier version did not check.
+func (f numberField) bounded(number float64) float64 {
+	number = min(f.max, max(0, number))
 	if f.isWhole {
 		return math.Trunc(number)
 	}
 	return number
 }
 
-// isOutOfBounds reports whether an object has a number that is not read as it is written.
-func (f numberField) isOutOfBounds(object docreader.Node) bool {
-	number, ok := object.Field(f.key).FiniteNumber()
-	return ok && number != f.read(object)
-}
-
 func (f numberField) count(object docreader.Node) int { return int(f.read(object)) }
 
 func (f numberField) milliseconds(object docreader.Node) time.Duration {
@@ -87,19 +85,20 @@
 	return time.Duration(f.read(object) * float64(time.Second))
 }
 
-// check records a fault if the number of an object is out of its bounds.
-func (f numberField) check(object docreader.Node) {
-	node := object.Field(f.key)
-	number, ok := node.FiniteNumber()
+// fault returns why a value is out of its bounds; empty: it is not, or it is no number, which is reported when it is read.
+func (f numberField) fault(value any) string {
+	number, ok := docreader.Finite(value)
 	switch {
-	case !ok: // reported when it is read, or missing
+	case !ok:
+		return ""
 	case number < 0:
-		node.AddFault("must not be negative")
+		return "must not be negative"
 	case number > f.max:
-		node.AddFault("must be at most %s", strconv.FormatFloat(f.max, 'f', -1, 64))
+		return "must be at most " + strconv.FormatFloat(f.max, 'f', -1, 64)
 	case f.isWhole && number != math.Trunc(number):
-		node.AddFault("a whole number is wanted")
+		return "a whole number is wanted"
 	}
+	return ""
 }
 
 // readVersion returns the version of a document without rounding it. 0 means that there is none.
--- a/internal/controlplane/configuration/objects.go
+++ b/internal/controlplane/configuration/objects.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"unicode"
 
+	"github.com/samber/lo"
+
 	"pumiceline/internal/docreader"
 )
 
@@ -47,103 +50,125 @@
 	pathStartKey  = "pathStart"
 )
 
-// keys returns the keys of the members that are read.
-func (k *objectKind) keys() []string {
-	keys := slices.Concat(k.texts, k.others)
-	for _, field := range k.numbers {
-		keys = append(keys, field.key)
-	}
-	return keys
+// hasKey reports whether a member with that key is read.
+func (k *objectKind) hasKey(key string) bool {
+	return k.containsKey(func(known string) bool { return known == key })
 }
 
-// visitObjects calls visit with each object of a document. It ends early if the findings of the document are full.
-func visitObjects(root docreader.Node, visit func(object docreader.Node, kind *objectKind)) {
-	visit(root, &documentObject)
-	for _, service := range root.Field("services").Items() {
-		visit(service, &serviceObject)
-		runtime := service.Field("runtime")
-		visit(runtime, &runtimeObject)
-		for _, model := range runtime.Field("models").Items() {
-			if root.Findings().IsFull() {
-				return
-			}
-			visit(model, &modelObject)
-		}
-	}
-	for _, route := range root.Field("routes").Items() {
-		if root.Findings().IsFull() {
-			return
-		}
-		visit(route, &routeObject)
-		for _, entry := range route.Field("split").Items() {
-			visit(entry, &weightedServiceObject)
+// isMisspelled reports whether a key differs in case only from one that is read.
+func (k *objectKind) isMisspelled(key string) bool {
+	return !k.hasKey(key) && k.containsKey(func(known string) bool { return strings.EqualFold(known, key) })
+}
+
+func (k *objectKind) containsKey(isWanted func(known string) bool) bool {
+	isWantedNumber := func(field numberField) bool { return isWanted(field.key) }
+	return slices.ContainsFunc(k.texts, isWanted) || slices.ContainsFunc(k.others, isWanted) ||
+		slices.ContainsFunc(k.numbers, isWantedNumber)
+}
+
+// object is an object of a document that is not yet read.
+type object struct {
+	members map[string]any
+	kind    *objectKind
+	path    func() string // with a dot at the end, or empty; made only where there is a fault
+}
+
+// visitObjects calls visit with each object of a document, until it returns false. Values of a wrong type are passed
+// over: they are reported when they are read.
+func visitObjects(root map[string]any, path string, visit func(object) bool) {
+	rootPath := func() string { return path }
+	limits, _ := root["limits"].(map[string]any)
+	_ = visit(object{root, &documentObject, rootPath}) &&
+		visit(object{limits, &limitsObject, func() string { return path + "limits." }}) &&
+		visitList(root, "services", rootPath, func(members map[string]any, path func() string) bool {
+			return visitService(members, path, visit)
+		}) &&
+		visitList(root, "routes", rootPath, func(members map[string]any, path func() string) bool {
+			return visit(object{members, &routeObject, path}) &&
+				visitList(members, "split", path, func(members map[string]any, path func() string) bool {
+					return visit(object{members, &weightedServiceObject, path})
+				})
+		})
+}
+
+func visitService(service map[string]any, path func() string, visit func(object) bool) bool {
+	runtime, _ := service["runtime"].(map[string]any)
+	runtimePath := func() string { return path() + "runtime." }
+	return visit(object{service, &serviceObject, path}) && visit(object{runtime, &runtimeObject, runtimePath}) &&
+		visitList(runtime, "models", runtimePath, func(members map[string]any, path func() string) bool {
+			return visit(object{members, &modelObject, path})
+		})
+}
+
+// visitList calls visit with each object of a list until it returns false, and reports whether it never did.
+func visitList(parent map[string]any, key string, path func() string, visit func(members map[string]any, path func() string) bool) bool {
+	items, _ := parent[key].([]any)
+	for i, item := range items {
+		members, _ := item.(map[string]any)
+		if !visit(members, func() string { return fmt.Sprintf("%s%s[%d].", path(), key, i) }) {
+			return false
 		}
 	}
-	visit(root.Field("limits"), &limitsObject)
+	return true
 }
 
 // checkObjects records a fault for each member of a document that could not be held or passed on unchanged: a number
 // out of its bounds, a text with control characters, and a key that a reader without regard to case takes for another.
-func checkObjects(root docreader.Node) {
-	visitObjects(root, func(object docreader.Node, kind *objectKind) {
-		checkKeys(object, kind)
-		checkTexts(object, kind)
-		for _, field := range kind.numbers {
-			field.check(object)
+// path is that of the document, with a dot at the end, or empty.
+func checkObjects(root map[string]any, path string, findings *docreader.Findings) {
+	visitObjects(root, path, func(o object) bool {
+		keys := lo.Keys(o.members)
+		slices.Sort(keys)
+		for _, key := range keys {
+			if fault := o.kind.fault(key, o.members[key]); fault != "" {
+				findings.Add(o.path()+key, "%s", fault)
+			}
 		}
+		return !findings.IsFull()
 	})
 }
 
-func checkKeys(object docreader.Node, kind *objectKind) {
-	for _, key := range misspelledKeys(object, kind) {
-		object.Field(key).AddFault("is not a key: keys are told apart by case")
+// fault returns why a member of an object could not be held or passed on unchanged; empty: it can.
+func (k *objectKind) fault(key string, value any) string {
+	if text, isText := value.(string); isText && slices.Contains(k.texts, key) {
+		return textFault(key, text)
 	}
-}
-
-// misspelledKeys returns the keys of an object, in order, that differ in case only from one that is read.
-func misspelledKeys(object docreader.Node, kind *objectKind) []string {
-	keys := kind.keys()
-	var misspelled []string
-	for _, key := range object.Keys() {
-		isOther := func(known string) bool { return key != known && strings.EqualFold(key, known) }
-		if slices.ContainsFunc(keys, isOther) {
-			misspelled = append(misspelled, key)
+	for _, field := range k.numbers {
+		if field.key == key {
+			return field.fault(value)
 		}
 	}
-	slices.Sort(misspelled)
-	return misspelled
+	if k.isMisspelled(key) {
+		return "is not a key: keys are told apart by case"
+	}
+	return ""
 }
 
-func checkTexts(object docreader.Node, kind *objectKind) {
-	for _, key := range kind.texts {
-		field := object.Field(key)
-		text, isText := field.IsText()
-		switch {
-		case !isText: // reported when it is read, or missing
-		case strings.ContainsFunc(text, unicode.IsControl):
-			field.AddFault("must not have control characters")
-		case (key == healthPathKey || key == pathStartKey) && strings.ContainsFunc(text, unicode.IsSpace):
-			field.AddFault("must not have spaces")
-		}
+func textFault(key, text string) string {
+	switch {
+	case strings.ContainsFunc(text, unicode.IsControl):
+		return "must not have control characters"
+	case (key == healthPathKey || key == pathStartKey) && strings.ContainsFunc(text, unicode.IsSpace):
+		return "must not have spaces"
 	}
+	return ""
 }
 
 // repairObjects makes a document that is in force say what its readers apply: numbers out of their bounds become the
 // nearest bound, and members with a misspelled key, which no reader here has used, are left out.
-func repairObjects(root docreader.Node) {
-	visitObjects(root, func(object docreader.Node, kind *objectKind) {
-		members, isObject := object.Members()
-		if !isObject {
-			return
-		}
-		for _, key := range misspelledKeys(object, kind) {
-			delete(members, key)
+func repairObjects(root map[string]any) {
+	visitObjects(root, "", func(o object) bool {
+		for key := range o.members {
+			if o.kind.isMisspelled(key) {
+				delete(o.members, key)
+			}
 		}
-		for _, field := range kind.numbers {
-			if field.isOutOfBounds(object) {
-				members[field.key] = json.Number(strconv.FormatFloat(field.read(object), 'f', -1, 64))
+		for _, field := range o.kind.numbers {
+			if number, ok := docreader.Finite(o.members[field.key]); ok && number != field.bounded(number) {
+				o.members[field.key] = json.Number(strconv.FormatFloat(field.bounded(number), 'f', -1, 64))
 			}
 		}
+		return true
 	})
 }
 
--- a/internal/controlplane/configuration/patch.go
+++ b/internal/controlplane/configuration/patch.go
@@ -37,7 +37,9 @@
 	checkOnlyKeys(root.Field("add"), namedLists...)
 	checkOnlyKeys(root.Field("remove"), namedLists...)
 	readRequiredVersion(root)
-	checkObjects(root.Field("add"))
+	if added, isObject := members["add"].(map[string]any); isObject {
+		checkObjects(added, "add.", findings)
+	}
 	body := &patchBody{version: members["version"], lists: map[string]listPatch{}}
 	for _, list := range namedLists {
 		body.lists[list] = readListPatch(root, list)
--- a/internal/docreader/docreader.go
+++ b/internal/docreader/docreader.go
@@ -153,12 +153,6 @@
 // Text returns a string, or fallback if the node is missing.
 func (n Node) Text(fallback string) string { return read[string](n, fallback, "a text is wanted") }
 
-// IsText returns the string at the node. ok is false if there is none; this is not recorded as a fault.
-func (n Node) IsText() (text string, ok bool) {
-	text, ok = n.value.(string)
-	return text, ok
-}
-
 // RequiredText returns a string. A missing or empty one is a fault.
 func (n Node) RequiredText() string {
 	text := n.Text("")
@@ -186,7 +180,12 @@
 
 // FiniteNumber returns the number at the node. ok is false if there is none; this is not recorded as a fault.
 func (n Node) FiniteNumber() (number float64, ok bool) {
-	number, ok = toFloat(n.value)
+	return Finite(n.value)
+}
+
+// Finite returns a decoded value as a finite number. ok is false if it is none.
+func Finite(value any) (number float64, ok bool) {
+	number, ok = toFloat(value)
 	return number, ok && !math.IsNaN(number) && !math.IsInf(number, 0)
 }
 
