Fault-injection runs record when a proxy is ready; the flaky test prints its history

One hypothesis is that the killed proxy took more than a second to start. The history has the moment of readiness now, and the test prints it when it fails.

--- a/cmd/pumiceline/faulttest_test.go
+++ b/cmd/pumiceline/faulttest_test.go
@@ -49,4 +49,7 @@
 	if len(result.ProxyFailures) > 0 {
 		t.Errorf("proxies did not end in order: %v", result.ProxyFailures)
 	}
+	if t.Failed() {
+		t.Logf("history: %v", result.History)
+	}
 }
--- a/cmd/pumiceline/faulttestscript.go
+++ b/cmd/pumiceline/faulttestscript.go
@@ -37,11 +37,16 @@
 
 	mu        sync.Mutex
 	processes []*faulttest.Process // by proxy
+
+	watching      context.Context // ends with close
+	stopWatching  context.CancelFunc
+	readyWatchers sync.WaitGroup // goroutines of recordReadiness
 }
 
 // newScriptRun prepares a run without starting a process or relay. The caller must call close, also after an error.
 func newScriptRun(script *faulttest.Script) (*scriptRun, error) {
 	r := &scriptRun{Harness: faulttest.New(), script: script, processes: make([]*faulttest.Process, script.Proxies)}
+	r.watching, r.stopWatching = context.WithCancel(context.Background())
 	var err error
 	if r.program, err = os.Executable(); err != nil {
 		return r, fmt.Errorf("own program: %w", err)
@@ -54,7 +59,9 @@
 
 // close ends all processes and relays, and removes the run's folder.
 func (r *scriptRun) close() {
+	r.stopWatching()
 	r.Close()
+	r.readyWatchers.Wait()
 	os.RemoveAll(r.dir)
 }
 
@@ -143,11 +150,23 @@
 		return err
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.processes[i] = p
+	r.mu.Unlock()
+	r.readyWatchers.Go(func() { r.recordReadiness(i) })
 	return nil
 }
 
+// recordReadiness records when the i-th proxy is ready. Requests sent to it before fail, however long its start takes.
+func (r *scriptRun) recordReadiness(i int) {
+	ctx, cancel := context.WithTimeout(r.watching, proxyStartTimeout)
+	defer cancel()
+	if err := awaitReady(ctx, "http://"+r.proxyAddrs[i], nil); err != nil {
+		r.recordError(err)
+		return
+	}
+	r.Record(fmt.Sprint("proxy ", i), "is ready")
+}
+
 // process returns the latest process of the i-th proxy.
 func (r *scriptRun) process(i int) *faulttest.Process {
 	r.mu.Lock()
