End records: the end of a process no longer replaces the start of its successor

Cause: a process that ends checks that no successor has started, and then writes its end. The successor may write its start in between, and both used the same temporary file; so the successor's start was replaced, or its write failed. The sync between the check and the rename makes the gap long beside load.

Change: both hold a lock (PROGRAM.process.json.lock, flock) while they read and replace the record; an end of the process frees it.

--- a/internal/lifecycle/end.go
+++ b/internal/lifecycle/end.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"pumiceline/internal/logkey"
 )
@@ -67,12 +68,34 @@
 	if err := os.MkdirAll(filepath.Dir(r.path), folderMode); err != nil {
 		return fmt.Errorf("make the state folder: %w", err)
 	}
+	unlock, lockErr := r.lock()
+	defer unlock()
 	crashPath := r.path + ".crash"
 	if previous := readPreviousEnd(r.path, crashPath); previous != nil {
 		r.process.previousEnd.Store(previous)
 		logrus.WithField(logkey.Reason, previous.Reason).Info("end of the previous process")
 	}
-	return errors.Join(r.write(End{StartedAt: r.process.startedAt}), keepCrashReport(crashPath))
+	return errors.Join(lockErr, r.write(End{StartedAt: r.process.startedAt}), keepCrashReport(crashPath))
+}
+
+// lock keeps other processes of the program from the record until unlock is called or this process ends. A process may
+// start while the one before it still drains, and both write the record.
+func (r *EndRecorder) lock() (unlock func(), err error) {
+	file, err := os.OpenFile(r.path+".lock", os.O_WRONLY|os.O_CREATE, recordMode)
+	if err != nil {
+		return func() {}, fmt.Errorf("open the lock of the end record: %w", err)
+	}
+	for {
+		err = unix.Flock(int(file.Fd()), unix.LOCK_EX)
+		if !errors.Is(err, unix.EINTR) {
+			break
+		}
+	}
+	if err != nil {
+		file.Close()
+		return func() {}, fmt.Errorf("lock the end record: %w", err)
+	}
+	return func() { file.Close() }, nil
 }
 
 // keepCrashReport has the Go runtime write a crash report to a file too.
@@ -113,6 +136,11 @@
 // writeUnlessReplaced writes the end of this process, unless the record is that of its successor: a process may start
 // while the one before it still drains.
 func (r *EndRecorder) writeUnlessReplaced(end End) error {
+	unlock, err := r.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	newest, err := readEnd(r.path)
 	if err == nil && newest != nil && newest.StartedAt.After(end.StartedAt) {
 		return errReplaced
