Singleton members wait for a store that the process before still has open

Cause: the store of a process that was killed stayed locked for a second after its end was seen, and the next start gave up after that second and ended. Change: a start logs the wait after a second and waits for 10 s.

Measured: TestStore_WaitsForProcessBefore is red before (timeout) and green after.

--- a/internal/process/end_test.go
+++ b/internal/process/end_test.go
@@ -60,6 +60,9 @@
 				previous := next.previousEnd()
 				assert.Contains(t, previous.Reason, c.previous)
 				assert.Equal(t, c.signal != syscall.SIGTERM, previous.EndedAt.IsZero())
+				if t.Failed() {
+					t.Logf("log of the process that ended:\n%s", p.output())
+				}
 			})
 		}
 	}
--- a/internal/singleton/raftmember/member.go
+++ b/internal/singleton/raftmember/member.go
@@ -137,7 +137,7 @@
 	if opts.SnapshotInterval == 0 {
 		opts.SnapshotInterval = defaultSnapshotInterval
 	}
-	s, err := openStore(opts.Dir, opts.VolatileDir)
+	s, err := openStore(opts.Dir, opts.VolatileDir, opts.Log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/singleton/raftmember/storage.go
+++ b/internal/singleton/raftmember/storage.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math"
 	"path/filepath"
 	"sync"
@@ -12,6 +13,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -40,9 +42,10 @@
 }
 
 const (
-	storeFile   = "member.db"
-	lockTimeout = time.Second // how long to wait for another process that has the file open
-	keyBytes    = 8           // of a number: an index, the start count or the write count
+	storeFile    = "member.db"
+	lockLogDelay = time.Second      // after which the wait for another process that has the file open is logged
+	lockTimeout  = 10 * time.Second // after which that wait fails: a process that was killed has its files open until it is gone
+	keyBytes     = 8                // of a number: an index, the start count or the write count
 )
 
 var (
@@ -58,12 +61,12 @@
 
 // openStore opens a member's file, loads it and counts the start. It returns ErrStaleDisk if the mark records a later
 // write.
-func openStore(dir, volatileDir string) (*store, error) {
+func openStore(dir, volatileDir string, log *slog.Logger) (*store, error) {
 	mark, err := newFreshnessMark(volatileDir, dir)
 	if err != nil {
 		return nil, err
 	}
-	db, err := bbolt.Open(filepath.Join(dir, storeFile), 0o600, &bbolt.Options{Timeout: lockTimeout})
+	db, err := openFile(filepath.Join(dir, storeFile), log)
 	if err != nil {
 		return nil, fmt.Errorf("open store in %s: %w", dir, err)
 	}
@@ -80,6 +83,16 @@
 	return s, nil
 }
 
+// openFile opens a member's file, and waits while another process has it open.
+func openFile(path string, log *slog.Logger) (*bbolt.DB, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockLogDelay})
+	if !errors.Is(err, bbolterrors.ErrTimeout) {
+		return db, err
+	}
+	log.Warn("another process has the member's store open; waiting for it", "path", path)
+	return bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTimeout - lockLogDelay})
+}
+
 // checkFreshness compares the file with its mark.
 func (s *store) checkFreshness() error {
 	writes := uint64(0)
--- a/internal/singleton/raftmember/storage_test.go
+++ b/internal/singleton/raftmember/storage_test.go
@@ -1,16 +1,20 @@
 package raftmember
 
 import (
+	"log/slog"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"go.etcd.io/bbolt"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 )
 
 // Whichever write a failing disk fails first, its error has the words that operators search for.
 func TestStore_FailedWritesHaveOperatorText(t *testing.T) {
-	s, err := openStore(t.TempDir(), "")
+	s, err := openStore(t.TempDir(), "", slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,3 +36,21 @@
 		}
 	}
 }
+
+// A member that starts while the process before it is not gone yet waits for its file. Guards against a start that ends
+// because a process that was killed had the file open for more than a second.
+func TestStore_WaitsForProcessBefore(t *testing.T) {
+	dir := t.TempDir()
+	before, err := bbolt.Open(filepath.Join(dir, storeFile), 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(lockLogDelay+lockLogDelay/2, func() { before.Close() })
+	s, err := openStore(dir, "", slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.db.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
